--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Targets for users and developers; VENV= lets several work trees share one environment.
+VENV ?= .venv
+PY := $(VENV)/bin/python
+CODE := foxtailhatch standins bench demo tests
+SEED ?= 1
+STEPS ?= 200
+export PYTHONPATH := $(CURDIR)
+
+.PHONY: demo test lint format faults soak bench binary
+
+$(VENV)/.ready:
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	touch $@
+
+demo: $(VENV)/.ready
+	$(PY) -m demo
+
+test: $(VENV)/.ready
+	$(PY) -m pytest -q -n 4
+
+lint: $(VENV)/.ready
+	$(PY) -m ruff format --check $(CODE)
+	$(PY) -m ruff check $(CODE)
+	$(PY) -m flake8 $(CODE)
+	$(PY) -m mypy foxtailhatch standins bench demo
+
+format: $(VENV)/.ready
+	$(PY) -m ruff format $(CODE)
+	$(PY) -m ruff check --fix $(CODE)
+
+faults: $(VENV)/.ready
+	$(PY) -m tests.faults
+
+soak: $(VENV)/.ready
+	$(PY) -m tests.soak --seed $(SEED) --steps $(STEPS)
+
+bench: $(VENV)/.ready
+	$(PY) -m bench
+
+binary: $(VENV)/.ready
+	$(VENV)/bin/shiv --quiet --compressed -c foxtailhatch -o dist/foxtailhatch -p '/usr/bin/env python3' .
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each prints one JSON object a line."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration that ``make demo`` runs."""
--- /dev/null
+++ b/foxtailhatch/core/outcomes.py
@@ -0,0 +1,56 @@
+"""What a caller is told when a request does not end with its whole answer."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class RunState(StrEnum):
+    """Whether a request was run; ``NOT_RUN`` is used only when certain."""
+
+    NOT_RUN = 'not_run'
+    RAN = 'ran'
+    UNKNOWN = 'unknown'
+
+
+class ErrorCode(StrEnum):
+    """The stable codes of all refusals and failures that a caller can see."""
+
+    BAD_REQUEST = 'bad_request'
+    BODY_TOO_LARGE = 'body_too_large'
+    BODY_TOO_SLOW = 'body_too_slow'
+    BAD_TOKEN = 'bad_token'
+    FORBIDDEN = 'forbidden'
+    UNKNOWN_MODEL = 'unknown_model'
+    UNKNOWN_SERVICE = 'unknown_service'
+    NO_CONFIGURATION = 'no_configuration'
+    NO_CAPACITY = 'no_capacity'
+    QUEUE_FULL = 'queue_full'
+    RATE_LIMITED = 'rate_limited'
+    DEADLINE = 'deadline'
+    SHUTTING_DOWN = 'shutting_down'
+    KEY_REQUIRED = 'key_required'
+    KEY_IN_USE = 'key_in_use'
+    KEY_REUSED = 'key_reused'
+    LOG_UNAVAILABLE = 'log_unavailable'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+    ENDPOINT_FAILED = 'endpoint_failed'
+    SLOW_CALLER = 'slow_caller'
+    CANCELLED = 'cancelled'
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """One typed failure, ready to be shown to a caller.
+
+    ``retry_after_s`` is a number of seconds, and ``address`` another entry
+    address (``host:port``) that may serve the request; both may be absent.
+
+    >>> Refusal(ErrorCode.QUEUE_FULL, 'The queue is full.').run.value
+    'not_run'
+    """
+
+    code: ErrorCode
+    message: str
+    run: RunState = RunState.NOT_RUN
+    retry_after_s: float | None = None
+    address: str | None = None
--- /dev/null
+++ b/foxtailhatch/core/timeline.py
@@ -0,0 +1,87 @@
+"""A bounded ring of typed events, one ring for each instance."""
+
+from collections import deque
+from dataclasses import dataclass
+from enum import StrEnum
+
+from foxtailhatch.core.hybrid_clock import HybridClock, Stamp
+
+RING_EVENTS = 20_000
+
+
+class EventKind(StrEnum):
+    """The kinds of events that the time line shows."""
+
+    STARTED = 'started'
+    STOP_ASKED = 'stop_asked'
+    STOPPED = 'stopped'
+    REQUEST_ADMITTED = 'request_admitted'
+    REQUEST_REFUSED = 'request_refused'
+    REQUEST_FINISHED = 'request_finished'
+    REQUEST_CANCELLED = 'request_cancelled'
+    CHAIN_CHOSEN = 'chain_chosen'
+    STAGE_OPENED = 'stage_opened'
+    STAGE_LOST = 'stage_lost'
+    ANSWER_RECOVERED = 'answer_recovered'
+    TOKEN_DELIVERED = 'token_delivered'
+    SERVICE_SENT = 'service_sent'
+    SERVICE_ANSWERED = 'service_answered'
+    CLAIM_APPENDED = 'claim_appended'
+    CLAIM_DECIDED = 'claim_decided'
+    CONFIGURATION_IN_FORCE = 'configuration_in_force'
+    PUBLICATION_REFUSED = 'publication_refused'
+    SNAPSHOT_WRITTEN = 'snapshot_written'
+    LOG_UNAVAILABLE = 'log_unavailable'
+    LOG_AVAILABLE = 'log_available'
+    LEASE_TAKEN = 'lease_taken'
+    LEASE_LOST = 'lease_lost'
+    ORDER_SENT = 'order_sent'
+    MARK_CHANGED = 'mark_changed'
+    MEMBER_CHANGED = 'member_changed'
+    ENDPOINT_EJECTED = 'endpoint_ejected'
+    ENDPOINT_RESTORED = 'endpoint_restored'
+    SESSION_OPENED = 'session_opened'
+    SESSION_LOST = 'session_lost'
+    INVARIANT_BROKEN = 'invariant_broken'
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One event: when, what, and the request or endpoint it is about."""
+
+    stamp: Stamp
+    kind: EventKind
+    subject: str
+    detail: str = ''
+
+
+class Timeline:
+    """Keep the newest events of this instance and drop the oldest.
+
+    >>> line = Timeline(HybridClock('entry-1'), size=1)
+    >>> _ = line.record(1.0, EventKind.STARTED, 'entry-1')
+    >>> _ = line.record(2.0, EventKind.STOPPED, 'entry-1')
+    >>> [event.kind.value for event in line.events()]
+    ['stopped']
+    """
+
+    def __init__(self, clock: HybridClock, size: int = RING_EVENTS) -> None:
+        """Start an empty ring of at most ``size`` events."""
+        self.clock = clock
+        self._ring: deque[Event] = deque(maxlen=size)
+
+    def record(
+        self,
+        now: float,
+        kind: EventKind,
+        subject: str,
+        detail: str = '',
+    ) -> Event:
+        """Stamp one event at wall time ``now`` and keep it."""
+        event = Event(self.clock.tick(now), kind, subject, detail)
+        self._ring.append(event)
+        return event
+
+    def events(self, subject: str = '') -> list[Event]:
+        """Return the kept events in order, all or those of one subject."""
+        return [event for event in self._ring if subject in {'', event.subject}]
--- /dev/null
+++ b/foxtailhatch/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The running entry: settings, blackboard, wiring and the loop."""
--- /dev/null
+++ b/foxtailhatch/durable/__init__.py
@@ -0,0 +1,1 @@
+"""What the platform's log decides: claims, leases and orders."""
--- /dev/null
+++ b/foxtailhatch/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The exchange between entries: websockets with CBOR."""
--- /dev/null
+++ b/foxtailhatch/recovery/__init__.py
@@ -0,0 +1,1 @@
+"""Detecting, containing and retrying failures of endpoints."""
--- /dev/null
+++ b/foxtailhatch/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which chain of endpoints a request takes."""
