Answer callers over HTTP

Callers need one front for answers, plain services and listings.

Backpressure: the answer is registered as a push producer, so that a full send buffer pauses it; a caller that leaves the buffer full too long is cut off, and one that hangs up has its answer cancelled. Bodies are refused by their announced or counted length before they are kept. Token numbers are checked against the answer's own order before anything is written.

Service paths reach selectors in one spelling only, as not_repeatable compares them by their text.

--- /dev/null
+++ b/foxtailhatch/callers/answer_check.py
@@ -0,0 +1,31 @@
+"""The check that a caller gets its own answer, whole and in order."""
+
+from foxtailhatch.core import Invariant, require
+
+
+class AnswerCheck:
+    """Follow one answer and require that no token is missing or repeated.
+
+    >>> check = AnswerCheck('req-1', first=2)
+    >>> check.token(2)
+    >>> check.ended()
+    """
+
+    def __init__(self, request_id: str, first: int) -> None:
+        """Expect token number ``first`` next."""
+        self.request_id = request_id
+        self.next_index = first
+        self.over = False
+
+    def token(self, index: int) -> None:
+        """Require that ``index`` is the token due now."""
+        due = not self.over and index == self.next_index
+        evidence = f'{self.request_id}: token {index}, due {self.next_index}'
+        require(Invariant.WHOLE_OWN_ANSWER, due, evidence)
+        self.next_index += 1
+
+    def ended(self) -> None:
+        """Require that the answer ends once."""
+        evidence = f'{self.request_id}: a second end'
+        require(Invariant.WHOLE_OWN_ANSWER, not self.over, evidence)
+        self.over = True
--- /dev/null
+++ b/foxtailhatch/callers/exchange.py
@@ -0,0 +1,95 @@
+"""One generate request from its HTTP request to its end."""
+
+from collections.abc import Callable
+
+from twisted.python.failure import Failure
+from twisted.web.http import Request
+
+from foxtailhatch.callers.front import Front
+from foxtailhatch.callers.pacing import Pacing
+from foxtailhatch.callers.replies import refusal_reply, send
+from foxtailhatch.core import ErrorCode, Refusal
+
+LAST_EVENT = b'data: [DONE]\n\n'
+
+
+class Exchange:
+    """The caller's side of one answer: write to it, end it, lose it.
+
+    The exchange ends once: with its last byte written, with the caller's
+    hang-up, or by being cut off.  Whatever is written afterwards is dropped.
+    """
+
+    def __init__(self, front: Front, req: Request) -> None:
+        """Watch the connection of ``req``."""
+        self._front = front
+        self._req = req
+        self._streaming = False
+        self.open = True
+        self.pacing = Pacing(
+            front.clock,
+            front.limits.slow_caller_s,
+            self._cut_off,
+        )
+        req.notifyFinish().addCallbacks(self._closed, self._hung_up)
+
+    def write(self, event: bytes) -> None:
+        """Write one event of a stream, after its headers if it is first."""
+        if not self.open:
+            return
+        if not self._streaming:
+            self._start_stream()
+        self._req.write(event)
+
+    def finish_stream(self) -> None:
+        """End a stream that is whole."""
+        if self.open:
+            self.write(LAST_EVENT)
+            self._end(None, self._req.finish)
+
+    def finish_whole(self, body: bytes) -> None:
+        """Send a whole answer."""
+        if self.open:
+            self._req.setHeader('Content-Type', 'application/json')
+            self._end(None, lambda: send(self._req, body))
+
+    def fail(self, refusal: Refusal) -> None:
+        """End with a refusal, as an event if the stream has begun."""
+        if not self.open:
+            return
+        body = refusal_reply(self._req, refusal)
+        if self._streaming:
+            self._req.write(b'event: error\ndata: %b\n\n' % body)
+            self._end(refusal.code, self._req.finish)
+        else:
+            self._end(refusal.code, lambda: send(self._req, body))
+
+    def _start_stream(self) -> None:
+        self._streaming = True
+        self._req.setHeader('Content-Type', 'text/event-stream')
+        self._req.setHeader('Cache-Control', 'no-store')
+        self._req.registerProducer(self.pacing, True)
+
+    def _end(self, code: ErrorCode | None, close: Callable[[], None]) -> None:
+        self.open = False
+        self.pacing.stop_timing()
+        if self._streaming:
+            self._req.unregisterProducer()
+        close()
+        self._front.observability.request_ended(code)
+
+    def _closed(self, _: None) -> None:
+        self.open = False
+
+    def _hung_up(self, reason: Failure) -> None:
+        if self.open:
+            self.open = False
+            self._front.observability.request_ended(ErrorCode.CANCELLED)
+        self.pacing.cancel()
+
+    def _cut_off(self) -> None:
+        # The caller's buffer is full, so that no error could reach it.
+        self.open = False
+        self._front.observability.request_ended(ErrorCode.SLOW_CALLER)
+        self.pacing.cancel()
+        self._req.channel.forceAbortClient()
--- /dev/null
+++ b/foxtailhatch/callers/intake.py
@@ -0,0 +1,127 @@
+"""Taking in requests: bodies that are too large or come too slowly."""
+
+from http import HTTPStatus
+from typing import cast
+
+from twisted.internet.tcp import Connection
+from twisted.python.failure import Failure
+from twisted.web import server
+from twisted.web.http import HTTPChannel
+
+from foxtailhatch.callers.clock import DelayedCall
+from foxtailhatch.callers.errors import STATUSES, error_body
+from foxtailhatch.callers.front import Front
+from foxtailhatch.callers.replies import refusal_reply, send
+from foxtailhatch.callers.services import internal_error
+from foxtailhatch.core import ErrorCode, InvariantBroken, Refusal
+
+LINGER_S = 2
+
+
+class IntakeRequest(server.Request):
+    """A request whose body is refused before it is kept, if too large.
+
+    The refusal is written at once.  What the caller still sends is thrown
+    away for ``LINGER_S``, so that closing does not destroy the refusal on its
+    way; then the connection is closed.
+    """
+
+    def __init__(self, front: Front, channel: HTTPChannel, *_: object) -> None:
+        """Start the time in which headers and body must arrive."""
+        server.Request.__init__(self, channel)
+        self._front = front
+        self._refused = False
+        self._body_bytes = 0
+        self._limit: DelayedCall | None = front.clock.callLater(
+            front.limits.body_timeout_s,
+            self._too_slow,
+        )
+
+    def gotLength(self, length: int | None) -> None:
+        """Refuse a body whose announced length is too large."""
+        server.Request.gotLength(self, length)
+        if length is not None and length > self._front.limits.body_bytes:
+            self._too_large()
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Keep one piece of the body, within the bound."""
+        if self._refused:
+            return
+        self._body_bytes += len(data)
+        if self._body_bytes > self._front.limits.body_bytes:
+            self._too_large()
+        else:
+            server.Request.handleContentChunk(self, data)
+
+    def requestReceived(
+        self,
+        command: bytes,
+        path: bytes,
+        version: bytes,
+    ) -> None:
+        """Answer the request, unless it was refused on its way in."""
+        if self._refused:
+            self.channel.loseConnection()
+            return
+        self._stop_timing()
+        server.Request.requestReceived(self, command, path, version)
+
+    def connectionLost(self, reason: Failure) -> None:
+        """Stop the time limit with the connection."""
+        self._stop_timing()
+        server.Request.connectionLost(self, reason)
+
+    def processingFailed(self, reason: Failure) -> Failure:
+        """Answer a fault of the program, and report a broken invariant."""
+        if isinstance(reason.value, InvariantBroken):
+            self._front.observability.invariant_broken(reason.value)
+        self._front.observability.request_ended(ErrorCode.INTERNAL)
+        if self.startedWriting:
+            self.channel.forceAbortClient()
+        else:
+            send(self, refusal_reply(self, internal_error()))
+        return reason
+
+    def _too_large(self) -> None:
+        limit = self._front.limits.body_bytes
+        message = f'The body is larger than {limit} bytes.'
+        self._refuse(Refusal(ErrorCode.BODY_TOO_LARGE, message))
+
+    def _too_slow(self) -> None:
+        self._limit = None
+        seconds = self._front.limits.body_timeout_s
+        message = f'The request did not arrive within {seconds} seconds.'
+        self._refuse(Refusal(ErrorCode.BODY_TOO_SLOW, message))
+
+    def _refuse(self, refusal: Refusal) -> None:
+        # The method is not known yet, so the reply is written by hand.
+        self._refused = True
+        self._stop_timing()
+        self._front.observability.request_ended(refusal.code)
+        self._connection().write(raw_reply(refusal))
+        self._limit = self._front.clock.callLater(LINGER_S, self._close)
+
+    def _close(self) -> None:
+        self._limit = None
+        self._connection().loseConnection()
+
+    def _connection(self) -> Connection:
+        return cast(Connection, self.channel.transport)
+
+    def _stop_timing(self) -> None:
+        if self._limit is not None:
+            self._limit.cancel()
+            self._limit = None
+
+
+def raw_reply(refusal: Refusal) -> bytes:
+    """Return a whole HTTP response after which the connection closes."""
+    status = HTTPStatus(STATUSES[refusal.code])
+    body = error_body(refusal)
+    head = (
+        f'HTTP/1.1 {status.value} {status.phrase}\r\n'
+        'Content-Type: application/json\r\n'
+        f'Content-Length: {len(body)}\r\n'
+        'Connection: close\r\n\r\n'
+    )
+    return head.encode() + body
--- a/foxtailhatch/core/outcomes.py
+++ b/foxtailhatch/core/outcomes.py
@@ -18,6 +18,8 @@
     BAD_REQUEST = 'bad_request'
     BODY_TOO_LARGE = 'body_too_large'
     BODY_TOO_SLOW = 'body_too_slow'
+    UNKNOWN_PATH = 'unknown_path'
+    BAD_METHOD = 'bad_method'
     BAD_TOKEN = 'bad_token'
     FORBIDDEN = 'forbidden'
     UNKNOWN_MODEL = 'unknown_model'
@@ -36,6 +38,7 @@
     ENDPOINT_FAILED = 'endpoint_failed'
     SLOW_CALLER = 'slow_caller'
     CANCELLED = 'cancelled'
+    INTERNAL = 'internal'
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/callers/test_services.py
@@ -0,0 +1,51 @@
+import pytest
+from returns.result import Failure
+
+from foxtailhatch.callers.services import service_path
+from foxtailhatch.core import ErrorCode, Refusal, RunState
+from tests.callers.http import with_front
+
+GOOD = {'Authorization': 'Bearer good'}
+
+
+@with_front
+async def test_a_call_is_passed_on_and_answered(front):
+    headers = {**GOOD, 'Idempotency-Key': 'k-1', 'Content-Type': 'text/x'}
+    reply = await front.ask(
+        'PUT',
+        '/v1/services/desk/reels/7?n=2',
+        b'body',
+        **headers,
+    )
+    assert (reply.status, reply.body) == (201, b'ok')
+    call = front.gateway.calls[0]
+    assert (call.service, call.method) == ('desk', 'PUT')
+    assert (call.path, call.body) == ('/reels/7?n=2', b'body')
+    assert (call.key, call.content_type) == ('k-1', 'text/x')
+
+
+@with_front
+async def test_a_refused_call_says_whether_it_ran(front):
+    front.gateway.service_outcome = Failure(
+        Refusal(ErrorCode.OUTCOME_UNKNOWN, 'Lost.', RunState.UNKNOWN),
+    )
+    reply = await front.ask('POST', '/v1/services/desk/book', **GOOD)
+    assert (reply.status, reply.error()['run']) == (504, 'unknown')
+
+
+@with_front
+async def test_a_call_without_a_token_is_not_passed_on(front):
+    reply = await front.ask('POST', '/v1/services/desk/book')
+    assert reply.status == 401
+    assert not front.gateway.calls
+
+
+@pytest.mark.parametrize('path', ['a/../book', './book', '/book', 'a%2fbook'])
+def test_a_path_that_has_another_spelling_is_refused(path):
+    refusal = service_path(b'/v1/services/desk/' + path.encode()).failure()
+    assert refusal.code is ErrorCode.BAD_REQUEST
+
+
+def test_a_path_with_needless_escapes_reaches_the_service_without_them():
+    spelled = service_path(b'/v1/services/desk/%62%6fok').unwrap()
+    assert spelled == '/book'
