Run one answer over its stages as a state machine

The machine relays activations, fences attempts by number, and after a loss feeds a replacement from the activations kept at the stage boundaries.

--- /dev/null
+++ b/foxtailhatch/pipeline/actions.py
@@ -0,0 +1,64 @@
+"""What an answer asks of whoever drives it."""
+
+from dataclasses import dataclass
+
+from foxtailhatch.callers.gateway import FinishReason
+from foxtailhatch.core import Chain, Refusal
+from foxtailhatch.platform.frames import UpFrame
+
+
+@dataclass(frozen=True, slots=True)
+class SendFrame:
+    """Send a frame on the session with an endpoint."""
+
+    endpoint: str
+    frame: UpFrame
+
+
+@dataclass(frozen=True, slots=True)
+class ChainStarted:
+    """An attempt begins on a chain; attempts count from 1."""
+
+    chain: Chain
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class StepAnswered:
+    """A stage answered a step of ``positions`` after ``seconds``."""
+
+    endpoint: str
+    positions: int
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class DeliverToken:
+    """Hand the answer's token number ``index`` to the caller."""
+
+    index: int
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFinished:
+    """The answer is complete."""
+
+    reason: FinishReason
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFailed:
+    """The answer ends without being complete."""
+
+    refusal: Refusal
+
+
+Action = (
+    SendFrame
+    | ChainStarted
+    | StepAnswered
+    | DeliverToken
+    | AnswerFinished
+    | AnswerFailed
+)
--- /dev/null
+++ b/foxtailhatch/pipeline/retained.py
@@ -0,0 +1,81 @@
+"""Activations kept at the boundaries between stages.
+
+The entry relays every activation, so it can keep them.  When one stage dies,
+its replacement is fed from here and the stages before it run nothing again.
+"""
+
+from dataclasses import dataclass, field
+
+from foxtailhatch.platform.frames import Activation
+
+RETAINED_BYTES = 4_194_304
+
+
+@dataclass(slots=True)
+class BoundaryInputs:
+    """The activations that enter one layer, from position ``first`` on."""
+
+    first: int = 0
+    activations: list[Activation] = field(default_factory=list)
+
+    @property
+    def end(self) -> int:
+        """Return the position after the last kept one."""
+        return self.first + len(self.activations)
+
+    def covers(self, position: int) -> bool:
+        """Tell whether the activation of ``position`` is kept."""
+        return self.first <= position < self.end
+
+    def put(self, position: int, activations: tuple[Activation, ...]) -> int:
+        """Keep activations from ``position`` on; return the bytes gained."""
+        if not self.first <= position <= self.end:
+            self.first = position
+            self.activations = []
+        fresh = activations[self.end - position :]
+        self.activations.extend(fresh)
+        return sum(map(len, fresh))
+
+    def since(self, position: int) -> tuple[Activation, ...]:
+        """Return the kept activations from ``position`` on."""
+        return tuple(self.activations[position - self.first :])
+
+
+class RetainedInputs:
+    """The kept activations of one answer, by the layer that they enter.
+
+    Past ``limit_bytes`` nothing more is kept and what was kept is dropped:
+    a recovery then runs the prefix again on every stage.
+
+    >>> kept = RetainedInputs(limit_bytes=8)
+    >>> kept.put(4, 0, ('aa', 'bb'))
+    >>> kept.at(4).end
+    2
+    >>> kept.put(4, 2, ('cccccc',))
+    >>> kept.at(4).end
+    0
+    """
+
+    def __init__(self, limit_bytes: int = RETAINED_BYTES) -> None:
+        """Start with nothing kept."""
+        self._limit_bytes = limit_bytes
+        self._bytes = 0
+        self._boundaries: dict[int, BoundaryInputs] = {}
+
+    def at(self, layer: int) -> BoundaryInputs:
+        """Return what is kept of the inputs of ``layer``."""
+        return self._boundaries.get(layer, BoundaryInputs())
+
+    def put(
+        self,
+        layer: int,
+        position: int,
+        activations: tuple[Activation, ...],
+    ) -> None:
+        """Keep the inputs of ``layer`` from ``position`` on."""
+        if self._bytes > self._limit_bytes:
+            return
+        boundary = self._boundaries.setdefault(layer, BoundaryInputs(position))
+        self._bytes += boundary.put(position, activations)
+        if self._bytes > self._limit_bytes:
+            self._boundaries.clear()
