--- a/foxtailhatch/pipeline/answer.py
+++ b/foxtailhatch/pipeline/answer.py
@@ -53,6 +53,12 @@
 CHAIN_RETRY_S = 0.05
 LOSSES_BEFORE_EXCLUSION = 2
 
+NOT_REPEATED = Refusal(
+    ErrorCode.OUTCOME_UNKNOWN,
+    'An endpoint failed and the request may not be run again.',
+    RunState.UNKNOWN,
+)
+
 AnswerFrame = StageOpened | StageOutput | StageRefused
 
 
@@ -252,7 +258,8 @@
         if attempt is None:
             return
         if self._stepped and not self.plan.repeatable:
-            yield from self._fail(self._not_repeated())
+            yield from attempt.cancel()
+            yield from self._fail(NOT_REPEATED)
             return
         if self._broken_since is None:
             self._broken_since = now
@@ -339,10 +346,3 @@
             refusal.retry_after_s,
             refusal.address,
         )
-
-    def _not_repeated(self) -> Refusal:
-        return Refusal(
-            ErrorCode.OUTCOME_UNKNOWN,
-            'An endpoint failed and the request may not be run again.',
-            RunState.UNKNOWN,
-        )
