--- a/tests/pipeline/fakes.py
+++ b/tests/pipeline/fakes.py
@@ -46,14 +46,16 @@
 
 def reference(prompt=PROMPT, count=8, splits=(0, 2, 4, 6)) -> list[int]:
     """Return the tokens that the layers must produce."""
-    ranges = [LayerRange(*pair) for pair in zip(splits, splits[1:])]
+    ranges = [
+        LayerRange(*pair) for pair in zip(splits, splits[1:], strict=False)
+    ]
     held = [[] for _ in ranges]
     tokens = list(prompt)
     position = 0
     while len(tokens) < len(prompt) + count:
         while position < len(tokens):
             value = str(tokens[position])
-            for layers, history in zip(ranges, held):
+            for layers, history in zip(ranges, held, strict=True):
                 entered = value
                 value = layer_step(layers, entered, history)
                 history.append(entered)
