Choose chains by shortest path and admit requests by fair shares

Cause: the entry needs to know which endpoints run an answer and which requests may start. Change: a pool of endpoint views (reports, own work, observed times), a shortest path over layer boundaries whose result is checked to tile all layers, and an admission with priorities, weighted fair shares of client accounts and callers, bounded queue, early refusal and limits per account.

--- a/foxtailhatch/limits/__init__.py
+++ b/foxtailhatch/limits/__init__.py
@@ -1,1 +1,17 @@
-"""Who may run now: priorities, fair shares, bounds and early refusal."""
+"""Which requests start, which wait and which are refused as not run."""
+
+from foxtailhatch.limits.admission import (
+    Admission,
+    AdmissionBounds,
+    RunningTicket,
+)
+from foxtailhatch.limits.tickets import Queued, RefusedTicket, Ticket
+
+__all__ = [
+    'Admission',
+    'AdmissionBounds',
+    'Queued',
+    'RefusedTicket',
+    'RunningTicket',
+    'Ticket',
+]
--- /dev/null
+++ b/foxtailhatch/routing/pool.py
@@ -0,0 +1,143 @@
+"""The part of the blackboard that routing reads: engines and their load.
+
+The daemon writes membership, reports and its own traffic into the pool; the
+choosers read it.  Nothing here does I/O, and each change names its time.
+"""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+
+from foxtailhatch.core import Endpoint, LayerRange, LoadReport
+from foxtailhatch.routing.view import EndpointView, ewma
+
+SAME_ZONE_ROUND_TRIP_S = 0.0004
+OTHER_ZONE_ROUND_TRIP_S = 0.0012
+
+
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """An endpoint and one range of a model that it holds."""
+
+    view: EndpointView
+    layers: LayerRange
+
+
+@dataclass(slots=True)
+class Pool:
+    """All engine endpoints that one entry knows.
+
+    ``zone`` is the entry's own availability zone, ``zone_round_trips`` the
+    seconds of a round trip from it to others, used until one is observed.
+    """
+
+    zone: str
+    zone_round_trips: Mapping[str, float] = field(default_factory=dict)
+    views: dict[str, EndpointView] = field(default_factory=dict)
+    _holders: dict[tuple[str, str], tuple[Holder, ...]] = field(
+        default_factory=dict,
+    )
+
+    def __iter__(self) -> Iterator[EndpointView]:
+        """Go through the views of all endpoints."""
+        return iter(self.views.values())
+
+    def add(self, endpoint: Endpoint, *, usable: bool = True) -> None:
+        """Add an endpoint, or take its newer description."""
+        view = self.views.get(endpoint.name)
+        if view is None:
+            self.views[endpoint.name] = EndpointView(endpoint, usable)
+            return
+        view.endpoint = endpoint
+        view.usable = usable
+
+    def remove(self, name: str) -> None:
+        """Forget an endpoint and all that is known of it."""
+        if self.views.pop(name, None):
+            self._holders.clear()
+
+    def set_usable(self, name: str, *, usable: bool) -> None:
+        """Let the choosers use an endpoint, or keep them off it."""
+        view = self.views.get(name)
+        if view:
+            view.usable = usable
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Keep a load report of a known endpoint if it is the newest."""
+        view = self.views.get(report.endpoint)
+        if view is None:
+            return
+        before = view.report.holdings if view.report else ()
+        if view.take_report(report, now) and report.holdings != before:
+            self._holders.clear()
+
+    def opened(self, name: str, prefill_tokens: int, now: float) -> None:
+        """Note that this entry sent a new stream and its prefill."""
+        view = self.views.get(name)
+        if view:
+            view.change_own(1, prefill_tokens, now)
+
+    def prefilled(self, name: str, prefill_tokens: int, now: float) -> None:
+        """Note that the prefill of a stream has been answered."""
+        view = self.views.get(name)
+        if view:
+            view.change_own(0, -prefill_tokens, now)
+
+    def closed(self, name: str, now: float, unfilled_tokens: int = 0) -> None:
+        """Note that a stream ended, with what was not yet prefilled of it."""
+        view = self.views.get(name)
+        if view:
+            view.change_own(-1, -unfilled_tokens, now)
+
+    def observe_round_trip(self, name: str, seconds: float) -> None:
+        """Learn from a ping how long the way to an endpoint and back is."""
+        view = self.views.get(name)
+        if view:
+            view.round_trip_s = ewma(view.round_trip_s, seconds)
+
+    def observe_step(self, name: str, layers: int, seconds: float) -> None:
+        """Learn from the time between sending a step and its output.
+
+        The step is one of decoding, over one position and ``layers`` layers;
+        ``seconds`` includes the way there and back.
+        """
+        view = self.views.get(name)
+        if view and layers:
+            busy = max(0, seconds - self.round_trip(view))
+            view.curve.add(max(1, view.streams()), busy / layers)
+
+    def observe_prefill(
+        self,
+        name: str,
+        layers: int,
+        tokens: int,
+        seconds: float,
+    ) -> None:
+        """Learn from the time between sending a prefill and its output."""
+        view = self.views.get(name)
+        if view and layers and tokens:
+            busy = max(0, seconds - self.round_trip(view))
+            view.prefill_layer_s = ewma(
+                view.prefill_layer_s,
+                busy / (layers * tokens),
+            )
+
+    def round_trip(self, view: EndpointView) -> float:
+        """Return the expected seconds of a round trip to an endpoint."""
+        if view.round_trip_s is not None:
+            return view.round_trip_s
+        zone = view.endpoint.availability_zone
+        if zone == self.zone:
+            return SAME_ZONE_ROUND_TRIP_S
+        return self.zone_round_trips.get(zone, OTHER_ZONE_ROUND_TRIP_S)
+
+    def holders(self, model: str, version: str) -> tuple[Holder, ...]:
+        """Return who holds which layers of a model; cached until it changes."""
+        found = self._holders.get((model, version))
+        if found is None:
+            found = tuple(
+                Holder(view, held.layers)
+                for view in self
+                for held in view.holding(model, version)
+            )
+            self._holders[model, version] = found
+        return found
--- /dev/null
+++ b/tests/routing/test_chooser.py
@@ -0,0 +1,136 @@
+import random
+
+import pytest
+
+from foxtailhatch.core import (
+    Chain,
+    ChainStage,
+    ErrorCode,
+    Invariant,
+    InvariantBroken,
+    LayerRange,
+    RunState,
+    checks_made,
+    tiles,
+)
+from foxtailhatch.routing import ChainQuery, ShortestPathChooser
+from foxtailhatch.routing.chooser import checked
+from tests.routing.worlds import endpoint, pool_of, report
+
+
+def query(layers=4, **fields):
+    return ChainQuery('m', '1', layers, expected_tokens=10, **fields)
+
+
+def chosen(pool, asked):
+    return ShortestPathChooser().choose(asked, pool, 0.0).unwrap().stages
+
+
+def test_a_fast_endpoint_is_preferred():
+    pool = pool_of(
+        report('slow', 0, 4, step_seconds=0.4),
+        report('fast', 0, 4, step_seconds=0.1),
+    )
+    assert chosen(pool, query()) == (ChainStage('fast', LayerRange(0, 4)),)
+
+
+def test_an_endpoint_may_be_asked_for_part_of_what_it_holds():
+    pool = pool_of(
+        report('slow', 0, 4, step_seconds=4),
+        report('fast', 2, 6, step_seconds=0.01),
+    )
+    assert chosen(pool, query(6)) == (
+        ChainStage('slow', LayerRange(0, 2)),
+        ChainStage('fast', LayerRange(2, 6)),
+    )
+
+
+def test_a_far_endpoint_is_passed_over_for_one_in_the_zone():
+    pool = pool_of(
+        report('far', 0, 4),
+        report('near', 0, 4),
+        zones={'far': 'c'},
+    )
+    assert chosen(pool, query())[0].endpoint == 'near'
+
+
+def test_an_observed_slow_link_counts():
+    pool = pool_of(report('one', 0, 4), report('two', 0, 4))
+    pool.observe_round_trip('one', 0.5)
+    assert chosen(pool, query())[0].endpoint == 'two'
+
+
+def test_own_work_sent_since_the_report_counts():
+    pool = pool_of(report('one', 0, 4), report('two', 0, 4))
+    first = chosen(pool, query())[0].endpoint
+    pool.opened(first, 0, 1.0)
+    assert chosen(pool, query())[0].endpoint != first
+
+
+@pytest.mark.parametrize('why', ['excluded', 'unusable', 'labels', 'full'])
+def test_without_a_chain_the_refusal_says_not_run(why):
+    pool = pool_of(report('one', 0, 4, streams=8 if why == 'full' else 0))
+    pool.set_usable('one', usable=why != 'unusable')
+    asked = query(
+        excluded=frozenset({'one'} if why == 'excluded' else ()),
+        endpoint_labels={'ward': '7'} if why == 'labels' else {},
+    )
+    refusal = ShortestPathChooser().choose(asked, pool, 0.0).failure()
+    assert refusal.code is ErrorCode.NO_CAPACITY
+    assert refusal.run is RunState.NOT_RUN
+    assert refusal.retry_after_s
+
+
+def test_labels_of_the_endpoint_are_honoured():
+    pool = pool_of(report('one', 0, 4))
+    pool.add(endpoint('one', labels={'ward': '7'}))
+    asked = query(endpoint_labels={'ward': '7'})
+    assert chosen(pool, asked)[0].endpoint == 'one'
+
+
+def test_an_endpoint_is_not_used_twice_for_a_small_gain():
+    pool = pool_of(
+        report('whole', 0, 6, step_seconds=0.06),
+        report('middle', 2, 4, step_seconds=0.018),
+    )
+    assert len(chosen(pool, query(6))) == 1
+
+
+def test_an_endpoint_is_used_twice_where_it_clearly_pays():
+    pool = pool_of(
+        report('whole', 0, 6, step_seconds=0.6),
+        report('middle', 2, 4, step_seconds=0.01),
+    )
+    names = [stage.endpoint for stage in chosen(pool, query(6))]
+    assert names == ['whole', 'middle', 'whole']
+
+
+def test_kept_stages_spare_their_prefill():
+    pool = pool_of(
+        report('old-1', 0, 2, streams=1),
+        report('old-2', 2, 4, streams=1),
+        report('new', 0, 4, step_seconds=0.039),
+    )
+    kept = (ChainStage('old-1', LayerRange(0, 2)),)
+    asked = query(prompt_tokens=5000, keep=kept)
+    assert chosen(pool, asked)[0] == kept[0]
+
+
+def test_a_chain_that_skips_a_layer_breaks_the_invariant():
+    chain = Chain('m', '1', (ChainStage('one', LayerRange(1, 4)),))
+    with pytest.raises(InvariantBroken):
+        checked(chain, 4)
+
+
+def test_random_pools_always_give_a_tiling():
+    source = random.Random(7)
+    before = checks_made[Invariant.LAYERS_ONCE_IN_ORDER]
+    for _ in range(200):
+        reports = [report('base', 0, 12, step_seconds=1)]
+        for number in range(10):
+            first = source.randrange(11)
+            end = source.randrange(first + 1, 13)
+            reports.append(report(f'e{number}', first, end))
+        stages = chosen(pool_of(*reports), query(12))
+        assert tiles([stage.layers for stage in stages], 12)
+    assert checks_made[Invariant.LAYERS_ONCE_IN_ORDER] == before + 200
