Parse, fold and index the configuration

Operators publish documents through the log, and every entry has to come to the same configuration from the same records, also when some have expired.

--- a/foxtailhatch/config/__init__.py
+++ b/foxtailhatch/config/__init__.py
@@ -1,5 +1,15 @@
 """Configuration: labels, selectors, publications and what is in force."""
 
+from foxtailhatch.config.access import (
+    Access,
+    ConfigurationIndex,
+    access,
+    caller_of,
+    index_configuration,
+    must_not_repeat,
+    reachable_models,
+    reachable_services,
+)
 from foxtailhatch.config.configuration import (
     Account,
     Adapter,
@@ -11,15 +21,78 @@
     Service,
     carries,
 )
+from foxtailhatch.config.differences import Difference, differences
+from foxtailhatch.config.documents import (
+    parse_configuration,
+    render_configuration,
+)
+from foxtailhatch.config.fold import (
+    ConfigurationFold,
+    RecordsLost,
+    StateAdopted,
+)
+from foxtailhatch.config.records import (
+    CONFIGURATION_STREAM,
+    ConfigurationRecord,
+    MarkRecord,
+    Publication,
+    Restoration,
+    SnapshotRecord,
+    decode_record,
+    encode_record,
+)
+from foxtailhatch.config.references import ConfigFault
+from foxtailhatch.config.state import (
+    Accepted,
+    FoldOutcome,
+    FoldState,
+    Marked,
+    Refused,
+    Unchanged,
+    snapshot_of,
+    state_of,
+)
 
 __all__ = [
+    'CONFIGURATION_STREAM',
+    'Accepted',
+    'Access',
     'Account',
     'Adapter',
     'CallerEntry',
+    'ConfigFault',
     'Configuration',
+    'ConfigurationFold',
+    'ConfigurationIndex',
+    'ConfigurationRecord',
+    'Difference',
+    'FoldOutcome',
+    'FoldState',
     'Labels',
+    'MarkRecord',
+    'Marked',
     'Model',
+    'Publication',
+    'RecordsLost',
+    'Refused',
+    'Restoration',
     'Selector',
     'Service',
+    'SnapshotRecord',
+    'StateAdopted',
+    'Unchanged',
+    'access',
+    'caller_of',
     'carries',
+    'decode_record',
+    'differences',
+    'encode_record',
+    'index_configuration',
+    'must_not_repeat',
+    'parse_configuration',
+    'reachable_models',
+    'reachable_services',
+    'render_configuration',
+    'snapshot_of',
+    'state_of',
 ]
--- /dev/null
+++ b/foxtailhatch/config/differences.py
@@ -0,0 +1,67 @@
+"""What differs between two configurations, entry by entry."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+from foxtailhatch.config.configuration import Configuration
+from foxtailhatch.config.references import SECTIONS
+
+MAX_DIFFERENCES = 100
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """One entry that differs; a side that lacks it has ``None``."""
+
+    section: str
+    name: str
+    in_force: object | None
+    wanted: object | None
+
+    def __str__(self) -> str:
+        """Return one line for an operator."""
+        sides = []
+        for entry in (self.in_force, self.wanted):
+            sides.append('absent' if entry is None else str(entry))
+        return f'{self.section}/{self.name}: {sides[0]} -> {sides[1]}'
+
+
+def differences(
+    in_force: Configuration,
+    wanted: Configuration,
+) -> tuple[Difference, ...]:
+    """Return up to :data:`MAX_DIFFERENCES` differences, by section and name.
+
+    >>> from foxtailhatch.config.configuration import Account
+    >>> one = Configuration(1, accounts=(Account('ward'),))
+    >>> [str(line) for line in differences(one, Configuration(2))]
+    ["accounts/ward: Account(name='ward', weight=1, \
+requests_per_s=None, max_running=None) -> absent"]
+    """
+    found: list[Difference] = []
+    for difference in _all_differences(in_force, wanted):
+        if len(found) == MAX_DIFFERENCES:
+            break
+        found.append(difference)
+    return tuple(found)
+
+
+def _all_differences(
+    in_force: Configuration,
+    wanted: Configuration,
+) -> Iterator[Difference]:
+    for section in SECTIONS:
+        ours = entries_by_name(in_force, section)
+        theirs = entries_by_name(wanted, section)
+        for name in sorted(ours.keys() | theirs.keys()):
+            one, other = ours.get(name), theirs.get(name)
+            if one != other:
+                yield Difference(section, name, one, other)
+
+
+def entries_by_name(
+    cfg: Configuration,
+    section: str,
+) -> Mapping[str, object]:
+    """Return the entries of one section by their names."""
+    return {entry.name: entry for entry in getattr(cfg, section)}
--- /dev/null
+++ b/tests/config/test_fold.py
@@ -0,0 +1,148 @@
+from foxtailhatch.config.configuration import Account, Configuration
+from foxtailhatch.config.documents import render_configuration
+from foxtailhatch.config.fold import (
+    ConfigurationFold,
+    RecordsLost,
+    StateAdopted,
+)
+from foxtailhatch.config.records import (
+    CONFIGURATION_STREAM,
+    MarkRecord,
+    Publication,
+    Restoration,
+    encode_record,
+)
+from foxtailhatch.config.state import Accepted, Refused, snapshot_of
+from foxtailhatch.core import Mark
+from tests.durable.fake_log import FakeLog
+
+
+def publication(version, name, made_from=None):
+    cfg = Configuration(version, accounts=(Account(name),))
+    origin = version - 1 if made_from is None else made_from
+    document = render_configuration(cfg)
+    return Publication(version, origin, f'{version}-{name}', document)
+
+
+def put(log, *records, now=0.0):
+    for record in records:
+        log.append(CONFIGURATION_STREAM, encode_record(record), now)
+
+
+def catch_up(fold, log, now=0.0):
+    outcomes = []
+    while True:
+        page = log.read(CONFIGURATION_STREAM, fold.wanted, now, 3).unwrap()
+        outcomes += fold.take_page(page)
+        if fold.wanted >= page.end:
+            return outcomes
+
+
+def read_all(log, now=0.0):
+    fold = ConfigurationFold()
+    return fold, catch_up(fold, log, now)
+
+
+def test_the_first_of_two_made_from_one_version_wins():
+    log = FakeLog()
+    put(log, publication(1, 'a'), publication(2, 'b'), publication(2, 'c'))
+    fold, outcomes = read_all(log)
+    refused = outcomes[-1]
+    assert isinstance(refused, Refused)
+    assert (refused.made_from, refused.in_force) == (1, 2)
+    assert [line.name for line in refused.difference] == ['b', 'c']
+    assert fold.in_force.accounts[0].name == 'b'
+    assert fold.decision('2-b') == 2
+    assert fold.decision('2-c') == 0
+
+
+def test_a_repeated_publication_is_never_published_twice():
+    log = FakeLog()
+    put(log, publication(1, 'a'), publication(1, 'a'))
+    fold, outcomes = read_all(log)
+    assert [type(found) for found in outcomes].count(Accepted) == 1
+    assert fold.decision('1-a') == 1
+
+
+def test_a_faulty_publication_changes_nothing():
+    log = FakeLog()
+    bad = Publication(2, 1, 'bad', b'{"accounts": 7}')
+    put(log, publication(1, 'a'), bad)
+    log.append(CONFIGURATION_STREAM, b'\xff not a record', 0)
+    put(log, publication(2, 'b'))
+    fold, outcomes = read_all(log)
+    assert outcomes[1].faults[0].path == 'accounts'
+    assert fold.version == 2
+
+
+def test_the_last_mark_counts_but_not_its_late_retry():
+    log = FakeLog()
+    leave = MarkRecord('m1', 'engine-1', Mark.LEAVE)
+    put(log, leave, MarkRecord('m2', 'engine-1', Mark.JOIN), leave)
+    fold, _ = read_all(log)
+    assert fold.marks == {'engine-1': Mark.JOIN}
+
+
+def snapshots_around_a_gap(*, renewed):
+    """v5 and v6, a stale snapshot of v5; then all up to v6 expires."""
+    log = FakeLog(retention_s=100)
+    put(log, *(publication(number, f'v{number}') for number in range(1, 6)))
+    paused, _ = read_all(log)
+    put(log, publication(6, 'v6'), now=10.0)
+    current, _ = read_all(log)
+    put(log, snapshot_of(paused.export()), now=20.0)
+    if renewed:
+        put(log, snapshot_of(current.export()), now=30.0)
+    put(log, MarkRecord('m', 'engine-1', Mark.LEAVE), now=40.0)
+    return log, current
+
+
+def test_a_stale_snapshot_never_reverts_a_new_instance():
+    log, current = snapshots_around_a_gap(renewed=False)
+    fold, outcomes = read_all(log, now=115.0)
+    assert outcomes == [RecordsLost(0, 6)]
+    assert fold.in_force is None
+    assert not fold.complete
+    assert fold.adopt(current.export())
+    catch_up(fold, log, 115.0)
+    assert fold.version == 6
+    assert fold.marks == {'engine-1': Mark.LEAVE}
+
+
+def test_a_covering_snapshot_fills_the_gap_behind_a_stale_one():
+    log, _ = snapshots_around_a_gap(renewed=True)
+    fold, outcomes = read_all(log, now=115.0)
+    assert StateAdopted(6, 5) in outcomes
+    assert (fold.version, fold.complete) == (6, True)
+    assert fold.marks == {'engine-1': Mark.LEAVE}
+
+
+def test_a_reader_behind_a_gap_keeps_its_version_and_accepts_nothing():
+    log = FakeLog(retention_s=100)
+    put(log, publication(1, 'a'))
+    fold, _ = read_all(log)
+    put(log, publication(2, 'b'), now=10.0)
+    put(log, publication(2, 'c'), now=200.0)
+    assert catch_up(fold, log, 200.0) == [RecordsLost(1, 2)]
+    assert (fold.version, fold.complete) == (1, False)
+
+
+def test_a_restoration_ends_a_gap_for_old_and_new_readers_alike():
+    log, current = snapshots_around_a_gap(renewed=False)
+    cfg = Configuration(9, accounts=(Account('restored'),))
+    document = render_configuration(cfg)
+    put(log, Restoration(9, 'r', document, ()), now=50.0)
+    new, _ = read_all(log, now=115.0)
+    catch_up(current, log, 115.0)
+    assert new.in_force == current.in_force == cfg
+    assert new.marks == current.marks == {}
+
+
+def test_a_stale_peer_is_not_adopted():
+    log = FakeLog()
+    put(log, publication(1, 'a'))
+    stale = read_all(log)[0].export()
+    put(log, publication(2, 'b'))
+    fold, _ = read_all(log)
+    assert not fold.adopt(stale)
+    assert fold.version == 2
