--- /dev/null
+++ b/foxtailhatch/membership/endpoint_record.py
@@ -0,0 +1,105 @@
+"""All that is known of one endpoint, and the rules that weigh it."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from foxtailhatch.core import Endpoint, Mark
+
+LIST_LAG_S = 30.0
+MISSING_KEEP_S = 60.0
+REFUSED_KEEP_S = 10.0
+MARK_KEEP_S = 3600.0
+
+
+class EndpointState(StrEnum):
+    """What an endpoint may be used for; only ``USABLE`` gets new work."""
+
+    USABLE = 'usable'
+    LEAVING = 'leaving'
+    STOPPING = 'stopping'
+    DEAD = 'dead'
+    UNKNOWN = 'unknown'
+
+
+@dataclass(slots=True)
+class EndpointRecord:
+    """The newest word of each source about one endpoint.
+
+    Times are seconds of the caller's clock; ``None`` says that the source
+    has not spoken, or that a newer word took its claim back.
+    """
+
+    listed: Endpoint | None = None
+    configured: Endpoint | None = None
+    missing_since: float | None = None
+    mark: Mark | None = None
+    mark_at: float = 0
+    mark_offset: int = -1
+    list_leaving_since: float | None = None
+    list_read_at: float = 0
+    observed_leaving_at: float | None = None
+    refused_at: float | None = None
+    connected: bool = False
+
+    def state(self, now: float) -> EndpointState:
+        """Weigh all sources, by the order that :class:`EndpointTable` gives."""
+        if self.mark is Mark.STOP:
+            return EndpointState.STOPPING
+        if self.leave_learned(now) is not None:
+            return EndpointState.LEAVING
+        if not self._is_known(now):
+            return EndpointState.UNKNOWN
+        if self._is_shown_dead(now):
+            return EndpointState.DEAD
+        return EndpointState.USABLE
+
+    def leave_learned(self, now: float) -> float | None:
+        """Return when the oldest claim in force that it leaves was learned."""
+        claims = (
+            self._marked_leaving_at(),
+            self.observed_leaving_at,
+            self._listed_leaving_at(),
+        )
+        return min(
+            (claim for claim in claims if claim is not None),
+            default=None,
+        )
+
+    def is_forgettable(self, now: float) -> bool:
+        """Tell whether nothing of it is needed: the instance is long gone."""
+        if self.configured is not None or self.connected:
+            return False
+        if self.missing_since is None:
+            return False
+        keep_s = MISSING_KEEP_S if self.mark is None else MARK_KEEP_S
+        return now >= self.missing_since + keep_s
+
+    def _marked_leaving_at(self) -> float | None:
+        if self.mark in {Mark.LEAVE, Mark.STOP}:
+            return self.mark_at
+        return None
+
+    def _listed_leaving_at(self) -> float | None:
+        since = self.list_leaving_since
+        if since is None or self.mark is not Mark.JOIN:
+            return since
+        # The list lags: what it said before a join may be older than the join.
+        said_before_join = since <= self.mark_at
+        list_may_lag = self.list_read_at < self.mark_at + LIST_LAG_S
+        return None if said_before_join and list_may_lag else since
+
+    def _is_known(self, now: float) -> bool:
+        if self.configured is not None or self.connected:
+            return True
+        if self.listed is None:
+            return False
+        missing = self.missing_since
+        return missing is None or now < missing + MISSING_KEEP_S
+
+    def _is_shown_dead(self, now: float) -> bool:
+        # An instance that the list shows is left to the health tracker,
+        # which bounds how many may be put aside at once.
+        is_listed = self.listed is not None and self.missing_since is None
+        if is_listed or self.refused_at is None:
+            return False
+        return now < self.refused_at + REFUSED_KEEP_S
--- /dev/null
+++ b/foxtailhatch/membership/endpoints.py
@@ -0,0 +1,263 @@
+"""The one table where all that is said about endpoints meets.
+
+Four sources speak, and they disagree.  The table weighs them in this order:
+
+1. A ``stop`` or ``leave`` mark of the log closes an endpoint to new work
+   until a later ``join`` mark.
+2. What an engine itself said: a refusal because it leaves closes it at once,
+   until a ``join`` mark, another address under the same name, or a list that
+   is read ``LIST_LAG_S`` later and shows it live.
+3. The platform's list closes an endpoint that it shows as leaving.  A
+   ``join`` mark outweighs what the list said before the mark, for as long as
+   the list may lag.
+4. An endpoint that the list has dropped stays usable while a session to it is
+   open or the configuration names it, else for ``MISSING_KEEP_S``.  If the
+   list does not show it, a refused session shows it dead for a while.
+
+Any claim that an endpoint leaves is believed at once; it takes a stronger or
+a newer source to open the endpoint again.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
+
+from foxtailhatch.core import (
+    Endpoint,
+    EndpointKind,
+    Invariant,
+    Mark,
+    require,
+)
+from foxtailhatch.membership.endpoint_record import (
+    LIST_LAG_S,
+    EndpointRecord,
+    EndpointState,
+)
+from foxtailhatch.platform import LiveInstance
+
+_ENDPOINT_ROLES = frozenset(kind.value for kind in EndpointKind)
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointChange:
+    """An endpoint went from one state to another."""
+
+    endpoint: str
+    before: EndpointState
+    after: EndpointState
+
+
+class EndpointTable:
+    """Tell which endpoints may get new work.
+
+    >>> table = EndpointTable()
+    >>> table.note_mark('gpu-1', Mark.LEAVE, 5.0)[0].after.value
+    'leaving'
+    >>> table.may_send('gpu-1', 5.0)
+    False
+    """
+
+    def __init__(self) -> None:
+        """Start without knowing any endpoint."""
+        self._records: dict[str, EndpointRecord] = {}
+
+    def note_mark(
+        self,
+        instance: str,
+        mark: Mark,
+        now: float,
+        offset: int | None = None,
+    ) -> tuple[EndpointChange, ...]:
+        """Take a mark of the log, in the log's order.
+
+        With its log ``offset`` given, a mark that is read again is ignored.
+        """
+        record = self._record(instance)
+        if offset is not None and offset <= record.mark_offset:
+            return ()
+        before = record.state(now)
+        record.mark = mark
+        record.mark_at = now
+        record.mark_offset = record.mark_offset if offset is None else offset
+        if mark is Mark.JOIN:
+            record.observed_leaving_at = None
+            record.refused_at = None
+        return _changed(instance, before, record.state(now))
+
+    def note_list(
+        self,
+        instances: Iterable[LiveInstance],
+        now: float,
+    ) -> tuple[EndpointChange, ...]:
+        """Take the platform's list as it was read at ``now``."""
+        shown = {
+            instance.name: instance
+            for instance in instances
+            if instance.role in _ENDPOINT_ROLES
+        }
+        before = {name: self.state(name, now) for name in self._records}
+        for name, instance in shown.items():
+            _take_line(self._record(name), instance, now)
+        for name, record in self._records.items():
+            if name not in shown:
+                _take_absence(record, now)
+        self._forget(now)
+        return tuple(self._changes(before, now))
+
+    def note_configuration(self, endpoints: Iterable[Endpoint]) -> None:
+        """Take the endpoints that the configuration in force names."""
+        named = {endpoint.name: endpoint for endpoint in endpoints}
+        for name in named:
+            self._record(name)
+        for name, record in self._records.items():
+            record.configured = named.get(name)
+
+    def note_leaving_observed(
+        self,
+        name: str,
+        now: float,
+    ) -> tuple[EndpointChange, ...]:
+        """Learn from the endpoint itself, or from a peer, that it leaves."""
+        record = self._record(name)
+        before = record.state(now)
+        if record.observed_leaving_at is None:
+            record.observed_leaving_at = now
+        return _changed(name, before, record.state(now))
+
+    def note_session_open(self, name: str, now: float) -> None:
+        """Learn that a session with the endpoint is open."""
+        record = self._record(name)
+        record.connected = True
+        record.refused_at = None
+
+    def note_session_refused(self, name: str, now: float) -> None:
+        """Learn that a session was refused or lost."""
+        record = self._record(name)
+        record.connected = False
+        record.refused_at = now
+
+    def state(self, name: str, now: float) -> EndpointState:
+        """Return the state of an endpoint, ``UNKNOWN`` if never heard of."""
+        record = self._records.get(name)
+        return EndpointState.UNKNOWN if record is None else record.state(now)
+
+    def may_send(self, name: str, now: float) -> bool:
+        """Tell whether the endpoint may get new work now."""
+        return self.state(name, now) is EndpointState.USABLE
+
+    def usable_names(self, now: float) -> tuple[str, ...]:
+        """Return the endpoints that may get new work, sorted by name."""
+        return tuple(
+            sorted(
+                name
+                for name, record in self._records.items()
+                if record.state(now) is EndpointState.USABLE
+            ),
+        )
+
+    def endpoint(self, name: str) -> Endpoint | None:
+        """Return the endpoint with the list's address and all labels."""
+        record = self._records.get(name)
+        if record is None:
+            return None
+        return _merged(record.listed, record.configured)
+
+    def check_send(self, name: str, now: float) -> None:
+        """Assert, as new work is sent, that the endpoint does not leave.
+
+        Call :meth:`may_send` in the same turn of the loop and send elsewhere
+        if it says no; frames of streams already open are not new work.
+        """
+        record = self._records.get(name)
+        learned = None if record is None else record.leave_learned(now)
+        require(
+            Invariant.LEAVING_GETS_NO_WORK,
+            learned is None,
+            f'new work to {name} at {now}, its leave was learned at {learned}',
+        )
+
+    def _record(self, name: str) -> EndpointRecord:
+        return self._records.setdefault(name, EndpointRecord())
+
+    def _forget(self, now: float) -> None:
+        for name, record in tuple(self._records.items()):
+            if record.is_forgettable(now):
+                self._records.pop(name)
+
+    def _changes(
+        self,
+        before: dict[str, EndpointState],
+        now: float,
+    ) -> Iterator[EndpointChange]:
+        for name in sorted(before.keys() | self._records.keys()):
+            yield from _changed(
+                name,
+                before.get(name, EndpointState.UNKNOWN),
+                self.state(name, now),
+            )
+
+
+def _changed(
+    name: str,
+    before: EndpointState,
+    after: EndpointState,
+) -> tuple[EndpointChange, ...]:
+    if before is after:
+        return ()
+    return (EndpointChange(name, before, after),)
+
+
+def _take_line(
+    record: EndpointRecord,
+    line: LiveInstance,
+    now: float,
+) -> None:
+    known = record.listed
+    if known is not None and known.address != line.address:
+        record.observed_leaving_at = None
+        record.refused_at = None
+        record.connected = False
+    record.listed = _from_list(line)
+    record.missing_since = None
+    record.list_read_at = now
+    if not line.leaving:
+        record.list_leaving_since = None
+        _end_observation(record, now)
+    elif record.list_leaving_since is None:
+        record.list_leaving_since = now
+
+
+def _end_observation(record: EndpointRecord, now: float) -> None:
+    observed = record.observed_leaving_at
+    if observed is not None and now >= observed + LIST_LAG_S:
+        record.observed_leaving_at = None
+
+
+def _take_absence(record: EndpointRecord, now: float) -> None:
+    if record.listed is not None and record.missing_since is None:
+        record.missing_since = now
+
+
+def _from_list(line: LiveInstance) -> Endpoint:
+    return Endpoint(
+        name=line.name,
+        address=line.address,
+        kind=EndpointKind(line.role),
+        availability_zone=line.availability_zone,
+        accelerator=line.accelerator,
+        labels=line.labels or {},
+    )
+
+
+def _merged(
+    listed: Endpoint | None,
+    configured: Endpoint | None,
+) -> Endpoint | None:
+    if listed is None or configured is None:
+        return listed or configured
+    return replace(
+        listed,
+        accelerator=listed.accelerator or configured.accelerator,
+        labels={**listed.labels, **configured.labels},
+        checks_fencing=configured.checks_fencing,
+    )
--- /dev/null
+++ b/tests/recovery/test_progress.py
@@ -0,0 +1,99 @@
+import pytest
+
+from foxtailhatch.recovery import ProgressWatch, Wait
+
+RECOVERY_TARGET_S = 0.54
+POLL_S = 0.02
+
+
+def wait(stream='s', endpoint='gpu', attempt=1):
+    return Wait(stream, attempt, endpoint)
+
+
+def trained(step_s, steps=50, **settings):
+    watch = ProgressWatch(**settings)
+    for number in range(steps):
+        watch.sent(wait(), 1, float(number))
+        watch.received(wait(), number + step_s)
+    return watch
+
+
+def detected_after_s(watch, positions=1, start=1000.0):
+    watch.overdue(start)
+    watch.sent(wait('frozen'), positions, start)
+    for tick in range(1, 2000):
+        suspects = watch.overdue(start + tick * POLL_S)
+        if suspects:
+            assert suspects[0].wait == wait('frozen')
+            return tick * POLL_S
+    return float('inf')
+
+
+@pytest.mark.parametrize('step_s', [0.001, 0.02, 0.054, 0.2, 3.0])
+def test_a_frozen_stage_is_noticed_in_half_of_the_recovery_target(step_s):
+    longest = RECOVERY_TARGET_S / 2 + POLL_S
+    assert detected_after_s(trained(step_s)) <= longest
+
+
+def test_without_a_ceiling_a_slow_past_hides_a_frozen_stage():
+    watch = trained(3.0, ceiling_s=float('inf'))
+    assert detected_after_s(watch) > RECOVERY_TARGET_S
+
+
+def test_a_fast_endpoint_is_suspected_sooner_than_an_unknown_one():
+    assert detected_after_s(trained(0.01)) < detected_after_s(ProgressWatch())
+
+
+def test_a_steady_endpoint_is_never_suspected():
+    watch = trained(0.054)
+    for number in range(100, 200):
+        watch.sent(wait(), 1, float(number))
+        watch.overdue(number + 0.0)
+        watch.overdue(number + 0.04)
+        assert watch.overdue(number + 0.07) == ()
+        watch.received(wait(), number + 0.07)
+
+
+def test_a_long_prefill_is_given_its_time():
+    assert detected_after_s(ProgressWatch(), positions=100) > 1.0
+
+
+def test_a_measured_prefill_is_given_no_more_than_it_needs():
+    watch = trained(0.02)
+    for number in range(100, 150):
+        watch.sent(wait(), 101, float(number))
+        watch.received(wait(), number + 0.02 + 0.1)
+    assert detected_after_s(watch, positions=101) <= RECOVERY_TARGET_S / 2
+
+
+def test_a_pause_of_this_process_is_blamed_on_no_stage():
+    watch = trained(0.02)
+    watch.overdue(99.99)
+    watch.sent(wait(), 1, 100.0)
+    assert watch.overdue(105.0) == ()
+    assert watch.overdue(105.04) == ()
+    watch.overdue(105.08)
+    assert len(watch.overdue(105.12)) == 1
+
+
+def test_a_suspect_is_reported_once():
+    watch = ProgressWatch()
+    watch.sent(wait(), 1, 0.0)
+    assert len(watch.overdue(1.0)) == 1
+    assert watch.overdue(1.02) == ()
+
+
+def test_an_output_or_the_end_of_the_stream_ends_the_wait():
+    watch = ProgressWatch()
+    watch.sent(wait('s'), 1, 0.0)
+    watch.sent(wait('t'), 1, 0.0)
+    watch.received(wait('s'), 0.01)
+    watch.forget('t')
+    assert watch.overdue(9.0) == ()
+
+
+def test_outputs_of_an_earlier_attempt_end_no_wait():
+    watch = ProgressWatch()
+    watch.sent(wait(attempt=2), 1, 0.0)
+    watch.received(wait(attempt=1), 0.1)
+    assert [suspect.wait.attempt for suspect in watch.overdue(9.0)] == [2]
