--- /dev/null
+++ b/foxtailhatch/daemon/answers.py
@@ -0,0 +1,270 @@
+"""All answers of this entry: admitted, started, followed and ended."""
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from returns.pipeline import is_successful
+
+from foxtailhatch.callers.gateway import AnswerSink, GenerateRequest
+from foxtailhatch.core import EventKind, Refusal
+from foxtailhatch.daemon.answer_load import AnswerLoad
+from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.daemon.chains import PoolChains
+from foxtailhatch.daemon.grants import GrantedAnswer
+from foxtailhatch.daemon.live_answer import AnswerOutcome, LiveAnswer
+from foxtailhatch.daemon.patience import BudgetedPatience
+from foxtailhatch.daemon.sessions import Sessions
+from foxtailhatch.limits import RefusedTicket, Ticket
+from foxtailhatch.pipeline import (
+    Action,
+    AnswerFailed,
+    AnswerFinished,
+    AnswerRun,
+    ChainStarted,
+    StepAnswered,
+)
+from foxtailhatch.routing import ChainChooser
+
+TICK_S = 0.02
+
+
+class Clock(Protocol):
+    """The time and delayed calls, as the reactor gives them."""
+
+    def seconds(self) -> float:
+        """Return a time in seconds that never goes back."""
+
+    def callLater(  # noqa: N802
+        self,
+        delay: float,
+        callable: Callable[..., object],  # noqa: A002
+        *args: object,
+        **kw: object,
+    ) -> object:
+        """Call something after a delay."""
+
+
+class AnswerHandle:
+    """The front's handle on one answer, before and after its start."""
+
+    def __init__(
+        self,
+        req: GenerateRequest,
+        granted: GrantedAnswer,
+        sink: AnswerSink,
+        withdraw: Callable[['AnswerHandle'], None],
+    ) -> None:
+        """Hold a request that waits; ``withdraw`` takes it back."""
+        self.req = req
+        self.granted = granted
+        self.sink = sink
+        self.live: LiveAnswer | None = None
+        self.load: AnswerLoad | None = None
+        self.paused = False
+        self._withdraw = withdraw
+
+    def cancel(self) -> None:
+        """Stop the answer, as when the caller hung up."""
+        if self.live is None:
+            self._withdraw(self)
+        else:
+            self.live.cancel()
+
+    def pause(self) -> None:
+        """Stop producing tokens: the caller reads too slowly."""
+        self.paused = True
+        if self.live is not None:
+            self.live.pause()
+
+    def resume(self) -> None:
+        """Go on producing tokens."""
+        self.paused = False
+        if self.live is not None:
+            self.live.resume()
+
+
+class Answers:
+    """Admit requests, run them, and keep the blackboard's counts right."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        sessions: Sessions,
+        chooser: ChainChooser,
+        clock: Clock,
+    ) -> None:
+        """Start with no answer."""
+        self.tokens = 0
+        self.recoveries = 0
+        self._board = board
+        self._sessions = sessions
+        self._chooser = chooser
+        self._clock = clock
+        self._patience = BudgetedPatience(board.progress, board.budget)
+        self._handles: dict[str, AnswerHandle] = {}
+        self._ticked_at = float(0)
+
+    def __len__(self) -> int:
+        """Return the number of answers that wait or run."""
+        return len(self._handles)
+
+    def admit(
+        self,
+        req: GenerateRequest,
+        granted: GrantedAnswer,
+        sink: AnswerSink,
+    ) -> AnswerHandle:
+        """Queue a request and start what may start now."""
+        now = self.now()
+        handle = AnswerHandle(req, granted, sink, self._withdraw)
+        ticket = _ticket(req, granted, now)
+        offered = self._board.admission.offer(ticket, now)
+        if not is_successful(offered):
+            self._refuse(handle, offered.failure())
+            return handle
+        self._board.budget.note_request()
+        self._handles[req.request_id] = handle
+        self._refuse_tickets(offered.unwrap().displaced)
+        self._clock.callLater(0, self._start_ready)
+        return handle
+
+    def tick(self) -> None:
+        """Let time pass for the queue and for every answer."""
+        now = self.now()
+        self._refuse_tickets(self._board.admission.expire(now))
+        late = now - self._ticked_at > 2 * TICK_S
+        self._ticked_at = now
+        # After a pause of this process the frames of the meantime are still
+        # unread, so no endpoint is blamed before the loop has turned again.
+        if late:
+            return
+        for handle in tuple(self._handles.values()):
+            if handle.live is not None:
+                handle.live.tick(self._patience)
+        self._start_ready()
+
+    def now(self) -> float:
+        """Return the present time in seconds."""
+        return self._clock.seconds()
+
+    def may_start_on(self, endpoint: str) -> bool:
+        """Tell whether new work may be sent to an endpoint now."""
+        now = self.now()
+        may_send = self._board.endpoints.may_send(endpoint, now)
+        self._board.pool.set_usable(endpoint, usable=may_send)
+        if may_send:
+            self._board.endpoints.check_send(endpoint, now)
+        return may_send
+
+    def noted(self, answer: LiveAnswer, action: Action) -> None:
+        """Take in what an answer did."""
+        handle = self._handles.get(answer.stream)
+        if handle is not None and handle.load is not None:
+            handle.load.noted(action, self.now())
+        match action:
+            case ChainStarted():
+                self._chain_started(answer, action)
+            case StepAnswered():
+                self._step_answered(action)
+
+    def ended(self, answer: LiveAnswer, outcome: AnswerOutcome) -> None:
+        """Free what an answer held."""
+        handle = self._handles.pop(answer.stream)
+        now = self.now()
+        if handle.load is not None:
+            handle.load.close(now)
+        work = answer.delivered - len(answer.run.plan.received)
+        self.tokens += work
+        self._board.admission.finished(answer.stream, now, max(1, work))
+        self._record(_event_of(outcome), answer.stream, _detail(outcome))
+        self._clock.callLater(0, self._start_ready)
+
+    def _start_ready(self) -> None:
+        for ticket in self._board.admission.take(self.now()):
+            self._start(self._handles[ticket.ticket_id])
+
+    def _start(self, handle: AnswerHandle) -> None:
+        chains = PoolChains(
+            self._chooser,
+            self._board.pool,
+            handle.granted.granted,
+        )
+        plan = handle.granted.plan
+        run = AnswerRun(plan, chains)
+        handle.load = AnswerLoad(self._board.pool, len(plan.prompt))
+        handle.live = LiveAnswer(run, handle.sink, self._sessions, self)
+        self._record(EventKind.REQUEST_ADMITTED, plan.stream, plan.model)
+        if handle.paused:
+            handle.live.pause()
+        handle.live.begin()
+
+    def _withdraw(self, handle: AnswerHandle) -> None:
+        request_id = handle.req.request_id
+        if self._board.admission.withdraw(request_id) is not None:
+            self._handles.pop(request_id)
+            self._record(EventKind.REQUEST_CANCELLED, request_id, 'waiting')
+
+    def _refuse_tickets(self, refused: Iterable[RefusedTicket]) -> None:
+        for gone in refused:
+            handle = self._handles.pop(gone.ticket.ticket_id)
+            self._refuse(handle, gone.refusal)
+
+    def _refuse(self, handle: AnswerHandle, refusal: Refusal) -> None:
+        request_id = handle.req.request_id
+        self._record(EventKind.REQUEST_REFUSED, request_id, refusal.code)
+        # The front gets its handle before it hears of the end.
+        self._clock.callLater(0, handle.sink.failed, refusal)
+
+    def _chain_started(self, answer: LiveAnswer, action: ChainStarted) -> None:
+        kind = EventKind.CHAIN_CHOSEN
+        if action.attempt > 1:
+            self.recoveries += 1
+            kind = EventKind.ANSWER_RECOVERED
+        names = '>'.join(stage.endpoint for stage in action.chain.stages)
+        self._record(kind, answer.stream, f'{action.attempt}:{names}')
+
+    def _step_answered(self, step: StepAnswered) -> None:
+        now = self.now()
+        self._board.progress.measured(
+            step.endpoint, step.positions, step.seconds
+        )
+        self._board.health.note_success(step.endpoint, now)
+
+    def _record(self, kind: EventKind, subject: str, detail: str) -> None:
+        self._board.timeline.record(
+            self._board.wall_time(), kind, subject, detail
+        )
+
+
+def _ticket(
+    req: GenerateRequest,
+    granted: GrantedAnswer,
+    now: float,
+) -> Ticket:
+    deadline = None if req.deadline_s is None else now + req.deadline_s
+    return Ticket(
+        ticket_id=req.request_id,
+        caller=req.caller,
+        arrived_at=now,
+        priority=granted.plan.priority,
+        work=max(1, req.max_tokens - len(req.received)),
+        deadline=deadline,
+    )
+
+
+def _event_of(outcome: AnswerOutcome) -> EventKind:
+    match outcome:
+        case AnswerFinished():
+            return EventKind.REQUEST_FINISHED
+        case AnswerFailed():
+            return EventKind.REQUEST_REFUSED
+    return EventKind.REQUEST_CANCELLED
+
+
+def _detail(outcome: AnswerOutcome) -> str:
+    match outcome:
+        case AnswerFinished(reason):
+            return reason
+        case AnswerFailed(refusal):
+            return refusal.code
+    return ''
--- /dev/null
+++ b/foxtailhatch/daemon/blackboard.py
@@ -0,0 +1,61 @@
+"""The state that all controllers of one entry read and write."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from foxtailhatch.config import ConfigurationFold, ConfigurationIndex
+from foxtailhatch.core import HybridClock, Timeline
+from foxtailhatch.limits import Admission
+from foxtailhatch.membership import EndpointTable, EntryTable, PlannedStop
+from foxtailhatch.recovery import EndpointHealth, ProgressWatch, RetryBudget
+from foxtailhatch.routing import Pool
+
+
+@dataclass(slots=True)
+class Blackboard:
+    """One entry's knowledge; each part is written by the part that owns it.
+
+    ``index`` is the configuration in force with its look-up tables, absent
+    until one is known.  ``random`` is the one source of randomness.
+    """
+
+    name: str
+    zone: str
+    random: Random
+    timeline: Timeline
+    pool: Pool
+    entries: EntryTable
+    stop: PlannedStop
+    wall_time: Callable[[], float]
+    health: EndpointHealth
+    budget: RetryBudget
+    endpoints: EndpointTable = field(default_factory=EndpointTable)
+    progress: ProgressWatch = field(default_factory=ProgressWatch)
+    admission: Admission = field(default_factory=Admission)
+    fold: ConfigurationFold = field(default_factory=ConfigurationFold)
+    index: ConfigurationIndex | None = None
+
+
+def new_blackboard(
+    name: str,
+    zone: str,
+    seed: int,
+    entries: EntryTable,
+    stop: PlannedStop,
+    wall_time: Callable[[], float],
+) -> Blackboard:
+    """Return the blackboard of an entry that knows nothing yet."""
+    random = Random(seed)
+    return Blackboard(
+        name=name,
+        zone=zone,
+        random=random,
+        timeline=Timeline(HybridClock(name)),
+        pool=Pool(zone),
+        entries=entries,
+        stop=stop,
+        wall_time=wall_time,
+        health=EndpointHealth(random),
+        budget=RetryBudget(random),
+    )
--- /dev/null
+++ b/foxtailhatch/daemon/grants.py
@@ -0,0 +1,82 @@
+"""Answers of models: access, admission, running and their end."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from foxtailhatch.callers.gateway import GenerateRequest
+from foxtailhatch.config import (
+    Access,
+    Adapter,
+    ConfigurationIndex,
+    Model,
+    access,
+)
+from foxtailhatch.core import ErrorCode, Refusal
+from foxtailhatch.pipeline import AnswerPlan
+
+NO_CONFIGURATION = Refusal(
+    ErrorCode.NO_CONFIGURATION,
+    'No configuration is in force at this entry yet.',
+    retry_after_s=1.0,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class GrantedAnswer:
+    """A request that the selectors grant, with its plan."""
+
+    plan: AnswerPlan
+    granted: Access
+
+
+def grant_answer(
+    index: ConfigurationIndex | None,
+    req: GenerateRequest,
+    blocks: Callable[[tuple[int, ...]], tuple[str, ...]],
+) -> Result[GrantedAnswer, Refusal]:
+    """Return the plan of a request, or why the caller may not have it."""
+    if index is None:
+        return Failure(NO_CONFIGURATION)
+    target = index.targets.get(req.model)
+    model = _model_of(index, target)
+    if model is None:
+        return Failure(_unknown_model(req.model))
+    granted = access(index, req.caller, req.model)
+    if granted is None:
+        return Failure(_forbidden(req.model))
+    plan = AnswerPlan(
+        stream=req.request_id,
+        model=model.name,
+        version=model.version,
+        layer_count=model.layers,
+        prompt=req.prompt,
+        max_tokens=req.max_tokens,
+        received=req.received,
+        priority=granted.priority,
+        repeatable=granted.repeatable,
+        adapter=target.name if isinstance(target, Adapter) else None,
+        blocks=blocks(req.prompt),
+    )
+    return Success(GrantedAnswer(plan, granted))
+
+
+def _model_of(index: ConfigurationIndex, target: object) -> Model | None:
+    if isinstance(target, Adapter):
+        target = index.targets.get(target.model)
+    return target if isinstance(target, Model) else None
+
+
+def _unknown_model(name: str) -> Refusal:
+    return Refusal(
+        ErrorCode.UNKNOWN_MODEL,
+        f'There is no model named {name}.',
+    )
+
+
+def _forbidden(name: str) -> Refusal:
+    return Refusal(
+        ErrorCode.FORBIDDEN,
+        f'No selector lets this caller reach {name}.',
+    )
--- a/foxtailhatch/pipeline/actions.py
+++ b/foxtailhatch/pipeline/actions.py
@@ -25,9 +25,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StepAnswered:
-    """A stage answered a step of ``positions`` after ``seconds``."""
+    """A stage of ``layers`` layers answered a step after ``seconds``."""
 
     endpoint: str
+    layers: int
     positions: int
     seconds: float
 
--- a/foxtailhatch/pipeline/answer.py
+++ b/foxtailhatch/pipeline/answer.py
@@ -133,6 +133,7 @@
             if stage.waiting()
             and now - stage.waiting_since
             > patience.limit_s(stage.endpoint, stage.owed_positions())
+            and patience.may_give_up(stage.endpoint)
         }
         self._excluded |= overdue
         return list(self._recover(overdue, now)) if overdue else []
--- a/foxtailhatch/pipeline/attempt.py
+++ b/foxtailhatch/pipeline/attempt.py
@@ -136,7 +136,12 @@
         answered = stage.ready(now)
         while answered is not None:
             step, output = answered
-            yield StepAnswered(stage.endpoint, step.count, now - step.sent_at)
+            yield StepAnswered(
+                stage.endpoint,
+                len(stage.layers),
+                step.count,
+                now - step.sent_at,
+            )
             if index + 1 == len(self.stages):
                 yield self._last_output(step, output)
             else:
--- a/foxtailhatch/pipeline/plan.py
+++ b/foxtailhatch/pipeline/plan.py
@@ -61,3 +61,10 @@
 
         ``positions`` is 0 for the opening of a stage.
         """
+
+    def may_give_up(self, endpoint: str) -> bool:
+        """Tell whether an overdue stage may be replaced now.
+
+        A stage that is only slow costs a second run of its work, so such
+        replacements come out of a budget; a proven loss does not ask.
+        """
--- a/foxtailhatch/recovery/progress.py
+++ b/foxtailhatch/recovery/progress.py
@@ -76,7 +76,18 @@
         """Learn that the awaited output came; unknown ones are ignored."""
         pending = self._pending.pop(wait, None)
         if pending is not None:
-            self._measure(wait.endpoint, pending, now - pending.sent_at)
+            took_s = now - pending.sent_at
+            self.measured(wait.endpoint, pending.positions, took_s)
+
+    def measured(self, endpoint: str, positions: int, took_s: float) -> None:
+        """Learn that a step over so many positions took ``took_s``."""
+        if positions <= 1:
+            self._steps.setdefault(endpoint, StepEstimate()).add(took_s)
+            return
+        step_s = self.expected_step_s(endpoint) or 0
+        per_position = max(0, took_s - step_s) / (positions - 1)
+        estimate = self._positions.setdefault(endpoint, StepEstimate())
+        estimate.add(per_position)
 
     def forget(self, stream: str) -> None:
         """Await nothing more of a stream, as when it ended."""
@@ -134,17 +145,3 @@
         if estimate is None:
             return POSITION_CEILING_S
         return min(POSITION_CEILING_S, estimate.longest_s())
-
-    def _measure(
-        self,
-        endpoint: str,
-        pending: _Pending,
-        took_s: float,
-    ) -> None:
-        if pending.positions <= 1:
-            self._steps.setdefault(endpoint, StepEstimate()).add(took_s)
-            return
-        step_s = self.expected_step_s(endpoint) or 0
-        per_position = max(0, took_s - step_s) / (pending.positions - 1)
-        estimate = self._positions.setdefault(endpoint, StepEstimate())
-        estimate.add(per_position)
--- a/tests/pipeline/fakes.py
+++ b/tests/pipeline/fakes.py
@@ -143,6 +143,9 @@
     def limit_s(self, endpoint, positions):
         return 0.2
 
+    def may_give_up(self, endpoint):
+        return True
+
 
 class Driver:
     """Carry frames between an answer and fake engines in virtual time."""
