--- /dev/null
+++ b/foxtailhatch/daemon/gateway.py
@@ -0,0 +1,172 @@
+"""The daemon as the HTTP front sees it."""
+
+from collections.abc import Callable, Sequence
+
+from returns.result import Failure, Result, Success
+
+from foxtailhatch.callers.gateway import (
+    AnswerSink,
+    EntryAdvice,
+    GenerateRequest,
+    ReachableModel,
+    RunningAnswer,
+    ServiceRequest,
+)
+from foxtailhatch.config import (
+    Access,
+    Adapter,
+    ConfigurationIndex,
+    Service,
+    access,
+    caller_of,
+    must_not_repeat,
+    reachable_models,
+)
+from foxtailhatch.core import Caller, ErrorCode, Refusal
+from foxtailhatch.daemon.answers import Answers
+from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.daemon.grants import NO_CONFIGURATION, grant_answer
+from foxtailhatch.daemon.service_calls import ServiceCalls
+from foxtailhatch.platform import ServiceAnswer, ServiceCall
+
+BAD_TOKEN = Refusal(
+    ErrorCode.BAD_TOKEN,
+    'The bearer token is missing or names no caller.',
+)
+
+
+class EndedAnswer:
+    """The handle of an answer that was refused at once."""
+
+    def cancel(self) -> None:
+        """Do nothing."""
+
+    def pause(self) -> None:
+        """Do nothing."""
+
+    def resume(self) -> None:
+        """Do nothing."""
+
+
+class DaemonGateway:
+    """Check who asks for what, and pass it on to the part that runs it."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        answers: Answers,
+        calls: ServiceCalls,
+        blocks: Callable[[tuple[int, ...]], tuple[str, ...]],
+        later: Callable[[Callable[[], None]], object],
+    ) -> None:
+        """Join the parts; ``later`` runs a call in the next loop turn."""
+        self._board = board
+        self._answers = answers
+        self._calls = calls
+        self._blocks = blocks
+        self._later = later
+
+    def authenticate(self, token: str) -> Result[Caller, Refusal]:
+        """Return the caller that a bearer token names."""
+        index = self._board.index
+        if index is None:
+            return Failure(NO_CONFIGURATION)
+        caller = caller_of(index, token)
+        return Failure(BAD_TOKEN) if caller is None else Success(caller)
+
+    def models(self, caller: Caller) -> Sequence[ReachableModel]:
+        """Return the models the caller may reach, sorted by name."""
+        index = self._board.index
+        if index is None:
+            return ()
+        return tuple(
+            _reachable(index, model)
+            for model in reachable_models(index, caller)
+        )
+
+    def entry_advice(self, availability_zone: str | None) -> EntryAdvice:
+        """Return the entries to use, for a caller in a zone if known."""
+        return self._board.entries.advise(
+            availability_zone, self._answers.now()
+        )
+
+    def generate(
+        self,
+        req: GenerateRequest,
+        sink: AnswerSink,
+    ) -> RunningAnswer:
+        """Admit and run a request; refusals go to the sink too."""
+        granted = grant_answer(self._board.index, req, self._blocks)
+        refusal = self._stopping()
+        if refusal is None and not isinstance(granted, Success):
+            refusal = granted.failure()
+        if refusal is not None:
+            told = refusal
+            self._later(lambda: sink.failed(told))
+            return EndedAnswer()
+        return self._answers.admit(req, granted.unwrap(), sink)
+
+    async def call_service(
+        self,
+        req: ServiceRequest,
+    ) -> Result[ServiceAnswer, Refusal]:
+        """Run one call of a plain service."""
+        refusal = self._stopping()
+        if refusal is not None:
+            return Failure(refusal)
+        found = _granted_service(self._board.index, req)
+        if not isinstance(found, Success):
+            return Failure(found.failure())
+        service, granted = found.unwrap()
+        call = ServiceCall(
+            req.method, req.path, req.body, req.content_type, req.key
+        )
+        if must_not_repeat(service, granted, req.method, req.path):
+            return Failure(
+                Refusal(
+                    ErrorCode.KEY_REQUIRED,
+                    'Calls that may not repeat are not served yet.',
+                )
+            )
+        return await self._calls.repeatable(service, granted, call)
+
+    def _stopping(self) -> Refusal | None:
+        now = self._answers.now()
+        if self._board.stop.accepts_requests(now):
+            return None
+        advice = self._board.entries.advise(None, now)
+        return self._board.stop.refusal(advice.addresses, now)
+
+
+def _reachable(index: ConfigurationIndex, target: object) -> ReachableModel:
+    if isinstance(target, Adapter):
+        base = index.targets.get(target.model)
+        return ReachableModel(target.name, getattr(base, 'version', ''))
+    return ReachableModel(
+        getattr(target, 'name', ''), getattr(target, 'version', '')
+    )
+
+
+def _granted_service(
+    index: ConfigurationIndex | None,
+    req: ServiceRequest,
+) -> Result[tuple[Service, Access], Refusal]:
+    if index is None:
+        return Failure(NO_CONFIGURATION)
+    service = index.targets.get(req.service)
+    if not isinstance(service, Service):
+        return Failure(
+            Refusal(
+                ErrorCode.UNKNOWN_SERVICE,
+                f'There is no service named {req.service}.',
+            )
+        )
+    granted = access(index, req.caller, req.service)
+    if granted is None:
+        return Failure(
+            Refusal(
+                ErrorCode.FORBIDDEN,
+                f'No selector lets this caller reach {req.service}.',
+            )
+        )
+    return Success((service, granted))
