--- a/foxtailhatch/core/timeline.py
+++ b/foxtailhatch/core/timeline.py
@@ -37,6 +37,7 @@
     LEASE_LOST = 'lease_lost'
     ORDER_SENT = 'order_sent'
     MARK_CHANGED = 'mark_changed'
+    ENDPOINT_CHANGED = 'endpoint_changed'
     MEMBER_CHANGED = 'member_changed'
     ENDPOINT_EJECTED = 'endpoint_ejected'
     ENDPOINT_RESTORED = 'endpoint_restored'
