--- /dev/null
+++ b/foxtailhatch/platform/documents.py
@@ -0,0 +1,25 @@
+"""Read the JSON documents that outside systems answer with."""
+
+from typing import TypeVar
+
+from pydantic import TypeAdapter, ValidationError
+from returns.result import Failure, Result, Success
+
+from foxtailhatch.platform.http_client import OK, HttpAnswer, refused
+from foxtailhatch.platform.protocols import PlatformError, PlatformFault
+
+_Document = TypeVar('_Document')
+
+
+def read_document(
+    adapter: TypeAdapter[_Document],
+    answer: HttpAnswer,
+) -> Result[_Document, PlatformError]:
+    """Read an answer with status 200; any other one is an error."""
+    if answer.status != OK:
+        return Failure(refused(answer))
+    try:
+        return Success(adapter.validate_json(answer.body))
+    except ValidationError as exc:
+        fault = PlatformFault.BAD_ANSWER
+        return Failure(PlatformError(fault, f'answer not understood: {exc}'))
--- /dev/null
+++ b/foxtailhatch/platform/instances_http.py
@@ -0,0 +1,53 @@
+"""The live-instance list over HTTP and JSON."""
+
+from collections.abc import Sequence
+from typing import Final
+
+from pydantic import BaseModel, TypeAdapter
+from returns.result import Result
+
+from foxtailhatch.core import Address
+from foxtailhatch.platform.documents import read_document
+from foxtailhatch.platform.http_client import (
+    ANSWER_TIMEOUT_S,
+    HttpCall,
+    HttpClient,
+)
+from foxtailhatch.platform.protocols import LiveInstance, PlatformError
+
+
+class InstancesDocument(BaseModel):
+    """The list on the wire."""
+
+    instances: list[LiveInstance]
+
+
+_documents: Final = TypeAdapter(InstancesDocument)
+
+
+class HttpInstanceList:
+    """The platform's lagging list of instances at one address."""
+
+    def __init__(
+        self,
+        client: HttpClient,
+        address: Address,
+        timeout_s: float = ANSWER_TIMEOUT_S,
+    ) -> None:
+        """Take the client, the address and the bound on each call."""
+        self._client = client
+        self._address = address
+        self._timeout_s = timeout_s
+
+    async def instances(
+        self,
+    ) -> Result[Sequence[LiveInstance], PlatformError]:
+        """Return the list as the platform now shows it."""
+        answer = await self._client.send(
+            self._address,
+            HttpCall('GET', '/instances'),
+            self._timeout_s,
+        )
+        return answer.bind(
+            lambda whole: read_document(_documents, whole),
+        ).map(lambda document: tuple(document.instances))
--- /dev/null
+++ b/foxtailhatch/platform/log_http.py
@@ -0,0 +1,106 @@
+"""The log service over HTTP and JSON."""
+
+from typing import Final
+
+from pydantic import Base64Bytes, BaseModel, TypeAdapter
+from returns.result import Result
+
+from foxtailhatch.core import Address
+from foxtailhatch.platform.documents import read_document
+from foxtailhatch.platform.http_client import (
+    ANSWER_TIMEOUT_S,
+    HttpCall,
+    HttpClient,
+    path_of,
+)
+from foxtailhatch.platform.protocols import LogPage, LogRecord, PlatformError
+
+
+class RecordDocument(BaseModel):
+    """One record on the wire."""
+
+    offset: int
+    time: float
+    body: Base64Bytes
+
+    @classmethod
+    def of(cls, record: LogRecord) -> 'RecordDocument':
+        """Return the record as it is sent."""
+        return cls.model_construct(
+            offset=record.offset,
+            time=record.time,
+            body=record.body,
+        )
+
+    def record(self) -> LogRecord:
+        """Return the record as it is used."""
+        return LogRecord(self.offset, self.time, self.body)
+
+
+class LogDocument(BaseModel):
+    """One page of a stream on the wire."""
+
+    records: list[RecordDocument]
+    first: int
+    end: int
+
+    def page(self) -> LogPage:
+        """Return the page as it is used."""
+        records = tuple(record.record() for record in self.records)
+        return LogPage(records, self.first, self.end)
+
+
+class AppendedDocument(BaseModel):
+    """The answer to an append."""
+
+    offset: int
+
+
+_pages: Final = TypeAdapter(LogDocument)
+_appended: Final = TypeAdapter(AppendedDocument)
+
+
+class HttpLogService:
+    """The platform's append-only log at one address."""
+
+    def __init__(
+        self,
+        client: HttpClient,
+        address: Address,
+        timeout_s: float = ANSWER_TIMEOUT_S,
+    ) -> None:
+        """Take the client, the address and the bound on each call."""
+        self._client = client
+        self._address = address
+        self._timeout_s = timeout_s
+
+    async def append(
+        self,
+        stream: str,
+        body: bytes,
+    ) -> Result[int, PlatformError]:
+        """Append one record and return its offset in the stream."""
+        call = HttpCall(
+            'POST',
+            path_of('streams', stream),
+            body,
+            'application/octet-stream',
+        )
+        answer = await self._client.send(self._address, call, self._timeout_s)
+        return answer.bind(
+            lambda whole: read_document(_appended, whole),
+        ).map(lambda appended: appended.offset)
+
+    async def read(
+        self,
+        stream: str,
+        offset: int,
+        limit: int,
+    ) -> Result[LogPage, PlatformError]:
+        """Read from ``offset``, or from the oldest kept record after it."""
+        path = path_of('streams', stream)
+        call = HttpCall('GET', f'{path}?from={offset}&limit={limit}')
+        answer = await self._client.send(self._address, call, self._timeout_s)
+        return answer.bind(
+            lambda whole: read_document(_pages, whole),
+        ).map(LogDocument.page)
--- /dev/null
+++ b/foxtailhatch/platform/service_http.py
@@ -0,0 +1,61 @@
+"""Plain services over HTTP."""
+
+from typing import Final
+
+from returns.result import Result
+
+from foxtailhatch.core import Endpoint
+from foxtailhatch.platform.http_client import HttpAnswer, HttpCall, HttpClient
+from foxtailhatch.platform.protocols import (
+    PlatformError,
+    ServiceAnswer,
+    ServiceCall,
+)
+
+KEY_HEADER: Final = 'Idempotency-Key'
+FENCE_HEADER: Final = 'X-Fence'
+_SAFE_METHODS: Final = frozenset(('GET', 'HEAD', 'OPTIONS'))
+
+
+class HttpPlainService:
+    """Send each call once; a call with an effect gets a new connection."""
+
+    def __init__(self, client: HttpClient) -> None:
+        """Take the client that all calls share."""
+        self._client = client
+
+    async def call(
+        self,
+        endpoint: Endpoint,
+        call: ServiceCall,
+        timeout_s: float,
+    ) -> Result[ServiceAnswer, PlatformError]:
+        """Send one call once; never retried in here."""
+        answer = await self._client.send(
+            endpoint.address,
+            HttpCall(
+                call.method,
+                call.path,
+                call.body,
+                call.content_type,
+                _headers(call),
+                reuse=call.method in _SAFE_METHODS,
+            ),
+            timeout_s,
+        )
+        return answer.map(_service_answer)
+
+
+def _headers(call: ServiceCall) -> dict[str, str]:
+    """Return the headers that carry the key and the fencing number."""
+    headers = {}
+    if call.key is not None:
+        headers[KEY_HEADER] = call.key
+    if call.fence is not None:
+        headers[FENCE_HEADER] = str(call.fence)
+    return headers
+
+
+def _service_answer(answer: HttpAnswer) -> ServiceAnswer:
+    """Return what a service answered, whatever its status."""
+    return ServiceAnswer(answer.status, answer.body, answer.content_type)
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,130 @@
+"""Run one engine as a process: ``python -m standins.engine --help``."""
+
+from typing import Any, Final
+
+import click
+
+from foxtailhatch.core import Holding, LayerRange
+from standins.engine_batch import DEFAULT_MAX_BATCH, ServiceTime
+from standins.engine_node import (
+    DEFAULT_GRACE_S,
+    Engine,
+    EngineSettings,
+)
+from standins.engine_streams import DEFAULT_MAX_STREAMS, EngineStreams
+from standins.process import serve
+
+
+def parse_holding(text: str) -> Holding:
+    """Read ``MODEL:VERSION:FIRST-END[:ADAPTER,...]``; ``END`` is excluded.
+
+    >>> parse_holding('guidance:1:0-4').layers
+    LayerRange(first=0, end=4)
+    """
+    model, version, layers, *adapters = text.split(':')
+    first, end = layers.split('-')
+    return Holding(
+        model,
+        version,
+        LayerRange(int(first), int(end)),
+        tuple(adapters[0].split(',')) if adapters else (),
+    )
+
+
+def parse_layer_count(text: str) -> tuple[str, int]:
+    """Read ``MODEL=COUNT``.
+
+    >>> parse_layer_count('guidance=12')
+    ('guidance', 12)
+    """
+    model, count = text.split('=')
+    return model, int(count)
+
+
+def main(**options: Any) -> None:
+    """Stand in for one model engine."""
+    settings = _settings(options)
+    counts = settings.streams.model_layers
+    for holding in settings.streams.holdings:
+        if holding.model not in counts:
+            raise click.UsageError(f'give --model-layers {holding.model}=COUNT')
+    serve(
+        settings.name,
+        options['port'],
+        lambda reactor: Engine(reactor, settings),
+    )
+
+
+def _settings(options: dict[str, Any]) -> EngineSettings:
+    """Return the engine's settings from the command line's options."""
+    return EngineSettings(
+        name=options['name'],
+        streams=EngineStreams(
+            holdings=tuple(map(parse_holding, options['hold'])),
+            model_layers=dict(map(parse_layer_count, options['model_layers'])),
+            max_streams=options['max_streams'],
+            activation_bytes=options['activation_bytes'],
+        ),
+        service=ServiceTime(
+            options['base_s'],
+            options['per_stream_s'],
+            options['per_token_s'],
+            options['max_batch'],
+        ),
+        checks_fencing=not options['ignore_fence'],
+        grace_s=options['grace_s'],
+        load_lag_s=options['load_lag_s'],
+    )
+
+
+def _seconds(name: str, text: str, default: float = 0) -> click.Option:
+    """Return an option that takes seconds."""
+    return click.Option(
+        [name],
+        default=default,
+        type=float,
+        show_default=True,
+        help=text,
+    )
+
+
+def _whole(name: str, text: str, default: int = 0) -> click.Option:
+    """Return an option that takes a whole number."""
+    return click.Option([name], default=default, show_default=True, help=text)
+
+
+OPTIONS: Final = (
+    click.Option(['--name'], required=True),
+    _whole('--port', 'The port to listen on, 0 for any free one.'),
+    click.Option(['--zone'], default='', help='For launchers only.'),
+    click.Option(['--accelerator'], default='', help='For launchers only.'),
+    click.Option(
+        ['--hold'],
+        multiple=True,
+        help='MODEL:VERSION:FIRST-END[:ADAPTER,...], END excluded.',
+    ),
+    click.Option(
+        ['--model-layers'],
+        multiple=True,
+        help='MODEL=COUNT, how many layers the whole model has.',
+    ),
+    _whole('--max-streams', 'Streams open at once.', DEFAULT_MAX_STREAMS),
+    _whole('--activation-bytes', 'The least size of an activation.'),
+    _seconds('--base-s', 'Seconds that each batch takes.'),
+    _seconds('--per-stream-s', 'Seconds that each stream of a batch adds.'),
+    _seconds('--per-token-s', 'Seconds that each token of prefill adds.'),
+    _whole('--max-batch', 'Streams in one batch.', DEFAULT_MAX_BATCH),
+    _seconds('--load-lag-s', 'How old a load report may be.'),
+    _seconds('--grace-s', 'How long a lost stream is kept.', DEFAULT_GRACE_S),
+    click.Option(['--ignore-fence'], is_flag=True),
+)
+command = click.Command(
+    'engine',
+    params=list(OPTIONS),
+    callback=main,
+    help=main.__doc__,
+)
+
+
+if __name__ == '__main__':
+    command()
--- /dev/null
+++ b/standins/engine_batch.py
@@ -0,0 +1,110 @@
+"""Continuous batching: steps wait, then a batch of them takes its time."""
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Final
+
+from foxtailhatch.platform import StepStage
+from foxtailhatch.platform.clock import Clock
+
+DEFAULT_MAX_BATCH: Final = 32
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceTime:
+    """How many seconds a batch takes; with all zero, steps run at once."""
+
+    base_s: float = 0
+    per_stream_s: float = 0
+    per_token_s: float = 0
+    max_batch: int = DEFAULT_MAX_BATCH
+
+    def batch_s(self, streams: int, tokens: int) -> float:
+        """Return the time of a batch; ``tokens`` are those of prefill."""
+        return (
+            self.base_s
+            + self.per_stream_s * streams
+            + self.per_token_s * tokens
+        )
+
+    def free(self) -> bool:
+        """Tell whether nothing takes time."""
+        return not (self.base_s or self.per_stream_s or self.per_token_s)
+
+
+@dataclass(order=True, slots=True)
+class Job:
+    """A waiting step; the higher priority and then the older goes first."""
+
+    rank: tuple[int, int]
+    frame: StepStage = field(compare=False)
+    session: str = field(compare=False)
+
+    def positions(self) -> int:
+        """Return how many positions the step runs."""
+        return len(self.frame.tokens) or len(self.frame.activations)
+
+
+class Batcher:
+    """Run waiting steps in batches, one batch after the other."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        service: ServiceTime,
+        run: Callable[[Job], None],
+    ) -> None:
+        """Start with nothing to do; ``run`` is called when a job's time is."""
+        self.clock = clock
+        self.service = service
+        self.depth = 0
+        self._run = run
+        self._waiting: list[Job] = []
+        self._numbers = count()
+
+    def submit(self, frame: StepStage, session: str, priority: int) -> None:
+        """Take one step."""
+        job = Job((-priority, next(self._numbers)), frame, session)
+        if self.service.free():
+            self._run(job)
+            return
+        heapq.heappush(self._waiting, job)
+        if not self.depth:
+            self.depth = 1
+            self.clock.callLater(0, self._begin)
+
+    def queued_tokens(self) -> int:
+        """Return how many positions wait."""
+        return sum(job.positions() for job in self._waiting)
+
+    def _begin(self) -> None:
+        """Choose a batch and let its time pass."""
+        batch = self._choose()
+        self.depth = len(batch)
+        prefill = sum(job.positions() - 1 for job in batch)
+        duration_s = self.service.batch_s(len(batch), prefill)
+        self.clock.callLater(duration_s, self._finish, batch)
+
+    def _choose(self) -> list[Job]:
+        """Take the first jobs that wait, at most one of each stream."""
+        chosen: dict[str, Job] = {}
+        passed = []
+        while self._waiting and len(chosen) < self.service.max_batch:
+            job = heapq.heappop(self._waiting)
+            if job.frame.stream in chosen:
+                passed.append(job)
+            else:
+                chosen[job.frame.stream] = job
+        for job in passed:
+            heapq.heappush(self._waiting, job)
+        return list(chosen.values())
+
+    def _finish(self, batch: list[Job]) -> None:
+        """Run the batch's jobs and begin the next batch, if any waits."""
+        for job in batch:
+            self._run(job)
+        self.depth = 0
+        if self._waiting:
+            self._begin()
--- /dev/null
+++ b/standins/engine_streams.py
@@ -0,0 +1,209 @@
+"""The streams of one engine: opened, stepped, resumed and dropped."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from foxtailhatch.core import Holding
+from foxtailhatch.platform import (
+    CancelStage,
+    OpenStage,
+    StageFault,
+    StageOpened,
+    StageOutput,
+    StageRefused,
+    StepStage,
+)
+from standins.prefix_cache import BlockKey, PrefixCache
+from standins.toy_model import (
+    END_TOKEN,
+    LayerCache,
+    activation_of,
+    embed,
+    run_layers,
+    state_of,
+    token_of,
+)
+
+DEFAULT_MAX_STREAMS: Final = 64
+DEFAULT_CACHE_BLOCKS: Final = 512
+
+
+@dataclass(slots=True)
+class StageStream:
+    """One open stage: its request, its KV cache and its session."""
+
+    opened: OpenStage
+    cache: LayerCache
+    session: str
+    used_at: float
+
+    def block_keys(self) -> list[BlockKey]:
+        """Return the keys of the prompt's blocks in this stage."""
+        opened = self.opened
+        return [
+            BlockKey(opened.model, opened.version, opened.layers, digest)
+            for digest in opened.prompt
+        ]
+
+    def continues(self, other: OpenStage) -> bool:
+        """Tell whether ``other`` asks for the same work as this stream."""
+        mine = self.opened
+        return (mine.model, mine.version, mine.layers, mine.adapter) == (
+            other.model,
+            other.version,
+            other.layers,
+            other.adapter,
+        )
+
+
+@dataclass(slots=True)
+class EngineStreams:
+    """What an engine knows, without its sessions and its clock.
+
+    ``model_layers`` gives the layer count of each model, so that the engine
+    knows which stage is the last one.
+    """
+
+    holdings: tuple[Holding, ...]
+    model_layers: dict[str, int]
+    max_streams: int = DEFAULT_MAX_STREAMS
+    activation_bytes: int = 0
+    leaving: bool = False
+    prefixes: PrefixCache = field(
+        default_factory=lambda: PrefixCache(DEFAULT_CACHE_BLOCKS),
+    )
+    streams: dict[str, StageStream] = field(default_factory=dict)
+
+    def open(
+        self,
+        frame: OpenStage,
+        session: str,
+        now: float,
+    ) -> StageOpened | StageRefused:
+        """Open a stage or take over a known one with a newer attempt."""
+        fault = self._open_fault(frame)
+        if fault is not None:
+            return StageRefused(frame.stream, frame.attempt, fault)
+        known = self.streams.get(frame.stream)
+        if known is not None and known.continues(frame):
+            cache = known.cache
+        else:
+            cache = LayerCache.empty(frame.layers)
+        stream = StageStream(frame, cache, session, now)
+        if not len(cache):
+            self.prefixes.restore(stream.block_keys(), cache)
+        self.streams[frame.stream] = stream
+        return StageOpened(
+            frame.stream,
+            frame.attempt,
+            frame.layers,
+            len(cache),
+        )
+
+    def step(self, frame: StepStage, now: float) -> StageOutput | StageRefused:
+        """Run the stage's layers over the step's positions."""
+        fault = self.step_fault(frame)
+        if fault is not None:
+            return StageRefused(frame.stream, frame.attempt, fault)
+        stream = self.streams[frame.stream]
+        stream.used_at = now
+        stream.cache.truncate(frame.position)
+        states = run_layers(
+            stream.opened.model,
+            stream.opened.version,
+            stream.cache,
+            frame.position,
+            self._states(stream, frame),
+        )
+        self.prefixes.keep(stream.block_keys(), stream.cache)
+        return self._output(stream, frame, states)
+
+    def cancel(self, frame: CancelStage) -> None:
+        """Drop a stream, unless a newer attempt took it over."""
+        stream = self.streams.get(frame.stream)
+        if stream is not None and stream.opened.attempt <= frame.attempt:
+            self.streams.pop(frame.stream)
+
+    def step_fault(self, frame: StepStage) -> StageFault | None:
+        """Return why a step cannot be run now, or ``None``."""
+        stream = self.streams.get(frame.stream)
+        if stream is None or frame.attempt > stream.opened.attempt:
+            return StageFault.UNKNOWN_STREAM
+        if frame.attempt < stream.opened.attempt:
+            return StageFault.STALE_ATTEMPT
+        if not self._holds(stream.opened):
+            return StageFault.WRONG_HOLDING
+        return None if _fits(stream, frame) else StageFault.BAD_POSITION
+
+    def _open_fault(self, frame: OpenStage) -> StageFault | None:
+        """Return why a stage cannot be opened, or ``None``."""
+        known = self.streams.get(frame.stream)
+        if known is not None and frame.attempt < known.opened.attempt:
+            return StageFault.STALE_ATTEMPT
+        if not self._holds(frame):
+            return StageFault.WRONG_HOLDING
+        return self._full_fault() if known is None else None
+
+    def _full_fault(self) -> StageFault | None:
+        """Return why no new stream is taken, or ``None``."""
+        if self.leaving:
+            return StageFault.LEAVING
+        if len(self.streams) >= self.max_streams:
+            return StageFault.FULL
+        return None
+
+    def _holds(self, frame: OpenStage) -> bool:
+        """Tell whether a holding covers what the frame asks for."""
+        return bool(frame.layers) and any(
+            holding.layers.covers(frame.layers)
+            and (holding.model, holding.version) == (frame.model, frame.version)
+            and frame.adapter in {None, *holding.adapters}
+            for holding in self.holdings
+        )
+
+    def _states(self, stream: StageStream, frame: StepStage) -> list[int]:
+        """Return the states that the step starts from."""
+        if frame.tokens:
+            opened = stream.opened
+            return embed(opened.model, opened.version, frame.tokens)
+        return [state_of(activation) for activation in frame.activations]
+
+    def _output(
+        self,
+        stream: StageStream,
+        frame: StepStage,
+        states: list[int],
+    ) -> StageOutput:
+        """Return activations, or the token if the stage is the last one."""
+        layers = stream.opened.layers
+        if layers.end < self.model_layers[stream.opened.model]:
+            return StageOutput(
+                frame.stream,
+                frame.attempt,
+                layers,
+                frame.position,
+                activations=tuple(
+                    activation_of(state, self.activation_bytes)
+                    for state in states
+                ),
+            )
+        token = token_of(states[-1])
+        return StageOutput(
+            frame.stream,
+            frame.attempt,
+            layers,
+            frame.position,
+            token=token,
+            end=token == END_TOKEN,
+        )
+
+
+def _fits(stream: StageStream, frame: StepStage) -> bool:
+    """Tell whether a step goes on where the stream is.
+
+    The first stage must get tokens and the others activations.
+    """
+    if not 0 <= frame.position <= len(stream.cache):
+        return False
+    first: bool = stream.opened.layers.first == 0
+    return bool(frame.tokens) is first and bool(frame.activations) is not first
--- /dev/null
+++ b/standins/http_app.py
@@ -0,0 +1,90 @@
+"""A small JSON front for stand-ins: calls in, replies out."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+from urllib.parse import unquote
+
+from pydantic import TypeAdapter
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+OK: Final = 200
+BAD_REQUEST: Final = 400
+NOT_FOUND: Final = 404
+CONFLICT: Final = 409
+UNAVAILABLE: Final = 503
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One HTTP call, read whole."""
+
+    method: str
+    path: tuple[str, ...]
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes
+
+    def number(self, name: str, default: int = 0) -> int:
+        """Return a whole number of the query."""
+        return int(self.query.get(name, default))
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """The answer to a call."""
+
+    status: int
+    body: bytes
+
+
+Answer = Callable[[Call], Reply | None]
+_any: Final[TypeAdapter[Any]] = TypeAdapter(Any)
+
+
+def reply(document: object, status: int = OK) -> Reply:
+    """Return a reply with a JSON document made of any data class."""
+    return Reply(status, _any.dump_json(document))
+
+
+def read_call(req: Any) -> Call:
+    """Read a finished request."""
+    path = req.path.decode().strip('/').split('/')
+    return Call(
+        method=req.method.decode(),
+        path=tuple(unquote(step) for step in path),
+        query={
+            name.decode(): values[-1].decode()
+            for name, values in req.args.items()
+        },
+        headers={
+            name.decode().lower(): values[-1].decode()
+            for name, values in req.requestHeaders.getAllRawHeaders()
+        },
+        body=req.content.read(),
+    )
+
+
+class JsonApp(Resource):
+    """Answer every call by one function; ``None`` is never answered."""
+
+    isLeaf = True
+
+    def __init__(self, answer: Answer) -> None:
+        """Take the function that answers calls."""
+        Resource.__init__(self)
+        self.answer = answer
+
+    def render(self, req: Any) -> bytes | int:
+        """Answer with JSON; a call that cannot be read gets status 400."""
+        try:
+            given = self.answer(read_call(req))
+        except ValueError as exc:
+            given = reply({'error': str(exc)}, BAD_REQUEST)
+        if given is None:
+            return NOT_DONE_YET
+        req.setResponseCode(given.status)
+        req.setHeader(b'content-type', b'application/json')
+        req.setHeader(b'content-length', str(len(given.body)).encode())
+        return given.body
--- /dev/null
+++ b/standins/instance_list.py
@@ -0,0 +1,99 @@
+"""Run the live-instance list: ``python -m standins.instance_list --help``.
+
+``POST /instances`` replaces the list, which ``GET /instances`` shows after
+the lag.  ``POST /instances/NAME`` adds or replaces one instance, ``DELETE``
+takes it away, and ``POST /instances/NAME/leaving`` marks it.
+"""
+
+import time
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+
+import click
+from pydantic import TypeAdapter
+
+from foxtailhatch.platform import LiveInstance
+from foxtailhatch.platform.instances_http import InstancesDocument
+from standins.faults import Faults
+from standins.http_app import NOT_FOUND, Call, Reply, reply
+from standins.process import serve
+
+_instance = TypeAdapter(LiveInstance)
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A list that is shown from ``due`` on."""
+
+    due: float
+    listed: tuple[LiveInstance, ...]
+
+
+@dataclass(slots=True)
+class InstanceStandIn:
+    """The list as it is, and as it is shown."""
+
+    lag_s: float = 0
+    now: Callable[[], float] = time.time
+    faults: Faults = field(default_factory=Faults)
+    present: dict[str, LiveInstance] = field(default_factory=dict)
+    shown: tuple[LiveInstance, ...] = ()
+    changes: deque[Change] = field(default_factory=deque)
+
+    def answer(self, call: Call) -> Reply | None:
+        """Show or change the list."""
+        match (call.method, call.path):
+            case ('GET', ('instances',)):
+                self._catch_up()
+            case ('POST', ('instances',)):
+                listed = InstancesDocument.model_validate_json(call.body)
+                self.put(listed.instances, whole=True)
+            case ('POST', ('instances', _)):
+                self.put([_instance.validate_json(call.body)])
+            case ('POST', ('instances', name, 'leaving')):
+                self.put([replace(self._known(name), leaving=True)])
+            case ('DELETE', ('instances', name)):
+                self.present.pop(name, None)
+                self.put([])
+            case _:
+                return reply({'error': 'no such thing here'}, NOT_FOUND)
+        return reply(InstancesDocument(instances=list(self.shown)))
+
+    def put(
+        self,
+        instances: Iterable[LiveInstance],
+        *,
+        whole: bool = False,
+    ) -> None:
+        """Add or replace instances; with ``whole``, drop all others."""
+        if whole:
+            self.present.clear()
+        for instance in instances:
+            self.present[instance.name] = instance
+        due = self.now() + self.lag_s
+        self.changes.append(Change(due, tuple(self.present.values())))
+
+    def _known(self, name: str) -> LiveInstance:
+        """Return an instance; ``ValueError`` if there is none."""
+        if name not in self.present:
+            raise ValueError(f'no instance {name}')
+        return self.present[name]
+
+    def _catch_up(self) -> None:
+        """Show the changes that are old enough."""
+        while self.changes and self.changes[0].due <= self.now():
+            self.shown = self.changes.popleft().listed
+
+
+@click.command()
+@click.option('--name', default='instances')
+@click.option('--port', default=0)
+@click.option('--lag-s', default=0, type=float)
+def main(name: str, port: int, lag_s: float) -> None:
+    """Stand in for the platform's live-instance list."""
+    serve(name, port, lambda _: InstanceStandIn(lag_s))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/log_service.py
@@ -0,0 +1,119 @@
+"""Run the append-only log: ``python -m standins.log_service --help``.
+
+``POST /streams/NAME`` appends the body and answers its offset;
+``GET /streams/NAME?from=OFFSET&limit=COUNT`` reads.  Status 503 says that
+nothing was done.
+"""
+
+import time
+from collections import defaultdict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+import click
+
+from foxtailhatch.platform import LogRecord
+from foxtailhatch.platform.log_http import LogDocument, RecordDocument
+from standins.faults import Faults
+from standins.http_app import NOT_FOUND, UNAVAILABLE, Call, Reply, reply
+from standins.process import serve
+
+DEFAULT_KEPT_S: Final = 3600.0
+DEFAULT_KEPT_RECORDS: Final = 100_000
+DEFAULT_LIMIT: Final = 1000
+
+
+@dataclass(slots=True)
+class LogStream:
+    """One stream: its kept records and the offset of the next one."""
+
+    records: deque[LogRecord] = field(default_factory=deque)
+    end: int = 0
+
+    def first(self) -> int:
+        """Return the offset of the oldest kept record."""
+        return self.end - len(self.records)
+
+    def drop_before(self, offset: int) -> None:
+        """Forget the records below an offset."""
+        while self.records and self.records[0].offset < offset:
+            self.records.popleft()
+
+    def page(self, offset: int, limit: int) -> LogDocument:
+        """Return the records from an offset on, ``limit`` at most."""
+        first = self.first()
+        begin = max(offset - first, 0)
+        count = max(min(limit, len(self.records) - begin), 0)
+        return LogDocument(
+            records=[
+                RecordDocument.of(self.records[begin + index])
+                for index in range(count)
+            ],
+            first=first,
+            end=self.end,
+        )
+
+
+@dataclass(slots=True)
+class LogStandIn:
+    """The log service with its named streams."""
+
+    now: Callable[[], float] = time.time
+    kept_s: float = DEFAULT_KEPT_S
+    kept_records: int = DEFAULT_KEPT_RECORDS
+    faults: Faults = field(default_factory=Faults)
+    streams: defaultdict[str, LogStream] = field(
+        default_factory=lambda: defaultdict(LogStream),
+    )
+
+    def answer(self, call: Call) -> Reply | None:
+        """Append or read."""
+        if self.faults.down:
+            return reply({'error': 'the log is down'}, UNAVAILABLE)
+        match (call.method, call.path):
+            case ('POST', ('streams', name)):
+                return self._append(name, call.body)
+            case ('GET', ('streams', name)):
+                stream = self._trimmed(name)
+                limit = call.number('limit', DEFAULT_LIMIT)
+                return reply(stream.page(call.number('from'), limit))
+            case _:
+                return reply({'error': 'no such thing here'}, NOT_FOUND)
+
+    def _append(self, name: str, body: bytes) -> Reply | None:
+        """Append a record, unless a fault loses it or its answer."""
+        if self.faults.use('lose_append'):
+            return None
+        stream = self._trimmed(name)
+        record = LogRecord(stream.end, self.now(), body)
+        stream.records.append(record)
+        stream.end += 1
+        if self.faults.use('lose_ack'):
+            return None
+        return reply({'offset': record.offset})
+
+    def _trimmed(self, name: str) -> LogStream:
+        """Return a stream without the records that are kept no longer."""
+        stream = self.streams[name]
+        stream.drop_before(stream.end - self.kept_records)
+        stream.drop_before(self.faults.drop_before.get(name, 0))
+        oldest = self.now() - self.kept_s
+        while stream.records and stream.records[0].time < oldest:
+            stream.records.popleft()
+        return stream
+
+
+@click.command()
+@click.option('--name', default='log')
+@click.option('--port', default=0)
+@click.option('--kept-s', default=DEFAULT_KEPT_S)
+@click.option('--kept-records', default=DEFAULT_KEPT_RECORDS)
+def main(name: str, port: int, kept_s: float, kept_records: int) -> None:
+    """Stand in for the platform's append-only log."""
+    log = LogStandIn(kept_s=kept_s, kept_records=kept_records)
+    serve(name, port, lambda _: log)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/plain_service.py
@@ -0,0 +1,65 @@
+"""Run a store desk: ``python -m standins.plain_service --help``.
+
+Every ``POST`` has an effect, which is counted by the call's idempotency key.
+``GET /runs`` shows how often each key ran; all other ``GET`` calls have no
+effect.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Final
+
+import click
+
+from standins.faults import Faults
+from standins.http_app import CONFLICT, Call, Reply, reply
+from standins.process import serve
+
+KEY_HEADER: Final = 'idempotency-key'
+
+
+@dataclass(slots=True)
+class PlainStandIn:
+    """A service that counts what it did."""
+
+    name: str = 'desk'
+    check_key: bool = False
+    faults: Faults = field(default_factory=Faults)
+    runs: Counter[str] = field(default_factory=Counter)
+
+    def answer(self, call: Call) -> Reply | None:
+        """Run a call, or show what ran."""
+        path = '/'.join(call.path)
+        if call.method != 'POST':
+            shown = {'runs': self.runs, 'total': self.runs.total()}
+            return reply(
+                shown if path == 'runs' else {'service': self.name, 'at': path},
+            )
+        key = call.headers.get(KEY_HEADER, '')
+        if self.check_key and key and key in self.runs:
+            return reply({'error': 'this key was used'}, CONFLICT)
+        self.runs[key] += 1
+        if self.faults.use('lose_ack'):
+            return None
+        return reply(
+            {
+                'service': self.name,
+                'at': path,
+                'run': self.runs.total(),
+                'body': call.body.decode(errors='replace'),
+            },
+        )
+
+
+@click.command()
+@click.option('--name', default='desk')
+@click.option('--port', default=0)
+@click.option('--zone', default='', help='For launchers.')
+@click.option('--check-key', is_flag=True, help='Refuse a key seen before.')
+def main(name: str, port: int, zone: str, check_key: bool) -> None:
+    """Stand in for a plain service beside the engines."""
+    serve(name, port, lambda _: PlainStandIn(name, check_key))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/prefix_cache.py
@@ -0,0 +1,73 @@
+"""The prefix cache of one engine: prompt blocks in limited memory."""
+
+from collections import OrderedDict, deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Final
+
+from foxtailhatch.core import LayerRange
+from foxtailhatch.platform import CacheEvent, CachePage
+from standins.toy_model import LayerCache
+
+BLOCK_TOKENS: Final = 16
+KEPT_EVENTS: Final = 1024
+
+
+Rows = list[list[int]]
+
+
+@dataclass(frozen=True, slots=True)
+class BlockKey:
+    """What a cached block's numbers depend on."""
+
+    model: str
+    version: str
+    layers: LayerRange
+    digest: str
+
+
+@dataclass(slots=True)
+class PrefixCache:
+    """Keep the KV rows of the blocks that were used last."""
+
+    max_blocks: int
+    blocks: OrderedDict[BlockKey, Rows] = field(
+        default_factory=OrderedDict,
+    )
+    events: deque[CacheEvent] = field(
+        default_factory=lambda: deque(maxlen=KEPT_EVENTS),
+    )
+    last_event: int = 0
+
+    def restore(self, keys: Sequence[BlockKey], cache: LayerCache) -> None:
+        """Append the longest run of known blocks to an empty ``cache``."""
+        for key in keys:
+            block = self.blocks.get(key)
+            if block is None:
+                return
+            self.blocks.move_to_end(key)
+            for row, numbers in zip(cache.rows, block, strict=True):
+                row.extend(numbers)
+
+    def keep(self, keys: Sequence[BlockKey], cache: LayerCache) -> None:
+        """Keep each whole block of ``cache`` that is not yet known."""
+        for index, key in enumerate(keys[: len(cache) // BLOCK_TOKENS]):
+            if key not in self.blocks:
+                begin = index * BLOCK_TOKENS
+                end = begin + BLOCK_TOKENS
+                self.blocks[key] = [row[begin:end] for row in cache.rows]
+                self._tell(key.digest, present=True)
+        while len(self.blocks) > self.max_blocks:
+            dropped, _ = self.blocks.popitem(last=False)
+            self._tell(dropped.digest, present=False)
+
+    def page(self, after: int) -> CachePage:
+        """Return the events after a number, and whether some are lost."""
+        known = tuple(event for event in self.events if event.number > after)
+        first = known[0].number if known else self.last_event + 1
+        return CachePage(known, gap=first > after + 1)
+
+    def _tell(self, digest: str, *, present: bool) -> None:
+        """Note that a block entered or left the cache."""
+        self.last_event += 1
+        self.events.append(CacheEvent(self.last_event, digest, present))
--- /dev/null
+++ b/standins/process.py
@@ -0,0 +1,138 @@
+"""What all stand-in processes share: loop, ports, first line and faults."""
+
+import json
+import os
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final, Protocol, runtime_checkable
+
+import click
+from twisted.internet import asyncioreactor
+from twisted.web.server import Site
+
+from foxtailhatch.core import Address
+from standins.connections import FaultyFactory
+from standins.faults import Faults
+from standins.http_app import Answer, Call, JsonApp, Reply, reply
+
+LOOPBACK: Final = '127.0.0.1'
+FAULTS_PATH: Final = ('faults',)
+
+
+class StandIn(Protocol):
+    """A stand-in: its faults and the answer to each of its calls."""
+
+    faults: Faults
+
+    def answer(self, call: Call) -> Reply | None:
+        """Answer one call, or never if ``None``."""
+
+
+@runtime_checkable
+class Streaming(Protocol):
+    """A stand-in whose site has more than whole calls."""
+
+    def site(self, reactor: Any, answer: Answer) -> Site:
+        """Return the site; ``answer`` answers its whole calls."""
+
+
+def json_site(reactor: Any, answer: Answer) -> Site:
+    """Return a site that answers whole calls with JSON."""
+    return Site(JsonApp(answer), reactor=reactor, timeout=None)
+
+
+@dataclass(frozen=True, slots=True)
+class Listening:
+    """A listening stand-in: its port, and one for faults only."""
+
+    port: Any
+    admin: Any
+
+    def address(self) -> Address:
+        """Return the address of the service."""
+        return _address_of(self.port)
+
+    def admin_address(self) -> Address:
+        """Return the address that takes faults even when frozen."""
+        return _address_of(self.admin)
+
+
+def _address_of(port: Any) -> Address:
+    """Return where a port listens."""
+    return Address(LOOPBACK, port.getHost().port)
+
+
+@dataclass(slots=True)
+class FaultDesk:
+    """Take orders to show faults; leave all other calls to the stand-in."""
+
+    standin: StandIn
+    silence: Callable[[], None] = lambda: None
+
+    def answer(self, call: Call) -> Reply | None:
+        """Show or set the switches, or answer as the stand-in does."""
+        if call.path != FAULTS_PATH:
+            return self.standin.answer(call)
+        faults = self.standin.faults
+        if call.method == 'POST':
+            wished = Faults.model_validate_json(call.body)
+            for name in wished.model_fields_set:
+                setattr(faults, name, getattr(wished, name))
+            self._act(faults)
+        return reply(faults)
+
+    def _act(self, faults: Faults) -> None:
+        """Do what is done once and not kept."""
+        if faults.die:
+            os._exit(1)
+        if faults.silence:
+            faults.silence = False
+            self.silence()
+
+
+def listen(
+    reactor: Any,
+    port: int,
+    standin: StandIn,
+) -> Listening:
+    """Serve a stand-in on a loopback port, 0 for any free one."""
+    desk = FaultDesk(standin)
+    if isinstance(standin, Streaming):
+        site = standin.site(reactor, desk.answer)
+    else:
+        site = json_site(reactor, desk.answer)
+    factory = FaultyFactory(site, standin.faults, reactor)
+    desk.silence = factory.silence
+    return Listening(
+        reactor.listenTCP(port, factory, interface=LOOPBACK),
+        reactor.listenTCP(
+            0,
+            json_site(reactor, desk.answer),
+            interface=LOOPBACK,
+        ),
+    )
+
+
+def install_reactor() -> Any:
+    """Install the asyncio reactor of this process and return it."""
+    asyncioreactor.install()
+    from twisted.internet import reactor  # noqa: WPS433
+
+    return reactor
+
+
+def serve(
+    name: str,
+    port: int,
+    make_standin: Callable[[Any], StandIn],
+) -> None:
+    """Listen, print the line that a launcher waits for, and run the loop."""
+    reactor = install_reactor()
+    listening = listen(reactor, port, make_standin(reactor))
+    line = {
+        'name': name,
+        'address': str(listening.address()),
+        'admin': str(listening.admin_address()),
+    }
+    click.echo(json.dumps(line))
+    reactor.run()
--- /dev/null
+++ b/tests/platform/test_engine_http.py
@@ -0,0 +1,120 @@
+from contextlib import ExitStack
+
+import pytest
+
+from foxtailhatch.core import Holding, LayerRange
+from foxtailhatch.platform import (
+    EngineOrder,
+    OpenStage,
+    PlatformFault,
+    StageOpened,
+    StepStage,
+)
+from foxtailhatch.platform.engine_http import HttpEngine
+from standins.toy_model import reference_answer
+from tests.platform.loop import Heard, run
+from tests.platform.standin import LAYERS, client, endpoint, engine, listening
+
+PROMPT = tuple(b'the third strand is dark')
+STAGES = (LayerRange(0, 2), LayerRange(2, 4), LayerRange(4, 6))
+
+
+async def _relay(engines, max_tokens):
+    """Relay one answer over all stages, one token after the other."""
+    adapter = HttpEngine(client())
+    heard = [Heard() for _ in engines]
+    sessions = [
+        adapter.open_session(endpoint(ports), listener)
+        for ports, listener in zip(engines, heard, strict=True)
+    ]
+    for session, layers in zip(sessions, STAGES, strict=True):
+        session.send(OpenStage('s', 1, 'toy', '1', layers))
+    answer = []
+    fed = PROMPT
+    position = 0
+    for turn in range(max_tokens):
+        step = StepStage('s', 1, position, tokens=fed)
+        for session, listener in zip(sessions, heard, strict=True):
+            session.send(step)
+            output = (await listener.frame_count(turn + 2))[-1]
+            step = StepStage('s', 1, position, (), output.activations)
+        position += len(fed)
+        fed = (output.token,)
+        answer.append(output.token)
+    for session in sessions:
+        session.close()
+    return answer
+
+
+def test_an_answer_over_three_engines_is_the_reference_answer():
+    with ExitStack() as stack:
+        engines = [
+            stack.enter_context(listening(engine((layers.first, layers.end))))
+            for layers in STAGES
+        ]
+        answer = run(_relay(engines, 12))
+    assert tuple(answer) == reference_answer('toy', '1', LAYERS, PROMPT, 12)[0]
+
+
+async def _open(session, heard, attempt):
+    session.send(OpenStage('s', attempt, 'toy', '1', LayerRange(0, 2)))
+    return (await heard.until(lambda known: known.frames), heard.frames[-1])[1]
+
+
+def test_a_newer_attempt_on_a_new_session_keeps_what_is_cached():
+    async def scenario(ports):
+        adapter = HttpEngine(client())
+        first, second = Heard(), Heard()
+        session = adapter.open_session(endpoint(ports), first)
+        await _open(session, first, 1)
+        session.send(StepStage('s', 1, 0, tokens=(1, 2, 3)))
+        await first.frame_count(2)
+        session.close()
+        session = adapter.open_session(endpoint(ports), second)
+        opened = await _open(session, second, 2)
+        session.close()
+        return opened
+
+    with listening(engine((0, 2))) as ports:
+        opened = run(scenario(ports))
+    assert opened == StageOpened('s', 2, LayerRange(0, 2), 3)
+
+
+def test_load_report_shows_the_holdings():
+    with listening(engine((0, 2))) as ports:
+        report = run(HttpEngine(client()).load_report(endpoint(ports)))
+    assert report.unwrap().holdings == (Holding('toy', '1', LayerRange(0, 2)),)
+
+
+@pytest.mark.parametrize('checks', [True, False])
+def test_an_old_fence_is_refused_only_by_engines_that_check(checks):
+    async def scenario(ports):
+        adapter = HttpEngine(client())
+        await adapter.order(endpoint(ports), EngineOrder(2, ()))
+        return await adapter.order(endpoint(ports), EngineOrder(1, ()))
+
+    with listening(engine((0, 2), checks_fencing=checks)) as ports:
+        outcome = run(scenario(ports))
+    refused = outcome.swap().value_or(None)
+    assert (refused is not None) == checks
+    if checks:
+        assert refused.fault is PlatformFault.REFUSED
+
+
+def test_cache_events_name_the_blocks_of_a_prompt():
+    async def scenario(ports):
+        adapter = HttpEngine(client())
+        heard = Heard()
+        session = adapter.open_session(endpoint(ports), heard)
+        session.send(
+            OpenStage('s', 1, 'toy', '1', LayerRange(0, 2), prompt=('b0',)),
+        )
+        session.send(StepStage('s', 1, 0, tokens=PROMPT))
+        await heard.frame_count(2)
+        session.close()
+        return await adapter.cache_events(endpoint(ports), 0)
+
+    with listening(engine((0, 2))) as ports:
+        page = run(scenario(ports)).unwrap()
+    assert [event.block for event in page.events] == ['b0']
+    assert not page.gap
--- /dev/null
+++ b/tests/platform/test_services.py
@@ -0,0 +1,123 @@
+import pytest
+
+from foxtailhatch.core import Address, EndpointKind
+from foxtailhatch.platform import LiveInstance, PlatformFault, ServiceCall
+from foxtailhatch.platform.instances_http import HttpInstanceList
+from foxtailhatch.platform.log_http import HttpLogService
+from foxtailhatch.platform.service_http import HttpPlainService
+from foxtailhatch.platform.weights_http import HttpWeightStore
+from standins.instance_list import InstanceStandIn
+from standins.log_service import LogStandIn
+from standins.plain_service import PlainStandIn
+from standins.weight_store import WeightStandIn
+from tests.platform.loop import run
+from tests.platform.standin import client, endpoint, listening
+
+BOOKING = ServiceCall('POST', '/bookings', b'{}', 'application/json', 'k1')
+SHORT_S = 0.05
+
+
+def _fault(outcome):
+    return outcome.failure().fault
+
+
+def test_what_is_appended_is_read_back_from_its_offset():
+    async def scenario(ports):
+        log = HttpLogService(client(), ports.address())
+        offsets = [
+            (await log.append('a/b', body)).unwrap()
+            for body in (b'\x00one', b'two', b'three')
+        ]
+        return offsets, (await log.read('a/b', 1, 1)).unwrap()
+
+    with listening(LogStandIn()) as ports:
+        offsets, page = run(scenario(ports))
+    assert offsets == [0, 1, 2]
+    assert [record.body for record in page.records] == [b'two']
+    assert (page.first, page.end) == (0, 3)
+
+
+def test_a_read_below_the_kept_records_begins_at_the_oldest():
+    async def scenario(ports):
+        log = HttpLogService(client(), ports.address())
+        for body in (b'one', b'two', b'three'):
+            await log.append('c', body)
+        return (await log.read('c', 0, 10)).unwrap()
+
+    with listening(LogStandIn(kept_records=2)) as ports:
+        page = run(scenario(ports))
+    assert page.first == 1
+    assert [record.offset for record in page.records] == [1, 2]
+
+
+@pytest.mark.parametrize(
+    ('fault', 'kept'), [('lose_ack', 1), ('lose_append', 0)]
+)
+def test_an_append_without_an_answer_may_or_may_not_have_landed(fault, kept):
+    standin = LogStandIn()
+    setattr(standin.faults, fault, 1)
+    with listening(standin) as ports:
+        log = HttpLogService(client(), ports.address(), timeout_s=SHORT_S)
+        outcome = run(log.append('c', b'one'))
+    assert _fault(outcome) is PlatformFault.NO_ANSWER
+    assert standin.streams['c'].end == kept
+
+
+def test_a_log_that_is_down_did_not_append():
+    standin = LogStandIn()
+    standin.faults.down = True
+    with listening(standin) as ports:
+        log = HttpLogService(client(), ports.address())
+        outcome = run(log.append('c', b'one'))
+    assert _fault(outcome) is PlatformFault.UNREACHABLE
+
+
+def test_a_refused_connection_is_unreachable():
+    with listening(LogStandIn()) as ports:
+        address = ports.address()
+    outcome = run(HttpLogService(client(), address).append('c', b''))
+    assert _fault(outcome) is PlatformFault.UNREACHABLE
+
+
+def test_a_call_whose_answer_is_lost_has_run_once():
+    standin = PlainStandIn()
+    standin.faults.lose_ack = 1
+    with listening(standin) as ports:
+        desk = endpoint(ports, 'desk', EndpointKind.SERVICE)
+        service = HttpPlainService(client())
+        outcome = run(service.call(desk, BOOKING, SHORT_S))
+    assert _fault(outcome) is PlatformFault.NO_ANSWER
+    assert standin.runs == {'k1': 1}
+
+
+@pytest.mark.parametrize(('checks', 'status'), [(True, 409), (False, 200)])
+def test_a_key_seen_before_is_refused_only_by_a_service_that_checks(
+    checks,
+    status,
+):
+    async def scenario(ports):
+        desk = endpoint(ports, 'desk', EndpointKind.SERVICE)
+        service = HttpPlainService(client())
+        await service.call(desk, BOOKING, 5)
+        return await service.call(desk, BOOKING, 5)
+
+    with listening(PlainStandIn(check_key=checks)) as ports:
+        assert run(scenario(ports)).unwrap().status == status
+
+
+def test_the_list_shows_a_change_after_its_lag():
+    now = [100.0]
+    shown = LiveInstance('e', Address('127.0.0.1', 1), 'whk-a', 'entry', False)
+    standin = InstanceStandIn(5, lambda: now[0])
+    standin.put([shown])
+    with listening(standin) as ports:
+        listed = HttpInstanceList(client(), ports.address())
+        assert not run(listed.instances()).unwrap()
+        now[0] += 5
+        assert run(listed.instances()).unwrap() == (shown,)
+
+
+def test_the_weight_store_gives_the_size_of_a_layer():
+    with listening(WeightStandIn(7)) as ports:
+        store = HttpWeightStore(client(), ports.address())
+        assert run(store.size_bytes('toy', '1')).unwrap() == 7
