--- /dev/null
+++ b/foxtailhatch/daemon/metrics.py
@@ -0,0 +1,130 @@
+"""The instance's counters, as ``/metrics`` shows them."""
+
+import resource
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from foxtailhatch.core import ErrorCode, Invariant, checks_made
+from foxtailhatch.platform import PlatformFault
+
+WHOLE = 'whole'
+KIBIBYTE = 1024
+FIRST_TOKEN_BOUNDS_S = (
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.54,
+    0.8,
+    1.5,
+    3,
+    10,
+    float('inf'),
+)
+RECOVERY_BOUNDS_S = (0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20, float('inf'))
+NO_LABELS: dict[str, str] = {}
+
+
+class Metrics:
+    """Count what happens, and render all counts as text.
+
+    ``tokens_delivered`` is a plain number, for it changes with every token.
+
+    >>> metrics = Metrics('entry-1')
+    >>> metrics.request_ended(ErrorCode.QUEUE_FULL)
+    >>> b'outcome="queue_full"' in metrics.render()
+    True
+    """
+
+    def __init__(self, instance: str) -> None:
+        """Start all counts; ``instance`` becomes a label of each."""
+        self._labels = {'instance': instance}
+        self._registry = Registry()
+        self.tokens_delivered = 0
+        self._requests = self._counter('requests', 'Requests by outcome')
+        self._tokens = self._counter('tokens', 'Tokens delivered to callers')
+        self._recoveries = self._counter('recoveries', 'Answers by recovery')
+        self._claims = self._counter('claims', 'Claims by outcome')
+        self._log_faults = self._counter('log_faults', 'Log calls that failed')
+        self._checks = self._counter('invariant_checks', 'Checks that held')
+        self._cpu = self._counter('cpu_seconds', 'Processor time in seconds')
+        self._values = self._gauge('state', 'What the instance now has')
+        self._memory = self._gauge('peak_memory_bytes', 'Peak memory in bytes')
+        self._first_token = self._histogram(
+            'first_token_seconds',
+            'Time from a request to its first token',
+            FIRST_TOKEN_BOUNDS_S,
+        )
+        self._recovery = self._histogram(
+            'recovery_seconds',
+            'Time from a loss to the next token of the answer',
+            RECOVERY_BOUNDS_S,
+        )
+
+    def request_ended(self, code: ErrorCode | None) -> None:
+        """Count one request, with its error code or ``None`` if whole."""
+        outcome = WHOLE if code is None else code.value
+        self._requests.inc({'outcome': outcome})
+
+    def first_token(self, seconds: float) -> None:
+        """Count the wait for one answer's first token."""
+        self._first_token.add(NO_LABELS, float(seconds))
+
+    def answer_recovered(self, seconds: float) -> None:
+        """Count one loss that an answer survived, and how long it took."""
+        self._recoveries.inc({'outcome': 'recovered'})
+        self._recovery.add(NO_LABELS, float(seconds))
+
+    def answer_not_recovered(self) -> None:
+        """Count one answer that a loss ended."""
+        self._recoveries.inc({'outcome': 'failed'})
+
+    def claim_decided(self, outcome: str) -> None:
+        """Count one claim on a request that must not repeat."""
+        self._claims.inc({'outcome': outcome})
+
+    def log_failed(self, fault: PlatformFault) -> None:
+        """Count one failed call of the log service."""
+        self._log_faults.inc({'fault': fault.value})
+
+    def configuration_in_force(self, version: int) -> None:
+        """Note the version of the configuration in force."""
+        self._values.set({'of': 'configuration_version'}, version)
+
+    def sessions_open(self, count: int) -> None:
+        """Note how many sessions with engines are open."""
+        self._values.set({'of': 'sessions'}, count)
+
+    def answers_running(self, count: int) -> None:
+        """Note how many answers are in progress."""
+        self._values.set({'of': 'answers'}, count)
+
+    def render(self) -> bytes:
+        """Return everything in the Prometheus text format."""
+        self._tokens.set(NO_LABELS, self.tokens_delivered)
+        for invariant in Invariant:
+            made = checks_made[invariant]
+            self._checks.set({'invariant': invariant.value}, made)
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self._cpu.set(NO_LABELS, usage.ru_utime + usage.ru_stime)
+        self._memory.set(NO_LABELS, usage.ru_maxrss * KIBIBYTE)
+        text, _ = render(self._registry, [])
+        return text
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        name = f'foxtailhatch_{name}_total'
+        return Counter(name, doc, self._labels, self._registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        name = f'foxtailhatch_{name}'
+        return Gauge(name, doc, self._labels, self._registry)
+
+    def _histogram(
+        self,
+        name: str,
+        doc: str,
+        bounds: tuple[float, ...],
+    ) -> Histogram:
+        name = f'foxtailhatch_{name}'
+        return Histogram(name, doc, self._labels, self._registry, bounds)
--- /dev/null
+++ b/tests/daemon/test_metrics.py
@@ -0,0 +1,44 @@
+from foxtailhatch.core import ErrorCode, Invariant, checks_made
+from foxtailhatch.daemon.metrics import Metrics
+from foxtailhatch.platform import PlatformFault
+
+
+def rendered(metrics):
+    """Return the samples by name and labels."""
+    lines = metrics.render().decode().splitlines()
+    samples = [line.rsplit(' ', 1) for line in lines if line[0] != '#']
+    return {name: float(number) for name, number in samples}
+
+
+def test_each_outcome_of_requests_has_its_counter():
+    metrics = Metrics('entry-1')
+    for code in (None, ErrorCode.DEADLINE, None):
+        metrics.request_ended(code)
+    samples = rendered(metrics)
+    name = 'foxtailhatch_requests_total{instance="entry-1",outcome="%s"}'
+    assert samples[name % 'whole'] == 2
+    assert samples[name % 'deadline'] == 1
+
+
+def test_tokens_checks_and_faults_are_shown():
+    metrics = Metrics('entry-1')
+    metrics.tokens_delivered += 3
+    metrics.log_failed(PlatformFault.NO_ANSWER)
+    metrics.configuration_in_force(12)
+    samples = rendered(metrics)
+    one = '{instance="entry-1"'
+    tokens = f'foxtailhatch_tokens_total{one}}}'
+    version = f'foxtailhatch_state{one},of="configuration_version"}}'
+    checks = f'foxtailhatch_invariant_checks_total{one},invariant="%s"}}'
+    assert (samples[tokens], samples[version]) == (3, 12)
+    made = checks_made[Invariant.AT_MOST_ONCE]
+    assert samples[checks % 'at_most_once'] == made
+
+
+def test_the_target_for_the_first_token_is_a_bound():
+    metrics = Metrics('entry-1')
+    metrics.first_token(0.5)
+    bucket = 'foxtailhatch_first_token_seconds_bucket'
+    found = rendered(metrics)
+    assert found[f'{bucket}{{instance="entry-1",le="0.54"}}'] == 1
+    assert found[f'{bucket}{{instance="entry-1",le="0.3"}}'] == 0
