--- /dev/null
+++ b/foxtailhatch/config/changes.py
@@ -0,0 +1,90 @@
+"""Publishing only what changes, so that bytes follow the change's size."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import asdict
+from typing import Any
+
+from pydantic import ValidationError
+from returns.result import Failure, Result, Success
+
+from foxtailhatch.config.configuration import Configuration
+from foxtailhatch.config.differences import differences_in, entries_by_name
+from foxtailhatch.config.documents import (
+    ConfigurationDocument,
+    Document,
+    configuration_of,
+)
+from foxtailhatch.config.references import (
+    SECTIONS,
+    ConfigFault,
+    entries_of_configuration,
+    json_path,
+    reference_faults,
+)
+
+_Fields = Mapping[str, Any]
+
+
+class ChangesDocument(Document):
+    """Entries to put in place by name, and names to remove, by section."""
+
+    put: ConfigurationDocument = ConfigurationDocument()
+    remove: dict[str, tuple[str, ...]] = {}
+
+
+def render_changes(before: Configuration, after: Configuration) -> bytes:
+    """Return the document of the changes that lead from one to the other."""
+    put: dict[str, list[_Fields]] = {}
+    remove: dict[str, list[str]] = {}
+    for difference in differences_in(before, after):
+        if difference.wanted is None:
+            remove.setdefault(difference.section, []).append(difference.name)
+        else:
+            entry = asdict(difference.wanted)
+            put.setdefault(difference.section, []).append(entry)
+    document = {'put': put, 'remove': remove}
+    return json.dumps(document, separators=(',', ':')).encode()
+
+
+def apply_changes(
+    cfg: Configuration,
+    raw: bytes,
+    version: int,
+) -> Result[Configuration, tuple[ConfigFault, ...]]:
+    """Return ``cfg`` with the changes, or every fault of what they lead to.
+
+    Removing a name that is not there is no fault.
+    """
+    try:
+        document = ChangesDocument.model_validate_json(raw)
+    except ValidationError as exc:
+        return Failure(
+            tuple(
+                ConfigFault(json_path(error['loc']), error['msg'])
+                for error in exc.errors(include_url=False)
+            ),
+        )
+    put = configuration_of(document.put, version)
+    sections = {
+        section: _merged(cfg, put, section, document.remove.get(section, ()))
+        for section in SECTIONS
+    }
+    changed = Configuration(version, **sections)
+    faults = reference_faults(entries_of_configuration(changed))
+    return Failure(faults) if faults else Success(changed)
+
+
+def _merged(
+    cfg: Configuration,
+    put: Configuration,
+    section: str,
+    removed: tuple[str, ...],
+) -> tuple[Any, ...]:
+    if not removed and not getattr(put, section):
+        return tuple(getattr(cfg, section))
+    entries = dict(entries_by_name(cfg, section))
+    for name in removed:
+        entries.pop(name, None)
+    entries.update(entries_by_name(put, section))
+    return tuple(entries.values())
--- a/foxtailhatch/config/differences.py
+++ b/foxtailhatch/config/differences.py
@@ -2,12 +2,24 @@
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from itertools import islice
 
-from foxtailhatch.config.configuration import Configuration
+from foxtailhatch.config.configuration import (
+    Account,
+    Adapter,
+    CallerEntry,
+    Configuration,
+    Model,
+    Selector,
+    Service,
+)
 from foxtailhatch.config.references import SECTIONS
+from foxtailhatch.core import Endpoint
 
 MAX_DIFFERENCES = 100
 
+Entry = Account | CallerEntry | Model | Adapter | Service | Endpoint | Selector
+
 
 @dataclass(frozen=True, slots=True)
 class Difference:
@@ -15,8 +27,8 @@
 
     section: str
     name: str
-    in_force: object | None
-    wanted: object | None
+    in_force: Entry | None
+    wanted: Entry | None
 
     def __str__(self) -> str:
         """Return one line for an operator."""
@@ -38,18 +50,14 @@
     ["accounts/ward: Account(name='ward', weight=1, \
 requests_per_s=None, max_running=None) -> absent"]
     """
-    found: list[Difference] = []
-    for difference in _all_differences(in_force, wanted):
-        if len(found) == MAX_DIFFERENCES:
-            break
-        found.append(difference)
-    return tuple(found)
+    return tuple(islice(differences_in(in_force, wanted), MAX_DIFFERENCES))
 
 
-def _all_differences(
+def differences_in(
     in_force: Configuration,
     wanted: Configuration,
 ) -> Iterator[Difference]:
+    """Yield all differences, by section and name."""
     for section in SECTIONS:
         ours = entries_by_name(in_force, section)
         theirs = entries_by_name(wanted, section)
@@ -62,6 +70,6 @@
 def entries_by_name(
     cfg: Configuration,
     section: str,
-) -> Mapping[str, object]:
+) -> Mapping[str, Entry]:
     """Return the entries of one section by their names."""
     return {entry.name: entry for entry in getattr(cfg, section)}
--- a/foxtailhatch/config/documents.py
+++ b/foxtailhatch/config/documents.py
@@ -33,6 +33,7 @@
 )
 from foxtailhatch.config.references import (
     ConfigFault,
+    entries_of_configuration,
     entries_of_document,
     json_path,
     reference_faults,
@@ -174,10 +175,9 @@
         document = ConfigurationDocument.model_validate_json(raw)
     except ValidationError as exc:
         return Failure(_all_faults(raw, exc))
-    faults = reference_faults(entries_of_document(document.model_dump()))
-    if faults:
-        return Failure(faults)
-    return Success(configuration_of(document, version))
+    cfg = configuration_of(document, version)
+    faults = reference_faults(entries_of_configuration(cfg))
+    return Failure(faults) if faults else Success(cfg)
 
 
 def render_configuration(cfg: Configuration) -> bytes:
--- a/foxtailhatch/config/fold.py
+++ b/foxtailhatch/config/fold.py
@@ -6,11 +6,13 @@
 only to find a snapshot that restates at least all that was lost.
 """
 
-from dataclasses import dataclass, replace
+from collections.abc import Iterable
+from dataclasses import dataclass
 
 from returns.pipeline import is_successful
 
 from foxtailhatch.config.configuration import Configuration
+from foxtailhatch.config.recent import RecentRecords
 from foxtailhatch.config.records import (
     ConfigurationRecord,
     Restoration,
@@ -23,6 +25,7 @@
     FoldState,
     Unchanged,
     fold_record,
+    skip_record,
     state_of,
 )
 from foxtailhatch.core import Invariant, Mark, require
@@ -53,8 +56,8 @@
 class ConfigurationFold:
     """One reader of the configuration stream.
 
-    Give it every page read from offset :attr:`wanted`, and the states that
-    peers export.  What is in force only ever grows in version.
+    Give it every page read from offset :attr:`wanted`, and the records and
+    states that peers pass on.  What is in force only ever grows in version.
     """
 
     def __init__(self) -> None:
@@ -62,6 +65,7 @@
         self._state = FoldState(BEFORE_ALL)
         self._cursor = BEFORE_ALL
         self._lost_below = 0
+        self._recent = RecentRecords()
 
     @property
     def in_force(self) -> Configuration | None:
@@ -102,50 +106,63 @@
         """Return the state for peers and snapshots."""
         return self._state
 
+    def records_after(self, offset: int) -> tuple[LogRecord, ...] | None:
+        """Return what a peer that folded up to ``offset`` lacks.
+
+        ``None`` says that it needs the whole state of :meth:`export`.
+        """
+        if offset >= self.through:
+            return ()
+        return self._recent.after(offset)
+
     def adopt(self, state: FoldState) -> bool:
         """Take in a peer's state if it has folded more than this reader.
 
         All readers fold the same records in the same way, so the one that
         has folded further knows at least as much.
         """
-        if state.through <= self._state.through:
+        if state.through <= self.through:
             return False
         self._replace(state)
         return True
 
+    def take_records(self, records: Iterable[LogRecord]) -> list[FoldOutcome]:
+        """Fold records that a peer passed on; they must follow directly."""
+        outcomes: list[FoldOutcome] = []
+        for record in records:
+            if record.offset == self.through + 1:
+                outcomes.append(self._fold(record))
+        return outcomes
+
     def take_page(self, page: LogPage) -> list[TakeOutcome]:
-        """Fold a page that was read from :attr:`wanted`."""
+        """Fold a page of the log, whichever offset it was read from."""
         outcomes: list[TakeOutcome] = []
         if page.first > self.wanted:
             outcomes.append(self._lose(page.first))
         for record in page.records:
+            if record.offset != self.wanted:
+                continue
             outcome = self._take(record)
             if outcome is not None:
                 outcomes.append(outcome)
-            if isinstance(outcome, StateAdopted):
-                # The records after the snapshot's offset are read again.
-                break
         return outcomes
 
     def _take(self, record: LogRecord) -> TakeOutcome | None:
-        if record.offset <= self._cursor:
-            return None
-        decoded = decode_record(record.body)
-        if not is_successful(decoded):
-            return self._skip(record.offset, decoded.failure())
         if self.complete:
-            return self._fold(record.offset, decoded.unwrap())
+            return self._fold(record)
         self._cursor = record.offset
-        return self._look_for_state(record.offset, decoded.unwrap())
-
-    def _skip(self, offset: int, reason: str) -> FoldOutcome:
-        if self.complete:
-            self._replace(replace(self._state, through=offset))
-        self._cursor = offset
-        return Unchanged(reason)
+        decoded = decode_record(record.body)
+        if not is_successful(decoded):
+            return None
+        return self._look_for_state(record, decoded.unwrap())
 
-    def _fold(self, offset: int, record: ConfigurationRecord) -> FoldOutcome:
-        state, outcome = fold_record(self._state, offset, record)
+    def _fold(self, record: LogRecord) -> FoldOutcome:
+        self._recent.add(record)
+        decoded = decode_record(record.body)
+        if not is_successful(decoded):
+            self._replace(skip_record(self._state, record))
+            return Unchanged(decoded.failure())
+        state, outcome = fold_record(self._state, record, decoded.unwrap())
         self._replace(state)
         return outcome
 
@@ -157,14 +174,14 @@
 
     def _look_for_state(
         self,
-        offset: int,
+        logged: LogRecord,
         record: ConfigurationRecord,
     ) -> TakeOutcome | None:
         match record:
             case SnapshotRecord():
-                return self._adopt_snapshot(offset, record)
+                return self._adopt_snapshot(logged.offset, record)
             case Restoration():
-                state, outcome = fold_record(self._state, offset, record)
+                state, outcome = fold_record(self._state, logged, record)
                 if isinstance(outcome, Accepted):
                     self._replace(state)
                 return outcome
@@ -175,12 +192,12 @@
         offset: int,
         record: SnapshotRecord,
     ) -> TakeOutcome | None:
-        restates = self._lost_below - 1 <= record.through < offset
-        state = state_of(record)
-        if not restates or not is_successful(state):
+        if not self._lost_below - 1 <= record.through < offset:
             return None
-        if not self.adopt(state.unwrap()):
+        state = state_of(record)
+        if not is_successful(state) or not self.adopt(state.unwrap()):
             return None
+        # The records after the snapshot's offset are read again.
         return StateAdopted(record.version, record.through)
 
     def _replace(self, state: FoldState) -> None:
--- a/foxtailhatch/config/records.py
+++ b/foxtailhatch/config/records.py
@@ -21,14 +21,16 @@
 class Publication:
     """An operator's wish to replace version ``made_from`` by ``version``.
 
-    ``document`` is the whole document as JSON.  ``publication_id`` is chosen
-    by the publisher and stays the same when it tries again.
+    ``document`` is JSON: the whole document, or only the changes if not
+    ``whole``.  ``publication_id`` is chosen by the publisher and stays the
+    same when it tries again.
     """
 
     version: int
     made_from: int
     publication_id: str
     document: bytes
+    whole: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +50,7 @@
 class SnapshotRecord:
     """What all records up to offset ``through`` fold to.
 
-    It says nothing of records after ``through``, even of those that lie
+    ``document`` is compressed.  It says nothing of records after ``through``, even of those that lie
     before the snapshot itself: a reader must still fold these.
     """
 
--- a/foxtailhatch/config/references.py
+++ b/foxtailhatch/config/references.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from foxtailhatch.config.configuration import Configuration
+
 SECTIONS = (
     'accounts',
     'callers',
@@ -84,6 +86,20 @@
                 yield _view(section, index, entry)
 
 
+def entries_of_configuration(cfg: Configuration) -> Iterator[EntryView]:
+    """Yield the view of each entry of a parsed configuration."""
+    for section in SECTIONS:
+        rule = RULES.get(section)
+        for index, entry in enumerate(getattr(cfg, section)):
+            yield EntryView(
+                section,
+                f'{section}[{index}]',
+                entry.name,
+                None if rule is None else getattr(entry, rule.field),
+                getattr(entry, 'token_sha256', None),
+            )
+
+
 def reference_faults(entries: Iterable[EntryView]) -> tuple[ConfigFault, ...]:
     """Return the faults between entries: duplicates and unknown names."""
     views = tuple(entries)
--- a/foxtailhatch/config/state.py
+++ b/foxtailhatch/config/state.py
@@ -1,12 +1,15 @@
 """What the configuration stream folds to, as an immutable value."""
 
+import zlib
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
 from returns.pipeline import is_successful
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
+from foxtailhatch.config.changes import apply_changes
 from foxtailhatch.config.configuration import Configuration
+from foxtailhatch.config.coverage import Coverage
 from foxtailhatch.config.differences import Difference, differences
 from foxtailhatch.config.documents import (
     parse_configuration,
@@ -21,6 +24,7 @@
 )
 from foxtailhatch.config.references import ConfigFault
 from foxtailhatch.core import Invariant, require
+from foxtailhatch.platform import LogRecord
 
 MARKS_KEPT = 5000
 MARK_IDS_KEPT = 500
@@ -81,15 +85,16 @@
     marks: Mapping[str, MarkRecord] = field(default_factory=dict)
     mark_ids: tuple[str, ...] = ()
     decided: Mapping[str, int] = field(default_factory=dict)
+    coverage: Coverage = field(default_factory=Coverage)
 
 
 def fold_record(
     state: FoldState,
-    offset: int,
+    logged: LogRecord,
     record: ConfigurationRecord,
 ) -> tuple[FoldState, FoldOutcome]:
     """Return the state after one more record, and what the record did."""
-    state = replace(state, through=offset)
+    state = skip_record(state, logged)
     match record:
         case Publication():
             return _fold_publication(state, record)
@@ -98,7 +103,15 @@
         case Restoration():
             return _fold_restoration(state, record)
         case SnapshotRecord():
-            return state, Unchanged('A snapshot restates what is known.')
+            coverage = state.coverage.restated(record.through)
+            outcome = Unchanged('A snapshot restates what is known.')
+            return replace(state, coverage=coverage), outcome
+
+
+def skip_record(state: FoldState, logged: LogRecord) -> FoldState:
+    """Return the state after a record that decides nothing."""
+    coverage = state.coverage.logged(logged.offset, logged.time)
+    return replace(state, through=logged.offset, coverage=coverage)
 
 
 def snapshot_of(state: FoldState) -> SnapshotRecord:
@@ -106,7 +119,7 @@
     return SnapshotRecord(
         through=state.through,
         version=state.cfg.version,
-        document=render_configuration(state.cfg),
+        document=zlib.compress(render_configuration(state.cfg)),
         marks=tuple(state.marks.values()),
         mark_ids=state.mark_ids,
         decided=tuple(state.decided.items()),
@@ -117,7 +130,11 @@
     snapshot: SnapshotRecord,
 ) -> Result[FoldState, tuple[ConfigFault, ...]]:
     """Return the state that a snapshot restates."""
-    return parse_configuration(snapshot.document, snapshot.version).map(
+    try:
+        document = zlib.decompress(snapshot.document)
+    except zlib.error as exc:
+        return Failure((ConfigFault('$', str(exc)),))
+    return parse_configuration(document, snapshot.version).map(
         lambda cfg: FoldState(
             snapshot.through,
             cfg,
@@ -134,7 +151,7 @@
 ) -> tuple[FoldState, FoldOutcome]:
     if record.publication_id in state.decided:
         return state, Unchanged('The publication was decided before.')
-    parsed = parse_configuration(record.document, record.version)
+    parsed = _parse(state.cfg, record)
     in_turn = record.made_from == state.cfg.version
     if in_turn and record.version == record.made_from + 1:
         if isinstance(parsed, Success):
@@ -142,6 +159,16 @@
     return _refuse(state, record, parsed)
 
 
+def _parse(
+    cfg: Configuration,
+    record: Publication,
+) -> Result[Configuration, tuple[ConfigFault, ...]]:
+    """Return what the publication leads to from ``cfg``, if it is sound."""
+    if record.whole:
+        return parse_configuration(record.document, record.version)
+    return apply_changes(cfg, record.document, record.version)
+
+
 def _refuse(
     state: FoldState,
     record: Publication,
--- /dev/null
+++ b/foxtailhatch/durable/appends.py
@@ -0,0 +1,91 @@
+"""Getting one record to count although acknowledgements get lost.
+
+The record carries an id, and its readers count an id once.  So it may be
+appended again whenever it is not known to have landed, and the log alone
+tells what became of it.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from foxtailhatch.platform import PlatformFault
+
+RETRY_S = 1.0
+APPEND_TIMEOUT_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class AppendRecord:
+    """Append ``body`` to a stream and report how it went."""
+
+    stream: str
+    body: bytes
+
+
+class AppendStep(StrEnum):
+    """What an attempt needs next.
+
+    ``NEVER_LANDED`` is said only when no append can have taken effect, and
+    ``UNKNOWN`` when the time is over and one may have.
+    """
+
+    APPEND = 'append'
+    WAIT = 'wait'
+    SETTLED = 'settled'
+    NEVER_LANDED = 'never_landed'
+    UNKNOWN = 'unknown'
+
+
+class AppendAttempt:
+    """The state of one record on its way into the log.
+
+    ``settled`` tells in each call whether the reader has met the record.
+    """
+
+    def __init__(self, record: AppendRecord, deadline_at: float) -> None:
+        """Start an attempt that gives up at ``deadline_at``."""
+        self.record = record
+        self.deadline_at = deadline_at
+        self.may_have_landed = False
+        self._retry_at = float(0)
+        self._asked_at: float | None = None
+
+    def step(self, now: float, settled: bool) -> AppendStep:
+        """Return what to do at ``now``; ``APPEND`` is answered later."""
+        if settled:
+            return AppendStep.SETTLED
+        if now >= self.deadline_at:
+            return self._given_up()
+        if self._is_waiting(now):
+            return AppendStep.WAIT
+        self._asked_at = now
+        return AppendStep.APPEND
+
+    def acknowledged(self, now: float) -> None:
+        """Learn that the append landed; the reader will meet it."""
+        self._answered(now)
+        self.may_have_landed = True
+        self._retry_at = self.deadline_at
+
+    def failed(self, now: float, fault: PlatformFault) -> None:
+        """Learn that the append failed, or that its answer was lost."""
+        self._answered(now)
+        if fault is not PlatformFault.UNREACHABLE:
+            self.may_have_landed = True
+
+    def _answered(self, now: float) -> None:
+        self._asked_at = None
+        self._retry_at = now + RETRY_S
+
+    def _is_waiting(self, now: float) -> bool:
+        if self._asked_at is None:
+            return now < self._retry_at
+        if now < self._asked_at + APPEND_TIMEOUT_S:
+            return True
+        self.may_have_landed = True
+        return False
+
+    def _given_up(self) -> AppendStep:
+        if self.may_have_landed or self._asked_at is not None:
+            return AppendStep.UNKNOWN
+        return AppendStep.NEVER_LANDED
--- /dev/null
+++ b/foxtailhatch/durable/follower.py
@@ -0,0 +1,116 @@
+"""When to read a stream of the log, and whether the log is there.
+
+A follower decides only about time: the reader of the stream keeps its own
+offset, and drops pages that do not follow it.
+"""
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+from foxtailhatch.platform import LogPage
+
+READ_LIMIT = 500
+POLL_S = 1.0
+MAX_BACKOFF_S = 5.0
+READ_TIMEOUT_S = 10.0
+FAILURES_TO_DOWN = 2
+JITTER = (0.75, 1.25)
+
+
+class LogAvailability(StrEnum):
+    """Whether reads of the log are answered."""
+
+    UNKNOWN = 'unknown'
+    UP = 'up'
+    DOWN = 'down'
+
+
+@dataclass(frozen=True, slots=True)
+class ReadStream:
+    """Read a page of a stream from ``offset`` on."""
+
+    stream: str
+    offset: int
+    limit: int
+
+
+class LogFollower:
+    """The pace of one reader of one stream.
+
+    >>> follower = LogFollower('claims-0', random.Random(1))
+    >>> follower.next_read(0.0, 7)
+    ReadStream(stream='claims-0', offset=7, limit=500)
+    >>> follower.next_read(0.1, 7) is None
+    True
+    """
+
+    def __init__(
+        self,
+        stream: str,
+        rng: random.Random,
+        poll_s: float = POLL_S,
+    ) -> None:
+        """Start a follower that reads at once."""
+        self.stream = stream
+        self.availability = LogAvailability.UNKNOWN
+        self._rng = rng
+        self._poll_s = poll_s
+        self._failures = 0
+        self._due_at = float(0)
+        self._asked_at: float | None = None
+        self._caught_up_at: float | None = None
+
+    def next_read(self, now: float, wanted: int) -> ReadStream | None:
+        """Return the read that is due at ``now``, if any."""
+        if self._asked_at is not None:
+            if now < self._asked_at + READ_TIMEOUT_S:
+                return None
+            self.read_failed(now)
+        if now < self._due_at:
+            return None
+        self._asked_at = now
+        return ReadStream(self.stream, wanted, READ_LIMIT)
+
+    def page_read(self, now: float, page: LogPage, wanted: int) -> bool:
+        """Learn of an answer; ``wanted`` is the reader's offset after it.
+
+        Return whether the log became available by it.
+        """
+        asked_at = self._asked_at
+        changed = self.availability is not LogAvailability.UP
+        self.availability = LogAvailability.UP
+        self._failures = 0
+        self._asked_at = None
+        self._due_at = now
+        if wanted >= page.end:
+            self._due_at = now + self._spread(self._poll_s)
+            self._caught_up_at = now if asked_at is None else asked_at
+        return changed
+
+    def read_failed(self, now: float) -> bool:
+        """Learn that a read failed; return whether the log went down."""
+        self._asked_at = None
+        self._failures += 1
+        backoff_s = self._poll_s * 2**self._failures
+        self._due_at = now + self._spread(min(backoff_s, MAX_BACKOFF_S))
+        went_down = (
+            self._failures >= FAILURES_TO_DOWN
+            and self.availability is not LogAvailability.DOWN
+        )
+        if went_down:
+            self.availability = LogAvailability.DOWN
+        return went_down
+
+    def hurry(self, now: float) -> None:
+        """Read again at once, as when an own append was acknowledged."""
+        if self.availability is not LogAvailability.DOWN:
+            self._due_at = min(self._due_at, now)
+
+    def caught_up_since(self, moment: float) -> bool:
+        """Tell whether a read begun at or after ``moment`` met the end."""
+        return self._caught_up_at is not None and self._caught_up_at >= moment
+
+    def _spread(self, seconds: float) -> float:
+        """Return ``seconds`` with jitter, so that readers do not align."""
+        return seconds * self._rng.uniform(*JITTER)
--- a/tests/config/test_fold.py
+++ b/tests/config/test_fold.py
@@ -10,39 +10,14 @@
     MarkRecord,
     Publication,
     Restoration,
-    encode_record,
+    SnapshotRecord,
 )
 from foxtailhatch.config.state import Accepted, Refused, snapshot_of
 from foxtailhatch.core import Mark
+from tests.config.stream import catch_up, publication, put, read_all
 from tests.durable.fake_log import FakeLog
 
 
-def publication(version, name, made_from=None):
-    cfg = Configuration(version, accounts=(Account(name),))
-    origin = version - 1 if made_from is None else made_from
-    document = render_configuration(cfg)
-    return Publication(version, origin, f'{version}-{name}', document)
-
-
-def put(log, *records, now=0.0):
-    for record in records:
-        log.append(CONFIGURATION_STREAM, encode_record(record), now)
-
-
-def catch_up(fold, log, now=0.0):
-    outcomes = []
-    while True:
-        page = log.read(CONFIGURATION_STREAM, fold.wanted, now, 3).unwrap()
-        outcomes += fold.take_page(page)
-        if fold.wanted >= page.end:
-            return outcomes
-
-
-def read_all(log, now=0.0):
-    fold = ConfigurationFold()
-    return fold, catch_up(fold, log, now)
-
-
 def test_the_first_of_two_made_from_one_version_wins():
     log = FakeLog()
     put(log, publication(1, 'a'), publication(2, 'b'), publication(2, 'c'))
@@ -146,3 +121,36 @@
     fold, _ = read_all(log)
     assert not fold.adopt(stale)
     assert fold.version == 2
+
+
+def test_a_page_read_from_elsewhere_skips_no_record():
+    log = FakeLog()
+    put(log, publication(1, 'a'), publication(2, 'b'), publication(3, 'c'))
+    page = log.read(CONFIGURATION_STREAM, 2, 0.0).unwrap()
+    fold = ConfigurationFold()
+    assert fold.take_page(page) == []
+    assert (fold.version, fold.wanted) == (0, 0)
+
+
+def test_peers_pass_records_on_and_fill_a_gap():
+    log = FakeLog(retention_s=100)
+    put(log, publication(1, 'a'))
+    behind, _ = read_all(log)
+    put(log, publication(2, 'b'), now=10.0)
+    ahead, _ = read_all(log)
+    put(log, publication(3, 'c'), now=150.0)
+    catch_up(behind, log, 150.0)
+    assert not behind.complete
+    behind.take_records(ahead.records_after(behind.through))
+    assert (behind.version, behind.complete) == (2, True)
+    catch_up(behind, log, 150.0)
+    assert behind.version == 3
+
+
+def test_a_corrupt_snapshot_fills_no_gap():
+    log = FakeLog(retention_s=100)
+    put(log, publication(1, 'a'))
+    broken = SnapshotRecord(0, 1, b'not compressed', ())
+    put(log, broken, now=50.0)
+    fold, _ = read_all(log, now=120.0)
+    assert fold.in_force is None
--- /dev/null
+++ b/tests/config/test_publisher.py
@@ -0,0 +1,98 @@
+import pytest
+
+from foxtailhatch.config.configuration import Account, Configuration
+from foxtailhatch.config.documents import render_configuration
+from foxtailhatch.config.publisher import (
+    Conflicted,
+    Faulty,
+    MaybePublished,
+    NotPublished,
+    Published,
+    begin_publication,
+)
+from foxtailhatch.durable.appends import AppendRecord
+from foxtailhatch.platform import PlatformFault
+from tests.config.stream import catch_up, publication, put, read_all
+from tests.durable.fake_log import AppendFate, FakeLog
+
+
+def document(name):
+    return render_configuration(
+        Configuration(0, accounts=(Account(name),)),
+    )
+
+
+def drive(log, fold, attempt, until=60, start=0):
+    """Carry out an attempt second by second until it has an outcome."""
+    for now in range(start, until):
+        step = attempt.step(now, fold)
+        if isinstance(step, AppendRecord):
+            answer = log.append(step.stream, step.body, now)
+            answer.map(lambda _, now=now: attempt.append.acknowledged(now))
+            answer.alt(
+                lambda error, now=now: attempt.append.failed(now, error.fault),
+            )
+        elif step is not None:
+            return step
+        if log.up:
+            catch_up(fold, log, now)
+    return None
+
+
+@pytest.mark.parametrize('fate', list(AppendFate))
+def test_a_lost_acknowledgement_never_publishes_twice(fate):
+    log = FakeLog()
+    log.fates.extend([fate, fate])
+    fold, _ = read_all(log)
+    attempt = begin_publication(0, fold, document('a'), 0, 'id').unwrap()
+    assert drive(log, fold, attempt).unwrap() == Published(1)
+    log.land(60)
+    catch_up(fold, log, 60)
+    assert fold.version == 1
+
+
+def test_the_loser_is_told_the_difference():
+    log = FakeLog()
+    put(log, publication(1, 'a'))
+    fold, _ = read_all(log)
+    attempt = begin_publication(0, fold, document('c'), 1, 'id').unwrap()
+    put(log, publication(2, 'b'))
+    conflict = drive(log, fold, attempt).failure()
+    assert isinstance(conflict, Conflicted)
+    assert [line.name for line in conflict.difference] == ['b', 'c']
+    assert fold.version == 2
+
+
+def test_a_fault_is_told_before_anything_is_appended():
+    log = FakeLog()
+    fold, _ = read_all(log)
+    failure = begin_publication(0, fold, b'{"acounts": []}', 0, 'id').failure()
+    assert isinstance(failure, Faulty)
+    assert log.appends == 0
+
+
+def test_an_outage_is_told_from_an_unknown_end():
+    log = FakeLog(up=False)
+    fold, _ = read_all(FakeLog())
+    attempt = begin_publication(0, fold, document('a'), 0, 'id').unwrap()
+    assert drive(log, fold, attempt).failure() == NotPublished()
+    attempt = begin_publication(0, fold, document('a'), 0, 'id').unwrap()
+    attempt.append.failed(0, PlatformFault.NO_ANSWER)
+    assert drive(log, fold, attempt).failure() == MaybePublished('id')
+
+
+def test_asking_again_with_the_same_id_tells_the_first_decision():
+    log = FakeLog()
+    put(log, publication(1, 'a'), publication(2, 'b'))
+    fold, _ = read_all(log)
+    attempt = begin_publication(0, fold, document('a'), 0, '1-a').unwrap()
+    assert drive(log, fold, attempt).unwrap() == Published(1)
+    assert log.appends == 2
+
+
+def test_a_reader_that_lags_leaves_the_decision_to_the_log():
+    log = FakeLog()
+    put(log, publication(1, 'a'))
+    lagging, _ = read_all(FakeLog())
+    attempt = begin_publication(0, lagging, document('b'), 1, 'id').unwrap()
+    assert drive(log, lagging, attempt).unwrap() == Published(2)
--- /dev/null
+++ b/tests/config/test_snapshots.py
@@ -0,0 +1,84 @@
+import random
+
+from foxtailhatch.config.fold import ConfigurationFold
+from foxtailhatch.config.snapshots import HOLD_S, SnapshotWriter
+from tests.config.stream import catch_up, publication, put, read_all
+from tests.durable.fake_log import FakeLog
+
+RETENTION_S = 1000.0
+
+
+def writers(count):
+    return [
+        SnapshotWriter(RETENTION_S, random.Random(seed))
+        for seed in range(count)
+    ]
+
+
+def run(log, folds, until, step=10, start=0):
+    """Let each instance poll and write; return how many were written."""
+    written = 0
+    pens = writers(len(folds))
+    for now in range(start, until, step):
+        for fold, writer in zip(folds, pens, strict=True):
+            catch_up(fold, log, now)
+            snapshot = writer.step(now, fold, caught_up=True)
+            if snapshot:
+                log.append(snapshot.stream, snapshot.body, now)
+                written += 1
+    return written
+
+
+def test_snapshots_carry_the_newest_version_over_many_retentions():
+    log = FakeLog(retention_s=RETENTION_S)
+    put(log, publication(1, 'a'), publication(2, 'b'))
+    written = run(log, [ConfigurationFold() for _ in range(5)], 10_000)
+    fold, _ = read_all(log, 10_000)
+    assert (fold.version, fold.complete) == (2, True)
+    assert written < 10_000 / RETENTION_S * 8
+
+
+def test_a_stale_snapshot_does_not_put_off_the_next_one():
+    log = FakeLog(retention_s=RETENTION_S)
+    put(log, publication(1, 'a'))
+    paused, _ = read_all(log)
+    put(log, publication(2, 'b'))
+    writer = writers(1)[0]
+    stale = writer.step(600.0, paused, caught_up=True)
+    log.append(stale.stream, stale.body, 600.0)
+    fold, _ = read_all(log, 601.0)
+    assert writers(1)[0].step(601.0, fold, caught_up=True)
+
+
+def test_a_covering_snapshot_puts_off_the_next_one():
+    log = FakeLog(retention_s=RETENTION_S)
+    put(log, publication(1, 'a'))
+    fold, _ = read_all(log)
+    writer = writers(1)[0]
+    covering = writer.step(600.0, fold, caught_up=True)
+    assert writer.step(601.0, fold, caught_up=True) is None
+    log.append(covering.stream, covering.body, 600.0)
+    catch_up(fold, log, 602.0)
+    assert writer.step(600.0 + 2 * HOLD_S, fold, caught_up=True) is None
+
+
+def test_retention_that_passes_during_an_outage_loses_nothing():
+    log = FakeLog(retention_s=RETENTION_S)
+    put(log, publication(1, 'a'))
+    survivor, _ = read_all(log)
+    newcomer = ConfigurationFold()
+    assert newcomer.adopt(survivor.export())
+    back = 5 * int(RETENTION_S)
+    assert run(log, [newcomer], back + 100, start=back) == 1
+    fold, _ = read_all(log, back + 100)
+    assert (fold.version, fold.complete) == (1, True)
+
+
+def test_a_reader_behind_a_gap_writes_no_snapshot():
+    log = FakeLog(retention_s=RETENTION_S)
+    put(log, publication(1, 'a'))
+    fold, _ = read_all(log)
+    put(log, publication(2, 'b'), now=10.0)
+    put(log, publication(2, 'c'), now=2000.0)
+    catch_up(fold, log, 2000.0)
+    assert writers(1)[0].step(2000.0, fold, caught_up=True) is None
