--- a/foxtailhatch/callers/front.py
+++ b/foxtailhatch/callers/front.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from foxtailhatch.callers.clock import Clock
 from foxtailhatch.callers.gateway import Gateway
 from foxtailhatch.callers.tokens import Tokenizer
 from foxtailhatch.core import ErrorCode, InvariantBroken
+from foxtailhatch.core.loop_clock import LoopClock
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +61,6 @@
     observability: Observability
     limits: FrontLimits
     tokenizer: Tokenizer
-    clock: Clock
+    clock: LoopClock
     wall_time: Callable[[], float]
     new_request_id: Callable[[], str]
--- a/foxtailhatch/callers/intake.py
+++ b/foxtailhatch/callers/intake.py
@@ -8,12 +8,12 @@
 from twisted.web import server
 from twisted.web.http import HTTPChannel
 
-from foxtailhatch.callers.clock import DelayedCall
 from foxtailhatch.callers.errors import STATUSES, error_body
 from foxtailhatch.callers.front import Front
 from foxtailhatch.callers.replies import refusal_reply, send
 from foxtailhatch.callers.services import internal_error
 from foxtailhatch.core import ErrorCode, InvariantBroken, Refusal
+from foxtailhatch.core.loop_clock import DelayedCall
 
 LINGER_S = 2
 
--- a/foxtailhatch/callers/pacing.py
+++ b/foxtailhatch/callers/pacing.py
@@ -5,8 +5,8 @@
 from twisted.internet.interfaces import IPushProducer
 from zope.interface import implementer
 
-from foxtailhatch.callers.clock import Clock, DelayedCall
 from foxtailhatch.callers.gateway import RunningAnswer
+from foxtailhatch.core.loop_clock import DelayedCall, LoopClock
 
 
 @implementer(IPushProducer)
@@ -19,7 +19,7 @@
 
     def __init__(
         self,
-        clock: Clock,
+        clock: LoopClock,
         slow_caller_s: float,
         cut_off: Callable[[], None],
     ) -> None:
--- a/foxtailhatch/callers/site.py
+++ b/foxtailhatch/callers/site.py
@@ -13,7 +13,6 @@
 
 from foxtailhatch.callers.answers import ChatResource, CompletionResource
 from foxtailhatch.callers.base import UnknownPath
-from foxtailhatch.callers.clock import Clock
 from foxtailhatch.callers.front import Front, FrontLimits, Observability
 from foxtailhatch.callers.gateway import Gateway
 from foxtailhatch.callers.intake import IntakeRequest
@@ -28,6 +27,7 @@
 )
 from foxtailhatch.callers.services import ServicesResource
 from foxtailhatch.callers.tokens import ByteTokenizer
+from foxtailhatch.core.loop_clock import LoopClock
 
 REQUEST_ID_BITS = 128
 
@@ -53,7 +53,7 @@
     gateway: Gateway,
     observability: Observability,
     limits: FrontLimits,
-    clock: Clock,
+    clock: LoopClock,
 ) -> Site:
     """Return the site; ``clock`` is the reactor that will listen with it."""
     front = Front(
--- a/foxtailhatch/core/timeline.py
+++ b/foxtailhatch/core/timeline.py
@@ -30,6 +30,7 @@
     CLAIM_DECIDED = 'claim_decided'
     CONFIGURATION_IN_FORCE = 'configuration_in_force'
     PUBLICATION_REFUSED = 'publication_refused'
+    RECORDS_LOST = 'records_lost'
     SNAPSHOT_WRITTEN = 'snapshot_written'
     LOG_UNAVAILABLE = 'log_unavailable'
     LOG_AVAILABLE = 'log_available'
--- a/foxtailhatch/daemon/answers.py
+++ b/foxtailhatch/daemon/answers.py
@@ -1,12 +1,12 @@
 """All answers of this entry: admitted, started, followed and ended."""
 
 from collections.abc import Callable, Iterable
-from typing import Protocol
 
 from returns.pipeline import is_successful
 
 from foxtailhatch.callers.gateway import AnswerSink, GenerateRequest
 from foxtailhatch.core import EventKind, Refusal
+from foxtailhatch.core.loop_clock import LoopClock
 from foxtailhatch.daemon.answer_load import AnswerLoad
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.chains import PoolChains
@@ -28,22 +28,6 @@
 TICK_S = 0.02
 
 
-class Clock(Protocol):
-    """The time and delayed calls, as the reactor gives them."""
-
-    def seconds(self) -> float:
-        """Return a time in seconds that never goes back."""
-
-    def callLater(  # noqa: N802
-        self,
-        delay: float,
-        callable: Callable[..., object],  # noqa: A002
-        *args: object,
-        **kw: object,
-    ) -> object:
-        """Call something after a delay."""
-
-
 class AnswerHandle:
     """The front's handle on one answer, before and after its start."""
 
@@ -91,7 +75,7 @@
         board: Blackboard,
         sessions: Sessions,
         chooser: ChainChooser,
-        clock: Clock,
+        clock: LoopClock,
     ) -> None:
         """Start with no answer."""
         self.tokens = 0
@@ -176,7 +160,7 @@
         work = answer.delivered - len(answer.run.plan.received)
         self.tokens += work
         self._board.admission.finished(answer.stream, now, max(1, work))
-        self._record(_event_of(outcome), answer.stream, _detail(outcome))
+        self._board.record(_event_of(outcome), answer.stream, _detail(outcome))
         self._clock.callLater(0, self._start_ready)
 
     def _start_ready(self) -> None:
@@ -193,7 +177,7 @@
         run = AnswerRun(plan, chains)
         handle.load = AnswerLoad(self._board.pool, len(plan.prompt))
         handle.live = LiveAnswer(run, handle.sink, self._sessions, self)
-        self._record(EventKind.REQUEST_ADMITTED, plan.stream, plan.model)
+        self._board.record(EventKind.REQUEST_ADMITTED, plan.stream, plan.model)
         if handle.paused:
             handle.live.pause()
         handle.live.begin()
@@ -202,7 +186,9 @@
         request_id = handle.req.request_id
         if self._board.admission.withdraw(request_id) is not None:
             self._handles.pop(request_id)
-            self._record(EventKind.REQUEST_CANCELLED, request_id, 'waiting')
+            self._board.record(
+                EventKind.REQUEST_CANCELLED, request_id, 'waiting'
+            )
 
     def _refuse_tickets(self, refused: Iterable[RefusedTicket]) -> None:
         for gone in refused:
@@ -211,7 +197,7 @@
 
     def _refuse(self, handle: AnswerHandle, refusal: Refusal) -> None:
         request_id = handle.req.request_id
-        self._record(EventKind.REQUEST_REFUSED, request_id, refusal.code)
+        self._board.record(EventKind.REQUEST_REFUSED, request_id, refusal.code)
         # The front gets its handle before it hears of the end.
         self._clock.callLater(0, handle.sink.failed, refusal)
 
@@ -221,7 +207,7 @@
             self.recoveries += 1
             kind = EventKind.ANSWER_RECOVERED
         names = '>'.join(stage.endpoint for stage in action.chain.stages)
-        self._record(kind, answer.stream, f'{action.attempt}:{names}')
+        self._board.record(kind, answer.stream, f'{action.attempt}:{names}')
 
     def _step_answered(self, step: StepAnswered) -> None:
         now = self.now()
@@ -230,11 +216,6 @@
         )
         self._board.health.note_success(step.endpoint, now)
 
-    def _record(self, kind: EventKind, subject: str, detail: str) -> None:
-        self._board.timeline.record(
-            self._board.wall_time(), kind, subject, detail
-        )
-
 
 def _ticket(
     req: GenerateRequest,
--- a/foxtailhatch/daemon/blackboard.py
+++ b/foxtailhatch/daemon/blackboard.py
@@ -5,7 +5,8 @@
 from random import Random
 
 from foxtailhatch.config import ConfigurationFold, ConfigurationIndex
-from foxtailhatch.core import HybridClock, Timeline
+from foxtailhatch.core import EventKind, HybridClock, Timeline
+from foxtailhatch.daemon.logs import EventLog
 from foxtailhatch.limits import Admission
 from foxtailhatch.membership import EndpointTable, EntryTable, PlannedStop
 from foxtailhatch.recovery import EndpointHealth, ProgressWatch, RetryBudget
@@ -24,6 +25,7 @@
     zone: str
     random: Random
     timeline: Timeline
+    events: EventLog
     pool: Pool
     entries: EntryTable
     stop: PlannedStop
@@ -36,6 +38,10 @@
     fold: ConfigurationFold = field(default_factory=ConfigurationFold)
     index: ConfigurationIndex | None = None
 
+    def record(self, kind: EventKind, subject: str, detail: str = '') -> None:
+        """Record an event at the present wall time."""
+        self.events.record(self.wall_time(), kind, subject, detail)
+
 
 def new_blackboard(
     name: str,
@@ -47,11 +53,13 @@
 ) -> Blackboard:
     """Return the blackboard of an entry that knows nothing yet."""
     random = Random(seed)
+    timeline = Timeline(HybridClock(name))
     return Blackboard(
         name=name,
         zone=zone,
         random=random,
-        timeline=Timeline(HybridClock(name)),
+        timeline=timeline,
+        events=EventLog(timeline),
         pool=Pool(zone),
         entries=entries,
         stop=stop,
--- /dev/null
+++ b/foxtailhatch/daemon/configuration_loop.py
@@ -0,0 +1,204 @@
+"""Following, publishing and keeping the configuration at one entry."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from uuid import uuid4
+
+from returns.result import Failure, Result, Success
+
+from foxtailhatch.config import (
+    CONFIGURATION_STREAM,
+    Accepted,
+    Marked,
+    MarkRecord,
+    Refused,
+    StateAdopted,
+    encode_record,
+    index_configuration,
+)
+from foxtailhatch.config.fold import RecordsLost, TakeOutcome
+from foxtailhatch.config.publisher import (
+    PublishAttempt,
+    Published,
+    PublishFailure,
+    begin_publication,
+)
+from foxtailhatch.config.snapshots import SnapshotWriter
+from foxtailhatch.core import EventKind, Mark
+from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.daemon.platform_watch import PlatformWatch
+from foxtailhatch.durable.appends import AppendRecord
+from foxtailhatch.durable.follower import LogFollower
+from foxtailhatch.platform import LogService, PlatformError
+
+PUBLISH_STEP_S = 0.02
+
+
+@dataclass(slots=True)
+class LogCounts:
+    """Calls of the log that failed, and bytes that were read."""
+
+    faults: int = 0
+    bytes_read: int = 0
+
+
+class ConfigurationLoop:
+    """Fold the configuration stream and bring the blackboard in line."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        log: LogService,
+        watch: PlatformWatch,
+        follower: LogFollower,
+        snapshots: SnapshotWriter,
+        now: Callable[[], float],
+    ) -> None:
+        """Join the parts; nothing is read yet."""
+        self.counts = LogCounts()
+        self._marks_taken: dict[str, str] = {}
+        self._board = board
+        self._log = log
+        self._watch = watch
+        self._follower = follower
+        self._snapshots = snapshots
+        self._now = now
+
+    async def step(self) -> None:
+        """Read if a read is due, and write a snapshot if one is."""
+        fold = self._board.fold
+        due = self._follower.next_read(self._now(), fold.wanted)
+        if due is None:
+            return
+        page = await self._log.read(due.stream, due.offset, due.limit)
+        if not isinstance(page, Success):
+            self._read_failed()
+            return
+        known = page.unwrap()
+        self.counts.bytes_read += sum(len(each.body) for each in known.records)
+        outcomes = fold.take_page(known)
+        if self._follower.page_read(self._now(), known, fold.wanted):
+            self._record(EventKind.LOG_AVAILABLE, CONFIGURATION_STREAM)
+        self._take(outcomes)
+        await self._write_snapshot(known.end == fold.wanted)
+
+    async def publish(
+        self,
+        document: bytes,
+        made_from: int,
+        publication_id: str,
+    ) -> Result[Published, PublishFailure]:
+        """Publish a document and wait for what becomes of it."""
+        begun = begin_publication(
+            self._now(),
+            self._board.fold,
+            document,
+            made_from,
+            publication_id,
+        )
+        if not isinstance(begun, Success):
+            return Failure(begun.failure())
+        return await self._follow(begun.unwrap())
+
+    async def mark(self, instance: str, mark: Mark) -> bool:
+        """Append a mark; return whether the log acknowledged it."""
+        record = MarkRecord(uuid4().hex, instance, mark)
+        body = encode_record(record)
+        appended = await self._append(AppendRecord(CONFIGURATION_STREAM, body))
+        return isinstance(appended, Success)
+
+    def adopted(self) -> None:
+        """Bring the blackboard in line after a peer's state was taken in."""
+        self._enforce()
+        self._take_marks()
+
+    async def _follow(
+        self,
+        attempt: PublishAttempt,
+    ) -> Result[Published, PublishFailure]:
+        while True:
+            step = attempt.step(self._now(), self._board.fold)
+            if isinstance(step, AppendRecord):
+                await self._append_for(attempt, step)
+            elif step is not None:
+                return step
+            await asyncio.sleep(PUBLISH_STEP_S)
+
+    async def _append_for(
+        self,
+        attempt: PublishAttempt,
+        record: AppendRecord,
+    ) -> None:
+        appended = await self._append(record)
+        if isinstance(appended, Success):
+            attempt.append.acknowledged(self._now())
+        else:
+            attempt.append.failed(self._now(), appended.failure().fault)
+
+    async def _append(self, record: AppendRecord) -> Result[int, PlatformError]:
+        appended = await self._log.append(record.stream, record.body)
+        if isinstance(appended, Success):
+            self._follower.hurry(self._now())
+        else:
+            self.counts.faults += 1
+        return appended
+
+    async def _write_snapshot(self, caught_up: bool) -> None:
+        snapshot = self._snapshots.step(
+            self._board.wall_time(),
+            self._board.fold,
+            caught_up,
+        )
+        if snapshot is not None:
+            await self._append(snapshot)
+            self._record(EventKind.SNAPSHOT_WRITTEN, CONFIGURATION_STREAM)
+
+    def _read_failed(self) -> None:
+        self.counts.faults += 1
+        if self._follower.read_failed(self._now()):
+            self._record(EventKind.LOG_UNAVAILABLE, CONFIGURATION_STREAM)
+
+    def _take(self, outcomes: Iterable[TakeOutcome]) -> None:
+        for outcome in outcomes:
+            match outcome:
+                case Accepted() | StateAdopted():
+                    self._enforce()
+                case Refused(publication_id=refused):
+                    self._record(EventKind.PUBLICATION_REFUSED, refused)
+                case RecordsLost(wanted, first):
+                    self._record(EventKind.RECORDS_LOST, f'{wanted}-{first}')
+        if any(isinstance(each, Marked | StateAdopted) for each in outcomes):
+            self._take_marks()
+
+    def _enforce(self) -> None:
+        cfg = self._board.fold.in_force
+        index = self._board.index
+        if cfg is None or (index is not None and index.cfg is cfg):
+            return
+        self._board.index = index_configuration(cfg)
+        accounts = {account.name: account for account in cfg.accounts}
+        self._board.admission.accounts = accounts
+        self._board.endpoints.note_configuration(cfg.endpoints)
+        self._board.entries.update_own(configuration_version=cfg.version)
+        self._record(EventKind.CONFIGURATION_IN_FORCE, str(cfg.version))
+        self._watch.take_changes(())
+
+    def _take_marks(self) -> None:
+        for instance, record in self._board.fold.export().marks.items():
+            if self._marks_taken.get(instance) != record.mark_id:
+                self._marks_taken[instance] = record.mark_id
+                self._take_mark(instance, record.mark)
+
+    def _take_mark(self, instance: str, mark: Mark) -> None:
+        now = self._now()
+        self._record(EventKind.MARK_CHANGED, f'{instance} {mark.value}')
+        self._board.entries.note_mark(instance, mark)
+        self._watch.take_changes(
+            self._board.endpoints.note_mark(instance, mark, now),
+        )
+        if instance == self._board.name and mark is Mark.STOP:
+            self._board.stop.ask(now)
+
+    def _record(self, kind: EventKind, subject: str) -> None:
+        self._board.record(kind, subject)
--- /dev/null
+++ b/foxtailhatch/daemon/loops.py
@@ -0,0 +1,38 @@
+"""Calls repeated for as long as the daemon runs."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from foxtailhatch.core import InvariantBroken
+
+Step = Callable[[], Awaitable[None]]
+
+
+class Loops:
+    """Run coroutines again and again, each in a task of its own.
+
+    A broken invariant goes to ``on_broken``; it alone ends a loop.
+    """
+
+    def __init__(self, on_broken: Callable[[InvariantBroken], None]) -> None:
+        """Start with no loop."""
+        self._on_broken = on_broken
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def every(self, period_s: float, step: Step) -> None:
+        """Run ``step`` now and ``period_s`` after each of its ends."""
+        self._tasks.append(asyncio.ensure_future(self._run(period_s, step)))
+
+    def stop(self) -> None:
+        """End all loops."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _run(self, period_s: float, step: Step) -> None:
+        while True:
+            try:
+                await step()
+            except InvariantBroken as exc:
+                self._on_broken(exc)
+                return
+            await asyncio.sleep(period_s)
--- /dev/null
+++ b/foxtailhatch/daemon/observability.py
@@ -0,0 +1,84 @@
+"""What an entry shows of itself."""
+
+from dataclasses import dataclass
+
+from foxtailhatch.core import ErrorCode, InvariantBroken
+from foxtailhatch.daemon.answers import Answers
+from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.daemon.guard import Guard
+from foxtailhatch.daemon.metrics import Metrics
+from foxtailhatch.daemon.session_watch import SessionWatch
+
+
+@dataclass(slots=True)
+class EntryObservability:
+    """Metrics, health, events and state of one entry."""
+
+    board: Blackboard
+    metrics_book: Metrics
+    answers: Answers
+    sessions: SessionWatch
+    guard: Guard
+
+    def metrics(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        book = self.metrics_book
+        book.tokens_delivered = self.answers.tokens
+        book.answers_running(len(self.answers))
+        book.sessions_open(len(self.sessions.open))
+        book.configuration_in_force(self.board.fold.version)
+        return book.render()
+
+    def healthy(self) -> bool:
+        """Tell whether the process works."""
+        return not self.guard.broken
+
+    def ready(self) -> bool:
+        """Tell whether new callers may be sent here."""
+        is_stopping = self.board.stop.is_asked()
+        return self.board.index is not None and not is_stopping
+
+    def timeline(self, subject: str) -> object:
+        """Return this instance's events as plain JSON values."""
+        return [
+            {
+                'stamp': [
+                    event.stamp.wall,
+                    event.stamp.count,
+                    event.stamp.instance,
+                ],
+                'event': event.kind.value,
+                'subject': event.subject,
+                'detail': event.detail,
+            }
+            for event in self.board.timeline.events(subject)
+        ]
+
+    def status(self) -> object:
+        """Return this instance's state as plain JSON values."""
+        board = self.board
+        return {
+            'instance': board.name,
+            'availability_zone': board.zone,
+            'configuration_version': board.fold.version,
+            'configuration_complete': board.fold.complete,
+            'answers': len(self.answers),
+            'sessions': sorted(self.sessions.open),
+            'recoveries': self.answers.recoveries,
+            'stopping': board.stop.is_asked(),
+            'endpoints': self._endpoints(),
+            'entries': [entry.name for entry in board.entries.members()],
+        }
+
+    def request_ended(self, code: ErrorCode | None) -> None:
+        """Count one request, with its error code or ``None`` if whole."""
+        self.metrics_book.request_ended(code)
+
+    def invariant_broken(self, exc: InvariantBroken) -> None:
+        """Record a broken invariant and stop the process."""
+        self.guard.invariant_broken(exc)
+
+    def _endpoints(self) -> dict[str, str]:
+        table = self.board.endpoints
+        now = self.answers.now()
+        return {name: table.state(name, now) for name in table.names()}
--- a/foxtailhatch/daemon/platform_watch.py
+++ b/foxtailhatch/daemon/platform_watch.py
@@ -55,8 +55,7 @@
     def take_changes(self, changes: Iterable[EndpointChange]) -> None:
         """Bring the pool in line with changes in the endpoint table."""
         for change in changes:
-            self._board.timeline.record(
-                self._board.wall_time(),
+            self._board.record(
                 EventKind.ENDPOINT_CHANGED,
                 change.endpoint,
                 ' to '.join((change.before, change.after)),
--- a/foxtailhatch/daemon/sessions.py
+++ b/foxtailhatch/daemon/sessions.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from foxtailhatch.core import Endpoint
+from foxtailhatch.daemon.guard import Guard
 from foxtailhatch.platform.frames import DownFrame, Pong, UpFrame
 from foxtailhatch.platform.protocols import Engine, EngineSession
 
@@ -41,9 +42,11 @@
         engine: Engine,
         find: Callable[[str], Endpoint | None],
         watcher: SessionWatcher,
+        guard: Guard,
     ) -> None:
         """Start with no session; ``find`` knows the endpoints by name."""
         self.strays = 0
+        self._guard = guard
         self._engine = engine
         self._find = find
         self._watcher = watcher
@@ -79,7 +82,7 @@
         if answer is None:
             self.strays += 1
             return
-        answer.frame_received(endpoint, frame)
+        self._guard.run(answer.frame_received, endpoint, frame)
 
     def session_lost(self, endpoint: str, reason: str) -> None:
         """Tell every answer that used the session."""
@@ -89,7 +92,7 @@
         for stream in sorted(self._users.pop(endpoint, ())):
             answer = self._answers.get(stream)
             if answer is not None:
-                answer.endpoint_lost(endpoint)
+                self._guard.run(answer.endpoint_lost, endpoint)
 
     def close(self) -> None:
         """Close every session."""
--- a/foxtailhatch/daemon/settings.py
+++ b/foxtailhatch/daemon/settings.py
@@ -110,6 +110,7 @@
     """How often the instance looks or tells, in seconds."""
 
     log_poll_s: Seconds = 1
+    log_retention_s: Seconds = 86_400
     instance_list_poll_s: Seconds = 1
     load_report_poll_s: Seconds = 0.5
     peer_beat_s: Seconds = 1
--- /dev/null
+++ b/foxtailhatch/daemon/stopping.py
@@ -0,0 +1,52 @@
+"""The planned stop of a running entry."""
+
+from collections.abc import Callable
+
+from foxtailhatch.core import EventKind
+from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.membership import EntryState, StopPhase
+
+_STATES = {
+    StopPhase.UNADVISED: EntryState.LEAVING,
+    StopPhase.REFUSING: EntryState.STOPPING,
+}
+
+
+class Stopping:
+    """Carry a planned stop through, and exit when it is done."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        running: Callable[[], int],
+        now: Callable[[], float],
+        leave: Callable[[], object],
+    ) -> None:
+        """Join the parts; ``leave`` ends the loop."""
+        self._board = board
+        self._running = running
+        self._now = now
+        self._leave = leave
+        self._phase = StopPhase.SERVING
+
+    def ask(self) -> None:
+        """Begin the stop; a second call changes nothing."""
+        if self._board.stop.ask(self._now()):
+            self._board.record(EventKind.STOP_ASKED, self._board.name)
+
+    async def step(self) -> None:
+        """Go on with a stop that was asked."""
+        step = self._board.stop.step(self._running(), self._now())
+        if step.phase is self._phase:
+            return
+        self._phase = step.phase
+        state = _STATES.get(step.phase)
+        if state is not None:
+            self._board.entries.update_own(state=state)
+        if step.may_exit:
+            self._board.record(
+                EventKind.STOPPED,
+                self._board.name,
+                f'{step.cut} cut by the bound',
+            )
+            self._leave()
--- a/foxtailhatch/membership/endpoints.py
+++ b/foxtailhatch/membership/endpoints.py
@@ -155,6 +155,10 @@
             ),
         )
 
+    def names(self) -> tuple[str, ...]:
+        """Return every endpoint heard of, sorted by name."""
+        return tuple(sorted(self._records))
+
     def endpoint(self, name: str) -> Endpoint | None:
         """Return the endpoint with the list's address and all labels."""
         record = self._records.get(name)
--- a/foxtailhatch/platform/session_http.py
+++ b/foxtailhatch/platform/session_http.py
@@ -14,7 +14,7 @@
 from zope.interface import implementer
 
 from foxtailhatch.core import Endpoint
-from foxtailhatch.platform.clock import Clock
+from foxtailhatch.core.loop_clock import LoopClock
 from foxtailhatch.platform.frames import Ping, Pong, UpFrame
 from foxtailhatch.platform.frames_json import (
     MAX_LINE_BYTES,
@@ -117,7 +117,7 @@
         self,
         endpoint: Endpoint,
         listener: SessionListener,
-        clock: Clock,
+        clock: LoopClock,
         timing: SessionTiming,
     ) -> None:
         """Start without a connection; frames sent now are kept."""
--- a/standins/connections.py
+++ b/standins/connections.py
@@ -5,7 +5,7 @@
 
 from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
 
-from foxtailhatch.platform.clock import Clock
+from foxtailhatch.core.loop_clock import LoopClock
 from standins.faults import Faults
 
 
@@ -64,7 +64,7 @@
         self,
         wrapped: Any,
         faults: Faults,
-        clock: Clock,
+        clock: LoopClock,
     ) -> None:
         """Wrap an HTTP factory; all its connections share ``faults``."""
         WrappingFactory.__init__(self, wrapped)
--- a/standins/engine_batch.py
+++ b/standins/engine_batch.py
@@ -6,8 +6,8 @@
 from itertools import count
 from typing import Final
 
+from foxtailhatch.core.loop_clock import LoopClock
 from foxtailhatch.platform import StepStage
-from foxtailhatch.platform.clock import Clock
 
 DEFAULT_MAX_BATCH: Final = 32
 
@@ -52,7 +52,7 @@
 
     def __init__(
         self,
-        clock: Clock,
+        clock: LoopClock,
         service: ServiceTime,
         run: Callable[[Job], None],
     ) -> None:
--- a/standins/engine_node.py
+++ b/standins/engine_node.py
@@ -9,6 +9,7 @@
 from twisted.web.server import NOT_DONE_YET
 
 from foxtailhatch.core import LoadReport
+from foxtailhatch.core.loop_clock import LoopClock
 from foxtailhatch.platform import (
     CancelStage,
     EngineOrder,
@@ -20,7 +21,6 @@
     StepStage,
     UpFrame,
 )
-from foxtailhatch.platform.clock import Clock
 from standins.engine_batch import Batcher, Job, ServiceTime
 from standins.engine_sessions import (
     Session,
@@ -63,7 +63,7 @@
 
     def __init__(
         self,
-        clock: Clock,
+        clock: LoopClock,
         settings: EngineSettings,
         now: Callable[[], float] = time.time,
     ) -> None:
--- a/standins/engine_sessions.py
+++ b/standins/engine_sessions.py
@@ -6,8 +6,8 @@
 from returns.result import Failure, Success
 from twisted.web.server import Request, Site
 
+from foxtailhatch.core.loop_clock import LoopClock
 from foxtailhatch.platform import DownFrame, StageOutput, UpFrame
-from foxtailhatch.platform.clock import Clock
 from foxtailhatch.platform.frames_json import (
     MAX_LINE_BYTES,
     decode_up,
@@ -121,7 +121,7 @@
 
     def __init__(
         self,
-        clock: Clock,
+        clock: LoopClock,
         faults: Faults,
         receive: Receive,
     ) -> None:
