Open the operators' paths on the front

Operators publish, mark and read the configuration in force over the same front, with a key of their own. The daemon's side is the Operations protocol.

Replies are values now, so that a path's method, its coroutine and an answer's sink end in one place that counts refusals. HEAD on a path that only takes POST answered with an internal error; it is refused as a bad method. Headers that are no UTF-8 text are read with replacement characters.

--- a/foxtailhatch/callers/__init__.py
+++ b/foxtailhatch/callers/__init__.py
@@ -11,16 +11,36 @@
     RunningAnswer,
     ServiceRequest,
 )
+from foxtailhatch.callers.operations import (
+    ConfigurationInForce,
+    FaultyDocument,
+    MarkRequest,
+    Operations,
+    OperatorAccess,
+    PublishConflict,
+    PublishedVersion,
+    PublishRefusal,
+    PublishRequest,
+)
 from foxtailhatch.callers.site import build_site
 
 __all__ = [
     'AnswerSink',
+    'ConfigurationInForce',
     'EntryAdvice',
+    'FaultyDocument',
     'FinishReason',
     'FrontLimits',
     'Gateway',
     'GenerateRequest',
+    'MarkRequest',
     'Observability',
+    'Operations',
+    'OperatorAccess',
+    'PublishConflict',
+    'PublishRefusal',
+    'PublishRequest',
+    'PublishedVersion',
     'ReachableModel',
     'RunningAnswer',
     'ServiceRequest',
--- /dev/null
+++ b/foxtailhatch/callers/admin.py
@@ -0,0 +1,180 @@
+"""The operators' paths."""
+
+import hmac
+import json
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+from returns.result import Failure, Result, Success
+from twisted.web.http import Request
+
+from foxtailhatch.callers.base import FrontResource
+from foxtailhatch.callers.bodies import NAME_CHARACTERS, parse_body
+from foxtailhatch.callers.later import reply_later
+from foxtailhatch.callers.listings import query_value
+from foxtailhatch.callers.operations import (
+    FaultyDocument,
+    MarkRequest,
+    Operations,
+    PublishConflict,
+    PublishRefusal,
+    PublishRequest,
+)
+from foxtailhatch.callers.replies import (
+    Reply,
+    bearer_token,
+    body_of,
+    idempotency_key,
+    json_reply,
+    refusal_reply,
+)
+from foxtailhatch.core import ErrorCode, Mark, Refusal
+
+
+class MarkBody(BaseModel):
+    """The body of ``/admin/marks``."""
+
+    model_config = ConfigDict(strict=True, frozen=True, extra='forbid')
+
+    instance: Annotated[str, Field(min_length=1, max_length=NAME_CHARACTERS)]
+    mark: Mark
+
+
+class AdminResource(FrontResource):
+    """A path that answers only to the operators' key."""
+
+    def reply(self, req: Request) -> Reply | int:
+        """Answer those who have the key."""
+        refusal = self._refusal(req)
+        if refusal is None:
+            return super().reply(req)
+        return refusal_reply(refusal)
+
+    def operations(self) -> Operations:
+        """Return what the daemon offers; the key was checked before."""
+        assert self.front.operators is not None
+        return self.front.operators.operations
+
+    def _operator(self, req: Request) -> Result[None, Refusal]:
+        if self.front.operators is None:
+            message = 'This instance has no operator key in its settings.'
+            return Failure(Refusal(ErrorCode.FORBIDDEN, message))
+        return bearer_token(req).bind(self._check_key)
+
+    def _check_key(self, token: str) -> Result[None, Refusal]:
+        access = self.front.operators
+        if access and hmac.compare_digest(token.encode(), access.key):
+            return Success(None)
+        message = "This is not the operators' key."
+        return Failure(Refusal(ErrorCode.BAD_TOKEN, message))
+
+
+class ConfigurationResource(AdminResource):
+    """``/admin/configuration``: what is in force here."""
+
+    def render_GET(self, req: Request) -> Reply:
+        """Show the version and the document."""
+        in_force = self.operations().configuration()
+        if in_force is None:
+            message = 'No configuration is in force here yet.'
+            return refusal_reply(Refusal(ErrorCode.NO_CONFIGURATION, message))
+        document = json.loads(in_force.document)
+        return json_reply({'version': in_force.version, 'document': document})
+
+
+class PublishResource(AdminResource):
+    """``/admin/publish``: replace the configuration by the body."""
+
+    methods = (b'POST',)
+
+    def render_POST(self, req: Request) -> Reply | int:
+        """Publish, and answer the version, the faults or the conflict."""
+        asked = Result.do(
+            PublishRequest(body_of(req), version, publication_id)
+            for version in _made_from(req)
+            for publication_id in _try_id(self.front.new_request_id(), req)
+        )
+        match asked:
+            case Success(publication):
+                return reply_later(self.front, req, self._publish(publication))
+            case Failure(refusal):
+                return refusal_reply(refusal)
+        raise AssertionError(asked)
+
+    async def _publish(self, publication: PublishRequest) -> Reply:
+        match await self.operations().publish(publication):
+            case Success(published):
+                return json_reply({'version': published.version})
+            case Failure(refusal):
+                return _publish_refusal(refusal)
+        raise AssertionError(publication)
+
+
+class MarksResource(AdminResource):
+    """``/admin/marks``: mark an instance to join, leave or stop."""
+
+    methods = (b'POST',)
+
+    def render_POST(self, req: Request) -> Reply | int:
+        """Write the mark, and answer once it is in the log."""
+        asked = Result.do(
+            MarkRequest(body.instance, body.mark, mark_id)
+            for body in parse_body(MarkBody, body_of(req))
+            for mark_id in _try_id(self.front.new_request_id(), req)
+        )
+        match asked:
+            case Success(mark):
+                return reply_later(self.front, req, self._mark(mark))
+            case Failure(refusal):
+                return refusal_reply(refusal)
+        raise AssertionError(asked)
+
+    async def _mark(self, asked: MarkRequest) -> Reply:
+        match await self.operations().mark(asked):
+            case Success(_):
+                marked = {'instance': asked.instance, 'mark': asked.mark.value}
+                return json_reply(marked)
+            case Failure(refusal):
+                return refusal_reply(refusal)
+        raise AssertionError(asked)
+
+
+def _made_from(req: Request) -> Result[int, Refusal]:
+    version = query_value(req, b'made_from')
+    if version.isascii() and version.isdigit():
+        return Success(int(version))
+    message = 'The query must say which version the document was made from.'
+    return Failure(Refusal(ErrorCode.BAD_REQUEST, message))
+
+
+def _try_id(fresh: str, req: Request) -> Result[str, Refusal]:
+    return idempotency_key(req).map(lambda key: key or fresh)
+
+
+def _publish_refusal(refusal: PublishRefusal) -> Reply:
+    match refusal:
+        case PublishConflict():
+            return _conflict(refusal)
+        case FaultyDocument():
+            return _faults(refusal)
+        case Refusal():
+            return refusal_reply(refusal)
+
+
+def _conflict(conflict: PublishConflict) -> Reply:
+    message = f'Version {conflict.in_force} is in force.'
+    return refusal_reply(
+        Refusal(ErrorCode.VERSION_CONFLICT, message),
+        in_force=conflict.in_force,
+        differences=[str(line) for line in conflict.differences],
+    )
+
+
+def _faults(faulty: FaultyDocument) -> Reply:
+    return refusal_reply(
+        Refusal(ErrorCode.BAD_REQUEST, 'The configuration has faults.'),
+        faults=[
+            {'path': fault.path, 'message': fault.message}
+            for fault in faulty.faults
+        ],
+    )
--- a/foxtailhatch/callers/answers.py
+++ b/foxtailhatch/callers/answers.py
@@ -19,6 +19,7 @@
 from foxtailhatch.callers.front import Front
 from foxtailhatch.callers.gateway import AnswerSink, GenerateRequest
 from foxtailhatch.callers.replies import (
+    Reply,
     body_of,
     call_headers,
     refusal_reply,
@@ -45,7 +46,9 @@
 class CompletionResource(FrontResource):
     """``/v1/completions``."""
 
-    def render_POST(self, req: Request) -> bytes | int:
+    methods = (b'POST',)
+
+    def render_POST(self, req: Request) -> Reply | int:
         """Answer a prompt."""
         body = parse_body(CompletionBody, body_of(req))
         asked = body.bind(
@@ -57,7 +60,9 @@
 class ChatResource(FrontResource):
     """``/v1/chat/completions``."""
 
-    def render_POST(self, req: Request) -> bytes | int:
+    methods = (b'POST',)
+
+    def render_POST(self, req: Request) -> Reply | int:
         """Answer the messages of a chat."""
         body = parse_body(ChatBody, body_of(req))
         asked = body.bind(
@@ -102,11 +107,10 @@
     req: Request,
     asked: Result[Asked, Refusal],
     shape: AnswerShape,
-) -> bytes | int:
+) -> Reply | int:
     match asked:
         case Failure(refusal):
-            front.observability.request_ended(refusal.code)
-            return refusal_reply(req, refusal)
+            return refusal_reply(refusal)
         case Success(known):
             _start(front, req, known, shape)
     return NOT_DONE_YET
--- a/foxtailhatch/callers/base.py
+++ b/foxtailhatch/callers/base.py
@@ -1,53 +1,66 @@
 """What all resources share: unknown paths, bad methods and who asks."""
 
-from collections.abc import Sequence
 from typing import cast
 
 from returns.result import Result
-from twisted.web.error import UnsupportedMethod
 from twisted.web.http import Request
 from twisted.web.resource import Resource
 
 from foxtailhatch.callers.front import Front
-from foxtailhatch.callers.replies import bearer_token, refusal_reply
+from foxtailhatch.callers.replies import (
+    Reply,
+    bearer_token,
+    prepare,
+    refusal_reply,
+)
 from foxtailhatch.core import Caller, ErrorCode, Refusal
 
 
 class UnknownPath(Resource):
     """A path at which there is nothing, and nothing below it."""
 
-    def __init__(self) -> None:
-        """Start with no path below."""
+    def __init__(self, front: Front) -> None:
+        """Keep what the resources work with."""
         Resource.__init__(self)
+        self.front = front
 
     def getChild(self, path: bytes, request: Request) -> Resource:
         """Return a resource for which nothing is known either."""
-        return UnknownPath()
+        return UnknownPath(self.front)
 
     def render(self, request: Request) -> bytes | int:
-        """Answer that there is nothing."""
+        """Answer the request and count it if it is refused."""
+        reply = self.reply(request)
+        if isinstance(reply, int):
+            return reply
+        if reply.code is not None:
+            self.front.observability.request_ended(reply.code)
+        return prepare(request, reply)
+
+    def reply(self, req: Request) -> Reply | int:
+        """Return the reply, or ``NOT_DONE_YET`` if it comes later."""
         refusal = Refusal(ErrorCode.UNKNOWN_PATH, 'There is no such path.')
-        return refusal_reply(request, refusal)
+        return refusal_reply(refusal)
 
 
 class FrontResource(UnknownPath):
     """A resource that answers some methods and refuses the others."""
 
-    def __init__(self, front: Front) -> None:
-        """Keep what the resources work with."""
-        super().__init__()
-        self.front = front
+    methods: tuple[bytes, ...] = (b'GET', b'HEAD')
 
-    def render(self, request: Request) -> bytes | int:
-        """Answer the request, or name the methods that are answered."""
-        try:
-            return cast(bytes | int, Resource.render(self, request))
-        except UnsupportedMethod as exc:
-            methods = cast(Sequence[bytes], exc.allowedMethods)
-        allowed = ', '.join(sorted(name.decode() for name in methods))
-        request.setHeader('Allow', allowed)
-        message = f'This path answers {allowed}.'
-        return refusal_reply(request, Refusal(ErrorCode.BAD_METHOD, message))
+    def reply(self, req: Request) -> Reply | int:
+        """Answer by the method, or name the methods that are answered."""
+        if req.method in self.methods:
+            return cast(Reply | int, Resource.render(self, req))
+        return bad_method(req, self.methods)
+
+
+def bad_method(req: Request, methods: tuple[bytes, ...]) -> Reply:
+    """Return a refusal that names the methods of the path."""
+    allowed = ', '.join(method.decode() for method in methods)
+    req.setHeader('Allow', allowed)
+    message = f'This path answers {allowed}.'
+    return refusal_reply(Refusal(ErrorCode.BAD_METHOD, message))
 
 
 def caller_of(front: Front, req: Request) -> Result[Caller, Refusal]:
--- a/foxtailhatch/callers/errors.py
+++ b/foxtailhatch/callers/errors.py
@@ -35,12 +35,13 @@
         ErrorCode.ENDPOINT_FAILED: HTTPStatus.BAD_GATEWAY,
         ErrorCode.SLOW_CALLER: HTTPStatus.REQUEST_TIMEOUT,
         ErrorCode.CANCELLED: CALLER_HUNG_UP,
+        ErrorCode.VERSION_CONFLICT: HTTPStatus.CONFLICT,
         ErrorCode.INTERNAL: HTTPStatus.INTERNAL_SERVER_ERROR,
     }
 )
 
 
-def error_body(refusal: Refusal) -> bytes:
+def error_body(refusal: Refusal, **details: object) -> bytes:
     """Return the JSON that tells a caller of ``refusal``.
 
     >>> error_body(Refusal(ErrorCode.QUEUE_FULL, 'Full.', retry_after_s=2))
@@ -51,6 +52,7 @@
         'code': refusal.code.value,
         'message': refusal.message,
         'run': refusal.run.value,
+        **details,
     }
     if refusal.retry_after_s is not None:
         error['retry_after_s'] = refusal.retry_after_s
--- a/foxtailhatch/callers/exchange.py
+++ b/foxtailhatch/callers/exchange.py
@@ -7,7 +7,7 @@
 
 from foxtailhatch.callers.front import Front
 from foxtailhatch.callers.pacing import Pacing
-from foxtailhatch.callers.replies import refusal_reply, send
+from foxtailhatch.callers.replies import Reply, refusal_reply, send
 from foxtailhatch.core import ErrorCode, Refusal
 
 LAST_EVENT = b'data: [DONE]\n\n'
@@ -47,22 +47,21 @@
             self.write(LAST_EVENT)
             self._end(None, self._req.finish)
 
-    def finish_whole(self, body: bytes) -> None:
+    def finish_whole(self, reply: Reply) -> None:
         """Send a whole answer."""
         if self.open:
-            self._req.setHeader('Content-Type', 'application/json')
-            self._end(None, lambda: send(self._req, body))
+            self._end(None, lambda: send(self._req, reply))
 
     def fail(self, refusal: Refusal) -> None:
         """End with a refusal, as an event if the stream has begun."""
         if not self.open:
             return
-        body = refusal_reply(self._req, refusal)
+        reply = refusal_reply(refusal)
         if self._streaming:
-            self._req.write(b'event: error\ndata: %b\n\n' % body)
+            self._req.write(b'event: error\ndata: %b\n\n' % reply.body)
             self._end(refusal.code, self._req.finish)
         else:
-            self._end(refusal.code, lambda: send(self._req, body))
+            self._end(refusal.code, lambda: send(self._req, reply))
 
     def _start_stream(self) -> None:
         self._streaming = True
--- a/foxtailhatch/callers/front.py
+++ b/foxtailhatch/callers/front.py
@@ -6,6 +6,7 @@
 
 from foxtailhatch.callers.clock import Clock
 from foxtailhatch.callers.gateway import Gateway
+from foxtailhatch.callers.operations import OperatorAccess
 from foxtailhatch.callers.tokens import Tokenizer
 from foxtailhatch.core import ErrorCode, InvariantBroken
 
@@ -54,7 +55,8 @@
     """The daemon, the bounds and the sources that resources share.
 
     ``clock`` schedules timeouts, ``wall_time`` returns seconds since the
-    epoch, ``new_request_id`` a fresh id for each request.
+    epoch, ``new_request_id`` a fresh id for each request.  Without
+    ``operators`` the operators' paths are closed.
     """
 
     gateway: Gateway
@@ -64,3 +66,4 @@
     clock: Clock
     wall_time: Callable[[], float]
     new_request_id: Callable[[], str]
+    operators: OperatorAccess | None = None
--- a/foxtailhatch/callers/intake.py
+++ b/foxtailhatch/callers/intake.py
@@ -11,8 +11,8 @@
 from foxtailhatch.callers.clock import DelayedCall
 from foxtailhatch.callers.errors import STATUSES, error_body
 from foxtailhatch.callers.front import Front
+from foxtailhatch.callers.later import internal_error
 from foxtailhatch.callers.replies import refusal_reply, send
-from foxtailhatch.callers.services import internal_error
 from foxtailhatch.core import ErrorCode, InvariantBroken, Refusal
 
 LINGER_S = 2
@@ -79,7 +79,7 @@
         if self.startedWriting:
             self.channel.forceAbortClient()
         else:
-            send(self, refusal_reply(self, internal_error()))
+            send(self, refusal_reply(internal_error()))
         return reason
 
     def _too_large(self) -> None:
--- a/foxtailhatch/callers/replies.py
+++ b/foxtailhatch/callers/replies.py
@@ -1,8 +1,11 @@
 """Whole replies: JSON, refusals, and reading what headers say."""
 
 import json
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from http import HTTPStatus
 from math import isfinite
+from types import MappingProxyType
 
 from returns.result import Failure, Result, Success
 from twisted.web.http import Request
@@ -11,33 +14,67 @@
 from foxtailhatch.core import ErrorCode, Refusal
 
 KEY_CHARACTERS = 255
+JSON_HEADERS: Mapping[str, str] = MappingProxyType(
+    {
+        'Content-Type': 'application/json',
+    }
+)
 
 
-def json_reply(req: Request, document: object, status: int = 200) -> bytes:
-    """Set status and type of a JSON reply and return its body."""
-    req.setResponseCode(status)
-    req.setHeader('Content-Type', 'application/json')
-    return json.dumps(document, separators=(',', ':')).encode()
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole reply; ``code`` is the error's code if it is a refusal."""
+
+    body: bytes
+    status: int = HTTPStatus.OK
+    headers: Mapping[str, str] = field(default_factory=dict)
+    code: ErrorCode | None = None
+
+
+def json_reply(document: object, status: int = HTTPStatus.OK) -> Reply:
+    """Return a reply that holds ``document`` as JSON."""
+    body = json.dumps(document, separators=(',', ':')).encode()
+    return Reply(body, status, JSON_HEADERS)
+
 
+def refusal_reply(refusal: Refusal, **details: object) -> Reply:
+    """Return the reply that tells a caller of ``refusal``.
 
-def refusal_reply(req: Request, refusal: Refusal) -> bytes:
-    """Set status and headers of a refusal and return its body."""
-    req.setResponseCode(STATUSES[refusal.code])
-    for name, text in error_headers(refusal).items():
+    ``details`` are further fields of the error, as JSON values.
+    """
+    return Reply(
+        error_body(refusal, **details),
+        STATUSES[refusal.code],
+        error_headers(refusal),
+        refusal.code,
+    )
+
+
+def prepare(req: Request, reply: Reply) -> bytes:
+    """Set the reply's status and headers, and return its body."""
+    req.setResponseCode(reply.status)
+    for name, text in reply.headers.items():
         req.setHeader(name, text)
-    return error_body(refusal)
+    return reply.body
 
 
-def send(req: Request, body: bytes) -> None:
-    """Write ``body`` as the whole reply and end it."""
+def send(req: Request, reply: Reply) -> None:
+    """Write the whole reply and end it."""
+    body = prepare(req, reply)
     req.setHeader('Content-Length', str(len(body)))
     req.write(body)
     req.finish()
 
 
+def header_text(req: Request, name: bytes) -> str | None:
+    """Return a header's last value, with U+FFFD for what is no text."""
+    header: bytes | None = req.getHeader(name)
+    return None if header is None else header.decode(errors='replace')
+
+
 def bearer_token(req: Request) -> Result[str, Refusal]:
     """Return the bearer token of the Authorization header."""
-    header = req.getHeader('Authorization') or ''
+    header = header_text(req, b'Authorization') or ''
     scheme, _, token = header.partition(' ')
     if scheme.lower() == 'bearer' and token.strip():
         return Success(token.strip())
@@ -70,7 +107,7 @@
 
 def idempotency_key(req: Request) -> Result[str | None, Refusal]:
     """Return the Idempotency-Key header, if there is one."""
-    key = req.getHeader('Idempotency-Key')
+    key = header_text(req, b'Idempotency-Key')
     if key is None:
         return Success(None)
     if 0 < len(key) <= KEY_CHARACTERS and key.isprintable():
@@ -81,7 +118,7 @@
 
 def deadline_s(req: Request) -> Result[float | None, Refusal]:
     """Return the X-Deadline-Seconds header in seconds, if there is one."""
-    header = req.getHeader('X-Deadline-Seconds')
+    header = header_text(req, b'X-Deadline-Seconds')
     if header is None:
         return Success(None)
     try:
--- a/foxtailhatch/callers/services.py
+++ b/foxtailhatch/callers/services.py
@@ -1,26 +1,24 @@
 """The resource that passes calls on to plain services."""
 
-import asyncio
 from dataclasses import dataclass
-from functools import partial
 from urllib.parse import quote, unquote
 
 from returns.result import Failure, Result, Success
 from twisted.web.http import Request
 from twisted.web.resource import Resource
-from twisted.web.server import NOT_DONE_YET
 
 from foxtailhatch.callers.base import UnknownPath, caller_of
 from foxtailhatch.callers.front import Front
 from foxtailhatch.callers.gateway import ServiceRequest
+from foxtailhatch.callers.later import reply_later
 from foxtailhatch.callers.replies import (
+    Reply,
     body_of,
     call_headers,
+    header_text,
     refusal_reply,
-    send,
 )
-from foxtailhatch.core import ErrorCode, InvariantBroken, Refusal, RunState
-from foxtailhatch.platform import ServiceAnswer
+from foxtailhatch.core import ErrorCode, Refusal
 
 METHODS = frozenset(
     (
@@ -34,7 +32,6 @@
     )
 )
 SERVICES_PATH = b'/v1/services/'
-Outcome = Result[ServiceAnswer, Refusal]
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,14 +45,9 @@
 class ServicesResource(UnknownPath):
     """``/v1/services``, under which each service has its name."""
 
-    def __init__(self, front: Front) -> None:
-        """Keep what the resources work with."""
-        super().__init__()
-        self._front = front
-
     def getChild(self, path: bytes, request: Request) -> Resource:
         """Return the resource of one service."""
-        return ServiceResource(self._front, path)
+        return ServiceResource(self.front, path)
 
 
 class ServiceResource(UnknownPath):
@@ -65,19 +57,18 @@
 
     def __init__(self, front: Front, name: bytes) -> None:
         """Stand for the service called ``name``."""
-        super().__init__()
-        self._front = front
+        super().__init__(front)
         self._name = name
 
-    def render(self, request: Request) -> bytes | int:
+    def reply(self, req: Request) -> Reply | int:
         """Pass one call on and answer what the service answers."""
-        match self._asked(request):
+        match self._asked(req):
             case Failure(refusal):
-                self._front.observability.request_ended(refusal.code)
-                return refusal_reply(request, refusal)
+                return refusal_reply(refusal)
             case Success(asked):
-                self._call(request, asked)
-        return NOT_DONE_YET
+                req.setHeader('X-Request-Id', asked.request_id)
+                return reply_later(self.front, req, self._call(asked))
+        raise AssertionError(req)
 
     def _asked(self, req: Request) -> Result[ServiceRequest, Refusal]:
         target = Result.do(
@@ -94,53 +85,27 @@
     ) -> Result[ServiceRequest, Refusal]:
         return Result.do(
             ServiceRequest(
-                request_id=self._front.new_request_id(),
+                request_id=self.front.new_request_id(),
                 caller=caller,
                 service=self._name.decode(errors='replace'),
                 method=target.method,
                 path=target.path,
                 body=body_of(req),
-                content_type=req.getHeader('Content-Type') or '',
+                content_type=header_text(req, b'Content-Type') or '',
                 key=headers.key,
             )
-            for caller in caller_of(self._front, req)
+            for caller in caller_of(self.front, req)
             for headers in call_headers(req)
         )
 
-    def _call(self, req: Request, asked: ServiceRequest) -> None:
-        req.setHeader('X-Request-Id', asked.request_id)
-        gone: list[object] = []
-        req.notifyFinish().addErrback(gone.append)
-        call = self._front.gateway.call_service(asked)
-        task = asyncio.ensure_future(call)
-        task.add_done_callback(partial(self._answer, req, gone))
-
-    def _answer(
-        self,
-        req: Request,
-        gone: list[object],
-        task: 'asyncio.Task[Outcome]',
-    ) -> None:
-        exc = task.exception()
-        if isinstance(exc, InvariantBroken):
-            self._front.observability.invariant_broken(exc)
-            return
-        outcome = task.result() if exc is None else Failure(internal_error())
-        code = _code(outcome)
-        if gone:
-            code = ErrorCode.CANCELLED
-        else:
-            send(req, _body(req, outcome))
-        self._front.observability.request_ended(code)
-        if exc is not None:
-            raise exc
-
-
-def internal_error() -> Refusal:
-    """Return the refusal for a fault of the program itself."""
-
-    message = 'The entry failed; whether the request ran is not known.'
-    return Refusal(ErrorCode.INTERNAL, message, RunState.UNKNOWN)
+    async def _call(self, asked: ServiceRequest) -> Reply:
+        match await self.front.gateway.call_service(asked):
+            case Success(answer):
+                headers = {'Content-Type': answer.content_type}
+                return Reply(answer.body, answer.status, headers)
+            case Failure(refusal):
+                return refusal_reply(refusal)
+        raise AssertionError(asked)
 
 
 def known_method(method: bytes) -> Result[str, Refusal]:
@@ -181,22 +146,3 @@
 
 def _may_be_last(segment: str) -> bool:
     return not segment or _is_plain(segment)
-
-
-def _code(outcome: Outcome) -> ErrorCode | None:
-    return outcome.swap().map(_refusal_code).value_or(None)
-
-
-def _refusal_code(refusal: Refusal) -> ErrorCode | None:
-    return refusal.code
-
-
-def _body(req: Request, outcome: Outcome) -> bytes:
-    match outcome:
-        case Success(answer):
-            req.setResponseCode(answer.status)
-            req.setHeader('Content-Type', answer.content_type)
-            return bytes(answer.body)
-        case Failure(refusal):
-            return refusal_reply(req, refusal)
-    raise AssertionError(outcome)
--- a/foxtailhatch/callers/sinks.py
+++ b/foxtailhatch/callers/sinks.py
@@ -1,10 +1,9 @@
 """Where the daemon delivers an answer: streamed, or gathered whole."""
 
-import json
-
 from foxtailhatch.callers.answer_check import AnswerCheck
 from foxtailhatch.callers.exchange import Exchange
 from foxtailhatch.callers.gateway import FinishReason
+from foxtailhatch.callers.replies import json_reply
 from foxtailhatch.callers.shapes import (
     AnswerInfo,
     AnswerShape,
@@ -101,7 +100,7 @@
             self._tokens,
             reason,
         )
-        self._exchange.finish_whole(json.dumps(document).encode())
+        self._exchange.finish_whole(json_reply(document))
 
     def failed(self, refusal: Refusal) -> None:
         """Send the refusal alone."""
--- a/foxtailhatch/callers/site.py
+++ b/foxtailhatch/callers/site.py
@@ -11,6 +11,11 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
+from foxtailhatch.callers.admin import (
+    ConfigurationResource,
+    MarksResource,
+    PublishResource,
+)
 from foxtailhatch.callers.answers import ChatResource, CompletionResource
 from foxtailhatch.callers.base import UnknownPath
 from foxtailhatch.callers.clock import Clock
@@ -26,6 +31,7 @@
     StatusResource,
     TimelineResource,
 )
+from foxtailhatch.callers.operations import OperatorAccess
 from foxtailhatch.callers.services import ServicesResource
 from foxtailhatch.callers.tokens import ByteTokenizer
 
@@ -54,6 +60,7 @@
     observability: Observability,
     limits: FrontLimits,
     clock: Clock,
+    operators: OperatorAccess | None = None,
 ) -> Site:
     """Return the site; ``clock`` is the reactor that will listen with it."""
     front = Front(
@@ -64,6 +71,7 @@
         clock=clock,
         wall_time=time.time,
         new_request_id=random_request_id,
+        operators=operators,
     )
     return site_of(front)
 
@@ -79,32 +87,40 @@
 
 
 def _root(front: Front) -> Resource:
-    return _branch(
-        {
-            b'v1': _callers_branch(front),
-            b'healthz': HealthResource(front),
-            b'readyz': ReadyResource(front),
-            b'metrics': MetricsResource(front),
-            b'timeline': TimelineResource(front),
-            b'status': StatusResource(front),
-        }
-    )
+    children = {
+        b'v1': _callers_branch(front),
+        b'admin': _operators_branch(front),
+        b'healthz': HealthResource(front),
+        b'readyz': ReadyResource(front),
+        b'metrics': MetricsResource(front),
+        b'timeline': TimelineResource(front),
+        b'status': StatusResource(front),
+    }
+    return _branch(front, children)
 
 
 def _callers_branch(front: Front) -> Resource:
-    return _branch(
-        {
-            b'chat': _branch({b'completions': ChatResource(front)}),
-            b'completions': CompletionResource(front),
-            b'models': ModelsResource(front),
-            b'services': ServicesResource(front),
-            b'entry': EntryResource(front),
-        }
-    )
-
-
-def _branch(children: Mapping[bytes, Resource]) -> Resource:
-    branch = UnknownPath()
+    children = {
+        b'chat': _branch(front, {b'completions': ChatResource(front)}),
+        b'completions': CompletionResource(front),
+        b'models': ModelsResource(front),
+        b'services': ServicesResource(front),
+        b'entry': EntryResource(front),
+    }
+    return _branch(front, children)
+
+
+def _operators_branch(front: Front) -> Resource:
+    children = {
+        b'configuration': ConfigurationResource(front),
+        b'publish': PublishResource(front),
+        b'marks': MarksResource(front),
+    }
+    return _branch(front, children)
+
+
+def _branch(front: Front, children: Mapping[bytes, Resource]) -> Resource:
+    branch = UnknownPath(front)
     for name, child in children.items():
         # Resources are adapted to their interface at run time only.
         branch.putChild(name, cast(Any, child))
--- a/foxtailhatch/core/outcomes.py
+++ b/foxtailhatch/core/outcomes.py
@@ -38,6 +38,7 @@
     ENDPOINT_FAILED = 'endpoint_failed'
     SLOW_CALLER = 'slow_caller'
     CANCELLED = 'cancelled'
+    VERSION_CONFLICT = 'version_conflict'
     INTERNAL = 'internal'
 
 
