--- a/foxtailhatch/callers/admin.py
+++ b/foxtailhatch/callers/admin.py
@@ -55,18 +55,15 @@
         assert self.front.operators is not None
         return self.front.operators.operations
 
-    def _operator(self, req: Request) -> Result[None, Refusal]:
-        if self.front.operators is None:
-            message = 'This instance has no operator key in its settings.'
-            return Failure(Refusal(ErrorCode.FORBIDDEN, message))
-        return bearer_token(req).bind(self._check_key)
-
-    def _check_key(self, token: str) -> Result[None, Refusal]:
+    def _refusal(self, req: Request) -> Refusal | None:
         access = self.front.operators
-        if access and hmac.compare_digest(token.encode(), access.key):
-            return Success(None)
-        message = "This is not the operators' key."
-        return Failure(Refusal(ErrorCode.BAD_TOKEN, message))
+        if access is None:
+            message = 'This instance has no operator key in its settings.'
+            return Refusal(ErrorCode.FORBIDDEN, message)
+        token = bearer_token(req).value_or('')
+        if hmac.compare_digest(token.encode(), access.key):
+            return None
+        return Refusal(ErrorCode.BAD_TOKEN, 'The operator key is required.')
 
 
 class ConfigurationResource(AdminResource):
