--- a/foxtailhatch/callers/front.py
+++ b/foxtailhatch/callers/front.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from foxtailhatch.callers.clock import Clock
 from foxtailhatch.callers.gateway import Gateway
 from foxtailhatch.callers.operations import OperatorAccess
 from foxtailhatch.callers.tokens import Tokenizer
 from foxtailhatch.core import ErrorCode, InvariantBroken
+from foxtailhatch.core.loop_clock import LoopClock
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +63,7 @@
     observability: Observability
     limits: FrontLimits
     tokenizer: Tokenizer
-    clock: Clock
+    clock: LoopClock
     wall_time: Callable[[], float]
     new_request_id: Callable[[], str]
     operators: OperatorAccess | None = None
--- a/foxtailhatch/callers/site.py
+++ b/foxtailhatch/callers/site.py
@@ -18,7 +18,6 @@
 )
 from foxtailhatch.callers.answers import ChatResource, CompletionResource
 from foxtailhatch.callers.base import UnknownPath
-from foxtailhatch.callers.clock import Clock
 from foxtailhatch.callers.front import Front, FrontLimits, Observability
 from foxtailhatch.callers.gateway import Gateway
 from foxtailhatch.callers.intake import IntakeRequest
@@ -34,6 +33,7 @@
 from foxtailhatch.callers.operations import OperatorAccess
 from foxtailhatch.callers.services import ServicesResource
 from foxtailhatch.callers.tokens import ByteTokenizer
+from foxtailhatch.core.loop_clock import LoopClock
 
 REQUEST_ID_BITS = 128
 
@@ -59,7 +59,7 @@
     gateway: Gateway,
     observability: Observability,
     limits: FrontLimits,
-    clock: Clock,
+    clock: LoopClock,
     operators: OperatorAccess | None = None,
 ) -> Site:
     """Return the site; ``clock`` is the reactor that will listen with it."""
