Serve one request over separate processes from caller to answer

Cause: the parts stood side by side and nothing joined them. Conclusion: the thin path is whole; claims, peers and prefix digests come next.

--- /dev/null
+++ b/demo/launcher.py
@@ -0,0 +1,146 @@
+"""Start and end processes for the demonstration and the tests.
+
+The daemon itself starts no process; this launcher stands outside of it.
+"""
+
+import json
+import subprocess
+import sys
+import tempfile
+import threading
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+END_WAIT_S = 5.0
+
+
+@dataclass(slots=True)
+class Started:
+    """A process that told its address on its first line."""
+
+    name: str
+    address: str
+    process: 'subprocess.Popen[str]'
+    log: Path
+    admin: str = ''
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.process.kill()
+        self.process.wait(END_WAIT_S)
+
+    def wait(self, seconds: float) -> int:
+        """Wait for the process to end and return its exit code."""
+        return self.process.wait(seconds)
+
+    def log_text(self) -> str:
+        """Return what the process wrote to its log."""
+        return self.log.read_text()
+
+
+@dataclass(slots=True)
+class Launcher:
+    """All processes of one run; leaving the context ends them."""
+
+    folder: Path
+    environment: Mapping[str, str]
+    started: list[Started] = field(default_factory=list)
+
+    def __enter__(self) -> 'Launcher':
+        """Return the launcher."""
+        return self
+
+    def __exit__(self, *failure: object) -> None:
+        """End every process that still runs."""
+        for each in self.started:
+            each.process.kill()
+        for each in self.started:
+            each.process.wait(END_WAIT_S)
+
+    def start(self, module: str, *arguments: str) -> Started:
+        """Run ``python -m MODULE`` and wait for its first line."""
+        log = self.folder / f'{len(self.started)}.log'
+        with log.open('w') as log_file:
+            process = subprocess.Popen(
+                [sys.executable, '-m', module, *arguments],
+                stdout=subprocess.PIPE,
+                stderr=log_file,
+                text=True,
+                env=dict(self.environment),
+            )
+        line = _first_line(process, log)
+        started = Started(
+            line['name'],
+            line['address'],
+            process,
+            log,
+            line.get('admin', ''),
+        )
+        self.started.append(started)
+        return started
+
+    def write_json(self, name: str, document: object) -> Path:
+        """Write a document for a process to read."""
+        path = self.folder / name
+        path.write_text(json.dumps(document))
+        return path
+
+
+def new_launcher(environment: Mapping[str, str]) -> Launcher:
+    """Return a launcher with a fresh folder for logs and settings."""
+    folder = Path(tempfile.mkdtemp(prefix='foxtailhatch-'))
+    return Launcher(folder, environment)
+
+
+def _first_line(
+    process: 'subprocess.Popen[str]',
+    log: Path,
+) -> dict[str, Any]:
+    if process.stdout is None:
+        raise RuntimeError('The process has no standard output.')
+    line = process.stdout.readline()
+    if not line:
+        raise RuntimeError(f'The process ended: {log.read_text()}')
+    # Nobody reads what follows, and a full pipe would stop the process.
+    threading.Thread(target=_drain, args=(process,), daemon=True).start()
+    found: dict[str, Any] = json.loads(line)
+    return found
+
+
+def _drain(process: 'subprocess.Popen[str]') -> None:
+    if process.stdout is not None:
+        process.stdout.read()
+
+
+def loopback(address: str) -> dict[str, object]:
+    """Return ``host:port`` as the settings write an address."""
+    host, _, port = address.partition(':')
+    return {'host': host, 'port': int(port)}
+
+
+def entry_settings(
+    name: str,
+    zone: str,
+    platform: Mapping[str, str],
+    seeds: Sequence[str] = (),
+    **more: object,
+) -> dict[str, object]:
+    """Return the settings document of an entry on free loopback ports."""
+    free = {'host': '127.0.0.1', 'port': 0}
+    return {
+        'instance': name,
+        'region': 'south',
+        'availability_zone': zone,
+        'listen': {'callers': free, 'peers': free},
+        'platform': {
+            role: loopback(address) for role, address in platform.items()
+        },
+        'seeds': [loopback(seed) for seed in seeds],
+        'secrets': {
+            'peer_key': {'environment': 'FOXTAILHATCH_PEER_KEY'},
+            'operator_key': {'environment': 'FOXTAILHATCH_OPERATOR_KEY'},
+        },
+        **more,
+    }
--- a/foxtailhatch/daemon/answers.py
+++ b/foxtailhatch/daemon/answers.py
@@ -112,7 +112,7 @@
         self._clock.callLater(0, self._start_ready)
         return handle
 
-    def tick(self) -> None:
+    async def tick(self) -> None:
         """Let time pass for the queue and for every answer."""
         now = self.now()
         self._refuse_tickets(self._board.admission.expire(now))
--- a/foxtailhatch/daemon/app.py
+++ b/foxtailhatch/daemon/app.py
@@ -5,23 +5,32 @@
 import signal
 import socket
 import sys
-import time
 from typing import Any
 
 from returns.result import Success
 from twisted.internet import asyncioreactor
+from twisted.web.server import Site
 
 from foxtailhatch.core import Address
-from foxtailhatch.daemon.entry import RunningEntry, build_entry
+from foxtailhatch.daemon.assembly import (
+    configuration_loop,
+    empty_blackboard,
+    front_site,
+    own_entry,
+)
+from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
+from foxtailhatch.daemon.entry import EntryParts, join_parts, start_loops
+from foxtailhatch.daemon.guard import Guard, GuardedClock
 from foxtailhatch.daemon.logs import configure_logging
-from foxtailhatch.daemon.secrets import read_secrets
+from foxtailhatch.daemon.loops import Loops
+from foxtailhatch.daemon.outside import connect_outside
+from foxtailhatch.daemon.secrets import Secrets, read_secrets
 from foxtailhatch.daemon.settings import Settings
-from foxtailhatch.membership import Entry
+from foxtailhatch.daemon.stopping import Stopping
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 EXIT_INVARIANT = 3
-MILLISECONDS = 1000
 BACKLOG = 512
 
 
@@ -33,7 +42,7 @@
         return EXIT_SETTINGS
     configure_logging(sys.stderr)
     reactor = install_reactor()
-    process = EntryProcess(cfg, reactor)
+    process = EntryProcess(cfg, secrets.unwrap(), reactor)
     reactor.callWhenRunning(process.start)
     reactor.run(installSignalHandlers=False)
     return process.exit_code
@@ -51,36 +60,69 @@
 class EntryProcess:
     """The entry that this process runs."""
 
-    def __init__(self, cfg: Settings, reactor: Any) -> None:
+    def __init__(self, cfg: Settings, secrets: Secrets, reactor: Any) -> None:
         """Prepare the process; nothing listens yet."""
         self.exit_code = EXIT_OK
-        self.entry: RunningEntry | None = None
         self._cfg = cfg
+        self._secrets = secrets
         self._reactor = reactor
 
     def start(self) -> None:
         """Listen, start the loops and print the first line."""
-        listener = bound_socket(self._cfg.listen.callers.address())
+        cfg = self._cfg
+        listener = bound_socket(cfg.listen.callers.address())
         address = Address(*listener.getsockname())
-        own = _own_entry(self._cfg, address)
-        entry = build_entry(self._cfg, own, self._reactor, self._broken)
-        self.entry = entry
+        parts, following = self._join(address)
+        self._listen(
+            listener,
+            front_site(cfg, self._secrets, parts, following, self._reactor),
+        )
+        self._start(parts, following)
+        _announce(cfg.instance, address)
+
+    def _join(self, address: Address) -> tuple[EntryParts, ConfigurationLoop]:
+        cfg = self._cfg
+        board = empty_blackboard(cfg, own_entry(cfg, address))
+        guard = Guard(board, self._broken)
+        outside = connect_outside(cfg, self._reactor)
+        clock = GuardedClock(self._reactor, guard)
+        parts = join_parts(cfg, board, outside, guard, clock)
+        following = configuration_loop(
+            cfg,
+            parts,
+            outside.log,
+            self._reactor.seconds,
+        )
+        return parts, following
+
+    def _listen(self, listener: socket.socket, site: Site) -> None:
         self._reactor.adoptStreamPort(
             listener.fileno(),
             listener.family,
-            entry.site,
+            site,
         )
         listener.close()
-        entry.start(self._cfg)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._signalled)
-        line = {'name': self._cfg.instance, 'address': str(address)}
-        sys.stdout.write(f'{json.dumps(line)}\n')
-        sys.stdout.flush()
 
-    def _signalled(self, *_: object) -> None:
-        if self.entry is not None:
-            self._reactor.callFromThread(self.entry.stopping.ask)
+    def _start(
+        self,
+        parts: EntryParts,
+        following: ConfigurationLoop,
+    ) -> None:
+        reactor = self._reactor
+        stopping = Stopping(
+            parts.board,
+            parts.running,
+            reactor.seconds,
+            reactor.stop,
+        )
+        loops = Loops(parts.guard.invariant_broken)
+        start_loops(loops, parts, following, stopping, self._cfg.periods)
+
+        def stop(*_: object) -> None:  # noqa: WPS430
+            reactor.callFromThread(stopping.ask)
+
+        signal.signal(signal.SIGTERM, stop)
+        signal.signal(signal.SIGINT, stop)
 
     def _broken(self) -> None:
         self.exit_code = EXIT_INVARIANT
@@ -97,15 +139,7 @@
     return listener
 
 
-def _own_entry(cfg: Settings, listening: Address) -> Entry:
-    advertised = cfg.advertise
-    callers = advertised.callers.address() if advertised else listening
-    peers = (advertised or cfg.listen).peers.address()
-    return Entry(
-        cfg.instance,
-        callers,
-        peers,
-        cfg.availability_zone,
-        cfg.region,
-        incarnation=int(time.time() * MILLISECONDS),
-    )
+def _announce(instance: str, address: Address) -> None:
+    line = {'name': instance, 'address': str(address)}
+    sys.stdout.write(f'{json.dumps(line)}\n')
+    sys.stdout.flush()
--- a/foxtailhatch/daemon/configuration_loop.py
+++ b/foxtailhatch/daemon/configuration_loop.py
@@ -3,10 +3,10 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from uuid import uuid4
 
 from returns.result import Failure, Result, Success
 
+from foxtailhatch.callers.operations import MarkRequest
 from foxtailhatch.config import (
     CONFIGURATION_STREAM,
     Accepted,
@@ -101,10 +101,9 @@
             return Failure(begun.failure())
         return await self._follow(begun.unwrap())
 
-    async def mark(self, instance: str, mark: Mark) -> bool:
+    async def mark(self, req: MarkRequest) -> bool:
         """Append a mark; return whether the log acknowledged it."""
-        record = MarkRecord(uuid4().hex, instance, mark)
-        body = encode_record(record)
+        body = encode_record(MarkRecord(req.mark_id, req.instance, req.mark))
         appended = await self._append(AppendRecord(CONFIGURATION_STREAM, body))
         return isinstance(appended, Success)
 
--- /dev/null
+++ b/foxtailhatch/daemon/operations.py
@@ -0,0 +1,90 @@
+"""The daemon as operators see it."""
+
+import asyncio
+
+from returns.result import Failure, Result, Success
+
+from foxtailhatch.callers.operations import (
+    ConfigurationInForce,
+    FaultyDocument,
+    MarkRequest,
+    PublishConflict,
+    PublishedVersion,
+    PublishRefusal,
+    PublishRequest,
+)
+from foxtailhatch.config import render_configuration
+from foxtailhatch.config.publisher import (
+    Conflicted,
+    Faulty,
+    NotPublished,
+    PublishFailure,
+)
+from foxtailhatch.core import ErrorCode, Refusal, RunState
+from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
+
+LOG_RETRY_S = 2.0
+
+NOT_PUBLISHED = Refusal(
+    ErrorCode.LOG_UNAVAILABLE,
+    'The log cannot be reached; nothing was changed.',
+    RunState.NOT_RUN,
+    LOG_RETRY_S,
+)
+MAYBE_PUBLISHED = Refusal(
+    ErrorCode.OUTCOME_UNKNOWN,
+    'The log has not answered yet; try again with the same id.',
+    RunState.UNKNOWN,
+    LOG_RETRY_S,
+)
+
+
+class EntryOperations:
+    """Publish and mark through this entry."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        configuration: ConfigurationLoop,
+    ) -> None:
+        """Join the parts."""
+        self._board = board
+        self._configuration = configuration
+
+    async def publish(
+        self,
+        req: PublishRequest,
+    ) -> Result[PublishedVersion, PublishRefusal]:
+        """Publish a document, and return once it is decided."""
+        published = await self._configuration.publish(
+            req.document,
+            req.made_from,
+            req.publication_id,
+        )
+        if isinstance(published, Success):
+            return Success(PublishedVersion(published.unwrap().version))
+        return Failure(_refusal(published.failure()))
+
+    def configuration(self) -> ConfigurationInForce | None:
+        """Return what is in force on this instance, if anything is."""
+        cfg = self._board.fold.in_force
+        if cfg is None:
+            return None
+        return ConfigurationInForce(cfg.version, render_configuration(cfg))
+
+    async def mark(self, req: MarkRequest) -> Result[None, Refusal]:
+        """Mark an instance, and return once the mark is in the log."""
+        marked = await asyncio.shield(self._configuration.mark(req))
+        return Success(None) if marked else Failure(MAYBE_PUBLISHED)
+
+
+def _refusal(failure: PublishFailure) -> PublishRefusal:
+    match failure:
+        case Conflicted(in_force, difference):
+            return PublishConflict(in_force, difference)
+        case Faulty(faults):
+            return FaultyDocument(faults)
+        case NotPublished():
+            return NOT_PUBLISHED
+    return MAYBE_PUBLISHED
--- a/foxtailhatch/daemon/settings.py
+++ b/foxtailhatch/daemon/settings.py
@@ -104,6 +104,7 @@
     engine_call_s: Seconds = 2
     engine_silence_s: Seconds = 3
     peer_silence_s: Seconds = 3
+    planned_stop_s: Seconds | None = None
 
 
 class Periods(Section):
