--- a/foxtailhatch/platform/http_bodies.py
+++ b/foxtailhatch/platform/http_bodies.py
@@ -44,7 +44,7 @@
 class BodyReader(Protocol):
     """Collect a response body; ``whole`` fires with it or with a failure."""
 
-    def __init__(self, max_bytes: int = MAX_BODY_BYTES) -> None:
+    def __init__(self, max_bytes: int) -> None:
         """Start with nothing read."""
         self.whole: Deferred[bytes] = Deferred(self._cancelled)
         self._chunks: list[bytes] = []
--- a/foxtailhatch/platform/http_client.py
+++ b/foxtailhatch/platform/http_client.py
@@ -16,12 +16,18 @@
 
 from foxtailhatch.core import Address
 from foxtailhatch.platform.awaiting import completed
-from foxtailhatch.platform.http_bodies import BodyReader, BytesProducer
+from foxtailhatch.platform.http_bodies import (
+    MAX_BODY_BYTES,
+    BodyReader,
+    BodyTooLarge,
+    BytesProducer,
+)
 from foxtailhatch.platform.protocols import PlatformError, PlatformFault
 
 CONNECT_TIMEOUT_S: Final = 2.0
 ANSWER_TIMEOUT_S: Final = 5.0
 IDLE_CONNECTIONS: Final = 8
+IDLE_S: Final = 30
 OK: Final = 200
 UNAVAILABLE: Final = 503
 
@@ -80,13 +86,16 @@
         self,
         reactor: Any,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Start with no connection."""
         self.reactor = reactor
+        self._max_body_bytes = max_body_bytes
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         # The pool would send some requests a second time by itself.
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = IDLE_CONNECTIONS
+        self._pool.cachedConnectionTimeout = IDLE_S
         endpoints = _IpEndpoints(reactor, connect_timeout_s)
         self._reusing = Agent.usingEndpointFactory(
             reactor,
@@ -108,7 +117,7 @@
         """Send one request once and wait for the whole answer."""
         agent = self._reusing if call.reuse else self._fresh
         answer = request(agent, address, call)
-        answer.addCallback(_read)
+        answer.addCallback(_read, self._max_body_bytes)
         answer.addTimeout(timeout_s, self.reactor)
         try:
             return Success(await completed(answer))
@@ -126,6 +135,8 @@
                 PlatformFault.UNREACHABLE,
                 f'{address} does not accept connections: {exc}',
             )
+        if isinstance(exc, BodyTooLarge):
+            return PlatformError(PlatformFault.BAD_ANSWER, str(exc))
         # Idle connections may be as dead as the one that just failed.
         self._pool.closeCachedConnections()
         return PlatformError(
@@ -170,9 +181,9 @@
     return PlatformError(PlatformFault.REFUSED, message)
 
 
-def _read(response: Any) -> 'Deferred[HttpAnswer]':
+def _read(response: Any, max_bytes: int) -> 'Deferred[HttpAnswer]':
     """Read a response to its end."""
-    reader = BodyReader()
+    reader = BodyReader(max_bytes)
     response.deliverBody(reader)
     reader.whole.addCallback(_answer, response)
     return cast('Deferred[HttpAnswer]', reader.whole)
--- a/foxtailhatch/platform/log_http.py
+++ b/foxtailhatch/platform/log_http.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from pydantic import Base64Bytes, BaseModel, TypeAdapter
+from pydantic import BaseModel, ConfigDict, TypeAdapter
 from returns.result import Result
 
 from foxtailhatch.core import Address
@@ -17,20 +17,18 @@
 
 
 class RecordDocument(BaseModel):
-    """One record on the wire."""
+    """One record on the wire; its body is in URL-safe base64."""
+
+    model_config = ConfigDict(ser_json_bytes='base64', val_json_bytes='base64')
 
     offset: int
     time: float
-    body: Base64Bytes
+    body: bytes
 
     @classmethod
     def of(cls, record: LogRecord) -> 'RecordDocument':
         """Return the record as it is sent."""
-        return cls.model_construct(
-            offset=record.offset,
-            time=record.time,
-            body=record.body,
-        )
+        return cls(offset=record.offset, time=record.time, body=record.body)
 
     def record(self) -> LogRecord:
         """Return the record as it is used."""
--- a/foxtailhatch/platform/session_http.py
+++ b/foxtailhatch/platform/session_http.py
@@ -125,7 +125,8 @@
         self._listener: SessionListener | None = listener
         self._clock = clock
         self._timing = timing
-        self._heard_at: float = clock.seconds()
+        self._heard_at = clock.seconds()
+        self._beat_at = self._heard_at
         self._splitter = LineSplitter(MAX_LINE_BYTES)
         self._up: Any = _UpStream()
         self._pending: list[bytes] = []
@@ -219,7 +220,12 @@
 
     def _beat(self) -> None:
         """Lose a silent session, or ask for a sign of life."""
-        silence_s = self._clock.seconds() - self._heard_at
+        now = self._clock.seconds()
+        if now - self._beat_at > self._timing.silent_s:
+            # This process stood still itself; what came meanwhile is unread.
+            self._heard_at = now
+        self._beat_at = now
+        silence_s = now - self._heard_at
         if silence_s >= self._timing.silent_s:
             self.lost('silent')
             return
--- a/standins/connections.py
+++ b/standins/connections.py
@@ -31,6 +31,11 @@
         """Close after what was delayed; a silent one stays open."""
         self._send(lambda: ProtocolWrapper.loseConnection(self))
 
+    def abort(self) -> None:
+        """Cut the connection."""
+        transport: Any = self.transport
+        transport.abortConnection()
+
     def _mute(self) -> bool:
         """Tell whether no byte passes."""
         return self.silent or self._maker().faults.freeze
--- a/standins/engine_sessions.py
+++ b/standins/engine_sessions.py
@@ -44,6 +44,10 @@
         """Learn which request brings the frames."""
         self._up = req
 
+    def whole(self) -> bool:
+        """Tell whether both streams are there."""
+        return self._down is not None and self._up is not None
+
     def feed(self, chunk: bytes) -> None:
         """Take bytes of the up stream; a bad frame closes the session."""
         try:
@@ -63,11 +67,8 @@
     def send(self, frame: DownFrame) -> None:
         """Queue a frame; those of one loop turn leave in one write."""
         line = encode_frame(frame)
-        faults = self._sessions.faults
-        if isinstance(frame, StageOutput) and faults.late + faults.reorder:
-            line = self._disturb(line, faults)
-        if isinstance(frame, StageOutput) and faults.use('duplicate'):
-            line += line
+        if isinstance(frame, StageOutput):
+            line = self._disturb(line, self._sessions.faults)
         self._queue(line)
 
     def close(self) -> None:
@@ -81,7 +82,9 @@
                 req.loseConnection()
 
     def _disturb(self, line: bytes, faults: Faults) -> bytes:
-        """Hold a line back, to send it late or after the next one."""
+        """Double a line or hold it back, as the faults say."""
+        if faults.use('duplicate'):
+            return line + line
         clock = self._sessions.clock
         if faults.use('late'):
             clock.callLater(faults.late_s, self._queue, line)
@@ -139,6 +142,10 @@
         """Tell whether a session of this name is open."""
         return name in self._open
 
+    def count(self) -> int:
+        """Return how many sessions have both of their streams."""
+        return sum(session.whole() for session in self._open.values())
+
     def forget(self, session: Session) -> None:
         """Drop a closed session."""
         self._open.pop(session.name, None)
--- a/standins/process.py
+++ b/standins/process.py
@@ -47,11 +47,22 @@
 
     port: Any
     admin: Any
+    factory: FaultyFactory
 
     def address(self) -> Address:
         """Return the address of the service."""
         return _address_of(self.port)
 
+    def silence(self) -> None:
+        """Make the connections that are open now silent for good."""
+        self.factory.silence()
+
+    def abort(self) -> None:
+        """Close the port and cut all connections, as a kill does."""
+        self.port.stopListening()
+        for conn in tuple(self.factory.protocols):
+            conn.abort()
+
     def admin_address(self) -> Address:
         """Return the address that takes faults even when frozen."""
         return _address_of(self.admin)
@@ -110,6 +121,7 @@
             json_site(reactor, desk.answer),
             interface=LOOPBACK,
         ),
+        factory,
     )
 
 
--- a/tests/platform/loop.py
+++ b/tests/platform/loop.py
@@ -36,6 +36,10 @@
         self.reasons.append(reason)
         self._changed.set()
 
+    async def turn(self):
+        """Let the loop handle what is ready."""
+        await asyncio.sleep(0)
+
     async def until(self, holds):
         while not holds(self):
             self._changed.clear()
--- /dev/null
+++ b/tests/standins/test_engine_streams.py
@@ -0,0 +1,138 @@
+import pytest
+
+from foxtailhatch.core import Holding, LayerRange
+from foxtailhatch.platform import (
+    CancelStage,
+    OpenStage,
+    StageFault,
+    StageOpened,
+    StageRefused,
+    StepStage,
+)
+from standins.engine_streams import EngineStreams
+from standins.prefix_cache import PrefixCache
+
+HELD = LayerRange(0, 4)
+PROMPT = tuple(range(100, 140))
+BLOCKS = ('b0', 'b1')
+
+
+def _open(stream='s', attempt=1, layers=HELD, **other):
+    return OpenStage(stream, attempt, 'toy', '1', layers, **other)
+
+
+def _fault(outcome):
+    assert isinstance(outcome, StageRefused)
+    return outcome.fault
+
+
+def _cached(outcome):
+    assert isinstance(outcome, StageOpened)
+    return outcome.cached
+
+
+@pytest.fixture
+def streams():
+    return EngineStreams((Holding('toy', '1', HELD),), {'toy': 8}, 2)
+
+
+@pytest.mark.parametrize(
+    'frame',
+    [
+        _open(layers=LayerRange(2, 6)),
+        _open(layers=LayerRange(2, 2)),
+        _open(adapter='unknown'),
+        OpenStage('s', 1, 'toy', '2', HELD),
+    ],
+)
+def test_what_is_not_held_is_refused(streams, frame):
+    assert _fault(streams.open(frame, 'a', 0)) is StageFault.WRONG_HOLDING
+
+
+def test_a_part_of_a_holding_can_be_opened(streams):
+    assert _cached(streams.open(_open(layers=LayerRange(1, 3)), 'a', 0)) == 0
+
+
+def test_no_more_streams_than_allowed(streams):
+    for name in ('s', 't'):
+        streams.open(_open(name), 'a', 0)
+    assert _fault(streams.open(_open('u'), 'a', 0)) is StageFault.FULL
+    assert _cached(streams.open(_open('t', 2), 'a', 0)) == 0
+
+
+def test_a_leaving_engine_takes_no_new_stream_but_keeps_the_old(streams):
+    streams.open(_open(), 'a', 0)
+    streams.leaving = True
+    assert _fault(streams.open(_open('t'), 'a', 0)) is StageFault.LEAVING
+    assert _cached(streams.open(_open(attempt=2), 'a', 0)) == 0
+
+
+def test_an_older_attempt_is_refused_everywhere(streams):
+    streams.open(_open(attempt=2), 'a', 0)
+    stale = StepStage('s', 1, 0, PROMPT)
+    assert _fault(streams.open(_open(), 'a', 0)) is StageFault.STALE_ATTEMPT
+    assert _fault(streams.step(stale, 0)) is StageFault.STALE_ATTEMPT
+    streams.cancel(CancelStage('s', 1))
+    assert streams.streams
+
+
+def test_a_newer_attempt_keeps_the_cache_and_a_cancel_drops_it(streams):
+    streams.open(_open(), 'a', 0)
+    streams.step(StepStage('s', 1, 0, PROMPT), 0)
+    assert _cached(streams.open(_open(attempt=2), 'b', 0)) == len(PROMPT)
+    streams.cancel(CancelStage('s', 2))
+    assert _cached(streams.open(_open(attempt=3), 'b', 0)) == 0
+
+
+@pytest.mark.parametrize(
+    'step',
+    [
+        StepStage('s', 1, 41, (1,)),
+        StepStage('s', 1, -1, (1,)),
+        StepStage('s', 1, 40),
+        StepStage('s', 1, 40, (), ('00',)),
+    ],
+)
+def test_a_step_that_does_not_fit_is_refused_and_changes_nothing(streams, step):
+    streams.open(_open(), 'a', 0)
+    streams.step(StepStage('s', 1, 0, PROMPT), 0)
+    assert _fault(streams.step(step, 0)) is StageFault.BAD_POSITION
+    assert len(streams.streams['s'].cache) == len(PROMPT)
+
+
+def test_a_step_back_drops_the_surplus(streams):
+    for name in ('s', 't'):
+        streams.open(_open(name), 'a', 0)
+        streams.step(StepStage(name, 1, 0, PROMPT), 0)
+    streams.step(StepStage('s', 1, 40, (1, 2, 3)), 0)
+    again = streams.step(StepStage('s', 1, 40, (9,)), 0)
+    once = streams.step(StepStage('t', 1, 40, (9,)), 0)
+    assert again.activations == once.activations
+
+
+def test_a_known_prefix_needs_no_prefill_but_for_its_rest(streams):
+    streams.open(_open(prompt=BLOCKS), 'a', 0)
+    first = streams.step(StepStage('s', 1, 0, PROMPT), 0)
+    assert _cached(streams.open(_open('t', prompt=BLOCKS), 'a', 0)) == 32
+    second = streams.step(StepStage('t', 1, 32, PROMPT[32:]), 0)
+    assert second.activations == first.activations[32:]
+
+
+def test_a_full_prefix_cache_drops_the_oldest_block(streams):
+    streams.prefixes = PrefixCache(1)
+    streams.open(_open(prompt=BLOCKS), 'a', 0)
+    streams.step(StepStage('s', 1, 0, PROMPT), 0)
+    events = streams.prefixes.page(0).events
+    assert [(event.block, event.present) for event in events] == [
+        ('b0', True),
+        ('b1', True),
+        ('b0', False),
+    ]
+    assert _cached(streams.open(_open('t', prompt=BLOCKS), 'a', 0)) == 0
+
+
+def test_lost_cache_events_show_as_a_gap():
+    cache = PrefixCache(1)
+    cache.last_event = 5
+    assert cache.page(4).gap
+    assert not cache.page(5).gap
