Run requests at most once by claims in the log

A booking that runs twice or is called not run although it ran does harm, and appends, answers and instances can be lost at every step between.

Send a request only after its claim was read back as the first for its key, never take a claim over, and let only the holder free its key. A claim of a request that arrived before the key was freed is void, so that an old try cannot run after a later one was called not run. Keys carry their time, and count for half of the retention. Claims of one moment share an append, and keys are split over streams.

--- a/foxtailhatch/config/__init__.py
+++ b/foxtailhatch/config/__init__.py
@@ -31,6 +31,15 @@
     RecordsLost,
     StateAdopted,
 )
+from foxtailhatch.config.publisher import (
+    Conflicted,
+    Faulty,
+    MaybePublished,
+    NotPublished,
+    PublishAttempt,
+    Published,
+    begin_publication,
+)
 from foxtailhatch.config.records import (
     CONFIGURATION_STREAM,
     ConfigurationRecord,
@@ -42,6 +51,7 @@
     encode_record,
 )
 from foxtailhatch.config.references import ConfigFault
+from foxtailhatch.config.snapshots import SnapshotWriter
 from foxtailhatch.config.state import (
     Accepted,
     FoldOutcome,
@@ -65,23 +75,31 @@
     'ConfigurationFold',
     'ConfigurationIndex',
     'ConfigurationRecord',
+    'Conflicted',
     'Difference',
+    'Faulty',
     'FoldOutcome',
     'FoldState',
     'Labels',
     'MarkRecord',
     'Marked',
+    'MaybePublished',
     'Model',
+    'NotPublished',
     'Publication',
+    'PublishAttempt',
+    'Published',
     'RecordsLost',
     'Refused',
     'Restoration',
     'Selector',
     'Service',
     'SnapshotRecord',
+    'SnapshotWriter',
     'StateAdopted',
     'Unchanged',
     'access',
+    'begin_publication',
     'caller_of',
     'carries',
     'decode_record',
--- /dev/null
+++ b/foxtailhatch/durable/claim_table.py
@@ -0,0 +1,218 @@
+"""One claim stream folded: who holds each key, and what came of it.
+
+The first claim in the log's order holds its key.  Nobody can take a key over;
+only its holder can give it up, by an :class:`Abandon` that it writes once it
+will certainly not send.  A claim of a request that arrived before the abandon
+was in the log is void, even when it lands after: callers may have been told
+by then that the request was not run.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+from returns.pipeline import is_successful
+
+from foxtailhatch.core import RunState
+from foxtailhatch.durable.claim_records import (
+    Abandon,
+    Claim,
+    ClaimRecord,
+    Done,
+    KeyOwner,
+    Outcome,
+    decode_batch,
+)
+from foxtailhatch.platform import LogPage, LogRecord
+
+NOT_YET = -1
+CLOCK_MARGIN_S = 60.0
+
+
+class Standing(StrEnum):
+    """What a claim came to when it was read."""
+
+    HOLDS = 'holds'
+    LATER = 'later'
+    VOID = 'void'
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRead:
+    """A claim was read from the stream."""
+
+    claim_id: str
+    standing: Standing
+
+
+@dataclass(frozen=True, slots=True)
+class KeyState:
+    """What the stream says of one key.
+
+    ``freed`` is the offset of the last abandon, and ``logged_at`` the log's
+    time of the newest record about the key.
+    """
+
+    holder: Claim | None
+    offset: int
+    logged_at: float
+    outcome: Outcome | None = None
+    freed: int = NOT_YET
+
+
+class ClaimTable:
+    """The reader of one claim stream.
+
+    ``foreign_at`` is the log's time of the newest claim by an entry that
+    splits keys over another number of streams, if there was one.
+
+    Records that were lost before they were read leave a time before which
+    the table knows nothing; see :meth:`knows`.
+    """
+
+    def __init__(self, parts: int, retention_s: float) -> None:
+        """Start before the first record of a stream of ``parts``."""
+        self.through = NOT_YET
+        self.log_time = float(0)
+        self.foreign_at: float | None = None
+        self._parts = parts
+        self._retention_s = retention_s
+        self._unknown_before = float(0)
+        self._has_read = False
+        self._keys: dict[KeyOwner, KeyState] = {}
+
+    def __len__(self) -> int:
+        """Return the number of keys in the table."""
+        return len(self._keys)
+
+    @property
+    def wanted(self) -> int:
+        """Return the offset to read next."""
+        return self.through + 1
+
+    @property
+    def has_read(self) -> bool:
+        """Tell whether any page was read."""
+        return self._has_read
+
+    def look_up(self, owner: KeyOwner) -> KeyState | None:
+        """Return what the stream says of a key, if anything."""
+        return self._keys.get(owner)
+
+    def knows(self, made_at: float) -> bool:
+        """Tell whether every claim to a key of that time was read.
+
+        A claim is never logged before its key was made, but for the
+        difference of clocks.
+        """
+        return made_at - CLOCK_MARGIN_S >= self._unknown_before
+
+    def take_page(self, now: float, page: LogPage) -> list[ClaimRead]:
+        """Fold a page and return the claims that it brought."""
+        if page.first > self.wanted:
+            self._lose(now, page)
+        self._has_read = True
+        read: list[ClaimRead] = []
+        for record in page.records:
+            if record.offset == self.wanted:
+                read.extend(self._take(record))
+        return read
+
+    def forget(self, logged_before: float) -> None:
+        """Drop the keys whose newest record is older than a log time.
+
+        From then on the table knows nothing of keys made before that, which
+        counts when this entry's clock is set back.
+        """
+        self._unknown_before = max(self._unknown_before, logged_before)
+        old = [
+            owner
+            for owner, state in self._keys.items()
+            if state.logged_at < logged_before
+        ]
+        for owner in old:
+            self._keys.pop(owner)
+
+    def _lose(self, now: float, page: LogPage) -> None:
+        """Learn that records before ``page.first`` can't be read.
+
+        Before the first read these have expired, so they are older than the
+        retention.  Later on they were lost while this reader was away, and
+        may be as young as the first record after them.
+        """
+        lost_before = now - self._retention_s
+        if self._has_read:
+            times = [record.time for record in page.records[:1]]
+            lost_before = min([now, *times])
+        self._unknown_before = max(self._unknown_before, lost_before)
+        self.through = page.first - 1
+
+    def _take(self, logged: LogRecord) -> Iterator[ClaimRead]:
+        self.through = logged.offset
+        self.log_time = max(self.log_time, logged.time)
+        batch = decode_batch(logged.body)
+        if not is_successful(batch):
+            return
+        for record in batch.unwrap():
+            standing = self._fold(logged, record)
+            if standing is not None:
+                yield ClaimRead(record.claim_id, standing)
+
+    def _fold(
+        self,
+        logged: LogRecord,
+        record: ClaimRecord,
+    ) -> Standing | None:
+        match record:
+            case Claim():
+                return self._claim(logged, record)
+            case Abandon():
+                self._abandon(logged, record)
+            case Done():
+                self._finish(logged, record)
+        return None
+
+    def _claim(self, logged: LogRecord, claim: Claim) -> Standing:
+        if claim.parts != self._parts:
+            self.foreign_at = logged.time
+        state = self._keys.get(claim.owner)
+        freed = state.freed if state else NOT_YET
+        if state and state.holder:
+            same = state.holder.claim_id == claim.claim_id
+            return Standing.HOLDS if same else Standing.LATER
+        if freed > claim.seen:
+            return Standing.VOID
+        self._keys[claim.owner] = KeyState(
+            claim,
+            logged.offset,
+            logged.time,
+            freed=freed,
+        )
+        return Standing.HOLDS
+
+    def _abandon(self, logged: LogRecord, abandon: Abandon) -> None:
+        state = self._keys.get(abandon.owner)
+        if state and state.holder:
+            own = state.holder.claim_id == abandon.claim_id
+            if not own or state.outcome:
+                return
+        self._keys[abandon.owner] = KeyState(
+            None,
+            logged.offset,
+            logged.time,
+            freed=logged.offset,
+        )
+
+    def _finish(self, logged: LogRecord, done: Done) -> None:
+        state = self._keys.get(done.owner)
+        if state is None or state.holder is None:
+            return
+        if state.holder.claim_id != done.claim_id:
+            return
+        if state.outcome and state.outcome.run is RunState.RAN:
+            return
+        self._keys[done.owner] = replace(
+            state,
+            outcome=done.outcome,
+            logged_at=logged.time,
+        )
--- /dev/null
+++ b/foxtailhatch/durable/claims.py
@@ -0,0 +1,267 @@
+"""The right to run a request at most once, for one claim stream.
+
+A request is sent only after its claim was read back as the holder of its
+key, and the right is checked again at the moment of sending.  No other entry
+ever takes a claim over, so a claimant that was paused does no harm when it
+wakes; one that died leaves an outcome that nobody knows.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from foxtailhatch.core import Refusal, RunState
+from foxtailhatch.durable import claim_refusals as refusals
+from foxtailhatch.durable.claim_records import Claim, Outcome
+from foxtailhatch.durable.claim_requests import (
+    ClaimRequest,
+    Decision,
+    MayRun,
+    Refuse,
+    Replay,
+)
+from foxtailhatch.durable.claim_table import (
+    CLOCK_MARGIN_S,
+    ClaimRead,
+    ClaimTable,
+    KeyState,
+    Standing,
+)
+from foxtailhatch.durable.keys import key_time
+from foxtailhatch.durable.outbox import Outbox
+from foxtailhatch.durable.sends import Sends, run_before
+from foxtailhatch.durable.tickets import Ticket, TicketBook, TicketState
+from foxtailhatch.platform import LogPage
+
+HOLDER_SILENT_S = 60.0
+HELD_GRACE_S = 30.0
+FORGET_INTERVAL_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimSettings:
+    """What all entries must agree on.
+
+    ``parts`` is the number of claim streams, ``retention_s`` how long the
+    log keeps a record.
+
+    >>> ClaimSettings(8, 86400.0).key_window_s
+    43080.0
+    """
+
+    parts: int
+    retention_s: float
+
+    @property
+    def key_window_s(self) -> float:
+        """Return for how long after its making a key is accepted.
+
+        Half of the retention leaves a reader that starts late every claim
+        to every key that is still accepted.
+        """
+        return self.retention_s / 2 - 2 * CLOCK_MARGIN_S
+
+
+class ClaimController:
+    """The claims of one entry on one stream.
+
+    ``run_id`` must differ at every start of every entry.  The requests it
+    allows are sent through :attr:`sends`.
+    """
+
+    def __init__(self, run_id: str, cfg: ClaimSettings) -> None:
+        """Start with nothing read and nothing claimed."""
+        self.table = ClaimTable(cfg.parts, cfg.retention_s)
+        self.outbox = Outbox()
+        self._book = TicketBook(run_id)
+        self.sends = Sends(self._book, self.table, self.outbox)
+        self._cfg = cfg
+        self._forget_at = float(0)
+
+    @property
+    def is_waiting(self) -> bool:
+        """Tell whether any request waits for what the stream says."""
+        return any(ticket.is_open for ticket in self._book)
+
+    def begin(
+        self,
+        now: float,
+        req: ClaimRequest,
+        log_up: bool,
+    ) -> Decision | None:
+        """Take a request in; ``None`` says that the decision comes later."""
+        refusal = self._barred(now, req)
+        if refusal is not None:
+            return Refuse(req.request_id, refusal)
+        ticket = self._book.open(req, self.table.through)
+        state = self.table.look_up(req.owner)
+        if state and state.holder:
+            return self._join(now, ticket, state, log_up)
+        if not log_up:
+            return self._give_up(ticket)
+        if self._book.has_rival(ticket):
+            ticket.state = TicketState.WAITING
+        else:
+            self._claim(ticket)
+        return None
+
+    def take_page(self, now: float, page: LogPage) -> list[Decision]:
+        """Fold a page of the stream and decide what it settles."""
+        decisions: list[Decision | None] = []
+        for read in self.table.take_page(now, page):
+            self.outbox.read_back(read.claim_id)
+            ticket = self._book.of_claim(read.claim_id)
+            if ticket and ticket.state is TicketState.CLAIMING:
+                decisions.append(self._claim_read(now, ticket, read))
+        for waiting in self._book:
+            if waiting.state is TicketState.WAITING:
+                decisions.append(self._look_again(now, waiting))
+        return _made(decisions)
+
+    def step(self, now: float, log_up: bool) -> list[Decision]:
+        """Decide what time or an outage settles."""
+        if now >= self._forget_at:
+            self._forget_at = now + FORGET_INTERVAL_S
+            kept_s = self._cfg.key_window_s + 2 * CLOCK_MARGIN_S
+            self.table.forget(now - kept_s)
+        decisions: list[Decision] = []
+        for ticket in self._book:
+            if ticket.is_open and (not log_up or now >= ticket.req.deadline_at):
+                decisions.append(self._give_up(ticket))
+            elif _is_forgotten(now, ticket):
+                self.sends.give_back(ticket.req.request_id)
+        return decisions
+
+    def _barred(self, now: float, req: ClaimRequest) -> Refusal | None:
+        """Return why a request can't even be claimed, if so."""
+        made_at = key_time(req.owner.key)
+        if made_at is None:
+            return refusals.malformed_key()
+        # A clock that lags behind the log's must not accept an old key.
+        clock = max(now, self.table.log_time)
+        if clock > made_at + self._cfg.key_window_s:
+            return refusals.key_expired()
+        if made_at > clock + CLOCK_MARGIN_S:
+            return refusals.key_from_the_future(run_before(req))
+        return self._untold(now, made_at)
+
+    def _untold(self, now: float, made_at: float) -> Refusal | None:
+        """Return why the stream can't tell about a key, if so."""
+        foreign_at = self.table.foreign_at
+        if foreign_at is not None:
+            if now < foreign_at + self._cfg.key_window_s:
+                return refusals.parts_differ()
+        if not self.table.knows(made_at):
+            return refusals.key_unreadable()
+        return None
+
+    def _claim(self, ticket: Ticket) -> None:
+        self.outbox.put(
+            Claim(
+                ticket.claim_id,
+                ticket.req.owner,
+                ticket.req.digest,
+                ticket.seen,
+                self._cfg.parts,
+            ),
+        )
+
+    def _claim_read(
+        self,
+        now: float,
+        ticket: Ticket,
+        read: ClaimRead,
+    ) -> Decision | None:
+        refusal = self._barred(now, ticket.req)
+        if refusal is not None:
+            return self.sends.abandon(ticket, refusal)
+        if read.standing is Standing.LATER:
+            ticket.state = TicketState.WAITING
+            return None
+        if read.standing is Standing.VOID:
+            return self._close(ticket, refusals.given_back())
+        if now >= ticket.req.deadline_at:
+            return self.sends.abandon(ticket, refusals.given_back())
+        state = self.table.look_up(ticket.req.owner)
+        ticket.fence = state.offset if state else None
+        return self._hold(ticket)
+
+    def _join(
+        self,
+        now: float,
+        ticket: Ticket,
+        state: KeyState,
+        log_up: bool,
+    ) -> Decision | None:
+        """Follow the claim that holds the key."""
+        ticket.state = TicketState.WAITING
+        decision = self._look_again(now, ticket)
+        if decision is not None:
+            return decision
+        if not log_up:
+            return self._give_up(ticket)
+        silent = now - state.logged_at > HOLDER_SILENT_S
+        if silent and not self._book.has_rival(ticket):
+            return self._unknown(ticket, refusals.holder_is_silent())
+        return None
+
+    def _look_again(self, now: float, ticket: Ticket) -> Decision | None:
+        """Return the decision for a waiting request, if there is one."""
+        state = self.table.look_up(ticket.req.owner)
+        if state is None:
+            return None
+        refusal = self._barred(now, ticket.req)
+        if refusal is not None:
+            return self._close(ticket, refusal)
+        if state.holder:
+            return self._follow(ticket, state.holder, state.outcome)
+        if state.freed > ticket.seen:
+            return self._close(ticket, refusals.given_back())
+        return None
+
+    def _follow(
+        self,
+        ticket: Ticket,
+        holder: Claim,
+        outcome: Outcome | None,
+    ) -> Decision | None:
+        """Return the decision that another claim's outcome settles."""
+        if holder.digest != ticket.req.digest:
+            return self._close(ticket, refusals.key_reused())
+        if outcome is None:
+            return None
+        if outcome.run is RunState.UNKNOWN:
+            return self._unknown(ticket, refusals.outcome_unknown())
+        self._book.close(ticket)
+        return Replay(ticket.req.request_id, outcome)
+
+    def _give_up(self, ticket: Ticket) -> Decision:
+        """Decide for a request that the log does not settle in time."""
+        if ticket.state is TicketState.WAITING:
+            return self._unknown(ticket, refusals.key_in_use())
+        if ticket.req.checks_key:
+            return self._hold(ticket)
+        return self.sends.withdraw(ticket, refusals.log_unavailable)
+
+    def _unknown(self, ticket: Ticket, refusal: Refusal) -> Decision:
+        """Refuse as unknown, or let a service that checks keys decide."""
+        if ticket.req.checks_key:
+            return self._hold(ticket)
+        return self._close(ticket, refusal)
+
+    def _hold(self, ticket: Ticket) -> MayRun:
+        ticket.state = TicketState.HELD
+        return MayRun(ticket.req.request_id)
+
+    def _close(self, ticket: Ticket, refusal: Refusal) -> Refuse:
+        self._book.close(ticket)
+        return Refuse(ticket.req.request_id, refusal)
+
+
+def _is_forgotten(now: float, ticket: Ticket) -> bool:
+    """Tell whether nobody asked to send a request that may be sent."""
+    late_s = now - ticket.req.deadline_at
+    return ticket.state is TicketState.HELD and late_s >= HELD_GRACE_S
+
+
+def _made(decisions: Iterable[Decision | None]) -> list[Decision]:
+    return [decision for decision in decisions if decision is not None]
--- a/foxtailhatch/durable/follower.py
+++ b/foxtailhatch/durable/follower.py
@@ -58,6 +58,7 @@
         self._poll_s = poll_s
         self._failures = 0
         self._due_at = float(0)
+        self._read_at = float(0)
         self._asked_at: float | None = None
         self._caught_up_at: float | None = None
 
@@ -70,6 +71,7 @@
         if now < self._due_at:
             return None
         self._asked_at = now
+        self._read_at = now
         return ReadStream(self.stream, wanted, READ_LIMIT)
 
     def page_read(self, now: float, page: LogPage, wanted: int) -> bool:
@@ -102,10 +104,11 @@
             self.availability = LogAvailability.DOWN
         return went_down
 
-    def hurry(self, now: float) -> None:
-        """Read again at once, as when an own append was acknowledged."""
+    def hurry(self, now: float, delay_s: float = 0) -> None:
+        """Read again soon, as when an own append was acknowledged."""
         if self.availability is not LogAvailability.DOWN:
-            self._due_at = min(self._due_at, now)
+            soon = max(now, self._read_at + delay_s)
+            self._due_at = min(self._due_at, soon)
 
     def caught_up_since(self, moment: float) -> bool:
         """Tell whether a read begun at or after ``moment`` met the end."""
--- /dev/null
+++ b/foxtailhatch/durable/keys.py
@@ -0,0 +1,86 @@
+"""Idempotency keys, the time in them, and the part of the log they go to.
+
+A key must tell when it was made.  Claims expire with the log's retention; a
+key without a time could not be told from one whose claim has expired, so
+running it might be the second time.
+"""
+
+import hashlib
+import random
+import re
+from collections.abc import Iterable
+from uuid import UUID
+
+KEY_TIME_BITS = 80
+TIMED_UUID_VERSION = 7
+MILLISECONDS = 1000
+MAX_KEY_CHARS = 100
+DIGEST_BYTES = 8
+UNIQUE_BYTES = 10
+_SECONDS_PREFIX = re.compile(r'(\d{10})-\S+', re.ASCII)
+
+
+def key_time(key: str) -> float | None:
+    """Return when a key was made, in seconds, or ``None`` if it is no key.
+
+    A key is a UUID of version 7 (RFC 9562), or ten digits of Unix time in
+    seconds, a hyphen, and text without spaces that makes it unique.
+
+    >>> key_time('1796356800-reel-7-ann')
+    1796356800.0
+    >>> key_time('01900000-0000-7000-8000-000000000000')
+    1717986918.4
+    >>> key_time('7d44d5a1-3b0f-4c56-9b3e-0d7d2b2f4a11') is None
+    True
+    """
+    if len(key) > MAX_KEY_CHARS:
+        return None
+    try:
+        parsed = UUID(key)
+    except ValueError:
+        match = _SECONDS_PREFIX.fullmatch(key)
+        return float(match[1]) if match else None
+    if parsed.version != TIMED_UUID_VERSION:
+        return None
+    return (parsed.int >> KEY_TIME_BITS) / MILLISECONDS
+
+
+def issue_key(now: float, rng: random.Random) -> str:
+    """Return a new key for a caller that cannot make one.
+
+    >>> key_time(issue_key(1796356800.0, random.Random(1)))
+    1796356800.0
+    """
+    seconds = int(now)
+    unique = rng.randbytes(UNIQUE_BYTES).hex()
+    return f'{seconds}-{unique}'
+
+
+def part_of(account: str, key: str, parts: int) -> int:
+    """Return the claim stream of a key, from 0 to ``parts`` - 1.
+
+    >>> part_of('ward', '1796356800-a', 1)
+    0
+    """
+    return int.from_bytes(_digest(account, key)) % parts
+
+
+def part_stream(part: int) -> str:
+    """Return the name of a claim stream."""
+    return f'claims-{part}'
+
+
+def part_readers(part: int, entries: Iterable[str], count: int) -> list[str]:
+    """Return the entries that should read a part, best first.
+
+    This is a hint by rendezvous hashing, so that few parts move when an
+    entry comes or goes.  Entries that disagree about it waste bytes or time,
+    but cannot run a request twice: the order of the log decides that.
+    """
+    ranked = sorted(entries, key=lambda entry: _digest(str(part), entry))
+    return ranked[:count]
+
+
+def _digest(*texts: str) -> bytes:
+    joined = '\0'.join(texts)
+    return hashlib.blake2b(joined.encode(), digest_size=DIGEST_BYTES).digest()
--- /dev/null
+++ b/tests/durable/entries.py
@@ -0,0 +1,97 @@
+"""Entries that share one claim stream of a fake log."""
+
+from dataclasses import dataclass, field
+
+from foxtailhatch.core import RunState
+from foxtailhatch.durable.claim_records import KeyOwner, Outcome
+from foxtailhatch.durable.claim_requests import (
+    ClaimRequest,
+    MayRun,
+    Refuse,
+    Replay,
+)
+from foxtailhatch.durable.claims import ClaimController, ClaimSettings
+from tests.durable.fake_log import FakeLog
+
+RETENTION_S = 10_000.0
+SETTINGS = ClaimSettings(1, RETENTION_S)
+START = 1_796_356_800.0
+KEY = f'{int(START)}-a'
+STREAM = 'claims-0'
+ANSWER = Outcome(RunState.RAN, 201, 'text/plain', b'reel 7 is booked')
+
+
+def request(name='r1', key=KEY, digest=b'd', **more):
+    more.setdefault('deadline_at', START + 3)
+    return ClaimRequest(name, KeyOwner('ward', key), digest, **more)
+
+
+@dataclass
+class Entry:
+    """A claim controller with its log; ``ran`` lists what it sent."""
+
+    name: str
+    log: FakeLog
+    ran: list = field(default_factory=list)
+    told: dict = field(default_factory=dict)
+    cfg: ClaimSettings = SETTINGS
+
+    def __post_init__(self):
+        self.claims = ClaimController(self.name, self.cfg)
+        self.batch = None
+
+    def begin(self, req, now=START):
+        self.note([self.claims.begin(now, req, self.log.up)])
+
+    def note(self, decisions):
+        for decision in decisions:
+            if decision is not None:
+                self.told[decision.request_id] = decision
+
+    def append(self, now=START):
+        batch = self.claims.outbox.next_append(now)
+        if batch is None:
+            return
+        self.batch = batch
+        answer = self.log.append(STREAM, batch.body, now)
+        answer.map(lambda _: self.claims.outbox.landed(batch.batch))
+        answer.alt(
+            lambda error: self.claims.outbox.failed(
+                now,
+                batch.batch,
+                error.fault,
+            ),
+        )
+
+    def read(self, now=START):
+        answer = self.log.read(STREAM, self.claims.table.wanted, now)
+        answer.map(
+            lambda page: self.note(self.claims.take_page(now, page)),
+        )
+
+    def turn(self, now=START):
+        self.append(now)
+        self.read(now)
+        self.note(self.claims.step(now, self.log.up))
+
+    def send(self, name='r1', now=START):
+        right = self.claims.sends.authorise(now, name)
+        right.map(lambda granted: self.ran.append(granted.key))
+        return right
+
+    def answer(self, name='r1', now=START):
+        self.claims.sends.answered(name, ANSWER)
+        self.turn(now)
+
+    def may_run(self, name='r1'):
+        return isinstance(self.told.get(name), MayRun)
+
+    def replayed(self, name='r1'):
+        decision = self.told.get(name)
+        return decision.outcome if isinstance(decision, Replay) else None
+
+    def refused(self, name='r1'):
+        decision = self.told.get(name)
+        if not isinstance(decision, Refuse):
+            return None
+        return decision.refusal.code.value, decision.refusal.run.value
