Run calls that may not repeat at most once through the log

Cause: such calls were refused. Change: a call waits until its claim is first in the log's order, is sent once, and its outcome is kept for a second try. A planned stop waits for claimed calls too.

--- a/foxtailhatch/callers/gateway.py
+++ b/foxtailhatch/callers/gateway.py
@@ -32,7 +32,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceRequest:
-    """A request for a plain service; ``path`` is what follows its name."""
+    """A request for a plain service; ``path`` is what follows its name.
+
+    ``first_try`` is the caller's word that it never sent ``key`` before.
+    """
 
     request_id: str
     caller: Caller
@@ -42,6 +45,7 @@
     body: bytes
     content_type: str
     key: str | None = None
+    first_try: bool = False
 
 
 class FinishReason(StrEnum):
--- a/foxtailhatch/callers/replies.py
+++ b/foxtailhatch/callers/replies.py
@@ -85,16 +85,20 @@
 
 @dataclass(frozen=True, slots=True)
 class CallHeaders:
-    """What a caller says of one call beside its body."""
+    """What a caller says of one call beside its body.
+
+    ``first_try`` is its word that it never sent the key before.
+    """
 
     key: str | None
     deadline_s: float | None
+    first_try: bool = False
 
 
 def call_headers(req: Request) -> Result[CallHeaders, Refusal]:
     """Return the headers that say how a call may run."""
     return Result.do(
-        CallHeaders(key, seconds)
+        CallHeaders(key, seconds, is_first_try(req))
         for key in idempotency_key(req)
         for seconds in deadline_s(req)
     )
@@ -116,6 +120,11 @@
     return Failure(Refusal(ErrorCode.BAD_REQUEST, message))
 
 
+def is_first_try(req: Request) -> bool:
+    """Tell whether the X-First-Try header says that the key is new."""
+    return header_text(req, b'X-First-Try') == 'true'
+
+
 def deadline_s(req: Request) -> Result[float | None, Refusal]:
     """Return the X-Deadline-Seconds header in seconds, if there is one."""
     header = header_text(req, b'X-Deadline-Seconds')
--- a/foxtailhatch/callers/services.py
+++ b/foxtailhatch/callers/services.py
@@ -93,6 +93,7 @@
                 body=body_of(req),
                 content_type=header_text(req, b'Content-Type') or '',
                 key=headers.key,
+                first_try=headers.first_try,
             )
             for caller in caller_of(self.front, req)
             for headers in call_headers(req)
--- a/foxtailhatch/daemon/assembly.py
+++ b/foxtailhatch/daemon/assembly.py
@@ -9,7 +9,6 @@
 from foxtailhatch.callers.front import FrontLimits
 from foxtailhatch.callers.operations import OperatorAccess
 from foxtailhatch.callers.site import build_site
-from foxtailhatch.config import CONFIGURATION_STREAM
 from foxtailhatch.config.snapshots import SnapshotWriter
 from foxtailhatch.core import Address
 from foxtailhatch.daemon.blackboard import Blackboard, new_blackboard
@@ -20,7 +19,6 @@
 from foxtailhatch.daemon.operations import EntryOperations
 from foxtailhatch.daemon.secrets import Secrets
 from foxtailhatch.daemon.settings import Settings
-from foxtailhatch.durable.follower import LogFollower
 from foxtailhatch.membership import Entry, EntryTable, PlannedStop
 from foxtailhatch.platform import LogService
 
@@ -68,7 +66,7 @@
         parts.board,
         log,
         parts.watch,
-        LogFollower(CONFIGURATION_STREAM, rng, cfg.periods.log_poll_s),
+        parts.follower,
         SnapshotWriter(cfg.periods.log_retention_s, rng),
         now,
     )
--- /dev/null
+++ b/foxtailhatch/daemon/claim_loop.py
@@ -0,0 +1,99 @@
+"""Requests that run at most once: claims read, written and waited for."""
+
+import asyncio
+from collections.abc import Iterable
+
+from returns.result import Success
+
+from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.durable import (
+    AppendClaims,
+    ClaimDesk,
+    ClaimRequest,
+    Decision,
+    LogAvailability,
+    LogFollower,
+    MayRun,
+    ReadStream,
+    Refuse,
+    Replay,
+)
+from foxtailhatch.durable.claim_refusals import outcome_unknown
+from foxtailhatch.platform import LogService
+
+
+class ClaimLoop:
+    """Carry out what the claim desk asks for, and wake who waits for it.
+
+    ``now`` is wall time, since keys and log records carry wall time.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        desk: ClaimDesk,
+        log: LogService,
+        follower: LogFollower,
+    ) -> None:
+        """Join the parts; nothing is read yet."""
+        self.desk = desk
+        self._board = board
+        self._log = log
+        self._follower = follower
+        self._waiting: dict[str, asyncio.Future[Decision]] = {}
+        self._calls: set[asyncio.Task[None]] = set()
+
+    async def step(self) -> None:
+        """Start the log calls that are due, and settle what time settles."""
+        now = self._board.wall_time()
+        for action in self.desk.actions(now):
+            call = asyncio.ensure_future(self._carry_out(action))
+            self._calls.add(call)
+            call.add_done_callback(self._calls.discard)
+        self._settle(self.desk.step(now, self._log_up()))
+
+    async def decide(self, req: ClaimRequest) -> Decision:
+        """Claim the key of a request, and wait until that is decided."""
+        now = self._board.wall_time()
+        decision = self.desk.begin(now, req, self._log_up())
+        if isinstance(decision, MayRun | Replay | Refuse):
+            return decision
+        if decision is not None:
+            return Refuse(req.request_id, outcome_unknown())
+        loop = asyncio.get_running_loop()
+        waiting: asyncio.Future[Decision] = loop.create_future()
+        self._waiting[req.request_id] = waiting
+        return await waiting
+
+    def _log_up(self) -> bool:
+        return self._follower.availability is not LogAvailability.DOWN
+
+    async def _carry_out(self, action: ReadStream | AppendClaims) -> None:
+        match action:
+            case ReadStream():
+                await self._read(action)
+            case AppendClaims():
+                await self._append(action)
+
+    async def _read(self, due: ReadStream) -> None:
+        page = await self._log.read(due.stream, due.offset, due.limit)
+        now = self._board.wall_time()
+        if isinstance(page, Success):
+            decisions = self.desk.page_read(now, due.stream, page.unwrap())
+            self._settle(decisions)
+        else:
+            self.desk.read_failed(now, due.stream)
+
+    async def _append(self, due: AppendClaims) -> None:
+        appended = await self._log.append(due.stream, due.body)
+        now = self._board.wall_time()
+        if isinstance(appended, Success):
+            self.desk.appended(now, due.stream, due.batch)
+        else:
+            self.desk.append_failed(now, due, appended.failure().fault)
+
+    def _settle(self, decisions: Iterable[Decision]) -> None:
+        for decision in decisions:
+            waiting = self._waiting.pop(decision.request_id, None)
+            if waiting is not None and not waiting.done():
+                waiting.set_result(decision)
--- a/foxtailhatch/daemon/entry.py
+++ b/foxtailhatch/daemon/entry.py
@@ -3,9 +3,12 @@
 from dataclasses import dataclass
 from functools import partial
 
+from foxtailhatch.config import CONFIGURATION_STREAM
 from foxtailhatch.core import EventKind
 from foxtailhatch.daemon.answers import TICK_S, Answers
 from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.daemon.claim_loop import ClaimLoop
+from foxtailhatch.daemon.claimed_calls import ClaimedCalls
 from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
 from foxtailhatch.daemon.gateway import DaemonGateway
 from foxtailhatch.daemon.guard import Guard, GuardedClock
@@ -17,27 +20,47 @@
 from foxtailhatch.daemon.sessions import Sessions
 from foxtailhatch.daemon.settings import Periods, Settings
 from foxtailhatch.daemon.stopping import Stopping
+from foxtailhatch.durable import (
+    ClaimDesk,
+    ClaimSettings,
+    LogAvailability,
+    LogFollower,
+)
 from foxtailhatch.routing import ShortestPathChooser
 
 FOLLOW_STEP_S = 0.02
+CLAIM_STEP_S = 0.01
 STOP_STEP_S = 0.05
+RUN_ID_BITS = 64
 
 
 @dataclass(slots=True)
 class EntryParts:
-    """The parts of an entry; see :func:`join_parts`."""
+    """The parts of an entry; see :func:`join_parts`.
+
+    ``follower`` paces the reads of the configuration, and by them tells
+    whether the log is there.
+    """
 
     board: Blackboard
     guard: Guard
+    follower: LogFollower
     session_watch: SessionWatch
     watch: PlatformWatch
     answers: Answers
-    calls: ServiceCalls
+    claims: ClaimLoop
     gateway: DaemonGateway
 
     def running(self) -> int:
-        """Return the number of requests in progress."""
-        return len(self.answers) + self.calls.running()
+        """Return the number of requests in progress.
+
+        Outcomes that are not in the log yet count as long as it is up, for
+        a second try needs them.
+        """
+        unsent = 0
+        if self.follower.availability is LogAvailability.UP:
+            unsent = self.claims.desk.unsent_records
+        return len(self.answers) + self.gateway.calls_running() + unsent
 
 
 def join_parts(
@@ -48,14 +71,11 @@
     clock: GuardedClock,
 ) -> EntryParts:
     """Return the parts of an entry, joined and with nothing started."""
+    rng = board.random
+    follower = LogFollower(CONFIGURATION_STREAM, rng, cfg.periods.log_poll_s)
     session_watch = SessionWatch(board)
-    sessions = Sessions(
-        outside.engine,
-        board.endpoints.endpoint,
-        session_watch,
-        guard,
-    )
-    answers = Answers(board, sessions, ShortestPathChooser(), clock)
+    answers = _answers(board, outside, guard, clock, session_watch)
+    claims = _claims(cfg, board, outside, follower)
     calls = ServiceCalls(
         board,
         outside.service,
@@ -65,20 +85,55 @@
     return EntryParts(
         board,
         guard,
+        follower,
         session_watch,
         PlatformWatch(board, outside.engine, outside.instances, clock.seconds),
         answers,
-        calls,
+        claims,
         DaemonGateway(
             board,
             answers,
             calls,
+            ClaimedCalls(board, claims, calls),
             _no_blocks,
             partial(clock.callLater, 0),
         ),
     )
 
 
+def _answers(
+    board: Blackboard,
+    outside: Outside,
+    guard: Guard,
+    clock: GuardedClock,
+    session_watch: SessionWatch,
+) -> Answers:
+    sessions = Sessions(
+        outside.engine,
+        board.endpoints.endpoint,
+        session_watch,
+        guard,
+    )
+    return Answers(board, sessions, ShortestPathChooser(), clock)
+
+
+def _claims(
+    cfg: Settings,
+    board: Blackboard,
+    outside: Outside,
+    follower: LogFollower,
+) -> ClaimLoop:
+    settings = ClaimSettings(
+        cfg.limits.claim_streams,
+        cfg.periods.log_retention_s,
+    )
+    # Claims of an earlier process of this name are not this one's.
+    run_number = board.random.getrandbits(RUN_ID_BITS)
+    desk = ClaimDesk(f'{board.name}/{run_number}', settings, board.random)
+    desk.follow(range(settings.parts))
+    return ClaimLoop(board, desk, outside.log, follower)
+
+
 def start_loops(
     loops: Loops,
     parts: EntryParts,
@@ -89,6 +144,7 @@
     """Start every loop of an entry."""
     parts.board.record(EventKind.STARTED, parts.board.name)
     loops.every(FOLLOW_STEP_S, configuration.step)
+    loops.every(CLAIM_STEP_S, parts.claims.step)
     loops.every(periods.instance_list_poll_s, parts.watch.read_list)
     loops.every(TICK_S, parts.watch.read_loads)
     loops.every(TICK_S, parts.answers.tick)
--- a/foxtailhatch/daemon/gateway.py
+++ b/foxtailhatch/daemon/gateway.py
@@ -1,5 +1,6 @@
 """The daemon as the HTTP front sees it."""
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 
 from returns.result import Failure, Result, Success
@@ -25,8 +26,9 @@
 from foxtailhatch.core import Caller, ErrorCode, Refusal
 from foxtailhatch.daemon.answers import Answers
 from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.daemon.claimed_calls import ClaimedCalls
 from foxtailhatch.daemon.grants import NO_CONFIGURATION, grant_answer
-from foxtailhatch.daemon.service_calls import ServiceCalls
+from foxtailhatch.daemon.service_calls import InProgress, ServiceCalls
 from foxtailhatch.platform import ServiceAnswer, ServiceCall
 
 BAD_TOKEN = Refusal(
@@ -56,6 +58,7 @@
         board: Blackboard,
         answers: Answers,
         calls: ServiceCalls,
+        claimed: ClaimedCalls,
         blocks: Callable[[tuple[int, ...]], tuple[str, ...]],
         later: Callable[[Callable[[], None]], object],
     ) -> None:
@@ -63,7 +66,9 @@
         self._board = board
         self._answers = answers
         self._calls = calls
+        self._claimed = claimed
         self._blocks = blocks
+        self._running: Counter[str] = Counter()
         self._later = later
 
     def authenticate(self, token: str) -> Result[Caller, Refusal]:
@@ -114,6 +119,17 @@
         refusal = self._stopping()
         if refusal is not None:
             return Failure(refusal)
+        with InProgress(self._running, req.service):
+            return await self._call_service(req)
+
+    def calls_running(self) -> int:
+        """Return the number of service calls in progress."""
+        return self._running.total()
+
+    async def _call_service(
+        self,
+        req: ServiceRequest,
+    ) -> Result[ServiceAnswer, Refusal]:
         found = _granted_service(self._board.index, req)
         if not isinstance(found, Success):
             return Failure(found.failure())
@@ -122,12 +138,7 @@
             req.method, req.path, req.body, req.content_type, req.key
         )
         if must_not_repeat(service, granted, req.method, req.path):
-            return Failure(
-                Refusal(
-                    ErrorCode.KEY_REQUIRED,
-                    'Calls that may not repeat are not served yet.',
-                )
-            )
+            return await self._claimed.run(service, granted, req)
         return await self._calls.repeatable(service, granted, call)
 
     def _stopping(self) -> Refusal | None:
--- a/foxtailhatch/daemon/service_calls.py
+++ b/foxtailhatch/daemon/service_calls.py
@@ -56,11 +56,7 @@
         self._board = board
         self._service = service
         self._timeout_s = timeout_s
-        self._now = now
-
-    def running(self) -> int:
-        """Return the number of calls in progress."""
-        return self.choice.running.total()
+        self.now = now
 
     async def repeatable(
         self,
@@ -73,7 +69,7 @@
         tried: list[str] = []
         run = RunState.NOT_RUN
         while True:
-            now = self._now()
+            now = self.now()
             endpoint = self.choice.choose(service, granted, tried, now)
             if endpoint is None:
                 return Failure(failed_call(service, run))
@@ -93,13 +89,13 @@
         call: ServiceCall,
     ) -> Result[ServiceAnswer, PlatformError]:
         """Send a call once and keep the health of its endpoint."""
-        self._board.endpoints.check_send(endpoint.name, self._now())
+        self._board.endpoints.check_send(endpoint.name, self.now())
         with InProgress(self.choice.running, endpoint.name):
             outcome = await self._service.call(endpoint, call, self._timeout_s)
         if isinstance(outcome, Success):
-            self._board.health.note_success(endpoint.name, self._now())
+            self._board.health.note_success(endpoint.name, self.now())
         else:
-            self._board.health.note_failure(endpoint.name, self._now())
+            self._board.health.note_failure(endpoint.name, self.now())
         return outcome
 
     def _delay_s(self, attempts: int) -> float | None:
--- a/foxtailhatch/daemon/settings.py
+++ b/foxtailhatch/daemon/settings.py
@@ -124,6 +124,7 @@
     body_bytes: Count = 1_048_576
     queued_requests: Count = 1000
     timeline_events: Count = 20_000
+    claim_streams: Count = 4
 
 
 class Settings(Section):
