Add the command line and the examples

Operators and people trying things need one program: serve, check, publish, show, mark, status, timeline and ask. publish and mark try again after a lost answer under one id; ask goes on at another entry with the tokens it has. Events as JSON are in one place for the daemon and the command line.

examples/ holds settings and a configuration for both users; a test loads them and checks who may do what at most once.

A document of very deep arrays made parse_configuration raise RecursionError, so that check ended with a traceback; it is a fault of the document now (test_what_is_no_document_is_a_fault).

--- a/foxtailhatch/config/documents.py
+++ b/foxtailhatch/config/documents.py
@@ -233,7 +233,7 @@
     )
     try:
         document = json.loads(raw)
-    except ValueError:
+    except (ValueError, RecursionError):
         return own
     if not isinstance(document, Mapping):
         return own
--- a/foxtailhatch/core/json_faults.py
+++ b/foxtailhatch/core/json_faults.py
@@ -8,6 +8,7 @@
 from pydantic import ValidationError
 
 PathPart = str | int
+ROOT_PATH = '$'
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +47,7 @@
     >>> json_path(('zones', 0, 'name'), {'zones': [{}]})
     '$.zones[0].name'
     """
-    path = '$'
+    path = ROOT_PATH
     here = document
     for part in location:
         if _names_member(here, part):
--- a/foxtailhatch/daemon/settings.py
+++ b/foxtailhatch/daemon/settings.py
@@ -15,11 +15,10 @@
 from returns.result import Failure, Result, Success
 
 from foxtailhatch.core import Address
-from foxtailhatch.core.json_faults import JsonFault, json_faults
+from foxtailhatch.core.json_faults import ROOT_PATH, JsonFault, json_faults
 
 MAX_NAME_CHARACTERS = 200
 MAX_PORT = 65_535
-ROOT_PATH = '$'
 
 
 def _ip_number(text: str) -> str:
--- a/tests/callers/http.py
+++ b/tests/callers/http.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Success
 from twisted.internet import asyncioreactor
 from twisted.internet.task import Clock
+from twisted.internet.tcp import Server
 
 from foxtailhatch.callers import (
     EntryAdvice,
@@ -16,6 +17,7 @@
     build_site,
 )
 from foxtailhatch.core import Caller, ErrorCode, Refusal
+from foxtailhatch.core.timeline_json import events_to_json
 from foxtailhatch.platform import ServiceAnswer
 
 LIMITS = FrontLimits(body_bytes=2000, body_timeout_s=10, slow_caller_s=30)
@@ -53,6 +55,7 @@
     def __init__(self):
         self.generated = []
         self.calls = []
+        self.advice = EntryAdvice(('10.0.0.1:80',), 30)
         self.answer = FakeAnswer()
         self.script = lambda req, sink: None
         self.service_outcome = Success(ServiceAnswer(201, b'ok', 'text/plain'))
@@ -66,7 +69,8 @@
         return [ReachableModel('guide', '7')]
 
     def entry_advice(self, availability_zone):
-        return EntryAdvice((f'10.0.0.1:80/{availability_zone}',), 30)
+        self.asked_zone = availability_zone
+        return self.advice
 
     def generate(self, req, sink):
         self.generated.append(req)
@@ -83,6 +87,8 @@
     def __init__(self):
         self.ended = []
         self.broken = []
+        self.events = []
+        self.version = 3
 
     def metrics(self):
         return b'requests 1\n'
@@ -94,10 +100,11 @@
         return False
 
     def timeline(self, subject):
-        return [subject]
+        asked = [e for e in self.events if subject in {'', e.subject}]
+        return events_to_json(asked)
 
     def status(self):
-        return {'version': 3}
+        return {'instance': 'entry-1', 'configuration_version': self.version}
 
     def request_ended(self, code):
         self.ended.append(code)
@@ -123,6 +130,7 @@
     """A listening front, and what it stands on."""
 
     def __init__(self, reactor, operators):
+        self.reactor = reactor
         self.clock = Clock()
         self.gateway = FakeGateway()
         self.observability = FakeObservability()
@@ -136,6 +144,12 @@
         self.listening = reactor.listenTCP(0, site, interface='127.0.0.1')
         self.port = self.listening.getHost().port
 
+    def abort_connections(self):
+        """Cut every connection, as a process that dies does."""
+        for reader in self.reactor.getReaders():
+            if isinstance(reader, Server):
+                reader.abortConnection()
+
     async def connect(self, limit=2**16):
         return await asyncio.open_connection('127.0.0.1', self.port)
 
--- a/tests/callers/test_site.py
+++ b/tests/callers/test_site.py
@@ -1,7 +1,7 @@
 import pytest
 
 from foxtailhatch.callers.errors import STATUSES
-from foxtailhatch.core import ErrorCode
+from foxtailhatch.core import ErrorCode, Event, EventKind, Stamp
 from tests.callers.http import LIMITS, read_reply, request_bytes, with_front
 
 
@@ -15,12 +15,17 @@
     models = await front.ask('GET', '/v1/models', **good)
     assert models.json()['data'][0]['id'] == 'guide'
     entry = await front.ask('GET', '/v1/entry?zone=whk-a')
-    assert entry.json() == {'addresses': ['10.0.0.1:80/whk-a'], 'keep_s': 30}
+    assert entry.json() == {'addresses': ['10.0.0.1:80'], 'keep_s': 30}
+    assert front.gateway.asked_zone == 'whk-a'
     metrics = await front.ask('GET', '/metrics')
     assert metrics.body == b'requests 1\n'
+    stamp = Stamp(1.0, 0, 'entry-1')
+    event = Event(stamp, EventKind.STARTED, 'entry-1')
+    front.observability.events = [event]
     timeline = await front.ask('GET', '/timeline?subject=req-1')
-    assert timeline.json() == ['req-1']
-    assert (await front.ask('GET', '/status')).json() == {'version': 3}
+    assert timeline.json() == []
+    status = await front.ask('GET', '/status')
+    assert status.json()['configuration_version'] == 3
     assert (await front.ask('GET', '/healthz')).status == 200
     assert (await front.ask('GET', '/readyz')).status == 503
 
--- /dev/null
+++ b/tests/cli/served.py
@@ -0,0 +1,47 @@
+"""Fronts over fake daemons on a loop in another thread."""
+
+import asyncio
+import threading
+from contextlib import contextmanager
+
+from click.testing import CliRunner
+from twisted.internet import asyncioreactor
+
+from foxtailhatch.callers import EntryAdvice
+from foxtailhatch.cli.main import main
+from tests.callers.http import Running
+
+
+class Served:
+    """A front that a blocking client can reach at ``address``."""
+
+    def __init__(self, running):
+        self.running = running
+        self.gateway = running.gateway
+        self.observability = running.observability
+        self.address = f'127.0.0.1:{running.port}'
+        self.gateway.advice = EntryAdvice((), 30)
+
+
+@contextmanager
+def serving(count=1, operators=None):
+    """Yield ``count`` fronts that listen, and end them all."""
+    loop = asyncio.new_event_loop()
+    reactor = asyncioreactor.AsyncioSelectorReactor(loop)
+    fronts = [Served(Running(reactor, operators)) for _ in range(count)]
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+    try:
+        yield fronts
+    finally:
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join()
+        for reader in reactor.getReaders():
+            reactor.removeReader(reader)
+            reader.connectionLost(None)
+        loop.close()
+
+
+def run(*args, **options):
+    """Run the command line."""
+    return CliRunner().invoke(main, [str(arg) for arg in args], **options)
--- /dev/null
+++ b/tests/cli/test_ask.py
@@ -0,0 +1,68 @@
+from foxtailhatch.callers import EntryAdvice
+from foxtailhatch.core import ErrorCode, Refusal, RunState
+from tests.callers.http import say
+from tests.cli.served import run, serving
+
+
+def ask(entry):
+    options = ('--token', 'good', '--model', 'guide')
+    return run('ask', '--entry', entry.address, *options, 'Strand 12?')
+
+
+def test_an_answer_is_streamed_to_its_end():
+    with serving() as (entry,):
+        entry.gateway.script = say('Untie it.')
+        done = ask(entry)
+    assert (done.exit_code, done.stdout) == (0, 'Untie it.\n')
+
+
+def test_a_dropped_connection_is_resumed_at_another_entry():
+    with serving(2) as (first, second):
+
+        def script(req, sink):
+            for index, token in enumerate(b'Un'):
+                sink.token(index, token)
+            abort = first.running.abort_connections
+            first.running.reactor.callLater(0, abort)
+
+        first.gateway.script = script
+        first.gateway.advice = EntryAdvice((second.address,), 30)
+        second.gateway.script = say('tie', first=2)
+        done = ask(first)
+    assert (done.exit_code, done.stdout) == (0, 'Untie\n')
+    assert second.gateway.generated[0].received == tuple(b'Un')
+
+
+def test_an_error_that_names_an_entry_is_followed_there():
+    with serving(2) as (first, second):
+        leaving = Refusal(
+            ErrorCode.SHUTTING_DOWN,
+            'Stopping.',
+            RunState.RAN,
+            address=second.address,
+        )
+
+        def script(req, sink):
+            sink.token(0, 85)
+            sink.failed(leaving)
+
+        first.gateway.script = script
+        second.gateway.script = say('p', first=1)
+        done = ask(first)
+    assert (done.exit_code, done.stdout) == (0, 'Up\n')
+
+
+def test_a_refusal_without_an_address_ends_the_command():
+    with serving() as (entry,):
+        full = Refusal(ErrorCode.QUEUE_FULL, 'Full.')
+        entry.gateway.script = lambda req, sink: sink.failed(full)
+        done = ask(entry)
+    assert done.exit_code == 1
+    assert done.stderr == 'queue_full: Full. (not_run)\n'
+
+
+def test_silent_entries_are_given_up():
+    done = run(
+        'ask', '--entry', '127.0.0.1:1', '--token', 't', '--model', 'm', 'x'
+    )
+    assert done.exit_code == 3
--- /dev/null
+++ b/tests/cli/test_timeline.py
@@ -0,0 +1,50 @@
+import json
+
+from foxtailhatch.callers import EntryAdvice
+from foxtailhatch.cli.timeline import merged
+from foxtailhatch.cli.trace import chrome_trace
+from foxtailhatch.core import Event, EventKind, Stamp
+from tests.cli.served import run, serving
+
+ADMITTED = Event(Stamp(1.0, 0, 'a'), EventKind.REQUEST_ADMITTED, 'req-1')
+RECOVERED = Event(Stamp(1.0, 1, 'b'), EventKind.ANSWER_RECOVERED, 'req-1')
+FINISHED = Event(Stamp(1.5, 0, 'a'), EventKind.REQUEST_FINISHED, 'req-1')
+STARTED = Event(Stamp(0.5, 0, 'b'), EventKind.STARTED, 'b')
+
+
+def test_events_of_all_entries_come_in_one_order(tmp_path):
+    with serving(2) as (first, second):
+        first.gateway.advice = EntryAdvice((second.address, 'x'), 30)
+        first.observability.events = [ADMITTED, FINISHED]
+        second.observability.events = [STARTED, RECOVERED]
+        trace = tmp_path / 'trace.json'
+        done = run('timeline', '--entry', first.address, '--trace', trace)
+    kinds = [line.split()[3] for line in done.stdout.splitlines()]
+    expected = [STARTED, ADMITTED, RECOVERED, FINISHED]
+    assert kinds == [event.kind.value for event in expected]
+    assert done.stdout.startswith('1970-01-01T00:00:00.500000+00:00 0 b')
+    assert 'skipped: x' in done.stderr
+    assert len(json.loads(trace.read_text())['traceEvents']) == 7
+
+
+def test_a_subject_is_asked_for():
+    with serving() as (entry,):
+        entry.observability.events = [STARTED, RECOVERED]
+        args = ('--entry', entry.address, '--subject', 'req-1')
+        done = run('timeline', *args)
+    assert len(done.stdout.splitlines()) == 1
+
+
+def test_a_span_leaves_out_what_is_before_and_after():
+    parts = [[STARTED, ADMITTED], [FINISHED]]
+    assert merged(parts, 0.6, 1.2) == [ADMITTED]
+
+
+def test_a_request_is_a_span_of_its_instance_in_the_trace():
+    trace = chrome_trace([ADMITTED, RECOVERED, FINISHED])['traceEvents']
+    (span,) = [event for event in trace if event['ph'] == 'X']
+    assert (span['name'], span['ts'], span['dur']) == ('req-1', 1e6, 0.5e6)
+
+
+def test_no_entry_that_answers_is_an_error():
+    assert run('timeline', '--entry', '127.0.0.1:1').exit_code == 3
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,62 @@
+"""The files in ``examples/`` load and say what their pages say."""
+
+import hashlib
+from pathlib import Path
+
+import pytest
+
+from foxtailhatch.config import (
+    access,
+    caller_of,
+    index_configuration,
+    must_not_repeat,
+    parse_configuration,
+)
+from foxtailhatch.daemon.settings import load_settings
+
+EXAMPLES = Path(__file__).parent.parent / 'examples'
+USERS = (
+    ('thrissur', {'thrissur-a', 'irinjalakuda-b', 'chalakudy-c'}),
+    ('kalahari', {'whk-a', 'whk-b', 'okh-c'}),
+)
+
+
+def configuration(user):
+    raw = (EXAMPLES / user / 'configuration.json').read_bytes()
+    return parse_configuration(raw, 1).unwrap()
+
+
+@pytest.mark.parametrize(('user', 'zones'), USERS)
+def test_settings_and_configuration_load(user, zones):
+    cfg = load_settings(EXAMPLES / user / 'settings.json').unwrap()
+    assert cfg.availability_zone in zones
+    published = configuration(user)
+    found = {each.availability_zone for each in published.endpoints}
+    assert found == zones
+    assert len(published.accounts) == 10
+
+
+@pytest.mark.parametrize(('user', 'zones'), USERS)
+def test_the_token_of_a_caller_is_made_as_the_page_says(user, zones):
+    for caller in configuration(user).callers:
+        token = f'example-token-{caller.name}'.encode()
+        assert caller.token_sha256 == hashlib.sha256(token).hexdigest()
+
+
+CALLS = (
+    ('thrissur', 'line-crew-1', 'store-desk', 'POST /bookings', True),
+    ('thrissur', 'line-crew-1', 'store-desk', 'GET /bookings', False),
+    ('kalahari', 'co-op-gobabis', 'depot-app', 'POST /reorders', True),
+    ('kalahari', 'probes-north', 'depot-app', 'POST /readings', False),
+)
+
+
+@pytest.mark.parametrize('call', CALLS)
+def test_bookings_and_reorders_must_not_repeat(call):
+    user, name, target, line, once = call
+    index = index_configuration(configuration(user))
+    caller = caller_of(index, f'example-token-{name}')
+    granted = access(index, caller, target)
+    method, path = line.split()
+    service = index.targets[target]
+    assert must_not_repeat(service, granted, method, path) is once
