--- a/foxtailhatch/cli/serve.py
+++ b/foxtailhatch/cli/serve.py
@@ -19,7 +19,7 @@
     help='The JSON file with the settings of this instance.',
 )
 def serve(path: Path) -> None:
-    r"""Run an entry in the foreground until it is stopped.
+    """Run an entry in the foreground until it is stopped.
 
     SIGTERM stops it without cutting off requests in progress.
 
