--- a/foxtailhatch/daemon/observability.py
+++ b/foxtailhatch/daemon/observability.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from foxtailhatch.core import ErrorCode, InvariantBroken
+from foxtailhatch.core.timeline_json import events_to_json
 from foxtailhatch.daemon.answers import Answers
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.guard import Guard
@@ -40,19 +41,7 @@
 
     def timeline(self, subject: str) -> object:
         """Return this instance's events as plain JSON values."""
-        return [
-            {
-                'stamp': [
-                    event.stamp.wall,
-                    event.stamp.count,
-                    event.stamp.instance,
-                ],
-                'event': event.kind.value,
-                'subject': event.subject,
-                'detail': event.detail,
-            }
-            for event in self.board.timeline.events(subject)
-        ]
+        return events_to_json(self.board.timeline.events(subject))
 
     def status(self) -> object:
         """Return this instance's state as plain JSON values."""
