Measure the engines' adapter against a bare relay

Listeners are now called from the loop and not from inside twisted's HTTP client, which took a broken invariant for a closed connection; a test shows that it reaches the log observers.

--- /dev/null
+++ b/bench/relay_adapter.py
@@ -0,0 +1,88 @@
+"""The engines' adapter with the least that a relay needs around it."""
+
+import sys
+from typing import Any
+
+from twisted.internet import asyncioreactor
+
+from bench.relay_job import (
+    MODEL,
+    PROMPT,
+    VERSION,
+    RelayJob,
+    TokenClock,
+    stage_layers,
+)
+from foxtailhatch.core import Address, Endpoint, EndpointKind
+from foxtailhatch.platform import DownFrame, OpenStage, StageOutput, StepStage
+from foxtailhatch.platform.engine_http import HttpEngine
+from foxtailhatch.platform.http_client import HttpClient
+
+
+class _Relay:
+    """Hear all sessions and pass each output on to the next stage."""
+
+    def __init__(self, job: RelayJob, reactor: Any) -> None:
+        self.job = job
+        self.reactor = reactor
+        self.clock = TokenClock(job)
+        self.positions = dict.fromkeys(job.streams(), 0)
+        engine = HttpEngine(HttpClient(reactor))
+        self.sessions = [
+            engine.open_session(_endpoint(stage, address), self)
+            for stage, address in enumerate(job.stages)
+        ]
+
+    def start(self) -> None:
+        """Open all stages of all answers and send the prompts."""
+        for stream in self.job.streams():
+            for stage, session in enumerate(self.sessions):
+                layers = stage_layers(stage)
+                session.send(OpenStage(stream, 1, MODEL, VERSION, layers))
+            self.sessions[0].send(StepStage(stream, 1, 0, PROMPT))
+
+    def frame_received(self, endpoint: str, frame: DownFrame) -> None:
+        """Pass on what a stage gave."""
+        if not isinstance(frame, StageOutput):
+            return
+        stream = frame.stream
+        if frame.token is None:
+            self.sessions[frame.layers.end].send(
+                StepStage(stream, 1, frame.position, (), frame.activations),
+            )
+            return
+        self.positions[stream] += 1 if self.positions[stream] else len(PROMPT)
+        if self.clock.token(stream, frame.token):
+            self.sessions[0].send(
+                StepStage(stream, 1, self.positions[stream], (frame.token,)),
+            )
+        elif self.clock.finished():
+            for session in self.sessions:
+                session.close()
+            self.reactor.stop()
+
+    def session_lost(self, endpoint: str, reason: str) -> None:
+        """Give up: a comparison without all stages means nothing."""
+        sys.exit(f'{endpoint}: {reason}')
+
+
+def _endpoint(stage: int, address: str) -> Endpoint:
+    host, port = address.split(':')
+    return Endpoint(
+        f'ep-{stage}',
+        Address(host, int(port)),
+        EndpointKind.ENGINE,
+        'thrissur-a',
+    )
+
+
+def main(job: RelayJob) -> None:
+    """Relay the job's answers and print the report."""
+    asyncioreactor.install()
+    from twisted.internet import reactor
+
+    loop: Any = reactor
+    relay = _Relay(job, loop)
+    relay.start()
+    loop.run()
+    print(relay.clock.report())
--- a/foxtailhatch/platform/session_http.py
+++ b/foxtailhatch/platform/session_http.py
@@ -111,7 +111,13 @@
 
 
 class HttpSession:
-    """An open session; it is lost once, for the first reason there is."""
+    """An open session; it is lost once, for the first reason there is.
+
+    The listener is called from the loop itself and never from inside
+    Twisted's HTTP code, which would take a broken invariant for a broken
+    connection and hide it.  From the loop, Twisted logs it as a failure that
+    a log observer sees.
+    """
 
     def __init__(
         self,
@@ -130,6 +136,8 @@
         self._splitter = LineSplitter(MAX_LINE_BYTES)
         self._up: Any = _UpStream()
         self._pending: list[bytes] = []
+        self._arrived: list[bytes] = []
+        self._reason: str | None = None
         self._requests: list[Deferred[IResponse]] = []
         self._pings = 0
         self._heartbeat: Any = cast(Any, LoopingCall(self._beat))
@@ -171,34 +179,56 @@
         self._down.disconnect()
 
     def lost(self, reason: str) -> None:
-        """Close the session and tell the listener why."""
-        listener = self._listener
-        if listener is not None:
-            self.close()
-            listener.session_lost(self.endpoint.name, reason)
+        """Lose the session after the frames that have arrived."""
+        if self._reason is None:
+            self._deliver_soon()
+            self._reason = reason
 
     def bytes_received(self, chunk: bytes) -> None:
-        """Take bytes of the down stream; a bad frame ends the session."""
+        """Take bytes of the down stream; a line without end is a fault."""
         self._heard_at = self._clock.seconds()
+        if self._reason is not None:
+            return
         try:
             lines = self._splitter.feed(chunk)
         except LineTooLong as exc:
             self.lost(f'bad frame: {exc}')
             return
+        if lines:
+            self._deliver_soon()
+            self._arrived.extend(lines)
+
+    def _deliver_soon(self) -> None:
+        """Have the listener called in the next turn of the loop."""
+        if not self._arrived and self._reason is None:
+            self._clock.callLater(0, self._deliver)
+
+    def _deliver(self) -> None:
+        """Hand over what arrived; the loss, if any, comes last."""
+        lines = self._arrived
+        self._arrived = []
         for line in lines:
-            self._line_received(line)
+            if self._listener is None:
+                return
+            self._deliver_line(self._listener, line)
+        listener = self._listener
+        if listener is not None and self._reason is not None:
+            self.close()
+            listener.session_lost(self.endpoint.name, self._reason)
 
-    def _line_received(self, line: bytes) -> None:
-        """Hand one frame to the listener, unless the session is lost."""
-        if self._listener is None:
-            return
+    def _deliver_line(self, listener: SessionListener, line: bytes) -> None:
+        """Hand over one frame, or lose the session for a bad one."""
         match decode_down(line):
             case Success(Pong()):
                 return
             case Success(frame):
-                self._listener.frame_received(self.endpoint.name, frame)
+                listener.frame_received(self.endpoint.name, frame)
             case Failure(reason):
-                self.lost(f'bad frame: {reason}')
+                self.close()
+                listener.session_lost(
+                    self.endpoint.name,
+                    f'bad frame: {reason}',
+                )
 
     def _down_opened(self, response: Any) -> None:
         """Read the frames that come, if the engine agreed."""
