--- /dev/null
+++ b/foxtailhatch/callers/replies.py
@@ -0,0 +1,140 @@
+"""Whole replies: JSON, refusals, and reading what headers say."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from math import isfinite
+from types import MappingProxyType
+
+from returns.result import Failure, Result, Success
+from twisted.web.http import Request
+
+from foxtailhatch.callers.errors import STATUSES, error_body, error_headers
+from foxtailhatch.core import ErrorCode, Refusal
+
+KEY_CHARACTERS = 255
+JSON_HEADERS: Mapping[str, str] = MappingProxyType(
+    {
+        'Content-Type': 'application/json',
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole reply; ``code`` is the error's code if it is a refusal."""
+
+    body: bytes
+    status: int = HTTPStatus.OK
+    headers: Mapping[str, str] = field(default_factory=dict)
+    code: ErrorCode | None = None
+
+
+def json_reply(document: object, status: int = HTTPStatus.OK) -> Reply:
+    """Return a reply that holds ``document`` as JSON."""
+    body = json.dumps(document, separators=(',', ':')).encode()
+    return Reply(body, status, JSON_HEADERS)
+
+
+def refusal_reply(refusal: Refusal, **details: object) -> Reply:
+    """Return the reply that tells a caller of ``refusal``.
+
+    ``details`` are further fields of the error, as JSON values.
+    """
+    return Reply(
+        error_body(refusal, **details),
+        STATUSES[refusal.code],
+        error_headers(refusal),
+        refusal.code,
+    )
+
+
+def prepare(req: Request, reply: Reply) -> bytes:
+    """Set the reply's status and headers, and return its body."""
+    req.setResponseCode(reply.status)
+    for name, text in reply.headers.items():
+        req.setHeader(name, text)
+    return reply.body
+
+
+def send(req: Request, reply: Reply) -> None:
+    """Write the whole reply and end it."""
+    body = prepare(req, reply)
+    req.setHeader('Content-Length', str(len(body)))
+    req.write(body)
+    req.finish()
+
+
+def header_text(req: Request, name: bytes) -> str | None:
+    """Return a header's last value, with U+FFFD for what is no text."""
+    header: bytes | None = req.getHeader(name)
+    return None if header is None else header.decode(errors='replace')
+
+
+def bearer_token(req: Request) -> Result[str, Refusal]:
+    """Return the bearer token of the Authorization header."""
+    header = header_text(req, b'Authorization') or ''
+    scheme, _, token = header.partition(' ')
+    if scheme.lower() == 'bearer' and token.strip():
+        return Success(token.strip())
+    return Failure(
+        Refusal(ErrorCode.BAD_TOKEN, 'A bearer token is required.'),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class CallHeaders:
+    """What a caller says of one call beside its body.
+
+    ``first_try`` is its word that it never sent the key before.
+    """
+
+    key: str | None
+    deadline_s: float | None
+    first_try: bool = False
+
+
+def call_headers(req: Request) -> Result[CallHeaders, Refusal]:
+    """Return the headers that say how a call may run."""
+    return Result.do(
+        CallHeaders(key, seconds, is_first_try(req))
+        for key in idempotency_key(req)
+        for seconds in deadline_s(req)
+    )
+
+
+def body_of(req: Request) -> bytes:
+    """Return the whole body."""
+    return b'' if req.content is None else bytes(req.content.read())
+
+
+def idempotency_key(req: Request) -> Result[str | None, Refusal]:
+    """Return the Idempotency-Key header, if there is one."""
+    key = header_text(req, b'Idempotency-Key')
+    if key is None:
+        return Success(None)
+    if 0 < len(key) <= KEY_CHARACTERS and key.isprintable():
+        return Success(key)
+    message = f'Idempotency-Key must have 1 to {KEY_CHARACTERS} characters.'
+    return Failure(Refusal(ErrorCode.BAD_REQUEST, message))
+
+
+def is_first_try(req: Request) -> bool:
+    """Tell whether the X-First-Try header says that the key is new."""
+    return header_text(req, b'X-First-Try') == 'true'
+
+
+def deadline_s(req: Request) -> Result[float | None, Refusal]:
+    """Return the X-Deadline-Seconds header in seconds, if there is one."""
+    header = header_text(req, b'X-Deadline-Seconds')
+    if header is None:
+        return Success(None)
+    try:
+        seconds = float(header)
+    except ValueError:
+        seconds = 0
+    if isfinite(seconds) and seconds > 0:
+        return Success(seconds)
+    message = 'X-Deadline-Seconds must be a number of seconds above 0.'
+    return Failure(Refusal(ErrorCode.BAD_REQUEST, message))
