--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,48 @@
+"""The pages name what the program has."""
+
+from pathlib import Path
+
+import pytest
+
+from foxtailhatch.callers.errors import STATUSES
+from foxtailhatch.config.documents import ConfigurationDocument
+from foxtailhatch.daemon.settings import Settings
+
+DOCS = Path(__file__).parent.parent / 'docs'
+
+
+@pytest.mark.parametrize('code', STATUSES)
+def test_each_code_has_its_row_with_its_status(code):
+    page = (DOCS / 'ERRORS.md').read_text()
+    assert page.count(f'| `{code.value}` | {STATUSES[code]} | ') == 1
+
+
+def fields_of(kind):
+    """Return the names of all fields of a model and the models within."""
+    found = set()
+    for name, field in kind.model_fields.items():
+        found.add(name)
+        for inner in (
+            field.annotation,
+            *getattr(field.annotation, '__args__', ()),
+        ):
+            if hasattr(inner, 'model_fields'):
+                found |= fields_of(inner)
+    return found
+
+
+@pytest.mark.parametrize('kind', [Settings, ConfigurationDocument])
+def test_each_field_is_explained(kind):
+    page = (DOCS / 'CONFIGURATION.md').read_text()
+    words = page.replace('.', '`').replace('"', '`').split('`')
+    assert fields_of(kind) - set(words) == set()
+
+
+@pytest.mark.parametrize('section', ['timeouts', 'periods', 'limits'])
+def test_each_default_is_on_the_page(section):
+    page = (DOCS / 'CONFIGURATION.md').read_text()
+    defaults = Settings.model_fields[section].default.model_dump()
+    for name, value in defaults.items():
+        shown = 'none' if value is None else f'{value:g}'
+        shown = str(value) if value and value >= 1e6 else shown
+        assert f'| `{name}` | {shown} | ' in page
