--- /dev/null
+++ b/bench/daemon_relay.py
@@ -0,0 +1,154 @@
+"""What the daemon adds: ``python -m bench.daemon_relay``.
+
+An entry streams answers of four stages to many callers at once.  Its
+processor time a token stands beside that of a bare relay in the same run, and
+the times a caller sees beside those of a direct call to the stand-ins.
+"""
+
+import json
+import re
+import time
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from itertools import pairwise
+from statistics import median
+
+import click
+
+from bench.relay import measured
+from bench.relay_job import RelayJob
+from bench.report import report
+from demo.launcher import new_launcher
+from demo.system import (
+    LAYERS,
+    MODEL,
+    TOKEN,
+    VERSION,
+    System,
+    call,
+    configuration,
+    environment,
+    open_call,
+    start_engines,
+    start_platform,
+)
+from standins.toy_model import reference_answer
+
+PROMPT = 'untangle strand 7'
+BOUNDS = (0, 3, 6, 9, LAYERS)
+MICROSECONDS = 1_000_000
+MILLISECONDS = 1000
+CPU_LINE = re.compile(r'^foxtailhatch_cpu_seconds_total\S* (\S+)', re.MULTILINE)
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """What one caller saw: the text and the time of each part."""
+
+    text: str
+    asked_at: float
+    part_times: tuple[float, ...]
+
+
+@click.command()
+@click.option('--answers', default=32)
+@click.option('--tokens', default=400)
+def main(answers: int, tokens: int) -> None:
+    """Measure an entry against a bare relay."""
+    with new_launcher(environment()) as launcher:
+        system = start_platform(launcher)
+        start_engines(system, BOUNDS)
+        system.start_entry('entry-0', 'thrissur-a')
+        system.publish(configuration(), 0, 'entry-0')
+        system.wait_until_served('entry-0')
+        _measure(system, answers, tokens)
+
+
+def _measure(system: System, answers: int, tokens: int) -> None:
+    address = system.entries['entry-0'].address
+    stages = tuple(engine.address for engine in system.engines.values())
+    before = cpu_seconds(address)
+    seen = ask_many(address, answers, tokens)
+    spent = cpu_seconds(address) - before
+    _check(seen, tokens)
+    figure = spent / (answers * tokens) * MICROSECONDS
+    bare = median(_bare(answers, tokens) for _ in range(3))
+    report(
+        'entry_processor_time',
+        round(figure, 1),
+        'us a token over four stages',
+        round(bare, 1),
+        stages=len(stages),
+        answers=answers,
+    )
+    _report_latency(address, tokens)
+
+
+def _bare(answers: int, tokens: int) -> float:
+    with new_launcher(environment()) as launcher:
+        stages = tuple(
+            launcher.start(
+                'standins.engine',
+                f'--name=bare-{first}',
+                f'--hold=toy:1:{first}-{end}',
+                '--model-layers=toy=4',
+            ).address
+            for first, end in pairwise(range(5))
+        )
+        return measured('bare', RelayJob(stages, answers, tokens))
+
+
+def _report_latency(address: str, tokens: int) -> None:
+    alone = ask_once(address, tokens)
+    first_ms = (alone.part_times[0] - alone.asked_at) * MILLISECONDS
+    gaps = [later - one for one, later in pairwise(alone.part_times)]
+    between_ms = median(gaps) * MILLISECONDS
+    report('first_token_alone', round(first_ms, 2), 'ms', 540)
+    report('between_tokens_alone', round(between_ms, 3), 'ms', 54)
+
+
+def cpu_seconds(address: str) -> float:
+    """Return the processor time that an entry has used."""
+    text = call(address, 'GET', '/metrics').body.decode()
+    found = CPU_LINE.search(text)
+    if found is None:
+        raise LookupError('no processor time in the metrics')
+    return float(found[1])
+
+
+def ask_many(address: str, answers: int, tokens: int) -> list[Seen]:
+    """Stream many answers at once."""
+    with ThreadPoolExecutor(answers) as pool:
+        asked = [pool.submit(ask_once, address, tokens) for _ in range(answers)]
+        return [each.result() for each in asked]
+
+
+def ask_once(address: str, tokens: int) -> Seen:
+    """Stream one answer and note when each part came."""
+    document = {
+        'model': MODEL,
+        'prompt': PROMPT,
+        'max_tokens': tokens,
+        'stream': True,
+    }
+    asked_at = time.perf_counter()
+    response = open_call(address, 'POST', '/v1/completions', document, TOKEN)
+    parts: list[str] = []
+    times: list[float] = []
+    for line in response:
+        if line.startswith(b'data: {'):
+            parts.append(json.loads(line[6:])['choices'][0]['text'])
+            times.append(time.perf_counter())
+    return Seen(''.join(parts), asked_at, tuple(times))
+
+
+def _check(seen: Sequence[Seen], tokens: int) -> None:
+    prompt = tuple(PROMPT.encode())
+    whole, _ = reference_answer(MODEL, VERSION, LAYERS, prompt, tokens)
+    if {each.text for each in seen} != {bytes(whole).decode()}:
+        raise AssertionError('an answer is wrong')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,24 @@
+"""One line of a benchmark's output."""
+
+import json
+import sys
+
+
+def report(
+    measure: str,
+    figure: float,
+    unit: str,
+    baseline: float,
+    **more: object,
+) -> None:
+    """Print a figure beside its baseline of the same run."""
+    line = {
+        'measure': measure,
+        'figure': figure,
+        'unit': unit,
+        'baseline': baseline,
+        'ratio': round(figure / baseline, 3) if baseline else None,
+        **more,
+    }
+    sys.stdout.write(f'{json.dumps(line)}\n')
+    sys.stdout.flush()
