Let engines load slowly, publish cache events late and move KV caches

The stand-ins showed neither the time that an order takes, nor late cache events, nor an entry that goes silent.

--- a/foxtailhatch/platform/__init__.py
+++ b/foxtailhatch/platform/__init__.py
@@ -16,6 +16,7 @@
 )
 from foxtailhatch.platform.protocols import (
     CacheEvent,
+    CacheMover,
     CachePage,
     Engine,
     EngineOrder,
@@ -37,6 +38,7 @@
 __all__ = [
     'Activation',
     'CacheEvent',
+    'CacheMover',
     'CachePage',
     'CancelStage',
     'DownFrame',
--- a/foxtailhatch/platform/protocols.py
+++ b/foxtailhatch/platform/protocols.py
@@ -114,6 +114,25 @@
         """Return the cache events whose number is above ``after``."""
 
 
+class CacheMover(Protocol):
+    """Moves the KV cache of one stream's stage between engines."""
+
+    async def export_cache(
+        self,
+        endpoint: Endpoint,
+        stream: str,
+    ) -> Result[bytes, PlatformError]:
+        """Return the cache in the engines' own format."""
+
+    async def import_cache(
+        self,
+        endpoint: Endpoint,
+        stream: str,
+        cache: bytes,
+    ) -> Result[None, PlatformError]:
+        """Give an engine a cache; a stage opened next goes on with it."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceCall:
     """A call of a plain service; ``key`` is its idempotency key, if any."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -11,7 +11,12 @@
     Engine,
     EngineSettings,
 )
-from standins.engine_streams import DEFAULT_MAX_STREAMS, EngineStreams
+from standins.engine_streams import (
+    DEFAULT_CACHE_BLOCKS,
+    DEFAULT_MAX_STREAMS,
+    EngineStreams,
+)
+from standins.prefix_cache import PrefixCache
 from standins.process import serve
 
 
@@ -64,6 +69,10 @@
             model_layers=dict(map(parse_layer_count, options['model_layers'])),
             max_streams=options['max_streams'],
             activation_bytes=options['activation_bytes'],
+            prefixes=PrefixCache(
+                options['cache_blocks'],
+                options['late_events'],
+            ),
         ),
         service=ServiceTime(
             options['base_s'],
@@ -74,6 +83,7 @@
         checks_fencing=not options['ignore_fence'],
         grace_s=options['grace_s'],
         load_lag_s=options['load_lag_s'],
+        loading_s=options['loading_s'],
     )
 
 
@@ -115,6 +125,9 @@
     _seconds('--per-token-s', 'Seconds that each token of prefill adds.'),
     _whole('--max-batch', 'Streams in one batch.', DEFAULT_MAX_BATCH),
     _seconds('--load-lag-s', 'How old a load report may be.'),
+    _seconds('--loading-s', 'Seconds until an order takes effect.'),
+    _whole('--cache-blocks', 'Blocks in the cache.', DEFAULT_CACHE_BLOCKS),
+    _whole('--late-events', 'Cache events that are not yet published.'),
     _seconds('--grace-s', 'How long a lost stream is kept.', DEFAULT_GRACE_S),
     click.Option(['--ignore-fence'], is_flag=True),
 )
--- a/standins/engine_sessions.py
+++ b/standins/engine_sessions.py
@@ -26,6 +26,7 @@
         """Start a session of which one stream is about to open."""
         self.name = name
         self.closed = False
+        self.heard_at = sessions.clock.seconds()
         self._sessions = sessions
         self._splitter = LineSplitter(MAX_LINE_BYTES)
         self._down: Request | None = None
@@ -50,6 +51,7 @@
 
     def feed(self, chunk: bytes) -> None:
         """Take bytes of the up stream; a bad frame closes the session."""
+        self.heard_at = self._sessions.clock.seconds()
         try:
             lines = self._splitter.feed(chunk)
         except LineTooLong:
@@ -146,6 +148,12 @@
         """Return how many sessions have both of their streams."""
         return sum(session.whole() for session in self._open.values())
 
+    def close_silent(self, oldest: float) -> None:
+        """Close the sessions that were last heard before a time."""
+        for session in tuple(self._open.values()):
+            if session.heard_at < oldest:
+                session.close()
+
     def forget(self, session: Session) -> None:
         """Drop a closed session."""
         self._open.pop(session.name, None)
--- a/tests/platform/test_engine_http.py
+++ b/tests/platform/test_engine_http.py
@@ -10,6 +10,7 @@
     StageOpened,
     StepStage,
 )
+from foxtailhatch.platform.cache_http import HttpCacheMover
 from foxtailhatch.platform.engine_http import HttpEngine
 from standins.toy_model import reference_answer
 from tests.platform.loop import Heard, run
@@ -80,6 +81,30 @@
     assert opened == StageOpened('s', 2, LayerRange(0, 2), 3)
 
 
+def test_a_moved_cache_needs_no_prefill():
+    async def scenario(old, new):
+        adapter = HttpEngine(client())
+        mover = HttpCacheMover(client())
+        heard = [Heard(), Heard()]
+        sessions = [
+            adapter.open_session(endpoint(ports), listener)
+            for ports, listener in zip((old, new), heard, strict=True)
+        ]
+        await _open(sessions[0], heard[0], 1)
+        sessions[0].send(StepStage('s', 1, 0, tokens=(1, 2, 3)))
+        await heard[0].frame_count(2)
+        cache = (await mover.export_cache(endpoint(old), 's')).unwrap()
+        (await mover.import_cache(endpoint(new), 's', cache)).unwrap()
+        opened = await _open(sessions[1], heard[1], 2)
+        missing = await mover.export_cache(endpoint(new), 'unknown')
+        for session in sessions:
+            session.close()
+        return opened.cached, missing.failure().fault
+
+    with listening(engine((0, 2))) as old, listening(engine((0, 2))) as new:
+        assert run(scenario(old, new)) == (3, PlatformFault.REFUSED)
+
+
 def test_load_report_shows_the_holdings():
     with listening(engine((0, 2))) as ports:
         report = run(HttpEngine(client()).load_report(endpoint(ports)))
