Tidy the front: gauges, methods of services, refused bodies

A body refused for its announced length was still asked for with 100 Continue when the caller had sent Expect (test_a_refused_large_body_is_not_asked_for). Services name the methods they answer like all other paths do. Each gauge has its own metric in place of one with a label for what it shows.

--- a/foxtailhatch/callers/intake.py
+++ b/foxtailhatch/callers/intake.py
@@ -96,6 +96,8 @@
     def _refuse(self, refusal: Refusal) -> None:
         # The method is not known yet, so the reply is written by hand.
         self._refused = True
+        # The channel would ask for the body after the refusal.
+        self.requestHeaders.removeHeader(b'Expect')
         self._stop_timing()
         self._front.observability.request_ended(refusal.code)
         self._connection().write(raw_reply(refusal))
--- a/foxtailhatch/callers/services.py
+++ b/foxtailhatch/callers/services.py
@@ -1,13 +1,12 @@
 """The resource that passes calls on to plain services."""
 
-from dataclasses import dataclass
 from urllib.parse import quote, unquote
 
 from returns.result import Failure, Result, Success
 from twisted.web.http import Request
 from twisted.web.resource import Resource
 
-from foxtailhatch.callers.base import UnknownPath, caller_of
+from foxtailhatch.callers.base import UnknownPath, bad_method, caller_of
 from foxtailhatch.callers.front import Front
 from foxtailhatch.callers.gateway import ServiceRequest
 from foxtailhatch.callers.later import reply_later
@@ -20,28 +19,18 @@
 )
 from foxtailhatch.core import ErrorCode, Refusal
 
-METHODS = frozenset(
-    (
-        b'DELETE',
-        b'GET',
-        b'HEAD',
-        b'OPTIONS',
-        b'PATCH',
-        b'POST',
-        b'PUT',
-    )
+METHODS = (
+    b'DELETE',
+    b'GET',
+    b'HEAD',
+    b'OPTIONS',
+    b'PATCH',
+    b'POST',
+    b'PUT',
 )
 SERVICES_PATH = b'/v1/services/'
 
 
-@dataclass(frozen=True, slots=True)
-class Target:
-    """What of a service is called; ``path`` has its query with it."""
-
-    method: str
-    path: str
-
-
 class ServicesResource(UnknownPath):
     """``/v1/services``, under which each service has its name."""
 
@@ -62,6 +51,8 @@
 
     def reply(self, req: Request) -> Reply | int:
         """Pass one call on and answer what the service answers."""
+        if req.method not in METHODS:
+            return bad_method(req, METHODS)
         match self._asked(req):
             case Failure(refusal):
                 return refusal_reply(refusal)
@@ -71,25 +62,22 @@
         raise AssertionError(req)
 
     def _asked(self, req: Request) -> Result[ServiceRequest, Refusal]:
-        target = Result.do(
-            Target(method, path)
-            for method in known_method(req.method)
-            for path in service_path(req.uri)
+        return service_path(req.uri).bind(
+            lambda path: self._request(req, path),
         )
-        return target.bind(lambda known: self._request(req, known))
 
     def _request(
         self,
         req: Request,
-        target: Target,
+        path: str,
     ) -> Result[ServiceRequest, Refusal]:
         return Result.do(
             ServiceRequest(
                 request_id=self.front.new_request_id(),
                 caller=caller,
                 service=self._name.decode(errors='replace'),
-                method=target.method,
-                path=target.path,
+                method=req.method.decode(),
+                path=path,
                 body=body_of(req),
                 content_type=header_text(req, b'Content-Type') or '',
                 key=headers.key,
@@ -109,15 +97,6 @@
         raise AssertionError(asked)
 
 
-def known_method(method: bytes) -> Result[str, Refusal]:
-    """Return the method's name, if it is one that services are called with."""
-    if method in METHODS:
-        return Success(method.decode())
-    allowed = ', '.join(sorted(name.decode() for name in METHODS))
-    message = f'Services answer {allowed}.'
-    return Failure(Refusal(ErrorCode.BAD_METHOD, message))
-
-
 def service_path(uri: bytes) -> Result[str, Refusal]:
     """Return what follows the service's name, in its one normal spelling.
 
--- a/foxtailhatch/daemon/metrics.py
+++ b/foxtailhatch/daemon/metrics.py
@@ -42,14 +42,21 @@
         self._labels = {'instance': instance}
         self._registry = Registry()
         self.tokens_delivered = 0
-        self._requests = self._counter('requests', 'Requests by outcome')
+        self._requests = self._counter(
+            'requests', 'Requests of callers and operators by outcome'
+        )
         self._tokens = self._counter('tokens', 'Tokens delivered to callers')
         self._recoveries = self._counter('recoveries', 'Answers by recovery')
         self._claims = self._counter('claims', 'Claims by outcome')
         self._log_faults = self._counter('log_faults', 'Log calls that failed')
         self._checks = self._counter('invariant_checks', 'Checks that held')
         self._cpu = self._counter('cpu_seconds', 'Processor time in seconds')
-        self._values = self._gauge('state', 'What the instance now has')
+        self._version = self._gauge(
+            'configuration_version',
+            'Version of the configuration in force, 0 for none',
+        )
+        self._sessions = self._gauge('sessions', 'Open sessions with engines')
+        self._answers = self._gauge('answers', 'Answers in progress')
         self._memory = self._gauge('peak_memory_bytes', 'Peak memory in bytes')
         self._first_token = self._histogram(
             'first_token_seconds',
@@ -90,15 +97,15 @@
 
     def configuration_in_force(self, version: int) -> None:
         """Note the version of the configuration in force."""
-        self._values.set({'of': 'configuration_version'}, version)
+        self._version.set(NO_LABELS, version)
 
     def sessions_open(self, count: int) -> None:
         """Note how many sessions with engines are open."""
-        self._values.set({'of': 'sessions'}, count)
+        self._sessions.set(NO_LABELS, count)
 
     def answers_running(self, count: int) -> None:
         """Note how many answers are in progress."""
-        self._values.set({'of': 'answers'}, count)
+        self._answers.set(NO_LABELS, count)
 
     def render(self) -> bytes:
         """Return everything in the Prometheus text format."""
--- a/tests/callers/test_services.py
+++ b/tests/callers/test_services.py
@@ -40,6 +40,13 @@
     assert not front.gateway.calls
 
 
+@with_front
+async def test_a_method_that_is_none_is_refused(front):
+    reply = await front.ask('BREW', '/v1/services/desk/book', **GOOD)
+    assert (reply.status, reply.error()['code']) == (405, 'bad_method')
+    assert 'PATCH' in reply.headers['allow'].upper()
+
+
 @pytest.mark.parametrize('path', ['a/../book', './book', '/book', 'a%2fbook'])
 def test_a_path_that_has_another_spelling_is_refused(path):
     refusal = service_path(b'/v1/services/desk/' + path.encode()).failure()
--- a/tests/callers/test_site.py
+++ b/tests/callers/test_site.py
@@ -88,6 +88,29 @@
     assert front.observability.ended == [ErrorCode.BODY_TOO_LARGE]
 
 
+@with_front
+async def test_a_refused_large_body_is_not_asked_for(front):
+    reader, writer = await front.connect()
+    size = LIMITS.body_bytes + 1
+    headers = {'Content-Length': size, 'Expect': '100-continue'}
+    writer.write(request_bytes('POST', '/v1/completions', b'', headers))
+    assert b'413' in await reader.readline()
+    front.clock.advance(2)
+    assert b'100 Continue' not in await reader.read(-1)
+
+
+@with_front
+async def test_requests_on_one_connection_get_their_own_answers(front):
+    reader, writer = await front.connect()
+    keep = {'Connection': 'keep-alive'}
+    for path in ('/healthz', '/v1/nothing'):
+        writer.write(request_bytes('GET', path, b'', keep))
+    writer.write(request_bytes('GET', '/readyz'))
+    replies = await reader.read(-1)
+    found = [replies.index(each) for each in (b'200', b'404', b'503')]
+    assert found == sorted(found)
+
+
 @with_front
 async def test_a_large_body_in_chunks_is_refused_with_its_first_excess(front):
     reader, writer = await front.connect()
--- a/tests/daemon/test_metrics.py
+++ b/tests/daemon/test_metrics.py
@@ -28,7 +28,7 @@
     samples = rendered(metrics)
     one = '{instance="entry-1"'
     tokens = f'foxtailhatch_tokens_total{one}}}'
-    version = f'foxtailhatch_state{one},of="configuration_version"}}'
+    version = f'foxtailhatch_configuration_version{one}}}'
     checks = f'foxtailhatch_invariant_checks_total{one},invariant="%s"}}'
     assert (samples[tokens], samples[version]) == (3, 12)
     made = checks_made[Invariant.AT_MOST_ONCE]
