Let ask be given several entries, and kill one in the middle

ask knew the entries that its first one advises; it now takes several, as timeline does. A test over separate processes kills the entry in the middle of an answer of 60 tokens: the whole answer equals what the layers must produce.

--- a/foxtailhatch/cli/ask.py
+++ b/foxtailhatch/cli/ask.py
@@ -17,7 +17,7 @@
 )
 from foxtailhatch.cli.entries import all_entries
 from foxtailhatch.cli.exits import Exit, leave
-from foxtailhatch.cli.options import entry_option, together
+from foxtailhatch.cli.options import entries_option, together
 from foxtailhatch.cli.sse import Dropped, Ending, Received, Whole
 
 TRIES = 6
@@ -73,7 +73,7 @@
 
 
 @click.command()
-@entry_option
+@entries_option
 @click.option(
     '--token',
     envvar='FOXTAILHATCH_TOKEN',
@@ -86,7 +86,7 @@
 )
 @click.argument('prompt')
 def ask(
-    entry: str,
+    known: tuple[str, ...],
     token: str,
     model: str,
     max_tokens: int,
@@ -102,7 +102,7 @@
       foxtailhatch ask --entry 10.20.1.11:8080 --model guide 'Strand 12?'
     """
     question = Question(model, prompt, max_tokens, token)
-    route = Route(list(all_entries((entry,))))
+    route = Route(list(all_entries(known)))
     received = Received()
     for _ in range(TRIES):
         address = route.next()
--- a/foxtailhatch/cli/options.py
+++ b/foxtailhatch/cli/options.py
@@ -25,6 +25,14 @@
     metavar='HOST:PORT',
     help='An entry to ask.',
 )
+entries_option = click.option(
+    '--entry',
+    'known',
+    required=True,
+    multiple=True,
+    metavar='HOST:PORT',
+    help='An entry to ask, as those that it advises; may be repeated.',
+)
 key_option = click.option(
     '--key',
     envvar='FOXTAILHATCH_OPERATOR_KEY',
--- a/foxtailhatch/cli/timeline.py
+++ b/foxtailhatch/cli/timeline.py
@@ -13,21 +13,14 @@
 from foxtailhatch.cli.client import Answer, Call, make_call
 from foxtailhatch.cli.entries import all_entries
 from foxtailhatch.cli.exits import Exit, leave
-from foxtailhatch.cli.options import together
+from foxtailhatch.cli.options import entries_option, together
 from foxtailhatch.cli.trace import chrome_trace
 from foxtailhatch.core import Event
 from foxtailhatch.core.timeline_json import events_from_json
 
 
 @click.command()
-@click.option(
-    '--entry',
-    'known',
-    required=True,
-    multiple=True,
-    metavar='HOST:PORT',
-    help='An entry to ask, and those that it advises; may be repeated.',
-)
+@entries_option
 @together(
     click.option('--subject', default='', help='A request or an endpoint.'),
     click.option('--since', type=float, help='Earliest wall time in seconds.'),
--- /dev/null
+++ b/tests/whole/test_ask.py
@@ -0,0 +1,53 @@
+"""The command line asks on when an entry dies in the middle of an answer."""
+
+import subprocess
+import sys
+from itertools import pairwise
+
+from demo.launcher import new_launcher
+from demo.system import (
+    LAYERS,
+    MODEL,
+    TOKEN,
+    VERSION,
+    ZONES,
+    configuration,
+    environment,
+    start_platform,
+)
+from standins.toy_model import reference_answer
+
+PROMPT = 'Strand 12?'
+MAX_TOKENS = 60
+SEEN_BYTES = 10
+END_WAIT_S = 60
+
+
+def test_an_answer_goes_on_at_another_entry_when_its_entry_is_killed():
+    env = {**environment(), 'FOXTAILHATCH_TOKEN': TOKEN}
+    with new_launcher(env) as launcher:
+        system = start_platform(launcher)
+        for number, layers in enumerate(pairwise((0, 4, 8, LAYERS))):
+            name, zone = f'engine-{number}', ZONES[number]
+            system.start_engine(name, zone, layers, '--base-s', '0.01')
+        first = system.start_entry('entry-1', ZONES[0])
+        second = system.start_entry('entry-2', ZONES[1])
+        system.publish(configuration(), 0, 'entry-1')
+        for name in ('entry-1', 'entry-2'):
+            system.wait_until_served(name)
+        options = ['--model', MODEL, '--max-tokens', str(MAX_TOKENS)]
+        entries = ['--entry', first.address, '--entry', second.address]
+        command = ['-m', 'foxtailhatch', 'ask', *entries, *options, PROMPT]
+        asking = subprocess.Popen(
+            [sys.executable, *command],
+            env=env,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
+        seen = asking.stdout.read(SEEN_BYTES)
+        first.kill()
+        rest, complaint = asking.communicate(timeout=END_WAIT_S)
+    prompt = tuple(PROMPT.encode())
+    tokens, _ = reference_answer(MODEL, VERSION, LAYERS, prompt, MAX_TOKENS)
+    assert seen + rest == bytes([*tokens, *b'\n'])
+    assert first.address.encode() in complaint
