--- a/foxtailhatch/durable/claim_refusals.py
+++ b/foxtailhatch/durable/claim_refusals.py
@@ -68,6 +68,21 @@
     )
 
 
+def key_was_freed() -> Refusal:
+    """An earlier try gave the key up; others may have begun since.
+
+    The abandon may be older than this request, so it does not tell about
+    tries that arrived between the two.
+    """
+    return Refusal(
+        ErrorCode.KEY_IN_USE,
+        'An earlier try gave the key back.  Try again under the same key; it '
+        'runs at most once.',
+        RunState.UNKNOWN,
+        KEY_RETRY_S,
+    )
+
+
 def holder_is_silent() -> Refusal:
     """An earlier try holds the key and is not heard of any more."""
     return Refusal(
--- a/foxtailhatch/durable/claims.py
+++ b/foxtailhatch/durable/claims.py
@@ -174,13 +174,9 @@
         refusal = self._barred(now, ticket.req)
         if refusal is not None:
             return self.sends.abandon(ticket, refusal)
-        if read.standing is Standing.LATER:
+        if read.standing is not Standing.HOLDS:
             ticket.state = TicketState.WAITING
             return None
-        if read.standing is Standing.VOID:
-            return self._close(ticket, refusals.given_back())
-        if now >= ticket.req.deadline_at:
-            return self.sends.abandon(ticket, refusals.given_back())
         state = self.table.look_up(ticket.req.owner)
         ticket.fence = state.offset if state else None
         return self._hold(ticket)
@@ -215,7 +211,7 @@
         if state.holder:
             return self._follow(ticket, state.holder, state.outcome)
         if state.freed > ticket.seen:
-            return self._close(ticket, refusals.given_back())
+            return self._close(ticket, refusals.key_was_freed())
         return None
 
     def _follow(
--- a/tests/config/test_fold.py
+++ b/tests/config/test_fold.py
@@ -154,3 +154,15 @@
     put(log, broken, now=50.0)
     fold, _ = read_all(log, now=120.0)
     assert fold.in_force is None
+
+
+def test_records_of_a_peer_are_folded_only_in_turn():
+    log = FakeLog()
+    put(log, publication(1, 'a'), publication(2, 'b'))
+    ahead, _ = read_all(log)
+    fold = ConfigurationFold()
+    records = ahead.records_after(-1)
+    assert fold.take_records(records[1:]) == []
+    assert fold.version == 0
+    fold.take_records(records + records)
+    assert fold.version == 2
--- a/tests/config/test_snapshots.py
+++ b/tests/config/test_snapshots.py
@@ -1,5 +1,6 @@
 import random
 
+from foxtailhatch.config.coverage import Coverage
 from foxtailhatch.config.fold import ConfigurationFold
 from foxtailhatch.config.snapshots import HOLD_S, SnapshotWriter
 from tests.config.stream import catch_up, publication, put, read_all
@@ -82,3 +83,10 @@
     put(log, publication(2, 'c'), now=2000.0)
     catch_up(fold, log, 2000.0)
     assert writers(1)[0].step(2000.0, fold, caught_up=True) is None
+
+
+def test_a_late_stale_snapshot_does_not_lower_the_coverage():
+    coverage = Coverage().logged(0, 1.0).logged(1, 2.0).logged(2, 3.0)
+    covered = coverage.restated(1)
+    assert covered.since == 3.0
+    assert covered.restated(0) == covered
