Take leases through the log with fencing numbers

Orders to engines need one holder, and a holder that was paused must stop before the next one starts.

A lease is granted by the log's times and its fencing number is the offset of the record that took it. A holder trusts it for less than a term from before its append. A reader that lost records takes no side until a renewal or a term has shown who holds the lease.

Tests pause the holder, lose answers, interrupt the log, replace candidates and expire records.

--- /dev/null
+++ b/foxtailhatch/durable/lease_holder.py
@@ -0,0 +1,119 @@
+"""Taking, keeping and giving back one lease, as one candidate of many."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from foxtailhatch.durable.appends import AppendRecord
+from foxtailhatch.durable.leases import (
+    LEASE_STREAM,
+    TERM_S,
+    LeaseGrant,
+    LeaseRecord,
+    LeaseTable,
+    ReleaseLease,
+    RenewLease,
+    TakeLease,
+    encode_lease_record,
+)
+
+TRUSTED_S = 10.0
+RENEW_AFTER_S = 4.0
+TAKE_SPREAD_S = 5.0
+RETRY_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class HeldLease:
+    """A lease that may be acted under until ``until``, on the own clock."""
+
+    fence: int
+    until: float
+
+
+class LeaseHolder:
+    """One candidate for one lease.
+
+    ``run_id`` differs at every start.  Give it the grants that
+    :meth:`LeaseTable.take_page` returns.
+    """
+
+    def __init__(self, lease: str, run_id: str, rng: random.Random) -> None:
+        """Start without the lease."""
+        self.lease = lease
+        self._run_id = run_id
+        self._rng = rng
+        self._count = 0
+        self._held: HeldLease | None = None
+        self._asked: dict[str, float] = {}
+        self._next_at = float(0)
+        self._take_at: float | None = None
+
+    def held(self, now: float) -> HeldLease | None:
+        """Return the lease if it may be acted under at ``now``."""
+        if self._held and now < self._held.until:
+            return self._held
+        return None
+
+    def step(self, now: float, table: LeaseTable) -> AppendRecord | None:
+        """Return the append that takes or renews the lease, if due."""
+        self._forget_old(now)
+        if now < self._next_at:
+            return None
+        held = self.held(now)
+        if held:
+            if now < held.until - TRUSTED_S + RENEW_AFTER_S:
+                return None
+            wish = RenewLease(self.lease, self._ask(now), held.fence)
+            return _append(wish)
+        if not self._may_take(now, table):
+            return None
+        return _append(TakeLease(self.lease, self._ask(now)))
+
+    def granted(self, grants: Iterable[LeaseGrant]) -> None:
+        """Learn which wishes were granted, as the stream was read.
+
+        The lease counts from when the wish was made: the log can have
+        granted it no earlier.
+        """
+        for grant in grants:
+            asked_at = self._asked.pop(grant.wish_id, None)
+            if asked_at is not None:
+                self._held = HeldLease(grant.fence, asked_at + TRUSTED_S)
+
+    def release(self, now: float) -> AppendRecord | None:
+        """Give the lease back, as at a planned stop."""
+        held = self.held(now)
+        self._held = None
+        self._asked.clear()
+        if held is None:
+            return None
+        return _append(ReleaseLease(self.lease, held.fence))
+
+    def _may_take(self, now: float, table: LeaseTable) -> bool:
+        """Wait a random while before a take, so that few try at once."""
+        if not table.is_free(self.lease, now):
+            self._take_at = None
+            return False
+        if self._take_at is None:
+            self._take_at = now + self._rng.uniform(0, TAKE_SPREAD_S)
+        return now >= self._take_at
+
+    def _ask(self, now: float) -> str:
+        self._count += 1
+        self._next_at = now + RETRY_S
+        wish_id = f'{self._run_id}:{self._count}'
+        self._asked[wish_id] = now
+        return wish_id
+
+    def _forget_old(self, now: float) -> None:
+        """Drop wishes whose grant would no longer be trusted."""
+        self._asked = {
+            wish_id: asked_at
+            for wish_id, asked_at in self._asked.items()
+            if now < asked_at + TERM_S
+        }
+
+
+def _append(wish: LeaseRecord) -> AppendRecord:
+    return AppendRecord(LEASE_STREAM, encode_lease_record(wish))
--- /dev/null
+++ b/foxtailhatch/durable/leases.py
@@ -0,0 +1,183 @@
+"""Leases taken through the log, with fencing numbers from its order.
+
+The offset of the record that took a lease is its fencing number.  All readers
+judge by the log's times alone, so they agree on who holds it.  A holder trusts
+its lease for less than its term, counted on its own clock from before the
+append, so it stops before anybody else can take the lease.
+"""
+
+from dataclasses import dataclass, replace
+from typing import Any
+
+import cbor2
+from pydantic import TypeAdapter, ValidationError
+
+from foxtailhatch.durable.claim_table import CLOCK_MARGIN_S
+from foxtailhatch.platform import LogPage, LogRecord
+
+LEASE_STREAM = 'leases'
+TERM_S = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class TakeLease:
+    """A wish to take a lease that nobody holds."""
+
+    lease: str
+    wish_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class RenewLease:
+    """The holder's wish to keep the lease ``fence`` for another term."""
+
+    lease: str
+    wish_id: str
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseLease:
+    """The holder's word that it is done with the lease ``fence``."""
+
+    lease: str
+    fence: int
+
+
+LeaseRecord = TakeLease | RenewLease | ReleaseLease
+_KINDS: dict[str, type[LeaseRecord]] = {
+    'take': TakeLease,
+    'renew': RenewLease,
+    'release': ReleaseLease,
+}
+_ADAPTERS: dict[str, TypeAdapter[Any]] = {
+    name: TypeAdapter(kind) for name, kind in _KINDS.items()
+}
+
+
+def encode_lease_record(record: LeaseRecord) -> bytes:
+    """Return the body of a log record.
+
+    >>> take = TakeLease('placement', 'entry-1:1')
+    >>> decode_lease_record(encode_lease_record(take)) == take
+    True
+    """
+    name = next(
+        name for name, kind in _KINDS.items() if isinstance(record, kind)
+    )
+    fields = {slot: getattr(record, slot) for slot in record.__slots__}
+    return cbor2.dumps([name, fields])
+
+
+def decode_lease_record(body: bytes) -> LeaseRecord | None:
+    """Return the record in ``body``, or ``None`` if it is none."""
+    try:
+        name, fields = cbor2.loads(body)
+    except (cbor2.CBORDecodeError, TypeError, ValueError):
+        return None
+    try:
+        record: LeaseRecord = _ADAPTERS[name].validate_python(fields)
+    except (LookupError, TypeError, ValidationError):
+        return None
+    return record
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseState:
+    """A lease that was taken; ``until`` is by the log's time."""
+
+    fence: int
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseGrant:
+    """A wish to take or renew was granted under a fencing number."""
+
+    wish_id: str
+    fence: int
+
+
+class LeaseTable:
+    """The lease stream folded.
+
+    When records were lost, a lease may be held that this reader does not
+    know.  Its holder renews it within a term, and a renewal proves that its
+    lease was taken; until a term has passed, the reader takes no side.
+    """
+
+    def __init__(self) -> None:
+        """Start before the first record."""
+        self.through = -1
+        self.log_time = float(0)
+        self._unsure_until = float(0)
+        self._leases: dict[str, LeaseState] = {}
+
+    @property
+    def wanted(self) -> int:
+        """Return the offset to read next."""
+        return self.through + 1
+
+    def state(self, lease: str) -> LeaseState | None:
+        """Return the last known state of a lease, lapsed or not."""
+        return self._leases.get(lease)
+
+    def is_free(self, lease: str, now: float) -> bool:
+        """Tell whether a take is worth trying at ``now``."""
+        state = self._leases.get(lease)
+        until = state.until if state else float(0)
+        return now >= max(until, self._unsure_until)
+
+    def take_page(self, now: float, page: LogPage) -> list[LeaseGrant]:
+        """Fold a page and return the wishes that were granted."""
+        if page.first > self.wanted:
+            first = page.records[0].time if page.records else now
+            self._unsure_until = first + TERM_S + CLOCK_MARGIN_S
+            self.through = page.first - 1
+        granted: list[LeaseGrant | None] = []
+        for logged in page.records:
+            if logged.offset == self.wanted:
+                granted.append(self._take_record(logged))
+        return [grant for grant in granted if grant]
+
+    def _take_record(self, logged: LogRecord) -> LeaseGrant | None:
+        self.through = logged.offset
+        self.log_time = max(self.log_time, logged.time)
+        record = decode_lease_record(logged.body)
+        match record:
+            case TakeLease():
+                return self._taken(logged.offset, record)
+            case RenewLease():
+                return self._renewed(record)
+            case ReleaseLease():
+                self._released(record)
+        return None
+
+    def _taken(self, offset: int, record: TakeLease) -> LeaseGrant | None:
+        now = self.log_time
+        until = now + TERM_S
+        if now < self._unsure_until:
+            # Whether this was granted is proved by a renewal, if it was.
+            self._unsure_until = max(self._unsure_until, until)
+            return None
+        state = self._leases.get(record.lease)
+        if state and now < state.until:
+            return None
+        self._leases[record.lease] = LeaseState(offset, until)
+        return LeaseGrant(record.wish_id, offset)
+
+    def _renewed(self, record: RenewLease) -> LeaseGrant | None:
+        state = self._leases.get(record.lease)
+        until = self.log_time + TERM_S
+        if state and state.fence == record.fence:
+            self._leases[record.lease] = replace(state, until=until)
+            return LeaseGrant(record.wish_id, record.fence)
+        if state is None or record.fence > state.fence:
+            self._leases[record.lease] = LeaseState(record.fence, until)
+        return None
+
+    def _released(self, record: ReleaseLease) -> None:
+        state = self._leases.get(record.lease)
+        if state and state.fence == record.fence:
+            released = replace(state, until=self.log_time)
+            self._leases[record.lease] = released
--- /dev/null
+++ b/tests/durable/test_leases.py
@@ -0,0 +1,137 @@
+import random
+
+import pytest
+
+from foxtailhatch.durable.lease_holder import LeaseHolder
+from foxtailhatch.durable.leases import LEASE_STREAM, TERM_S, LeaseTable
+from tests.durable.fake_log import AppendFate, FakeLog
+
+RETENTION_S = 600.0
+
+
+class Candidate:
+    """One entry that tries for the lease; ``awake`` is false in a pause."""
+
+    def __init__(self, name, log):
+        self.log = log
+        self.table = LeaseTable()
+        self.holder = LeaseHolder('placement', name, random.Random(name))
+        self.awake = True
+
+    def turn(self, now):
+        if not self.awake:
+            return
+        self.read(now)
+        append = self.holder.step(now, self.table)
+        if append:
+            self.log.append(append.stream, append.body, now)
+        self.read(now)
+
+    def read(self, now):
+        page = self.log.read(LEASE_STREAM, self.table.wanted, now)
+        page.map(
+            lambda found: self.holder.granted(
+                self.table.take_page(now, found),
+            ),
+        )
+
+    def fence(self, now):
+        held = self.holder.held(now)
+        return held.fence if held else None
+
+
+def candidates(log, count=3):
+    return [Candidate(f'entry-{number}', log) for number in range(count)]
+
+
+def run(entries, start, end, step=0.5):
+    """Return the fences held at each moment, by who held them."""
+    seen = []
+    now = start
+    while now < end:
+        for entry in entries:
+            entry.turn(now)
+        seen.append([entry.fence(now) for entry in entries])
+        now += step
+    return seen
+
+
+def holders(fences):
+    return [fence for fence in fences if fence is not None]
+
+
+def test_one_candidate_holds_and_keeps_the_lease():
+    entries = candidates(FakeLog())
+    seen = run(entries, 0, 60)
+    assert all(len(holders(moment)) <= 1 for moment in seen)
+    assert len({fence for moment in seen for fence in holders(moment)}) == 1
+    assert len(holders(seen[-1])) == 1
+
+
+def test_a_paused_holder_stops_before_the_next_one_starts():
+    log = FakeLog()
+    entries = candidates(log)
+    first = holders(run(entries, 0, 20)[-1])[0]
+    paused = next(entry for entry in entries if entry.fence(20) == first)
+    paused.awake = False
+    seen = run(entries, 20, 60)
+    assert all(len(holders(moment)) <= 1 for moment in seen)
+    assert holders(seen[-1])[0] > first
+    paused.awake = True
+    assert paused.fence(60) is None
+
+
+def test_a_grant_that_is_read_late_is_not_trusted():
+    log = FakeLog()
+    entry = candidates(log, 1)[0]
+    for now in range(10):
+        append = entry.holder.step(now, entry.table)
+        if append:
+            log.append(append.stream, append.body, now)
+            break
+    entry.read(now + TERM_S)
+    assert entry.fence(now + TERM_S) is None
+
+
+@pytest.mark.parametrize('seed', range(10))
+def test_lost_answers_and_outages_leave_at_most_one_holder(seed):
+    rng = random.Random(seed)
+    log = FakeLog(retention_s=RETENTION_S)
+    entries = candidates(log, 4)
+    newest = -1
+    for now in range(400):
+        log.up = rng.random() < 0.8
+        log.fates.extend(rng.choices(list(AppendFate), k=1))
+        log.land(now)
+        for entry in entries:
+            entry.awake = rng.random() < 0.6
+        if rng.random() < 0.02:
+            entries[rng.randrange(4)] = Candidate(f'late-{now}', log)
+        held = holders(run(entries, now, now + 1)[-1])
+        assert len(held) <= 1
+        assert all(fence >= newest for fence in held)
+        newest = max([newest, *held])
+    assert newest > 0
+
+
+def test_a_reader_that_lost_records_takes_no_side_before_a_term():
+    log = FakeLog(retention_s=RETENTION_S)
+    entries = candidates(log)
+    run(entries, 0, 20)
+    log.streams[LEASE_STREAM].expire(18)
+    fresh = Candidate('fresh', log)
+    seen = run([*entries, fresh], 20, 200)
+    assert all(len(holders(moment)) == 1 for moment in seen)
+    assert fresh.table.state('placement').fence == holders(seen[-1])[0]
+
+
+def test_a_released_lease_is_taken_within_seconds():
+    log = FakeLog()
+    entries = candidates(log, 2)
+    run(entries, 0, 20)
+    holder = next(entry for entry in entries if entry.fence(20) is not None)
+    release = holder.holder.release(20)
+    log.append(release.stream, release.body, 20)
+    holder.awake = False
+    seen = run(entries, 20, 20 + TERM_S / 2)
+    assert len(holders(seen[-1])) == 1
