Judge endpoints by what is seen of them in one place

Cause: lost sessions and refusals told nobody; a failing endpoint got new work until the platform's list dropped it. Change: EndpointCare feeds sessions, refusals, answers and probes to the endpoint table and the health, and keeps the pool in line; an engine that says it leaves closes at once.

--- a/foxtailhatch/daemon/answers.py
+++ b/foxtailhatch/daemon/answers.py
@@ -10,6 +10,7 @@
 from foxtailhatch.daemon.answer_load import AnswerLoad
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.chains import PoolChains
+from foxtailhatch.daemon.endpoint_care import EndpointCare
 from foxtailhatch.daemon.grants import GrantedAnswer
 from foxtailhatch.daemon.live_answer import AnswerOutcome, LiveAnswer
 from foxtailhatch.daemon.patience import BudgetedPatience
@@ -21,6 +22,8 @@
     AnswerFinished,
     AnswerRun,
     ChainStarted,
+    StageDenied,
+    StageReady,
     StepAnswered,
 )
 from foxtailhatch.routing import ChainChooser
@@ -73,6 +76,7 @@
     def __init__(
         self,
         board: Blackboard,
+        care: EndpointCare,
         sessions: Sessions,
         chooser: ChainChooser,
         clock: LoopClock,
@@ -81,6 +85,7 @@
         self.tokens = 0
         self.recoveries = 0
         self._board = board
+        self._care = care
         self._sessions = sessions
         self._chooser = chooser
         self._clock = clock
@@ -133,12 +138,7 @@
 
     def may_start_on(self, endpoint: str) -> bool:
         """Tell whether new work may be sent to an endpoint now."""
-        now = self.now()
-        may_send = self._board.endpoints.may_send(endpoint, now)
-        self._board.pool.set_usable(endpoint, usable=may_send)
-        if may_send:
-            self._board.endpoints.check_send(endpoint, now)
-        return may_send
+        return self._care.may_start_on(endpoint)
 
     def noted(self, answer: LiveAnswer, action: Action) -> None:
         """Take in what an answer did."""
@@ -148,6 +148,10 @@
         match action:
             case ChainStarted():
                 self._chain_started(answer, action)
+            case StageReady(endpoint):
+                self._care.stage_opened(endpoint)
+            case StageDenied(endpoint, fault):
+                self._care.stage_refused(endpoint, fault)
             case StepAnswered():
                 self._step_answered(action)
 
@@ -210,11 +214,12 @@
         self._board.record(kind, answer.stream, f'{action.attempt}:{names}')
 
     def _step_answered(self, step: StepAnswered) -> None:
-        now = self.now()
         self._board.progress.measured(
-            step.endpoint, step.positions, step.seconds
+            step.endpoint,
+            step.positions,
+            step.seconds,
         )
-        self._board.health.note_success(step.endpoint, now)
+        self._care.answered(step.endpoint)
 
 
 def _ticket(
--- a/foxtailhatch/daemon/assembly.py
+++ b/foxtailhatch/daemon/assembly.py
@@ -65,7 +65,7 @@
     return ConfigurationLoop(
         parts.board,
         log,
-        parts.watch,
+        parts.care,
         parts.follower,
         SnapshotWriter(cfg.periods.log_retention_s, rng),
         now,
@@ -84,7 +84,7 @@
         parts.board,
         Metrics(cfg.instance),
         parts.answers,
-        parts.session_watch,
+        parts.care,
         parts.guard,
     )
     operators = None
--- a/foxtailhatch/daemon/blackboard.py
+++ b/foxtailhatch/daemon/blackboard.py
@@ -17,7 +17,8 @@
 class Blackboard:
     """One entry's knowledge; each part is written by the part that owns it.
 
-    ``index`` is the configuration in force with its look-up tables, absent
+    ``leaves_seen`` names endpoints that said they leave, for the peers to be
+    told.  ``index`` is the configuration in force with its look-up tables, absent
     until one is known.  ``random`` is the one source of randomness.
     """
 
@@ -36,6 +37,7 @@
     progress: ProgressWatch = field(default_factory=ProgressWatch)
     admission: Admission = field(default_factory=Admission)
     fold: ConfigurationFold = field(default_factory=ConfigurationFold)
+    leaves_seen: list[str] = field(default_factory=list)
     index: ConfigurationIndex | None = None
 
     def record(self, kind: EventKind, subject: str, detail: str = '') -> None:
--- a/foxtailhatch/daemon/configuration_loop.py
+++ b/foxtailhatch/daemon/configuration_loop.py
@@ -27,7 +27,7 @@
 from foxtailhatch.config.snapshots import SnapshotWriter
 from foxtailhatch.core import EventKind, Mark
 from foxtailhatch.daemon.blackboard import Blackboard
-from foxtailhatch.daemon.platform_watch import PlatformWatch
+from foxtailhatch.daemon.endpoint_care import EndpointCare
 from foxtailhatch.durable.appends import AppendRecord
 from foxtailhatch.durable.follower import LogFollower
 from foxtailhatch.platform import LogService, PlatformError
@@ -50,7 +50,7 @@
         self,
         board: Blackboard,
         log: LogService,
-        watch: PlatformWatch,
+        care: EndpointCare,
         follower: LogFollower,
         snapshots: SnapshotWriter,
         now: Callable[[], float],
@@ -60,7 +60,7 @@
         self._marks_taken: dict[str, str] = {}
         self._board = board
         self._log = log
-        self._watch = watch
+        self._care = care
         self._follower = follower
         self._snapshots = snapshots
         self._now = now
@@ -181,7 +181,7 @@
         self._board.endpoints.note_configuration(cfg.endpoints)
         self._board.entries.update_own(configuration_version=cfg.version)
         self._record(EventKind.CONFIGURATION_IN_FORCE, str(cfg.version))
-        self._watch.take_changes(())
+        self._care.refresh_pool()
 
     def _take_marks(self) -> None:
         for instance, record in self._board.fold.export().marks.items():
@@ -193,7 +193,7 @@
         now = self._now()
         self._record(EventKind.MARK_CHANGED, f'{instance} {mark.value}')
         self._board.entries.note_mark(instance, mark)
-        self._watch.take_changes(
+        self._care.take_changes(
             self._board.endpoints.note_mark(instance, mark, now),
         )
         if instance == self._board.name and mark is Mark.STOP:
--- /dev/null
+++ b/foxtailhatch/daemon/endpoint_care.py
@@ -0,0 +1,121 @@
+"""What is seen of endpoints, and what follows for new work on them."""
+
+from collections.abc import Callable, Iterable
+
+from foxtailhatch.core import EndpointKind, EventKind
+from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.membership import EndpointChange, EndpointState
+from foxtailhatch.platform import StageFault
+from foxtailhatch.recovery import Admission, Ejected, HealthOutcome, Restored
+
+
+class EndpointCare:
+    """Keep the endpoint table, the health and the pool in line.
+
+    ``open`` names the endpoints with an open session, ``lost`` counts the
+    sessions that were lost.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        now: Callable[[], float],
+    ) -> None:
+        """Start with no session."""
+        self.open: set[str] = set()
+        self.lost = 0
+        self._board = board
+        self._now = now
+
+    def session_opened(self, endpoint: str) -> None:
+        """Learn that a session is being opened."""
+        self.open.add(endpoint)
+        self._board.record(EventKind.SESSION_OPENED, endpoint)
+
+    def session_lost(self, endpoint: str, reason: str) -> None:
+        """Learn that a session was lost, and why."""
+        self.open.discard(endpoint)
+        self.lost += 1
+        self._board.record(EventKind.SESSION_LOST, endpoint, reason)
+        self._board.endpoints.note_session_refused(endpoint, self._now())
+        self.failed(endpoint)
+
+    def stage_opened(self, endpoint: str) -> None:
+        """Learn that an endpoint opened a stage."""
+        self._board.endpoints.note_session_open(endpoint, self._now())
+
+    def stage_refused(self, endpoint: str, fault: StageFault) -> None:
+        """Learn that an endpoint refused a stage, and why."""
+        if fault is not StageFault.LEAVING:
+            return
+        now = self._now()
+        changes = self._board.endpoints.note_leaving_observed(endpoint, now)
+        self._board.leaves_seen.append(endpoint)
+        self.take_changes(changes)
+
+    def answered(self, endpoint: str) -> None:
+        """Learn that an endpoint gave an answer."""
+        outcome = self._board.health.note_success(endpoint, self._now())
+        self._take_outcome(outcome)
+
+    def failed(self, endpoint: str) -> None:
+        """Learn that an endpoint failed."""
+        outcome = self._board.health.note_failure(endpoint, self._now())
+        self._take_outcome(outcome)
+
+    def may_start_on(self, endpoint: str) -> bool:
+        """Tell whether new work may be sent to an endpoint now.
+
+        Call it in the loop turn in which the work is sent.
+        """
+        now = self._now()
+        may_send = self._board.endpoints.may_send(endpoint, now)
+        if may_send:
+            self._board.endpoints.check_send(endpoint, now)
+        else:
+            self._board.pool.set_usable(endpoint, usable=False)
+        return may_send
+
+    def take_changes(self, changes: Iterable[EndpointChange]) -> None:
+        """Take changes of the endpoint table over into the pool."""
+        for change in changes:
+            self._board.record(
+                EventKind.ENDPOINT_CHANGED,
+                change.endpoint,
+                ' to '.join((change.before, change.after)),
+            )
+        self.refresh_pool()
+
+    def refresh_pool(self) -> None:
+        """Bring the whole pool in line with the endpoint table."""
+        now = self._now()
+        table = self._board.endpoints
+        usable = frozenset(table.usable_names(now))
+        self._board.health.keep_only(usable)
+        for name in usable:
+            endpoint = table.endpoint(name)
+            if endpoint is not None and endpoint.kind is EndpointKind.ENGINE:
+                self._board.pool.add(endpoint, usable=self._is_well(name))
+        for view in tuple(self._board.pool):
+            if view.endpoint.name not in usable:
+                self._close(view.endpoint.name)
+
+    def _close(self, name: str) -> None:
+        self._board.pool.set_usable(name, usable=False)
+        state = self._board.endpoints.state(name, self._now())
+        if state is EndpointState.UNKNOWN:
+            self._board.pool.remove(name)
+            self._board.progress.forget_endpoint(name)
+
+    def _is_well(self, name: str) -> bool:
+        admission = self._board.health.admission(name, self._now())
+        return admission is Admission.OPEN
+
+    def _take_outcome(self, outcome: HealthOutcome) -> None:
+        match outcome:
+            case Ejected(endpoint, _):
+                self._board.record(EventKind.ENDPOINT_EJECTED, endpoint)
+                self._board.pool.set_usable(endpoint, usable=False)
+            case Restored(endpoint):
+                self._board.record(EventKind.ENDPOINT_RESTORED, endpoint)
+                self.refresh_pool()
--- a/foxtailhatch/daemon/entry.py
+++ b/foxtailhatch/daemon/entry.py
@@ -10,13 +10,13 @@
 from foxtailhatch.daemon.claim_loop import ClaimLoop
 from foxtailhatch.daemon.claimed_calls import ClaimedCalls
 from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
+from foxtailhatch.daemon.endpoint_care import EndpointCare
 from foxtailhatch.daemon.gateway import DaemonGateway
 from foxtailhatch.daemon.guard import Guard, GuardedClock
 from foxtailhatch.daemon.loops import Loops
 from foxtailhatch.daemon.outside import Outside
 from foxtailhatch.daemon.platform_watch import PlatformWatch
 from foxtailhatch.daemon.service_calls import ServiceCalls
-from foxtailhatch.daemon.session_watch import SessionWatch
 from foxtailhatch.daemon.sessions import Sessions
 from foxtailhatch.daemon.settings import Periods, Settings
 from foxtailhatch.daemon.stopping import Stopping
@@ -30,6 +30,7 @@
 
 FOLLOW_STEP_S = 0.02
 CLAIM_STEP_S = 0.01
+PROBE_STEP_S = 0.1
 STOP_STEP_S = 0.05
 RUN_ID_BITS = 64
 
@@ -45,7 +46,7 @@
     board: Blackboard
     guard: Guard
     follower: LogFollower
-    session_watch: SessionWatch
+    care: EndpointCare
     watch: PlatformWatch
     answers: Answers
     claims: ClaimLoop
@@ -73,11 +74,12 @@
     """Return the parts of an entry, joined and with nothing started."""
     rng = board.random
     follower = LogFollower(CONFIGURATION_STREAM, rng, cfg.periods.log_poll_s)
-    session_watch = SessionWatch(board)
-    answers = _answers(board, outside, guard, clock, session_watch)
+    care = EndpointCare(board, clock.seconds)
+    answers = _answers(board, outside, guard, clock, care)
     claims = _claims(cfg, board, outside, follower)
     calls = ServiceCalls(
         board,
+        care,
         outside.service,
         cfg.timeouts.service_call_s,
         clock.seconds,
@@ -86,8 +88,8 @@
         board,
         guard,
         follower,
-        session_watch,
-        PlatformWatch(board, outside.engine, outside.instances, clock.seconds),
+        care,
+        _watch(board, care, outside, clock),
         answers,
         claims,
         DaemonGateway(
@@ -106,15 +108,30 @@
     outside: Outside,
     guard: Guard,
     clock: GuardedClock,
-    session_watch: SessionWatch,
+    care: EndpointCare,
 ) -> Answers:
     sessions = Sessions(
         outside.engine,
         board.endpoints.endpoint,
-        session_watch,
+        care,
         guard,
     )
-    return Answers(board, sessions, ShortestPathChooser(), clock)
+    return Answers(board, care, sessions, ShortestPathChooser(), clock)
+
+
+def _watch(
+    board: Blackboard,
+    care: EndpointCare,
+    outside: Outside,
+    clock: GuardedClock,
+) -> PlatformWatch:
+    return PlatformWatch(
+        board,
+        care,
+        outside.engine,
+        outside.instances,
+        clock.seconds,
+    )
 
 
 def _claims(
@@ -147,6 +164,7 @@
     loops.every(CLAIM_STEP_S, parts.claims.step)
     loops.every(periods.instance_list_poll_s, parts.watch.read_list)
     loops.every(TICK_S, parts.watch.read_loads)
+    loops.every(PROBE_STEP_S, parts.watch.probe)
     loops.every(TICK_S, parts.answers.tick)
     loops.every(STOP_STEP_S, stopping.step)
 
--- a/foxtailhatch/daemon/observability.py
+++ b/foxtailhatch/daemon/observability.py
@@ -6,9 +6,9 @@
 from foxtailhatch.core.timeline_json import events_to_json
 from foxtailhatch.daemon.answers import Answers
 from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.daemon.endpoint_care import EndpointCare
 from foxtailhatch.daemon.guard import Guard
 from foxtailhatch.daemon.metrics import Metrics
-from foxtailhatch.daemon.session_watch import SessionWatch
 
 
 @dataclass(slots=True)
@@ -18,7 +18,7 @@
     board: Blackboard
     metrics_book: Metrics
     answers: Answers
-    sessions: SessionWatch
+    care: EndpointCare
     guard: Guard
 
     def metrics(self) -> bytes:
@@ -26,7 +26,7 @@
         book = self.metrics_book
         book.tokens_delivered = self.answers.tokens
         book.answers_running(len(self.answers))
-        book.sessions_open(len(self.sessions.open))
+        book.sessions_open(len(self.care.open))
         book.configuration_in_force(self.board.fold.version)
         return book.render()
 
@@ -52,7 +52,7 @@
             'configuration_version': board.fold.version,
             'configuration_complete': board.fold.complete,
             'answers': len(self.answers),
-            'sessions': sorted(self.sessions.open),
+            'sessions': sorted(self.care.open),
             'recoveries': self.answers.recoveries,
             'stopping': board.stop.is_asked(),
             'endpoints': self._endpoints(),
--- a/foxtailhatch/daemon/platform_watch.py
+++ b/foxtailhatch/daemon/platform_watch.py
@@ -1,14 +1,14 @@
 """What the platform says of endpoints, read into the blackboard."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import replace
 
 from returns.result import Success
 
-from foxtailhatch.core import EndpointKind, EventKind, LoadReport
+from foxtailhatch.core import LoadReport
 from foxtailhatch.daemon.blackboard import Blackboard
-from foxtailhatch.membership import EndpointChange, EndpointState
+from foxtailhatch.daemon.endpoint_care import EndpointCare
 from foxtailhatch.platform import Engine, InstanceList
 from foxtailhatch.routing.polling import PollCandidate, PollSchedule
 
@@ -19,6 +19,7 @@
     def __init__(
         self,
         board: Blackboard,
+        care: EndpointCare,
         engine: Engine,
         instances: InstanceList,
         now: Callable[[], float],
@@ -28,6 +29,7 @@
         self.list_faults = 0
         self.load_faults = 0
         self._board = board
+        self._care = care
         self._engine = engine
         self._instances = instances
         self._now = now
@@ -40,7 +42,7 @@
             return
         now = self._now()
         changes = self._board.endpoints.note_list(listed.unwrap(), now)
-        self.take_changes(changes)
+        self._care.take_changes(changes)
 
     async def read_loads(self) -> None:
         """Ask the engines whose turn it is for their reports."""
@@ -52,54 +54,32 @@
         due = self.schedule.due(candidates, self._now())
         await asyncio.gather(*map(self._read_load, due))
 
-    def take_changes(self, changes: Iterable[EndpointChange]) -> None:
-        """Bring the pool in line with changes in the endpoint table."""
-        for change in changes:
-            self._board.record(
-                EventKind.ENDPOINT_CHANGED,
-                change.endpoint,
-                ' to '.join((change.before, change.after)),
-            )
-        self._refresh_pool()
-
-    def _refresh_pool(self) -> None:
+    async def probe(self) -> None:
+        """Ask ejected endpoints for a sign of life when it is due."""
         now = self._now()
-        table = self._board.endpoints
-        usable = frozenset(table.usable_names(now))
-        for name in usable:
-            endpoint = table.endpoint(name)
-            if endpoint is not None and endpoint.kind is EndpointKind.ENGINE:
-                self._board.pool.add(endpoint)
-        for view in tuple(self._board.pool):
-            self._drop_unusable(view.endpoint.name, usable, now)
-        self._board.health.keep_only(usable)
+        due = [
+            name
+            for name in self._board.health.probes_due(now)
+            if self._board.health.begin_probe(name, now)
+        ]
+        await asyncio.gather(*map(self._probe, due))
 
-    def _drop_unusable(
-        self,
-        name: str,
-        usable: frozenset[str],
-        now: float,
-    ) -> None:
-        if name in usable:
-            return
-        self._board.pool.set_usable(name, usable=False)
-        state = self._board.endpoints.state(name, now)
-        if state is EndpointState.UNKNOWN:
-            self._board.pool.remove(name)
-            self._board.progress.forget_endpoint(name)
-            self.schedule.forget(name)
+    async def _probe(self, name: str) -> None:
+        if await self._read_load(name):
+            self._care.answered(name)
 
-    async def _read_load(self, name: str) -> None:
+    async def _read_load(self, name: str) -> bool:
         endpoint = self._board.endpoints.endpoint(name)
         if endpoint is None:
-            return
+            return False
         report = await self._engine.load_report(endpoint)
-        now = self._now()
         if isinstance(report, Success):
-            self._board.pool.take_report(self._dated(report.unwrap()), now)
-            return
+            dated = self._dated(report.unwrap())
+            self._board.pool.take_report(dated, self._now())
+            return True
         self.load_faults += 1
-        self._board.health.note_failure(name, now)
+        self._care.failed(name)
+        return False
 
     def _dated(self, report: LoadReport) -> LoadReport:
         # The engine dates its report by wall time, the pool by the loop's.
--- a/foxtailhatch/daemon/service_calls.py
+++ b/foxtailhatch/daemon/service_calls.py
@@ -10,6 +10,7 @@
 from foxtailhatch.config import Access, Service
 from foxtailhatch.core import Endpoint, ErrorCode, Refusal, RunState
 from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.daemon.endpoint_care import EndpointCare
 from foxtailhatch.daemon.service_choice import ServiceChoice
 from foxtailhatch.platform import (
     PlainService,
@@ -47,6 +48,7 @@
     def __init__(
         self,
         board: Blackboard,
+        care: EndpointCare,
         service: PlainService,
         timeout_s: float,
         now: Callable[[], float],
@@ -54,6 +56,7 @@
         """Start with no call in progress."""
         self.choice = ServiceChoice(board)
         self._board = board
+        self._care = care
         self._service = service
         self._timeout_s = timeout_s
         self.now = now
@@ -93,9 +96,9 @@
         with InProgress(self.choice.running, endpoint.name):
             outcome = await self._service.call(endpoint, call, self._timeout_s)
         if isinstance(outcome, Success):
-            self._board.health.note_success(endpoint.name, self.now())
+            self._care.answered(endpoint.name)
         else:
-            self._board.health.note_failure(endpoint.name, self.now())
+            self._care.failed(endpoint.name)
         return outcome
 
     def _delay_s(self, attempts: int) -> float | None:
--- a/foxtailhatch/pipeline/__init__.py
+++ b/foxtailhatch/pipeline/__init__.py
@@ -7,6 +7,8 @@
     ChainStarted,
     DeliverToken,
     SendFrame,
+    StageDenied,
+    StageReady,
     StepAnswered,
 )
 from foxtailhatch.pipeline.answer import AnswerRun
@@ -31,5 +33,7 @@
     'Patience',
     'RetainedInputs',
     'SendFrame',
+    'StageDenied',
+    'StageReady',
     'StepAnswered',
 ]
--- a/foxtailhatch/pipeline/actions.py
+++ b/foxtailhatch/pipeline/actions.py
@@ -4,7 +4,7 @@
 
 from foxtailhatch.callers.gateway import FinishReason
 from foxtailhatch.core import Chain, Refusal
-from foxtailhatch.platform.frames import UpFrame
+from foxtailhatch.platform.frames import StageFault, UpFrame
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +23,21 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class StageReady:
+    """An endpoint opened its stage."""
+
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class StageDenied:
+    """An endpoint refused a frame of its stage."""
+
+    endpoint: str
+    fault: StageFault
+
+
 @dataclass(frozen=True, slots=True)
 class StepAnswered:
     """A stage of ``layers`` layers answered a step after ``seconds``."""
@@ -58,6 +73,8 @@
 Action = (
     SendFrame
     | ChainStarted
+    | StageReady
+    | StageDenied
     | StepAnswered
     | DeliverToken
     | AnswerFinished
--- a/foxtailhatch/pipeline/answer.py
+++ b/foxtailhatch/pipeline/answer.py
@@ -30,6 +30,7 @@
     ChainStarted,
     DeliverToken,
     SendFrame,
+    StageDenied,
 )
 from foxtailhatch.pipeline.attempt import Attempt
 from foxtailhatch.pipeline.plan import (
@@ -250,6 +251,7 @@
     ) -> Iterator[Action]:
         if not self._uses(endpoint):
             return
+        yield StageDenied(endpoint, frame.fault)
         if frame.fault is not StageFault.STALE_ATTEMPT:
             self._excluded.add(endpoint)
         yield from self._recover({endpoint}, now)
--- a/foxtailhatch/pipeline/attempt.py
+++ b/foxtailhatch/pipeline/attempt.py
@@ -9,7 +9,12 @@
     require,
     tiles,
 )
-from foxtailhatch.pipeline.actions import Action, SendFrame, StepAnswered
+from foxtailhatch.pipeline.actions import (
+    Action,
+    SendFrame,
+    StageReady,
+    StepAnswered,
+)
 from foxtailhatch.pipeline.feed import StageCache, plan_feed
 from foxtailhatch.pipeline.plan import AnswerPlan
 from foxtailhatch.pipeline.retained import RetainedInputs
@@ -107,6 +112,7 @@
         stage.opened = True
         stage.cached = frame.cached
         stage.waiting_since = now
+        yield StageReady(stage.endpoint)
         if not self._fed and all(each.opened for each in self.stages):
             self._fed = True
             yield from self._feed(tokens, now)
