Count first tokens and late ones at the front

The targets for callers are a first token in 0.54 s and 54 ms between tokens; neither was counted. Each answer's wait and its tokens that came more than 54 ms after the one before are counted when it ends.

--- a/foxtailhatch/callers/exchange.py
+++ b/foxtailhatch/callers/exchange.py
@@ -5,6 +5,7 @@
 from twisted.python.failure import Failure
 from twisted.web.http import Request
 
+from foxtailhatch.callers.answer_times import TokenWatch
 from foxtailhatch.callers.front import Front
 from foxtailhatch.callers.pacing import Pacing
 from foxtailhatch.callers.replies import Reply, refusal_reply, send
@@ -25,6 +26,7 @@
         self._front = front
         self._req = req
         self._streaming = False
+        self._watch = TokenWatch(front.clock.seconds())
         self.open = True
         self.pacing = Pacing(
             front.clock,
@@ -33,6 +35,10 @@
         )
         req.notifyFinish().addCallbacks(self._closed, self._hung_up)
 
+    def token_came(self) -> None:
+        """Take the time of a token, whether or not it is written at once."""
+        self._watch.token(self._front.clock.seconds())
+
     def write(self, event: bytes) -> None:
         """Write one event of a stream, after its headers if it is first."""
         if not self.open:
@@ -75,7 +81,7 @@
         if self._streaming:
             self._req.unregisterProducer()
         close()
-        self._front.observability.request_ended(code)
+        self._count(code)
 
     def _closed(self, _: None) -> None:
         self.open = False
@@ -83,12 +89,17 @@
     def _hung_up(self, reason: Failure) -> None:
         if self.open:
             self.open = False
-            self._front.observability.request_ended(ErrorCode.CANCELLED)
+            self._count(ErrorCode.CANCELLED)
         self.pacing.cancel()
 
     def _cut_off(self) -> None:
         # The caller's buffer is full, so that no error could reach it.
         self.open = False
-        self._front.observability.request_ended(ErrorCode.SLOW_CALLER)
+        self._count(ErrorCode.SLOW_CALLER)
         self.pacing.cancel()
         self._req.channel.forceAbortClient()
+
+    def _count(self, code: ErrorCode | None) -> None:
+        observability = self._front.observability
+        observability.request_ended(code)
+        observability.answer_timed(self._watch.times())
--- a/foxtailhatch/callers/front.py
+++ b/foxtailhatch/callers/front.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from foxtailhatch.callers.answer_times import AnswerTimes
 from foxtailhatch.callers.gateway import Gateway
 from foxtailhatch.callers.operations import OperatorAccess
 from foxtailhatch.callers.tokens import Tokenizer
@@ -17,12 +18,14 @@
 
     ``body_bytes`` bounds a request's body and ``body_timeout_s`` the time in
     which its headers and body must arrive.  ``slow_caller_s`` is the longest
-    time in which a caller may leave a full send buffer unread.
+    time in which a caller may leave a full send buffer unread, and
+    ``first_token_s`` the wait for a first token if the caller names none.
     """
 
     body_bytes: int = 1_048_576
     body_timeout_s: float = 10
     slow_caller_s: float = 30
+    first_token_s: float = 30
 
 
 class Observability(Protocol):
@@ -46,6 +49,9 @@
     def request_ended(self, code: ErrorCode | None) -> None:
         """Count one request, with its error code or ``None`` if it is whole."""
 
+    def answer_timed(self, times: AnswerTimes) -> None:
+        """Count when the tokens of one answer came."""
+
     def invariant_broken(self, exc: InvariantBroken) -> None:
         """Record a broken invariant and stop the process."""
 
--- a/foxtailhatch/callers/sinks.py
+++ b/foxtailhatch/callers/sinks.py
@@ -41,6 +41,7 @@
     def token(self, index: int, token: int) -> None:
         """Check and send one token."""
         self._check.token(index)
+        self._exchange.token_came()
         self._held.append(token)
         text = self._decoder.decode(token)
         if text:
@@ -87,6 +88,7 @@
     def token(self, index: int, token: int) -> None:
         """Check and keep one token."""
         self._check.token(index)
+        self._exchange.token_came()
         self._tokens.append(token)
 
     def finished(self, reason: FinishReason) -> None:
--- a/foxtailhatch/daemon/metrics.py
+++ b/foxtailhatch/daemon/metrics.py
@@ -5,6 +5,7 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from foxtailhatch.callers.answer_times import AnswerTimes
 from foxtailhatch.core import ErrorCode, Invariant, checks_made
 from foxtailhatch.platform import PlatformFault
 
@@ -46,6 +47,10 @@
             'requests', 'Requests of callers and operators by outcome'
         )
         self._tokens = self._counter('tokens', 'Tokens delivered to callers')
+        self._late_tokens = self._counter(
+            'late_tokens',
+            'Tokens more than 54 ms after the one before',
+        )
         self._recoveries = self._counter('recoveries', 'Answers by recovery')
         self._claims = self._counter('claims', 'Claims by outcome')
         self._log_faults = self._counter('log_faults', 'Log calls that failed')
@@ -74,9 +79,11 @@
         outcome = WHOLE if code is None else code.value
         self._requests.inc({'outcome': outcome})
 
-    def first_token(self, seconds: float) -> None:
-        """Count the wait for one answer's first token."""
-        self._first_token.add(NO_LABELS, float(seconds))
+    def answer_timed(self, times: AnswerTimes) -> None:
+        """Count the wait for one answer's first token, and late tokens."""
+        if times.first_token_s is not None:
+            self._first_token.add(NO_LABELS, float(times.first_token_s))
+        self._late_tokens.add(NO_LABELS, times.late_tokens)
 
     def answer_recovered(self, seconds: float) -> None:
         """Count one loss that an answer survived, and how long it took."""
--- a/foxtailhatch/daemon/observability.py
+++ b/foxtailhatch/daemon/observability.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from foxtailhatch.callers.answer_times import AnswerTimes
 from foxtailhatch.core import ErrorCode, InvariantBroken
 from foxtailhatch.core.timeline_json import events_to_json
 from foxtailhatch.daemon.answers import Answers
@@ -63,6 +64,10 @@
         """Count one request, with its error code or ``None`` if whole."""
         self.metrics_book.request_ended(code)
 
+    def answer_timed(self, times: AnswerTimes) -> None:
+        """Count when the tokens of one answer came."""
+        self.metrics_book.answer_timed(times)
+
     def invariant_broken(self, exc: InvariantBroken) -> None:
         """Record a broken invariant and stop the process."""
         self.guard.invariant_broken(exc)
--- a/tests/callers/http.py
+++ b/tests/callers/http.py
@@ -87,6 +87,7 @@
     def __init__(self):
         self.ended = []
         self.broken = []
+        self.timed = []
         self.events = []
         self.version = 3
 
@@ -109,6 +110,9 @@
     def request_ended(self, code):
         self.ended.append(code)
 
+    def answer_timed(self, times):
+        self.timed.append(times)
+
     def invariant_broken(self, exc):
         self.broken.append(exc)
 
--- a/tests/callers/test_answers.py
+++ b/tests/callers/test_answers.py
@@ -1,8 +1,9 @@
 import json
 
 from foxtailhatch.callers import FinishReason
+from foxtailhatch.callers.answer_times import AnswerTimes
 from foxtailhatch.core import ErrorCode, Refusal, RunState
-from tests.callers.http import request_bytes, say, with_front
+from tests.callers.http import LIMITS, request_bytes, say, with_front
 
 PATH = '/v1/completions'
 CHAT = '/v1/chat/completions'
@@ -115,6 +116,26 @@
     assert front.observability.ended == [ErrorCode.CANCELLED]
 
 
+@with_front
+async def test_the_times_of_tokens_are_counted(front):
+    def script(req, sink):
+        for index, seconds in enumerate((0.25, 0.03125, 0.0625)):
+            front.clock.advance(seconds)
+            sink.token(index, 97)
+        sink.finished(FinishReason.STOP)
+
+    front.gateway.script = script
+    await front.post(PATH, ASK)
+    assert front.observability.timed == [AnswerTimes(0.25, 1)]
+
+
+@with_front
+async def test_a_caller_without_a_deadline_gets_that_of_the_settings(front):
+    front.gateway.script = say('')
+    await front.post(PATH, ASK)
+    assert front.gateway.generated[0].deadline_s == LIMITS.first_token_s
+
+
 @with_front
 async def test_a_token_out_of_order_stops_the_process(front):
     front.gateway.script = lambda req, sink: sink.token(1, 97)
--- a/tests/daemon/test_metrics.py
+++ b/tests/daemon/test_metrics.py
@@ -1,3 +1,4 @@
+from foxtailhatch.callers.answer_times import AnswerTimes
 from foxtailhatch.core import ErrorCode, Invariant, checks_made
 from foxtailhatch.daemon.metrics import Metrics
 from foxtailhatch.platform import PlatformFault
@@ -37,8 +38,10 @@
 
 def test_the_target_for_the_first_token_is_a_bound():
     metrics = Metrics('entry-1')
-    metrics.first_token(0.5)
+    metrics.answer_timed(AnswerTimes(0.5, 2))
     bucket = 'foxtailhatch_first_token_seconds_bucket'
     found = rendered(metrics)
     assert found[f'{bucket}{{instance="entry-1",le="0.54"}}'] == 1
     assert found[f'{bucket}{{instance="entry-1",le="0.3"}}'] == 0
+    late = 'foxtailhatch_late_tokens_total{instance="entry-1"}'
+    assert found[late] == 2
