Order engines to wished holdings and place models by demand

What is loaded where has to follow demand and versions without harm from a holder that was paused, and without cutting off answers.

The lease holder writes wishes to the log, so that all entries stop giving an endpoint other work; it orders the change once the engine has reported no stream for a while, states the whole wish in each order, keeps to the weight store's rate and mends what it observes to differ.

--- a/foxtailhatch/durable/__init__.py
+++ b/foxtailhatch/durable/__init__.py
@@ -21,14 +21,31 @@
     SendRight,
 )
 from foxtailhatch.durable.claims import ClaimController, ClaimSettings
+from foxtailhatch.durable.fleet import FleetView
 from foxtailhatch.durable.follower import (
     LogAvailability,
     LogFollower,
     ReadStream,
 )
 from foxtailhatch.durable.keys import issue_key, key_time, part_readers
+from foxtailhatch.durable.lease_holder import HeldLease, LeaseHolder
+from foxtailhatch.durable.leases import LEASE_STREAM, LeaseTable
+from foxtailhatch.durable.load_rate import LoadRate
+from foxtailhatch.durable.orders import OrderController, SendOrder
+from foxtailhatch.durable.placement import PlacementController
+from foxtailhatch.durable.rollout import EndpointCapacity, ModelNeed, Move
+from foxtailhatch.durable.wishes import (
+    WISH_STREAM,
+    Wish,
+    WishRecord,
+    WishTable,
+    encode_wish,
+    may_serve,
+)
 
 __all__ = [
+    'LEASE_STREAM',
+    'WISH_STREAM',
     'AppendAttempt',
     'AppendClaims',
     'AppendRecord',
@@ -39,17 +56,33 @@
     'ClaimRequest',
     'ClaimSettings',
     'Decision',
+    'EndpointCapacity',
+    'FleetView',
+    'HeldLease',
     'KeyOwner',
+    'LeaseHolder',
+    'LeaseTable',
+    'LoadRate',
     'LogAvailability',
     'LogFollower',
     'MayRun',
+    'ModelNeed',
+    'Move',
     'NotFollowed',
+    'OrderController',
     'Outcome',
+    'PlacementController',
     'ReadStream',
     'Refuse',
     'Replay',
+    'SendOrder',
     'SendRight',
+    'Wish',
+    'WishRecord',
+    'WishTable',
+    'encode_wish',
     'issue_key',
     'key_time',
+    'may_serve',
     'part_readers',
 ]
--- /dev/null
+++ b/foxtailhatch/durable/load_rate.py
@@ -0,0 +1,33 @@
+"""A token bucket for the bytes asked of the weight store."""
+
+
+class LoadRate:
+    """Admit loads at the store's rate, whatever their size.
+
+    A load larger than the bucket is admitted when the bucket is full, and
+    leaves it in debt.
+
+    >>> rate = LoadRate(100.0)
+    >>> rate.admit(0.0, 250)
+    True
+    >>> rate.admit(1.0, 1)
+    False
+    >>> rate.admit(3.5, 1)
+    True
+    """
+
+    def __init__(self, bytes_per_s: float) -> None:
+        """Start with one second's worth of bytes."""
+        self._bytes_per_s = bytes_per_s
+        self._tokens = bytes_per_s
+        self._at = float(0)
+
+    def admit(self, now: float, size: int) -> bool:
+        """Take ``size`` bytes at ``now`` if the store can bear it."""
+        earned = max(float(0), now - self._at) * self._bytes_per_s
+        self._tokens = min(self._bytes_per_s, self._tokens + earned)
+        self._at = max(self._at, now)
+        if self._tokens < min(size, self._bytes_per_s):
+            return False
+        self._tokens -= size
+        return True
--- /dev/null
+++ b/foxtailhatch/durable/orders.py
@@ -0,0 +1,148 @@
+"""Bringing engines to their wished holdings, as the holder of the lease.
+
+An order states all that an engine shall hold, so that repeating it, or
+getting it from a holder that was paused, ends in a state that the present
+holder compares with its wish and mends.  Engines that refuse old fencing
+numbers are spared the detour.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from foxtailhatch.core import Holding, LoadReport
+from foxtailhatch.durable.lease_holder import HeldLease
+from foxtailhatch.durable.load_rate import LoadRate
+from foxtailhatch.durable.wishes import Wish
+from foxtailhatch.platform import EngineOrder
+
+SPREAD_S = 3.0
+IDLE_S = 3.0
+RESEND_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Send an order to an endpoint and report how it went."""
+
+    endpoint: str
+    order: EngineOrder
+
+
+@dataclass(slots=True)
+class EndpointProgress:
+    """What this holder has seen and done at one endpoint."""
+
+    wish: Wish
+    idle_since: float | None = None
+    ordered_at: float | None = None
+
+
+class OrderController:
+    """The orders of one lease holder.
+
+    ``layer_bytes`` gives the size of one layer of a model and version; a
+    pair that it lacks is not loaded until its size is known.
+    """
+
+    def __init__(self, rate: LoadRate) -> None:
+        """Start without orders; ``rate`` is the weight store's."""
+        self.layer_bytes: dict[tuple[str, str], int] = {}
+        self._rate = rate
+        self._progress: dict[str, EndpointProgress] = {}
+        self._outranked = -1
+
+    def step(
+        self,
+        now: float,
+        lease: HeldLease | None,
+        wishes: Mapping[str, Wish],
+        reports: Mapping[str, LoadReport],
+    ) -> list[SendOrder]:
+        """Return the orders to send at ``now``.
+
+        ``lease`` is what :meth:`LeaseHolder.held` returns at this moment.
+        """
+        if lease is None or lease.fence <= self._outranked:
+            self._progress.clear()
+            return []
+        orders: list[SendOrder] = []
+        for endpoint, wish in wishes.items():
+            report = reports.get(endpoint)
+            if report and self._is_due(now, endpoint, wish, report):
+                order = EngineOrder(lease.fence, wish.holdings)
+                orders.append(SendOrder(endpoint, order))
+        return orders
+
+    def refused(self, order: EngineOrder) -> None:
+        """Learn that an engine knows a higher fencing number."""
+        self._outranked = max(self._outranked, order.fence)
+
+    def _is_due(
+        self,
+        now: float,
+        endpoint: str,
+        wish: Wish,
+        report: LoadReport,
+    ) -> bool:
+        progress = self._progress.get(endpoint)
+        if progress is None or progress.wish.holdings != wish.holdings:
+            progress = EndpointProgress(wish)
+            self._progress[endpoint] = progress
+        if set(report.holdings) == set(wish.holdings):
+            progress.ordered_at = None
+            return False
+        if progress.ordered_at is not None:
+            if min(now, report.measured_at) < progress.ordered_at + RESEND_S:
+                return False
+        if not _is_idle(progress, report):
+            return False
+        if not self._may_load(now, wish, report):
+            return False
+        progress.ordered_at = now
+        return True
+
+    def _may_load(self, now: float, wish: Wish, report: LoadReport) -> bool:
+        added = [
+            holding
+            for holding in wish.holdings
+            if not _is_covered(holding, report.holdings)
+        ]
+        sizes = [
+            self.layer_bytes.get((holding.model, holding.version))
+            for holding in added
+        ]
+        known = [size for size in sizes if size is not None]
+        if len(known) < len(sizes):
+            return False
+        total = sum(
+            size * len(holding.layers)
+            for size, holding in zip(known, added, strict=True)
+        )
+        return total == 0 or self._rate.admit(now, total)
+
+
+def _is_idle(progress: EndpointProgress, report: LoadReport) -> bool:
+    """Tell whether an order would disturb no answer.
+
+    Adding a holding disturbs none.  Before one is removed, all entries must
+    have had time to read the wish, and the engine must have reported no
+    stream for a while after that.
+    """
+    if set(report.holdings) <= set(progress.wish.holdings):
+        return True
+    if report.measured_at < progress.wish.logged_at + SPREAD_S:
+        return False
+    if report.streams:
+        progress.idle_since = None
+        return False
+    if progress.idle_since is None:
+        progress.idle_since = report.measured_at
+    return report.measured_at >= progress.idle_since + IDLE_S
+
+
+def _is_covered(wished: Holding, held: tuple[Holding, ...]) -> bool:
+    return any(
+        (holding.model, holding.version) == (wished.model, wished.version)
+        and holding.layers.covers(wished.layers)
+        for holding in held
+    )
--- /dev/null
+++ b/tests/durable/test_orders.py
@@ -0,0 +1,170 @@
+from dataclasses import replace
+
+import pytest
+
+from foxtailhatch.core import Holding, LayerRange, LoadReport
+from foxtailhatch.durable.lease_holder import HeldLease
+from foxtailhatch.durable.load_rate import LoadRate
+from foxtailhatch.durable.orders import (
+    IDLE_S,
+    RESEND_S,
+    SPREAD_S,
+    OrderController,
+)
+from foxtailhatch.durable.wishes import (
+    WISH_STREAM,
+    Wish,
+    WishRecord,
+    WishTable,
+    encode_wish,
+    may_serve,
+)
+from tests.durable.fake_log import FakeLog
+
+OLD = Holding('guide', 'v1', LayerRange(0, 2))
+NEW = Holding('guide', 'v2', LayerRange(0, 2))
+LAYER_BYTES = 10
+LEASE = HeldLease(7, 1e9)
+
+
+class FakeEngine:
+    """An engine that obeys at once, and may ignore fencing numbers."""
+
+    def __init__(self, checks_fencing=False):
+        self.checks_fencing = checks_fencing
+        self.fence = -1
+        self.holdings = (OLD,)
+        self.streams = 0
+        self.disturbed = 0
+
+    def order(self, order):
+        if self.checks_fencing and order.fence < self.fence:
+            return False
+        if self.streams and not set(self.holdings) <= set(order.holdings):
+            self.disturbed += 1
+        self.fence = max(self.fence, order.fence)
+        self.holdings = order.holdings
+        return True
+
+    def report(self, now):
+        return LoadReport('e', now, self.streams, 0, 0.01, 8, self.holdings)
+
+
+def controller(rate=1e9):
+    made = OrderController(LoadRate(rate))
+    made.layer_bytes = {
+        ('guide', 'v1'): LAYER_BYTES,
+        ('guide', 'v2'): LAYER_BYTES,
+    }
+    return made
+
+
+def wished(*holdings, logged_at=0.0, fence=7):
+    return {'e': Wish(fence, holdings, logged_at)}
+
+
+def run(orders, engine, wishes, start=0, end=60, lease=LEASE):
+    sent = []
+    for now in range(start, end):
+        reports = {'e': engine.report(now)}
+        for action in orders.step(now, lease, wishes, reports):
+            sent.append(now)
+            if not engine.order(action.order):
+                orders.refused(action.order)
+    return sent
+
+
+def test_an_engine_is_brought_to_its_wish_once():
+    engine = FakeEngine()
+    sent = run(controller(), engine, wished(NEW))
+    assert sent == [SPREAD_S + IDLE_S]
+    assert engine.holdings == (NEW,)
+
+
+def test_an_engine_is_not_re_roled_in_the_middle_of_an_answer():
+    engine, orders = FakeEngine(), controller()
+    engine.streams = 1
+    assert run(orders, engine, wished(NEW)) == []
+    engine.streams = 0
+    assert run(orders, engine, wished(NEW), 60, 120) == [60 + IDLE_S]
+    assert engine.disturbed == 0
+
+
+def test_a_holding_is_added_beside_running_answers():
+    engine = FakeEngine()
+    engine.streams = 1
+    assert run(controller(), engine, wished(OLD, NEW)) == [0]
+    assert engine.disturbed == 0
+
+
+@pytest.mark.parametrize('checks_fencing', [True, False])
+def test_a_paused_holder_that_wakes_does_no_lasting_harm(checks_fencing):
+    engine, present = FakeEngine(checks_fencing), controller()
+    paused = controller().step(
+        SPREAD_S,
+        HeldLease(3, 1e9),
+        {'e': Wish(3, (OLD, NEW), 0.0)},
+        {'e': engine.report(SPREAD_S)},
+    )
+    run(present, engine, wished(NEW))
+    engine.order(paused[0].order)
+    assert (engine.holdings == (NEW,)) == checks_fencing
+    run(present, engine, wished(NEW), 60, 120)
+    assert engine.holdings == (NEW,)
+
+
+def test_a_holder_without_a_lease_sends_nothing():
+    assert run(controller(), FakeEngine(), wished(NEW), lease=None) == []
+
+
+def test_a_refused_holder_stops_until_it_has_a_higher_number():
+    engine, orders = FakeEngine(checks_fencing=True), controller()
+    engine.fence = 9
+    assert len(run(orders, engine, wished(NEW), end=200)) == 1
+    higher = replace(LEASE, fence=12)
+    assert len(run(orders, engine, wished(NEW), 200, 260, higher)) == 1
+    assert engine.holdings == (NEW,)
+
+
+def test_a_lost_order_is_sent_again_but_not_at_once():
+    engine, orders = FakeEngine(), controller()
+    engine.order = lambda order: True
+    sent = run(orders, engine, wished(NEW), end=100)
+    assert len(sent) > 1
+    assert sent[1] - sent[0] >= RESEND_S
+
+
+def test_loads_keep_to_the_rate_of_the_weight_store():
+    rate = 2 * LAYER_BYTES / 10
+    orders = controller(rate)
+    engines = {f'e{number}': FakeEngine() for number in range(20)}
+    wishes = {name: Wish(7, (OLD, NEW), 0.0) for name in engines}
+    loaded = 0
+    for now in range(100):
+        reports = {name: found.report(now) for name, found in engines.items()}
+        for action in orders.step(now, LEASE, wishes, reports):
+            engines[action.endpoint].order(action.order)
+            loaded += len(NEW.layers) * LAYER_BYTES
+        assert loaded <= rate * (now + 1) + len(NEW.layers) * LAYER_BYTES
+    assert loaded >= rate * 50
+
+
+def test_layers_of_unknown_size_are_not_loaded():
+    orders = controller()
+    orders.layer_bytes.clear()
+    assert run(orders, FakeEngine(), wished(OLD, NEW)) == []
+
+
+def test_a_wish_of_an_outranked_holder_is_ignored():
+    log = FakeLog()
+    for fence, holding in ((3, OLD), (7, NEW), (3, OLD)):
+        append = encode_wish(WishRecord(fence, 'e', (holding,)))
+        log.append(append.stream, append.body, 1.0)
+    log.append(WISH_STREAM, b'\xff', 1.0)
+    table = WishTable()
+    table.take_page(log.read(WISH_STREAM, 0, 2.0).unwrap())
+    assert table.wishes['e'].holdings == (NEW,)
+    assert table.wanted == 4
+    assert not may_serve(table.wishes['e'], 'guide', 'v1', LayerRange(0, 2))
+    assert may_serve(table.wishes['e'], 'guide', 'v2', LayerRange(0, 1))
+    assert may_serve(None, 'guide', 'v1', LayerRange(0, 2))
