--- a/foxtailhatch/daemon/answers.py
+++ b/foxtailhatch/daemon/answers.py
@@ -176,6 +176,7 @@
             self._chooser,
             self._board.pool,
             handle.granted.granted,
+            self._board.wishes.wishes,
         )
         plan = handle.granted.plan
         run = AnswerRun(plan, chains)
--- a/foxtailhatch/daemon/blackboard.py
+++ b/foxtailhatch/daemon/blackboard.py
@@ -7,6 +7,7 @@
 from foxtailhatch.config import ConfigurationFold, ConfigurationIndex
 from foxtailhatch.core import EventKind, HybridClock, Timeline
 from foxtailhatch.daemon.logs import EventLog
+from foxtailhatch.durable.wishes import WishTable
 from foxtailhatch.limits import Admission
 from foxtailhatch.membership import EndpointTable, EntryTable, PlannedStop
 from foxtailhatch.recovery import EndpointHealth, ProgressWatch, RetryBudget
@@ -37,6 +38,7 @@
     progress: ProgressWatch = field(default_factory=ProgressWatch)
     admission: Admission = field(default_factory=Admission)
     fold: ConfigurationFold = field(default_factory=ConfigurationFold)
+    wishes: WishTable = field(default_factory=WishTable)
     leaves_seen: list[str] = field(default_factory=list)
     index: ConfigurationIndex | None = None
 
--- a/foxtailhatch/daemon/chains.py
+++ b/foxtailhatch/daemon/chains.py
@@ -1,11 +1,12 @@
 """Chains for answers: the chooser over the blackboard's pool."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from returns.result import Result
 
 from foxtailhatch.config import Access
 from foxtailhatch.core import Chain, Refusal
+from foxtailhatch.durable.wishes import Wish, may_serve
 from foxtailhatch.pipeline import ChainWish
 from foxtailhatch.routing import ChainChooser, ChainQuery, EndpointView, Pool
 
@@ -18,8 +19,10 @@
         chooser: ChainChooser,
         pool: Pool,
         granted: Access,
+        wishes: Mapping[str, Wish],
     ) -> None:
         """Join the parts; ``granted`` names the endpoints' labels."""
+        self._wishes = wishes
         self._chooser = chooser
         self._pool = pool
         self._granted = granted
@@ -40,8 +43,19 @@
         return self._chooser.choose(query, self._pool, now)
 
     def _barred(self, views: Iterable[EndpointView]) -> Iterable[str]:
-        if not any(self._granted.endpoints):
-            return
+        is_open = not any(self._granted.endpoints)
         for view in views:
-            if not self._granted.allows(view.endpoint.labels):
-                yield view.endpoint.name
+            name = view.endpoint.name
+            if not is_open and not self._granted.allows(view.endpoint.labels):
+                yield name
+            elif name in self._wishes and not self._may_serve(view):
+                yield name
+
+    def _may_serve(self, view: EndpointView) -> bool:
+        # An endpoint that shall hold something else runs idle first.
+        wish = self._wishes[view.endpoint.name]
+        held = view.report.holdings if view.report else ()
+        return any(
+            may_serve(wish, each.model, each.version, each.layers)
+            for each in held
+        )
--- a/foxtailhatch/daemon/entry.py
+++ b/foxtailhatch/daemon/entry.py
@@ -14,6 +14,7 @@
 from foxtailhatch.daemon.gateway import DaemonGateway
 from foxtailhatch.daemon.guard import Guard, GuardedClock
 from foxtailhatch.daemon.loops import Loops
+from foxtailhatch.daemon.order_loop import OrderLoop
 from foxtailhatch.daemon.outside import Outside
 from foxtailhatch.daemon.platform_watch import PlatformWatch
 from foxtailhatch.daemon.service_calls import ServiceCalls
@@ -26,13 +27,16 @@
     LogAvailability,
     LogFollower,
 )
+from foxtailhatch.durable.lease_holder import LeaseHolder
 from foxtailhatch.routing import ShortestPathChooser
 
 FOLLOW_STEP_S = 0.02
 CLAIM_STEP_S = 0.01
 PROBE_STEP_S = 0.1
 STOP_STEP_S = 0.05
+ORDER_STEP_S = 0.2
 RUN_ID_BITS = 64
+PLACEMENT_LEASE = 'placement'
 
 
 @dataclass(slots=True)
@@ -50,6 +54,7 @@
     watch: PlatformWatch
     answers: Answers
     claims: ClaimLoop
+    orders: OrderLoop
     gateway: DaemonGateway
 
     def running(self) -> int:
@@ -92,6 +97,7 @@
         _watch(board, care, outside, clock),
         answers,
         claims,
+        _orders(cfg, board, outside, clock),
         DaemonGateway(
             board,
             answers,
@@ -151,6 +157,25 @@
     return ClaimLoop(board, desk, outside.log, follower)
 
 
+def _orders(
+    cfg: Settings,
+    board: Blackboard,
+    outside: Outside,
+    clock: GuardedClock,
+) -> OrderLoop:
+    run_number = board.random.getrandbits(RUN_ID_BITS)
+    run_id = f'{board.name}/{run_number}'
+    return OrderLoop(
+        board,
+        outside.log,
+        outside.engine,
+        outside.weights,
+        LeaseHolder(PLACEMENT_LEASE, run_id, board.random),
+        cfg.placement.load_bytes_per_s if cfg.placement else None,
+        clock.seconds,
+    )
+
+
 def start_loops(
     loops: Loops,
     parts: EntryParts,
@@ -160,13 +185,18 @@
 ) -> None:
     """Start every loop of an entry."""
     parts.board.record(EventKind.STARTED, parts.board.name)
-    loops.every(FOLLOW_STEP_S, configuration.step)
-    loops.every(CLAIM_STEP_S, parts.claims.step)
-    loops.every(periods.instance_list_poll_s, parts.watch.read_list)
-    loops.every(TICK_S, parts.watch.read_loads)
-    loops.every(PROBE_STEP_S, parts.watch.probe)
-    loops.every(TICK_S, parts.answers.tick)
-    loops.every(STOP_STEP_S, stopping.step)
+    steps = (
+        (FOLLOW_STEP_S, configuration.step),
+        (CLAIM_STEP_S, parts.claims.step),
+        (ORDER_STEP_S, parts.orders.step),
+        (periods.instance_list_poll_s, parts.watch.read_list),
+        (TICK_S, parts.watch.read_loads),
+        (PROBE_STEP_S, parts.watch.probe),
+        (TICK_S, parts.answers.tick),
+        (STOP_STEP_S, stopping.step),
+    )
+    for period_s, step in steps:
+        loops.every(period_s, step)
 
 
 def _no_blocks(prompt: tuple[int, ...]) -> tuple[str, ...]:
--- /dev/null
+++ b/foxtailhatch/daemon/order_loop.py
@@ -0,0 +1,179 @@
+"""Leases, wishes and orders of one entry, carried out on the loop."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+from returns.result import Success
+
+from foxtailhatch.config import Model
+from foxtailhatch.core import EventKind, LoadReport
+from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.durable import LogFollower
+from foxtailhatch.durable.appends import AppendRecord
+from foxtailhatch.durable.fleet_view import ReportedEndpoint, fleet_view
+from foxtailhatch.durable.lease_holder import HeldLease, LeaseHolder
+from foxtailhatch.durable.leases import LeaseTable
+from foxtailhatch.durable.load_rate import LoadRate
+from foxtailhatch.durable.orders import OrderController, SendOrder
+from foxtailhatch.durable.placement import PlacementController
+from foxtailhatch.durable.wishes import WishRecord, encode_wish
+from foxtailhatch.platform import (
+    Engine,
+    LogPage,
+    LogService,
+    PlatformFault,
+    WeightStore,
+)
+
+
+class OrderLoop:
+    """Hold the placement lease if nobody else does, and act under it.
+
+    Times are wall time, since the log's records carry wall time.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        log: LogService,
+        engine: Engine,
+        weights: WeightStore,
+        holder: LeaseHolder,
+        load_bytes_per_s: float | None,
+        now: Callable[[], float],
+    ) -> None:
+        """Join the parts; nothing is read yet.
+
+        ``load_bytes_per_s`` is the weight store's rate.  An entry without it
+        reads the wishes and never takes the lease.
+        """
+        self._board = board
+        self._log = log
+        self._is_candidate = load_bytes_per_s is not None
+        self._engine = engine
+        self._weights = weights
+        self._holder = holder
+        self._now = now
+        self._leases = LeaseTable()
+        self._orders = OrderController(LoadRate(load_bytes_per_s or 0))
+        self._placement = PlacementController(board.wall_time())
+        self._lease_reads = LogFollower('leases', board.random)
+        self._wish_reads = LogFollower('wishes', board.random)
+        self._acted_under = -1
+
+    async def step(self) -> None:
+        """Read what is due, keep the lease, and act if it is held."""
+        await self._read_wishes()
+        if not self._is_candidate:
+            return
+        await self._read_leases()
+        wall = self._board.wall_time()
+        await self._append(self._holder.step(wall, self._leases))
+        lease = self._holder.held(self._board.wall_time())
+        if lease is not None and self._board.fold.in_force is not None:
+            self._note(lease)
+            await self._place(lease)
+            await self._order(lease)
+
+    async def release(self) -> None:
+        """Give the lease back, as at a planned stop."""
+        await self._append(self._holder.release(self._board.wall_time()))
+
+    def _note(self, lease: HeldLease) -> None:
+        if lease.fence != self._acted_under:
+            self._acted_under = lease.fence
+            name = self._holder.lease
+            self._board.record(EventKind.LEASE_TAKEN, name, str(lease.fence))
+
+    async def _read_leases(self) -> None:
+        page = await self._read(self._lease_reads, self._leases.wanted)
+        if page is not None:
+            wall = self._board.wall_time()
+            self._holder.granted(self._leases.take_page(wall, page))
+            self._lease_reads.page_read(wall, page, self._leases.wanted)
+
+    async def _read_wishes(self) -> None:
+        wishes = self._board.wishes
+        page = await self._read(self._wish_reads, wishes.wanted)
+        if page is not None:
+            wishes.take_page(page)
+            wall = self._board.wall_time()
+            self._wish_reads.page_read(wall, page, wishes.wanted)
+
+    async def _read(
+        self,
+        follower: LogFollower,
+        wanted: int,
+    ) -> LogPage | None:
+        due = follower.next_read(self._board.wall_time(), wanted)
+        if due is None:
+            return None
+        page = await self._log.read(due.stream, due.offset, due.limit)
+        if isinstance(page, Success):
+            return page.unwrap()
+        follower.read_failed(self._board.wall_time())
+        return None
+
+    async def _append(self, record: AppendRecord | None) -> None:
+        if record is not None:
+            await self._log.append(record.stream, record.body)
+            wall = self._board.wall_time()
+            self._lease_reads.hurry(wall)
+            self._wish_reads.hurry(wall)
+
+    async def _place(self, lease: HeldLease) -> None:
+        cfg = self._board.fold.in_force
+        if cfg is None:
+            return
+        view = fleet_view(cfg, self._reported(), self._board.wishes.wishes)
+        move = self._placement.step(self._board.wall_time(), view)
+        if move is not None:
+            wish = WishRecord(lease.fence, move.endpoint, (move.holding,))
+            await self._append(encode_wish(wish))
+
+    async def _order(self, lease: HeldLease) -> None:
+        await self._learn_sizes()
+        reports = {each.endpoint.name: each.report for each in self._reported()}
+        wall = self._board.wall_time()
+        # The sizes may have taken longer than the lease lasts.
+        held = self._holder.held(wall)
+        wishes = self._board.wishes.wishes
+        due = self._orders.step(wall, held, wishes, reports)
+        await asyncio.gather(*map(self._send, due))
+
+    async def _send(self, send: SendOrder) -> None:
+        endpoint = self._board.endpoints.endpoint(send.endpoint)
+        held = self._holder.held(self._board.wall_time())
+        if endpoint is None or held is None or held.fence != send.order.fence:
+            return
+        self._board.record(EventKind.ORDER_SENT, send.endpoint)
+        sent = await self._engine.order(endpoint, send.order)
+        if isinstance(sent, Success):
+            return
+        if sent.failure().fault is PlatformFault.REFUSED:
+            self._orders.refused(send.order)
+
+    async def _learn_sizes(self) -> None:
+        cfg = self._board.fold.in_force
+        models = () if cfg is None else cfg.models
+        await asyncio.gather(*map(self._learn_size, models))
+
+    async def _learn_size(self, model: Model) -> None:
+        pair = (model.name, model.version)
+        if pair in self._orders.layer_bytes:
+            return
+        size = await self._weights.size_bytes(*pair)
+        if isinstance(size, Success):
+            self._orders.layer_bytes[pair] = size.unwrap()
+
+    def _reported(self) -> list[ReportedEndpoint]:
+        return [
+            ReportedEndpoint(view.endpoint, self._by_wall(view.report))
+            for view in self._board.pool
+            if view.usable and view.report is not None
+        ]
+
+    def _by_wall(self, report: LoadReport) -> LoadReport:
+        age_s = self._now() - report.measured_at
+        return replace(report, measured_at=self._board.wall_time() - age_s)
--- a/foxtailhatch/daemon/outside.py
+++ b/foxtailhatch/daemon/outside.py
@@ -9,6 +9,7 @@
     InstanceList,
     LogService,
     PlainService,
+    WeightStore,
 )
 from foxtailhatch.platform.engine_http import HttpEngine
 from foxtailhatch.platform.http_client import HttpClient
@@ -16,6 +17,7 @@
 from foxtailhatch.platform.log_http import HttpLogService
 from foxtailhatch.platform.service_http import HttpPlainService
 from foxtailhatch.platform.session_http import SessionTiming
+from foxtailhatch.platform.weights_http import HttpWeightStore
 
 HEARTBEATS_IN_SILENCE = 4
 
@@ -28,6 +30,7 @@
     service: PlainService
     log: LogService
     instances: InstanceList
+    weights: WeightStore
 
 
 def connect_outside(cfg: Settings, reactor: Any) -> Outside:
@@ -49,4 +52,5 @@
             cfg.platform.instance_list.address(),
             timeouts.instance_list_call_s,
         ),
+        HttpWeightStore(client, cfg.platform.weight_store.address()),
     )
--- a/foxtailhatch/daemon/settings.py
+++ b/foxtailhatch/daemon/settings.py
@@ -126,6 +126,15 @@
     claim_streams: Count = 4
 
 
+class Placement(Section):
+    """How this instance may decide what engines load.
+
+    ``load_bytes_per_s`` is the rate that the weight store bears.
+    """
+
+    load_bytes_per_s: Annotated[float, Field(gt=0)]
+
+
 class Settings(Section):
     """All settings of one entry instance.
 
@@ -144,6 +153,7 @@
     timeouts: Timeouts = Timeouts()
     periods: Periods = Periods()
     limits: Limits = Limits()
+    placement: Placement | None = None
 
 
 def load_settings(path: Path) -> Result[Settings, tuple[JsonFault, ...]]:
--- /dev/null
+++ b/foxtailhatch/durable/fleet_view.py
@@ -0,0 +1,96 @@
+"""The fleet as reports, wishes and the configuration show it."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from foxtailhatch.config import Configuration
+from foxtailhatch.core import Endpoint, Holding, LoadReport
+from foxtailhatch.durable.fleet import FleetView
+from foxtailhatch.durable.rollout import EndpointCapacity, ModelNeed
+from foxtailhatch.durable.wishes import Wish
+
+LAYER_CAPACITY_LABEL = 'layer_capacity'
+DEFAULT_STEP_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class ReportedEndpoint:
+    """An engine that may get new work, with its newest report."""
+
+    endpoint: Endpoint
+    report: LoadReport
+
+
+def fleet_view(
+    cfg: Configuration,
+    reported: Iterable[ReportedEndpoint],
+    wishes: Mapping[str, Wish],
+) -> FleetView:
+    """Return what placement decides from.
+
+    An endpoint that nobody wished anything of is planned to go on as it is.
+    How many layers one can hold is told by its label ``layer_capacity``, or
+    else by what it holds now.
+    """
+    known = {each.endpoint.name: each for each in reported}
+    plan = {
+        name: wishes[name].holdings if name in wishes else each.report.holdings
+        for name, each in known.items()
+    }
+    settled = {
+        name
+        for name, each in known.items()
+        if set(each.report.holdings) == set(plan[name])
+    }
+    return FleetView(
+        _needs(cfg),
+        plan,
+        settled,
+        {name: _capacity(each) for name, each in known.items()},
+        _demand(each.report for each in known.values()),
+    )
+
+
+def _needs(cfg: Configuration) -> tuple[ModelNeed, ...]:
+    return tuple(
+        ModelNeed(
+            model.name,
+            model.version,
+            model.layers,
+            tuple(
+                adapter.name
+                for adapter in cfg.adapters
+                if adapter.model == model.name
+            ),
+        )
+        for model in cfg.models
+    )
+
+
+def _capacity(each: ReportedEndpoint) -> EndpointCapacity:
+    held = sum(len(holding.layers) for holding in each.report.holdings)
+    label = each.endpoint.labels.get(LAYER_CAPACITY_LABEL, '')
+    layers = int(label) if label.isdecimal() else held
+    return EndpointCapacity(layers, each.report.max_streams / _step_s(each))
+
+
+def _step_s(each: ReportedEndpoint) -> float:
+    return each.report.step_seconds or DEFAULT_STEP_S
+
+
+def _demand(reports: Iterable[LoadReport]) -> dict[str, float]:
+    """Return the tokens a second that each model now serves.
+
+    A stream of an answer stands on each of its stages, so the busiest range
+    of layers tells for the model.
+    """
+    flows: defaultdict[Holding, float] = defaultdict(float)
+    for report in reports:
+        flow = report.streams / (report.step_seconds or DEFAULT_STEP_S)
+        for holding in report.holdings:
+            flows[holding] += flow
+    demand: dict[str, float] = {}
+    for holding, flow in flows.items():
+        demand[holding.model] = max(demand.get(holding.model, 0), flow)
+    return demand
