--- a/foxtailhatch/daemon/assembly.py
+++ b/foxtailhatch/daemon/assembly.py
@@ -95,5 +95,6 @@
         cfg.limits.body_bytes,
         cfg.timeouts.request_body_s,
         cfg.timeouts.slow_caller_s,
+        cfg.timeouts.first_token_s,
     )
     return build_site(parts.gateway, observability, limits, reactor, operators)
