Keep the bytes of service paths that are no text

A path with escaped bytes that are no UTF-8 reached the service as another path (U+FFFD in their place), and a raw byte above 127 in the query went on as it was (test_a_path_with_bytes_that_are_no_text_stays_what_it_is).

--- a/foxtailhatch/callers/services.py
+++ b/foxtailhatch/callers/services.py
@@ -1,6 +1,6 @@
 """The resource that passes calls on to plain services."""
 
-from urllib.parse import quote, unquote
+from urllib.parse import quote, unquote_to_bytes
 
 from returns.result import Failure, Result, Success
 from twisted.web.http import Request
@@ -29,6 +29,8 @@
     b'PUT',
 )
 SERVICES_PATH = b'/v1/services/'
+PATH_SAFE = "!$&'()*+,;=:@"
+QUERY_SAFE = f'{PATH_SAFE}/?%'
 
 
 class ServicesResource(UnknownPath):
@@ -109,20 +111,20 @@
     >>> service_path(b'/v1/services/desk/x/../book').failure().code.value
     'bad_request'
     """
-    path, mark, query = uri.decode('latin-1').partition('?')
-    below = path.removeprefix(SERVICES_PATH.decode())
-    _, _, rest = below.partition('/')
-    segments = [unquote(segment) for segment in rest.split('/')]
+    path, mark, query = uri.partition(b'?')
+    _, _, rest = path.removeprefix(SERVICES_PATH).partition(b'/')
+    segments = [unquote_to_bytes(segment) for segment in rest.split(b'/')]
     if all(map(_is_plain, segments[:-1])) and _may_be_last(segments[-1]):
-        spelled = '/'.join(quote(segment, safe='') for segment in segments)
-        return Success(f'/{spelled}{mark}{query}')
+        spelled = '/'.join(quote(segment, PATH_SAFE) for segment in segments)
+        asked = f'{mark.decode()}{quote(query, QUERY_SAFE)}'
+        return Success(f'/{spelled}{asked}')
     message = 'The path holds a segment that is empty, . or .. or holds a /.'
     return Failure(Refusal(ErrorCode.BAD_REQUEST, message))
 
 
-def _is_plain(segment: str) -> bool:
-    return segment not in {'', '.', '..'} and '/' not in segment
+def _is_plain(segment: bytes) -> bool:
+    return segment not in {b'', b'.', b'..'} and b'/' not in segment
 
 
-def _may_be_last(segment: str) -> bool:
+def _may_be_last(segment: bytes) -> bool:
     return not segment or _is_plain(segment)
--- a/tests/callers/test_fuzz.py
+++ b/tests/callers/test_fuzz.py
@@ -67,7 +67,7 @@
     found = service_path(b'/v1/services/desk/' + tail).value_or('/')
     plain = found.partition('?')[0].split('/')
     assert not {'.', '..'} & set(plain)
-    again = service_path(b'/v1/services/desk' + found.encode('latin-1'))
+    again = service_path(b'/v1/services/desk' + found.encode('ascii'))
     assert again.unwrap() == found
 
 
--- a/tests/callers/test_services.py
+++ b/tests/callers/test_services.py
@@ -56,3 +56,8 @@
 def test_a_path_with_needless_escapes_reaches_the_service_without_them():
     spelled = service_path(b'/v1/services/desk/%62%6fok').unwrap()
     assert spelled == '/book'
+
+
+def test_a_path_with_bytes_that_are_no_text_stays_what_it_is():
+    spelled = service_path(b'/v1/services/desk/%ff\xfe:7?q=\xff%20').unwrap()
+    assert spelled == '/%FF%FE:7?q=%FF%20'
