Gossip between entries, and talk with peers over proven links

Cause: entries must know each other, and hear of leaves, stops and new configurations within seconds, at a cost that stays flat as they grow in number.

Change: a gossip controller with few zone-aware partners, bounded digests, eager sending of urgent news, suspicion with refutation and bounded synchronisation after cuts; messages with a validated CBOR codec; a node on websockets with mutual proof of a shared key, sealed frames, bounded queues and a bounded number of links.

The sockets are not tested yet.

--- /dev/null
+++ b/bench/virtual_mesh.py
@@ -0,0 +1,168 @@
+"""Entries that gossip in virtual time, for measurements and tests.
+
+Only the pure controllers run; a message is a call some virtual time later.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from random import Random
+
+from foxtailhatch.core import Address
+from foxtailhatch.membership import (
+    AskConfiguration,
+    Digest,
+    EndpointLeaving,
+    Entry,
+    EntryTable,
+    Gossip,
+    GossipAction,
+    SendDigest,
+)
+
+STEP_S = 0.05
+TICK_STEPS = 5
+PORT = 90
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where an entry stands."""
+
+    zone: str
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A digest under way, due after a time."""
+
+    source: Address
+    target: Address
+    digest: Digest
+    due: float
+
+
+Pass = Callable[[Digest], Digest]
+
+
+def place_of(number: int, zones: int, regions: int) -> Place:
+    """Spread entries over zones, and zones over regions."""
+    zone = number % zones
+    return Place(f'zone-{zone}', f'region-{zone % regions}')
+
+
+class VirtualMesh:
+    """A set of entries, and the network between them."""
+
+    def __init__(self, seed: int) -> None:
+        """Start without entries at virtual time 0."""
+        self.now = float(0)
+        self.nodes: dict[Address, Gossip] = {}
+        self.heard: dict[Address, list[EndpointLeaving]] = {}
+        self.is_cut: Callable[[Entry, Entry], bool] = lambda one, other: False
+        self.carry: Pass = lambda digest: digest
+        self.sent_count = 0
+        self._random = Random(seed)
+        self._under_way: deque[Sent] = deque()
+        self._step = 0
+        self._phases: list[list[Address]] = [[] for _ in range(TICK_STEPS)]
+
+    def add(self, name: str, place: Place, seeds: Iterable[Address]) -> Gossip:
+        """Start an entry with empty memory."""
+        address = Address(f'10.0.{len(name)}.{len(self.heard)}', PORT)
+        own = Entry(
+            name=name,
+            caller_address=Address(address.host, 80),
+            peer_address=address,
+            availability_zone=place.zone,
+            region=place.region,
+            incarnation=int(self.now),
+        )
+        random = Random(self._random.random())
+        gossip = Gossip(EntryTable(own), random, seeds)
+        self.nodes[address] = gossip
+        self.heard[address] = []
+        random.choice(self._phases).append(address)
+        return gossip
+
+    def kill(self, gossips: Iterable[Gossip]) -> None:
+        """Let entries vanish; connections to them are refused."""
+        for gossip in tuple(gossips):
+            self.nodes.pop(gossip.table.own.peer_address)
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        for _ in range(round(seconds / STEP_S)):
+            self._advance()
+
+    def run_until(self, reached: Callable[[], bool], limit_s: float) -> float:
+        """Let time pass until ``reached``; return how long it took."""
+        start = self.now
+        while not reached() and self.now < start + limit_s:
+            self._advance()
+        return self.now - start
+
+    def carry_out(
+        self,
+        address: Address,
+        actions: Iterable[GossipAction],
+    ) -> None:
+        """Do what an entry decided."""
+        for action in actions:
+            match action:
+                case SendDigest(target, digest):
+                    self.sent_count += 1
+                    due = self.now + STEP_S
+                    carried = self.carry(digest)
+                    sent = Sent(address, target, carried, due)
+                    self._under_way.append(sent)
+                case AskConfiguration(target, _):
+                    self._fetch(address, target)
+                case EndpointLeaving():
+                    self.heard[address].append(action)
+
+    def _advance(self) -> None:
+        self._step += 1
+        self.now = self._step * STEP_S
+        while self._under_way and self._under_way[0].due <= self.now:
+            self._deliver(self._under_way.popleft())
+        for address in self._phases[self._step % TICK_STEPS]:
+            gossip = self.nodes.get(address)
+            if gossip is not None:
+                self.carry_out(address, gossip.tick(self.now))
+
+    def _deliver(self, sent: Sent) -> None:
+        source = self.nodes.get(sent.source)
+        target = self.nodes.get(sent.target)
+        if source is None:
+            return
+        if target is None:
+            refused = source.note_unreachable(sent.target, self.now)
+            self.carry_out(sent.source, refused)
+        elif not self.is_cut(source.table.own, target.table.own):
+            answers = target.receive(sent.digest, self.now)
+            self.carry_out(sent.target, answers)
+
+    def _fetch(self, address: Address, target: Address) -> None:
+        peer = self.nodes.get(target)
+        if peer is not None:
+            version = peer.table.own.configuration_version
+            self.nodes[address].table.update_own(configuration_version=version)
+
+
+def build(count: int, seed: int, zones: int, regions: int) -> VirtualMesh:
+    """Return a mesh whose entries start at once, from three seeds."""
+    mesh = VirtualMesh(seed)
+    seeds: list[Address] = []
+    for number in range(count):
+        place = place_of(number, zones, regions)
+        gossip = mesh.add(f'entry-{number:03}', place, seeds)
+        if len(seeds) < 3:
+            seeds.append(gossip.table.own.peer_address)
+    return mesh
+
+
+def known_counts(mesh: VirtualMesh) -> list[int]:
+    """Return how many members each entry knows, itself included."""
+    return [gossip.table.count() for gossip in mesh.nodes.values()]
--- a/foxtailhatch/membership/__init__.py
+++ b/foxtailhatch/membership/__init__.py
@@ -1,13 +1,27 @@
 """Who is there: endpoints, entries, and how they come and go."""
 
+from foxtailhatch.membership.digest import (
+    Digest,
+    LeaveNotice,
+    Suspicion,
+    Want,
+)
 from foxtailhatch.membership.endpoint_record import EndpointState
 from foxtailhatch.membership.endpoints import EndpointChange, EndpointTable
-from foxtailhatch.membership.entries import (
+from foxtailhatch.membership.entries import EntryTable
+from foxtailhatch.membership.entry import Entry, EntryState, Liveness
+from foxtailhatch.membership.entry_record import (
     EntryChange,
     EntryRecord,
-    EntryTable,
+    Merge,
+)
+from foxtailhatch.membership.gossip import (
+    AskConfiguration,
+    EndpointLeaving,
+    Gossip,
+    GossipAction,
+    SendDigest,
 )
-from foxtailhatch.membership.entry import Entry, EntryState, Liveness
 from foxtailhatch.membership.planned_stop import (
     PlannedStop,
     StopPhase,
@@ -15,7 +29,10 @@
 )
 
 __all__ = [
+    'AskConfiguration',
+    'Digest',
     'EndpointChange',
+    'EndpointLeaving',
     'EndpointState',
     'EndpointTable',
     'Entry',
@@ -23,8 +40,15 @@
     'EntryRecord',
     'EntryState',
     'EntryTable',
+    'Gossip',
+    'GossipAction',
+    'LeaveNotice',
     'Liveness',
+    'Merge',
     'PlannedStop',
+    'SendDigest',
     'StopPhase',
     'StopStep',
+    'Suspicion',
+    'Want',
 ]
--- a/foxtailhatch/membership/endpoints.py
+++ b/foxtailhatch/membership/endpoints.py
@@ -116,12 +116,20 @@
         self,
         name: str,
         now: float,
+        observed_at: float | None = None,
     ) -> tuple[EndpointChange, ...]:
-        """Learn from the endpoint itself, or from a peer, that it leaves."""
+        """Learn from the endpoint itself, or from a peer, that it leaves.
+
+        A peer's word comes late, so ``observed_at`` says when it was true; a
+        ``join`` mark that came after it outweighs it.
+        """
+        since = now if observed_at is None else observed_at
         record = self._record(name)
+        if record.mark is Mark.JOIN and since < record.mark_at:
+            return ()
         before = record.state(now)
         if record.observed_leaving_at is None:
-            record.observed_leaving_at = now
+            record.observed_leaving_at = since
         return _changed(name, before, record.state(now))
 
     def note_session_open(self, name: str, now: float) -> None:
--- a/foxtailhatch/membership/entries.py
+++ b/foxtailhatch/membership/entries.py
@@ -5,51 +5,22 @@
 dead goes on serving, and no rule of safety reads this table.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from foxtailhatch.callers import EntryAdvice
 from foxtailhatch.core import Mark
 from foxtailhatch.membership.advice import rank, spread_over_zones
 from foxtailhatch.membership.entry import Entry, EntryState, Liveness
+from foxtailhatch.membership.entry_record import (
+    EntryChange,
+    EntryRecord,
+    Merge,
+)
 
-SUSPICION_S = 5.0
-DEAD_KEEP_S = 600.0
 ADVICE_KEEP_S = 30.0
 ADDRESSES_MAX = 4
 
 
-@dataclass(frozen=True, slots=True)
-class EntryRecord:
-    """An entry, what is thought of it, and when it was last heard."""
-
-    entry: Entry
-    heard_at: float
-    liveness: Liveness = Liveness.ALIVE
-    since: float = 0
-
-    def is_buried(self, now: float) -> bool:
-        """Tell whether it was suspected for so long that it counts as dead."""
-        is_suspect = self.liveness is Liveness.SUSPECT
-        return is_suspect and now >= self.since + SUSPICION_S
-
-    def buried(self, now: float) -> 'EntryRecord':
-        """Return the record of the entry as dead."""
-        return replace(self, liveness=Liveness.DEAD, since=now)
-
-    def is_forgettable(self, now: float) -> bool:
-        """Tell whether late accounts of the dead entry have died out."""
-        is_dead = self.liveness is Liveness.DEAD
-        return is_dead and now >= self.since + DEAD_KEEP_S
-
-
-@dataclass(frozen=True, slots=True)
-class EntryChange:
-    """An entry is thought alive, suspected or dead from now on."""
-
-    entry: str
-    liveness: Liveness
-
-
 class EntryTable:
     """Know the entries by their own accounts and by others' suspicions."""
 
@@ -59,7 +30,8 @@
         """Start with this instance alone."""
         self._own = own
         self._advice_keep_s = advice_keep_s
-        self._records: dict[str, EntryRecord] = {}
+        self._alive: dict[str, EntryRecord] = {}
+        self._doubted: dict[str, EntryRecord] = {}
         self._marked_out: set[str] = set()
         self._turn = 0
 
@@ -96,41 +68,44 @@
         self._own = replace(self._own, incarnation=incarnation + 1)
         return True
 
-    def merge(self, entry: Entry, now: float) -> bool:
-        """Take an account of an entry; true if it is news."""
+    def merge(self, entry: Entry, now: float) -> Merge:
+        """Take an account of an entry.
+
+        An entry thought dead or suspected comes back by a higher incarnation
+        only: later beats of the same one may have been given before it died.
+        """
         if entry.name == self._own.name:
-            return entry.is_newer_than(self._own) and self.refute(
-                entry.incarnation,
-            )
-        known = self._records.get(entry.name)
-        if known is not None and not entry.is_newer_than(known.entry):
-            return False
-        self._records[entry.name] = EntryRecord(entry, heard_at=now, since=now)
-        return True
+            return self._merge_own(entry)
+        known = self.record(entry.name)
+        if known is None:
+            self._put(EntryRecord(entry, heard_at=now, since=now))
+            return Merge.CHANGED
+        if not entry.is_newer_than(known.entry):
+            return Merge.OLD
+        if entry.incarnation > known.entry.incarnation:
+            self._put(EntryRecord(entry, heard_at=now, since=now))
+        else:
+            self._put(replace(known, entry=entry, heard_at=now))
+        is_same = entry.announces_as(known.entry)
+        return Merge.FRESHER if is_same else Merge.CHANGED
 
     def suspect(self, name: str, incarnation: int, now: float) -> bool:
         """Take a claim that an entry does not answer; true if it is news."""
-        record = self._records.get(name)
-        if record is None or record.liveness is not Liveness.ALIVE:
-            return False
-        if incarnation < record.entry.incarnation:
+        record = self._alive.get(name)
+        if record is None or incarnation < record.entry.incarnation:
             return False
-        self._records[name] = replace(
-            record,
-            liveness=Liveness.SUSPECT,
-            since=now,
-        )
+        self._put(replace(record, liveness=Liveness.SUSPECT, since=now))
         return True
 
     def expire(self, now: float) -> tuple[EntryChange, ...]:
         """Bury suspects that did not refute, and forget the long dead."""
-        records = tuple(self._records.items())
+        records = tuple(self._doubted.items())
         buried = tuple(
             EntryChange(name, Liveness.DEAD)
             for name, record in records
             if record.is_buried(now)
         )
-        self._records = {
+        self._doubted = {
             name: record.buried(now) if record.is_buried(now) else record
             for name, record in records
             if not record.is_forgettable(now)
@@ -144,20 +119,34 @@
         else:
             self._marked_out.add(instance)
 
+    def _merge_own(self, entry: Entry) -> Merge:
+        if not entry.is_newer_than(self._own):
+            return Merge.OLD
+        self.refute(entry.incarnation)
+        return Merge.CHANGED
+
     def record(self, name: str) -> EntryRecord | None:
         """Return what is known of another entry."""
-        return self._records.get(name)
+        return self._alive.get(name) or self._doubted.get(name)
+
+    def count(self) -> int:
+        """Return how many entries are thought alive, this one included."""
+        return len(self._alive) + 1
 
     def peers(self) -> tuple[Entry, ...]:
-        """Return the other entries that are not thought dead."""
+        """Return the other entries that are thought alive."""
+        return tuple(record.entry for record in self._alive.values())
+
+    def dead(self) -> tuple[Entry, ...]:
+        """Return the entries thought dead, for as long as they are kept."""
         return tuple(
             record.entry
-            for record in self._records.values()
-            if record.liveness is not Liveness.DEAD
+            for record in self._doubted.values()
+            if record.liveness is Liveness.DEAD
         )
 
     def members(self) -> tuple[Entry, ...]:
-        """Return this entry and all that are not thought dead."""
+        """Return this entry and the others that are thought alive."""
         return (self._own, *self.peers())
 
     def advise(
@@ -171,29 +160,35 @@
         stop or are marked so never.
         """
         self._turn += 1
+        alive = self._advisable(self.members())
+        suspects = self._advisable(self._suspects(now))
         ranked = [
-            *rank(self._alive(now), availability_zone, self._turn),
-            *rank(self._suspects(now), availability_zone, self._turn),
+            *rank(alive, availability_zone, self._turn),
+            *rank(suspects, availability_zone, self._turn),
         ]
         chosen = spread_over_zones(ranked, ADDRESSES_MAX)
         addresses = tuple(str(entry.caller_address) for entry in chosen)
         return EntryAdvice(addresses, self._advice_keep_s)
 
-    def _alive(self, now: float) -> list[Entry]:
-        known = [self._own, *self._thought(Liveness.ALIVE, now)]
-        return [entry for entry in known if self._is_advisable(entry)]
+    def _put(self, record: EntryRecord) -> None:
+        name = record.entry.name
+        self._alive.pop(name, None)
+        self._doubted.pop(name, None)
+        is_alive = record.liveness is Liveness.ALIVE
+        records = self._alive if is_alive else self._doubted
+        records[name] = record
 
-    def _suspects(self, now: float) -> list[Entry]:
-        known = self._thought(Liveness.SUSPECT, now)
-        return [entry for entry in known if self._is_advisable(entry)]
+    def _suspects(self, now: float) -> tuple[Entry, ...]:
+        return tuple(
+            record.entry
+            for record in self._doubted.values()
+            if record.liveness is Liveness.SUSPECT and not record.is_buried(now)
+        )
 
-    def _thought(self, liveness: Liveness, now: float) -> list[Entry]:
+    def _advisable(self, entries: tuple[Entry, ...]) -> list[Entry]:
         return [
-            record.entry
-            for record in self._records.values()
-            if record.liveness is liveness and not record.is_buried(now)
+            entry
+            for entry in entries
+            if entry.state is EntryState.SERVING
+            and entry.name not in self._marked_out
         ]
-
-    def _is_advisable(self, entry: Entry) -> bool:
-        is_serving = entry.state is EntryState.SERVING
-        return is_serving and entry.name not in self._marked_out
--- a/foxtailhatch/membership/entry.py
+++ b/foxtailhatch/membership/entry.py
@@ -50,3 +50,8 @@
         """Tell whether this account was given after ``other``."""
         mine = (self.incarnation, self.beat)
         return mine > (other.incarnation, other.beat)
+
+    def announces_as(self, other: 'Entry') -> bool:
+        """Tell whether nothing that all must hear of differs."""
+        mine = (self.incarnation, self.state, self.peer_address)
+        return mine == (other.incarnation, other.state, other.peer_address)
--- a/foxtailhatch/peers/__init__.py
+++ b/foxtailhatch/peers/__init__.py
@@ -1,1 +1,35 @@
-"""The exchange between entries: websockets with CBOR."""
+"""How entries talk with each other: messages, proofs and links."""
+
+from foxtailhatch.peers.codec import FrameFault, decode, encode
+from foxtailhatch.peers.handshake import PeerIdentity
+from foxtailhatch.peers.messages import (
+    AccountUsage,
+    ConfigurationAsk,
+    ConfigurationPush,
+    EndpointStreams,
+    Envelope,
+    Message,
+    StreamsReport,
+    UsageReport,
+)
+from foxtailhatch.peers.node import PeerCounters, PeerNode, PeerSettings
+from foxtailhatch.peers.outbox import SendOutcome
+
+__all__ = [
+    'AccountUsage',
+    'ConfigurationAsk',
+    'ConfigurationPush',
+    'EndpointStreams',
+    'Envelope',
+    'FrameFault',
+    'Message',
+    'PeerCounters',
+    'PeerIdentity',
+    'PeerNode',
+    'PeerSettings',
+    'SendOutcome',
+    'StreamsReport',
+    'UsageReport',
+    'decode',
+    'encode',
+]
--- /dev/null
+++ b/foxtailhatch/peers/handshake.py
@@ -0,0 +1,203 @@
+"""Mutual proof of a shared key, and the seal on each frame after it.
+
+The client sends a nonce, the server answers with its own nonce and a proof
+over both, then the client proves itself over the whole exchange.  A proof is
+an HMAC with the shared key, so the key never travels, and as both nonces are
+fresh, a recorded proof is of no use again.  Both sides then derive one key
+for each direction; every frame carries a tag over its number and content, so
+that frames cannot be inserted, repeated or moved to another connection.
+"""
+
+import hmac
+from dataclasses import dataclass
+from typing import Annotated, NamedTuple, TypeVar
+
+import cbor2
+from pydantic import Field, TypeAdapter, ValidationError
+
+from foxtailhatch.core import Address
+from foxtailhatch.peers import wire
+from foxtailhatch.peers.cbor import read_cbor
+
+HANDSHAKE_MAX_BYTES = 512
+NONCE_BYTES = 32
+PROOF_BYTES = 32
+TAG_BYTES = 16
+NUMBER_BYTES = 8
+DIGEST = 'sha256'
+
+_LineT = TypeVar('_LineT')
+
+Nonce = Annotated[
+    bytes,
+    Field(strict=True, min_length=NONCE_BYTES, max_length=NONCE_BYTES),
+]
+Proof = Annotated[
+    bytes,
+    Field(strict=True, min_length=PROOF_BYTES, max_length=PROOF_BYTES),
+]
+
+
+class _HelloLine(NamedTuple):
+    version: wire.Count
+    name: wire.Name
+    host: wire.Host
+    port: wire.Port
+    nonce: Nonce
+
+
+class _ChallengeLine(NamedTuple):
+    hello: bytes
+    proof: Proof
+
+
+_HELLO = TypeAdapter(_HelloLine)
+_CHALLENGE = TypeAdapter(_ChallengeLine)
+
+
+@dataclass(frozen=True, slots=True)
+class PeerIdentity:
+    """The name of an entry and the address it listens on for peers."""
+
+    name: str
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class Seals:
+    """The seals of the two directions of a connection."""
+
+    outgoing: 'FrameSeal'
+    incoming: 'FrameSeal'
+
+
+@dataclass(frozen=True, slots=True)
+class Proven:
+    """A peer that proved that it holds the key."""
+
+    peer: PeerIdentity
+    seals: Seals
+
+
+class FrameSeal:
+    """Tag the frames of one direction, or check their tags, in order.
+
+    >>> sender, receiver = FrameSeal(b'k'), FrameSeal(b'k')
+    >>> frame = sender.seal(b'hello')
+    >>> receiver.unseal(frame), receiver.unseal(frame)
+    (b'hello', None)
+    """
+
+    def __init__(self, key: bytes) -> None:
+        """Start at frame 0 with this direction's key."""
+        self._key = key
+        self._number = 0
+
+    def seal(self, content: bytes) -> bytes:
+        """Return the next frame."""
+        return self._next_tag(content) + content
+
+    def unseal(self, frame: bytes) -> bytes | None:
+        """Return the next frame's content, ``None`` if its tag is wrong."""
+        tag = frame[:TAG_BYTES]
+        content = frame[TAG_BYTES:]
+        return content if _same(tag, self._next_tag(content)) else None
+
+    def _next_tag(self, content: bytes) -> bytes:
+        number = self._number.to_bytes(NUMBER_BYTES, 'big')
+        self._number += 1
+        return _mac(self._key, number, content)[:TAG_BYTES]
+
+
+class ClientHandshake:
+    """The side that opened the connection."""
+
+    def __init__(self, key: bytes, own: PeerIdentity, nonce: bytes) -> None:
+        """Prepare with a fresh random nonce."""
+        self._key = key
+        self.hello = _encode_hello(own, nonce)
+
+    def answer(self, challenge: bytes) -> tuple[bytes, Proven] | None:
+        """Return our proof, or ``None`` if the server did not prove itself."""
+        line = _read(_CHALLENGE, challenge)
+        server = None if line is None else _read_hello(line.hello)
+        if line is None or server is None:
+            return None
+        wanted = _mac(self._key, b'server', self.hello, line.hello)
+        if not _same(line.proof, wanted):
+            return None
+        proof = _mac(self._key, b'client', self.hello, line.hello)
+        outgoing, incoming = _seals(self._key, self.hello, line.hello)
+        return proof, Proven(server, Seals(outgoing, incoming))
+
+
+class ServerHandshake:
+    """The side that took the connection."""
+
+    def __init__(self, key: bytes, own: PeerIdentity, nonce: bytes) -> None:
+        """Prepare with a fresh random nonce."""
+        self._key = key
+        self._own_hello = _encode_hello(own, nonce)
+        self._hello = b''
+
+    def challenge(self, hello: bytes) -> bytes | None:
+        """Return our nonce and proof, or ``None`` for a malformed hello."""
+        if _read_hello(hello) is None:
+            return None
+        self._hello = hello
+        proof = _mac(self._key, b'server', hello, self._own_hello)
+        return cbor2.dumps([self._own_hello, proof])
+
+    def finish(self, proof: bytes) -> Proven | None:
+        """Return the client, or ``None`` if it did not prove itself."""
+        client = _read_hello(self._hello)
+        wanted = _mac(self._key, b'client', self._hello, self._own_hello)
+        if client is None or not _same(proof, wanted):
+            return None
+        incoming, outgoing = _seals(self._key, self._hello, self._own_hello)
+        return Proven(client, Seals(outgoing, incoming))
+
+
+def _encode_hello(own: PeerIdentity, nonce: bytes) -> bytes:
+    address = own.address
+    fields = [wire.PROTOCOL_VERSION, own.name, address.host, address.port]
+    return cbor2.dumps([*fields, nonce])
+
+
+def _read_hello(hello: bytes) -> PeerIdentity | None:
+    line = _read(_HELLO, hello)
+    if line is None or line.version != wire.PROTOCOL_VERSION:
+        return None
+    return PeerIdentity(line.name, Address(line.host, line.port))
+
+
+def _read(shape: TypeAdapter[_LineT], frame: bytes) -> _LineT | None:
+    if len(frame) > HANDSHAKE_MAX_BYTES:
+        return None
+    try:
+        return shape.validate_python(read_cbor(frame))
+    except ValidationError:
+        return None
+
+
+def _seals(
+    key: bytes,
+    client_hello: bytes,
+    server_hello: bytes,
+) -> tuple[FrameSeal, FrameSeal]:
+    upward = _mac(key, b'upward', client_hello, server_hello)
+    downward = _mac(key, b'downward', client_hello, server_hello)
+    return FrameSeal(upward), FrameSeal(downward)
+
+
+def _mac(key: bytes, *parts: bytes) -> bytes:
+    mac = hmac.new(key, digestmod=DIGEST)
+    for part in parts:
+        # The length keeps two lists of parts from reading as the same bytes.
+        mac.update(len(part).to_bytes(NUMBER_BYTES, 'big'))
+        mac.update(part)
+    return mac.digest()
+
+
+def _same(one: bytes, other: bytes) -> bool:
+    return hmac.compare_digest(one, other)
--- /dev/null
+++ b/foxtailhatch/peers/link.py
@@ -0,0 +1,124 @@
+"""One proven connection with a peer, whichever side opened it."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from contextlib import AsyncExitStack, suppress
+
+from websockets.asyncio.connection import Connection
+from websockets.exceptions import ConnectionClosed
+
+from foxtailhatch.peers import wire
+from foxtailhatch.peers.handshake import (
+    NONCE_BYTES,
+    TAG_BYTES,
+    ClientHandshake,
+    PeerIdentity,
+    Proven,
+    ServerHandshake,
+)
+from foxtailhatch.peers.outbox import Outbox
+
+HANDSHAKE_TIMEOUT_S = 2.0
+IDLE_TIMEOUT_S = 30.0
+MESSAGE_MAX_BYTES = (
+    TAG_BYTES + wire.CONFIGURATION_MAX_BYTES + wire.FRAME_MAX_BYTES
+)
+
+FrameListener = Callable[[PeerIdentity, bytes], None]
+
+
+async def prove_to_server(
+    conn: Connection,
+    key: bytes,
+    own: PeerIdentity,
+) -> Proven | None:
+    """Run the client's side; ``None`` if the server holds no such key."""
+    handshake = ClientHandshake(key, own, secrets.token_bytes(NONCE_BYTES))
+    await conn.send(handshake.hello)
+    answer = handshake.answer(await _receive(conn))
+    if answer is None:
+        return None
+    proof, proven = answer
+    _lift_bound(conn)
+    await conn.send(proof)
+    return proven
+
+
+async def prove_to_client(
+    conn: Connection,
+    key: bytes,
+    own: PeerIdentity,
+) -> Proven | None:
+    """Run the server's side; ``None`` if the client holds no such key."""
+    handshake = ServerHandshake(key, own, secrets.token_bytes(NONCE_BYTES))
+    challenge = handshake.challenge(await _receive(conn))
+    if challenge is None:
+        return None
+    await conn.send(challenge)
+    proven = handshake.finish(await _receive(conn))
+    if proven is not None:
+        _lift_bound(conn)
+    return proven
+
+
+class PeerLink:
+    """Carry sealed frames both ways until either side ends."""
+
+    def __init__(
+        self,
+        conn: Connection,
+        proven: Proven,
+        outbox: Outbox,
+    ) -> None:
+        """Take over a connection after its handshake, and its outbox."""
+        self.peer = proven.peer
+        self.outbox = outbox
+        self._conn = conn
+        self._seals = proven.seals
+
+    async def run(self, on_frame: FrameListener) -> None:
+        """Carry frames; return when the connection closed or went silent.
+
+        A frame with a wrong tag ends the connection, as does a peer that
+        sends nothing for ``IDLE_TIMEOUT_S``.
+        """
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(self._conn.close)
+            writer = asyncio.ensure_future(self._write())
+            stack.push_async_callback(_end, writer)
+            with suppress(ConnectionClosed, TimeoutError):
+                await self._read(on_frame)
+
+    async def close(self) -> None:
+        """Close the connection, so that :meth:`run` returns."""
+        await self._conn.close()
+
+    async def _write(self) -> None:
+        while True:
+            frame = await self.outbox.get()
+            await self._conn.send(self._seals.outgoing.seal(frame))
+
+    async def _read(self, on_frame: FrameListener) -> None:
+        while True:
+            async with asyncio.timeout(IDLE_TIMEOUT_S):
+                received = await _receive(self._conn)
+            frame = self._seals.incoming.unseal(received)
+            if frame is None:
+                return
+            on_frame(self.peer, frame)
+
+
+async def _end(task: asyncio.Future[None]) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def _receive(conn: Connection) -> bytes:
+    frame = await conn.recv(decode=False)
+    return bytes(frame)
+
+
+def _lift_bound(conn: Connection) -> None:
+    """Let a peer that is proven send frames of the full size."""
+    conn.protocol.max_message_size = MESSAGE_MAX_BYTES
--- /dev/null
+++ b/foxtailhatch/peers/node.py
@@ -0,0 +1,228 @@
+"""The node that talks with peers: it listens, connects, and keeps few links.
+
+Links are opened as messages ask for them and kept while they are used; the
+least recently used one is closed when there are too many.  A message is sent
+at most once and may be lost; whoever needs an answer asks again.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from contextlib import ExitStack
+from dataclasses import dataclass, replace
+
+from returns.result import Success
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import Server
+from websockets.exceptions import ConnectionClosed, InvalidHandshake
+
+from foxtailhatch.core import Address, HybridClock
+from foxtailhatch.peers.codec import decode, encode
+from foxtailhatch.peers.handshake import PeerIdentity, Proven
+from foxtailhatch.peers.link import (
+    HANDSHAKE_TIMEOUT_S,
+    PeerLink,
+    prove_to_client,
+    prove_to_server,
+)
+from foxtailhatch.peers.messages import Message
+from foxtailhatch.peers.outbox import Outbox, SendOutcome
+from foxtailhatch.peers.pool import LinkPool
+from foxtailhatch.peers.server import dial, listen
+
+OPENING_MAX = 32
+UNPROVEN_MAX = 64
+CLOCK_SKEW_MAX_S = 60.0
+
+MessageListener = Callable[[PeerIdentity, Message], None]
+UnreachableListener = Callable[[Address], None]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSettings:
+    """Who this node is, and the key that all entries share."""
+
+    identity: PeerIdentity
+    key: bytes
+
+
+@dataclass(slots=True)
+class PeerCounters:
+    """What happened on the links, for the metrics."""
+
+    links_opened: int = 0
+    links_refused: int = 0
+    frames_received: int = 0
+    frames_rejected: int = 0
+    bytes_received: int = 0
+    bytes_sent: int = 0
+    messages_dropped: int = 0
+
+
+class PeerNode:
+    """Send messages to peers by address, and hand over those that come.
+
+    ``on_message`` is called on the loop, one call a turn, so what it raises
+    reaches the loop's exception handler.  ``on_unreachable`` is told of an
+    address to which no proven connection could be opened.
+    """
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        clock: HybridClock,
+        on_message: MessageListener,
+        on_unreachable: UnreachableListener,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        """Prepare; nothing is opened before :meth:`start`."""
+        self.identity = settings.identity
+        self.counters = PeerCounters()
+        self._key = settings.key
+        self._clock = clock
+        self._wall = wall
+        self._on_message = on_message
+        self._on_unreachable = on_unreachable
+        self._pool = LinkPool()
+        self._opening: dict[Address, Outbox] = {}
+        self._unproven: set[Connection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: Server | None = None
+
+    async def start(self) -> Address:
+        """Listen, and return the address with its port filled in."""
+        self._server = await listen(self.identity.address, self._accept)
+        port = self._server.sockets[0].getsockname()[1]
+        address = replace(self.identity.address, port=port)
+        self.identity = replace(self.identity, address=address)
+        return address
+
+    async def stop(self) -> None:
+        """Close all links and stop listening."""
+        server = self._server
+        self._server = None
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if server is not None:
+            server.close()
+            await server.wait_closed()
+
+    def send(
+        self,
+        address: Address,
+        message: Message,
+        *,
+        fresh_link: bool = False,
+    ) -> SendOutcome:
+        """Queue a message; with ``fresh_link`` on a connection opened anew."""
+        if self._server is None:
+            return SendOutcome.STOPPED
+        if fresh_link:
+            self._close_links(address)
+        frame = encode(message, self._clock.tick(self._wall()))
+        outbox = self._outbox(address)
+        outcome = SendOutcome.QUEUE_FULL
+        if outbox is not None:
+            outcome = outbox.put(frame)
+        if outcome is SendOutcome.QUEUED:
+            self.counters.bytes_sent += len(frame)
+        else:
+            self.counters.messages_dropped += 1
+        return outcome
+
+    def link_count(self) -> int:
+        """Return the number of open links."""
+        return len(self._pool)
+
+    def _outbox(self, address: Address) -> Outbox | None:
+        link = self._pool.use(address)
+        if link is not None:
+            return link.outbox
+        opening = self._opening.get(address)
+        if opening is None and len(self._opening) < OPENING_MAX:
+            opening = Outbox()
+            self._opening[address] = opening
+            self._spawn(self._open(address, opening))
+        return opening
+
+    def _close_links(self, address: Address) -> None:
+        for link in self._pool.all_with(address):
+            self._pool.remove(link)
+            self._spawn(link.close())
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _open(self, address: Address, outbox: Outbox) -> None:
+        with ExitStack() as stack:
+            stack.callback(self._opening.pop, address, None)
+            link = await self._dial(address, outbox)
+        if link is None:
+            self.counters.links_refused += 1
+            self._on_unreachable(address)
+        else:
+            await self._run(address, link)
+
+    async def _dial(self, address: Address, outbox: Outbox) -> PeerLink | None:
+        try:
+            conn = await dial(address)
+        except (OSError, TimeoutError, InvalidHandshake):
+            return None
+        proof = prove_to_server(conn, self._key, self.identity)
+        proven = await self._proven(conn, proof)
+        return None if proven is None else PeerLink(conn, proven, outbox)
+
+    async def _accept(self, conn: Connection) -> None:
+        if len(self._unproven) >= UNPROVEN_MAX:
+            self.counters.links_refused += 1
+            return
+        with ExitStack() as stack:
+            self._unproven.add(conn)
+            stack.callback(self._unproven.discard, conn)
+            proof = prove_to_client(conn, self._key, self.identity)
+            proven = await self._proven(conn, proof)
+        if proven is None:
+            self.counters.links_refused += 1
+        else:
+            link = PeerLink(conn, proven, Outbox())
+            await self._run(proven.peer.address, link)
+
+    async def _proven(
+        self,
+        conn: Connection,
+        proof: Coroutine[None, None, Proven | None],
+    ) -> Proven | None:
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                proven = await proof
+        except (TimeoutError, ConnectionClosed):
+            proven = None
+        if proven is None or proven.peer.name == self.identity.name:
+            await conn.close()
+            return None
+        return proven
+
+    async def _run(self, address: Address, link: PeerLink) -> None:
+        self.counters.links_opened += 1
+        oldest = self._pool.add(address, link)
+        if oldest is not None:
+            self._spawn(oldest.close())
+        with ExitStack() as stack:
+            stack.callback(self._pool.remove, link)
+            await link.run(self._take)
+
+    def _take(self, peer: PeerIdentity, frame: bytes) -> None:
+        self.counters.frames_received += 1
+        self.counters.bytes_received += len(frame)
+        match decode(frame):
+            case Success(envelope):
+                now = self._wall()
+                if envelope.stamp.wall <= now + CLOCK_SKEW_MAX_S:
+                    self._clock.receive(envelope.stamp, now)
+                loop = asyncio.get_running_loop()
+                loop.call_soon(self._on_message, peer, envelope.message)
+            case _:
+                self.counters.frames_rejected += 1
--- /dev/null
+++ b/foxtailhatch/peers/server.py
@@ -0,0 +1,60 @@
+"""Open and accept websocket connections with the bounds of the peers."""
+
+import logging
+from collections.abc import Awaitable, Callable
+
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.asyncio.server import Server, ServerConnection, serve
+
+from foxtailhatch.core import Address
+from foxtailhatch.peers.handshake import HANDSHAKE_MAX_BYTES
+
+OPEN_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 1.0
+PING_INTERVAL_S = 10.0
+PING_TIMEOUT_S = 5.0
+FRAMES_READ_AHEAD = 4
+
+# Strangers may fail handshakes at any rate; counters tell of them, not lines.
+_QUIET = logging.getLogger('foxtailhatch.peers.websockets')
+_QUIET.addHandler(logging.NullHandler())
+_QUIET.propagate = False
+
+
+async def listen(
+    address: Address,
+    on_connection: Callable[[ServerConnection], Awaitable[None]],
+) -> Server:
+    """Listen for peers; port 0 takes a free one."""
+    return await serve(
+        on_connection,
+        address.host,
+        address.port,
+        compression=None,
+        logger=_QUIET,
+        max_size=HANDSHAKE_MAX_BYTES,
+        max_queue=FRAMES_READ_AHEAD,
+        open_timeout=OPEN_TIMEOUT_S,
+        close_timeout=CLOSE_TIMEOUT_S,
+        # The side that opened a connection sends the heartbeats.
+        ping_interval=None,
+        server_header=None,
+    )
+
+
+async def dial(address: Address) -> ClientConnection:
+    """Open a connection to a peer; raise what the library raises."""
+    host = f'[{address.host}]' if ':' in address.host else address.host
+    return await connect(
+        f'ws://{host}:{address.port}',
+        compression=None,
+        logger=_QUIET,
+        max_size=HANDSHAKE_MAX_BYTES,
+        max_queue=FRAMES_READ_AHEAD,
+        open_timeout=OPEN_TIMEOUT_S,
+        close_timeout=CLOSE_TIMEOUT_S,
+        ping_interval=PING_INTERVAL_S,
+        ping_timeout=PING_TIMEOUT_S,
+        proxy=None,
+        user_agent_header=None,
+    )
