Test the peers' links on real sockets, and mend what that showed

Cause: a configuration of megabytes sent right after the proof could meet the bound that holds for strangers, and a link stayed in use while it was closing.

Change: the server says that it is ready once the bound is lifted, and the client waits for that; a link leaves the pool before it is closed; refusals are counted before the connection is; printed settings hide the key.

--- a/foxtailhatch/peers/handshake.py
+++ b/foxtailhatch/peers/handshake.py
@@ -1,11 +1,12 @@
 """Mutual proof of a shared key, and the seal on each frame after it.
 
 The client sends a nonce, the server answers with its own nonce and a proof
-over both, then the client proves itself over the whole exchange.  A proof is
-an HMAC with the shared key, so the key never travels, and as both nonces are
-fresh, a recorded proof is of no use again.  Both sides then derive one key
-for each direction; every frame carries a tag over its number and content, so
-that frames cannot be inserted, repeated or moved to another connection.
+over both, then the client proves itself over the whole exchange, and the
+server says with a first sealed frame that it is ready.  A proof is an HMAC
+with the shared key, so the key never travels, and as both nonces are fresh, a
+recorded proof is of no use again.  Both sides derive one key for each
+direction; every frame carries a tag over its number and content, so that
+frames cannot be inserted, repeated or moved to another connection.
 """
 
 import hmac
--- a/foxtailhatch/peers/link.py
+++ b/foxtailhatch/peers/link.py
@@ -21,6 +21,7 @@
 
 HANDSHAKE_TIMEOUT_S = 2.0
 IDLE_TIMEOUT_S = 30.0
+READY = b''
 MESSAGE_MAX_BYTES = (
     TAG_BYTES + wire.CONFIGURATION_MAX_BYTES + wire.FRAME_MAX_BYTES
 )
@@ -42,7 +43,8 @@
     proof, proven = answer
     _lift_bound(conn)
     await conn.send(proof)
-    return proven
+    ready = proven.seals.incoming.unseal(await _receive(conn))
+    return None if ready is None else proven
 
 
 async def prove_to_client(
@@ -57,8 +59,12 @@
         return None
     await conn.send(challenge)
     proven = handshake.finish(await _receive(conn))
-    if proven is not None:
-        _lift_bound(conn)
+    if proven is None:
+        return None
+    # The client waits for this frame; sent before the bound is lifted, its
+    # first large frame could meet the bound for strangers.
+    _lift_bound(conn)
+    await conn.send(proven.seals.outgoing.seal(READY))
     return proven
 
 
@@ -78,20 +84,19 @@
         self._seals = proven.seals
 
     async def run(self, on_frame: FrameListener) -> None:
-        """Carry frames; return when the connection closed or went silent.
+        """Carry frames until the connection closes or goes silent.
 
         A frame with a wrong tag ends the connection, as does a peer that
         sends nothing for ``IDLE_TIMEOUT_S``.
         """
         async with AsyncExitStack() as stack:
-            stack.push_async_callback(self._conn.close)
             writer = asyncio.ensure_future(self._write())
             stack.push_async_callback(_end, writer)
             with suppress(ConnectionClosed, TimeoutError):
                 await self._read(on_frame)
 
     async def close(self) -> None:
-        """Close the connection, so that :meth:`run` returns."""
+        """Close the connection, which also ends :meth:`run`."""
         await self._conn.close()
 
     async def _write(self) -> None:
--- a/foxtailhatch/peers/node.py
+++ b/foxtailhatch/peers/node.py
@@ -8,8 +8,8 @@
 import asyncio
 import time
 from collections.abc import Callable, Coroutine
-from contextlib import ExitStack
-from dataclasses import dataclass, replace
+from contextlib import AsyncExitStack, ExitStack
+from dataclasses import dataclass, field, replace
 
 from returns.result import Success
 from websockets.asyncio.connection import Connection
@@ -27,7 +27,7 @@
 )
 from foxtailhatch.peers.messages import Message
 from foxtailhatch.peers.outbox import Outbox, SendOutcome
-from foxtailhatch.peers.pool import LinkPool
+from foxtailhatch.peers.pool import LINKS_MAX, LinkPool
 from foxtailhatch.peers.server import dial, listen
 
 OPENING_MAX = 32
@@ -43,7 +43,8 @@
     """Who this node is, and the key that all entries share."""
 
     identity: PeerIdentity
-    key: bytes
+    key: bytes = field(repr=False)
+    links_max: int = LINKS_MAX
 
 
 @dataclass(slots=True)
@@ -83,7 +84,7 @@
         self._wall = wall
         self._on_message = on_message
         self._on_unreachable = on_unreachable
-        self._pool = LinkPool()
+        self._pool = LinkPool(settings.links_max)
         self._opening: dict[Address, Outbox] = {}
         self._unproven: set[Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -161,7 +162,6 @@
             stack.callback(self._opening.pop, address, None)
             link = await self._dial(address, outbox)
         if link is None:
-            self.counters.links_refused += 1
             self._on_unreachable(address)
         else:
             await self._run(address, link)
@@ -184,9 +184,7 @@
             stack.callback(self._unproven.discard, conn)
             proof = prove_to_client(conn, self._key, self.identity)
             proven = await self._proven(conn, proof)
-        if proven is None:
-            self.counters.links_refused += 1
-        else:
+        if proven is not None:
             link = PeerLink(conn, proven, Outbox())
             await self._run(proven.peer.address, link)
 
@@ -201,6 +199,7 @@
         except (TimeoutError, ConnectionClosed):
             proven = None
         if proven is None or proven.peer.name == self.identity.name:
+            self.counters.links_refused += 1
             await conn.close()
             return None
         return proven
@@ -210,7 +209,9 @@
         oldest = self._pool.add(address, link)
         if oldest is not None:
             self._spawn(oldest.close())
-        with ExitStack() as stack:
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(link.close)
+            # First of all, so that nothing more is queued on this link.
             stack.callback(self._pool.remove, link)
             await link.run(self._take)
 
--- a/foxtailhatch/peers/server.py
+++ b/foxtailhatch/peers/server.py
@@ -12,7 +12,7 @@
 OPEN_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 1.0
 PING_INTERVAL_S = 10.0
-PING_TIMEOUT_S = 5.0
+PING_TIMEOUT_S = 10.0
 FRAMES_READ_AHEAD = 4
 
 # Strangers may fail handshakes at any rate; counters tell of them, not lines.
--- /dev/null
+++ b/tests/peers/network.py
@@ -0,0 +1,86 @@
+"""Real nodes and raw websocket clients on loopback, for the tests."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from functools import wraps
+
+import cbor2
+from websockets.asyncio.client import connect
+
+from foxtailhatch.core import Address, HybridClock
+from foxtailhatch.peers import PeerIdentity, PeerNode, PeerSettings
+from foxtailhatch.peers.handshake import ClientHandshake
+
+KEY = b'a key that all entries share'
+TEST_TIMEOUT_S = 20
+RAW_CLIENT = PeerIdentity('raw', Address('127.0.0.1', 9))
+
+
+def on_loop(test):
+    """Run a coroutine test on a loop of its own."""
+
+    @wraps(test)
+    def run(*args, **kwargs):
+        bounded = asyncio.wait_for(test(*args, **kwargs), TEST_TIMEOUT_S)
+        return asyncio.run(bounded)
+
+    return run
+
+
+class Peer:
+    """A node with queues of what it was told."""
+
+    def __init__(self, name, key=KEY, links_max=32, wall=lambda: 100.0):
+        self.messages = asyncio.Queue()
+        self.unreachable = asyncio.Queue()
+        self.clock = HybridClock(name)
+        identity = PeerIdentity(name, Address('127.0.0.1', 0))
+        self.node = PeerNode(
+            PeerSettings(identity, key, links_max),
+            self.clock,
+            lambda peer, message: self.messages.put_nowait((peer, message)),
+            self.unreachable.put_nowait,
+            wall,
+        )
+
+    @property
+    def address(self):
+        return self.node.identity.address
+
+
+@asynccontextmanager
+async def running(*peers):
+    """Start peers and stop them in the end."""
+    for peer in peers:
+        await peer.node.start()
+    try:
+        yield peers
+    finally:
+        for peer in peers:
+            await peer.node.stop()
+
+
+async def raw_connection(peer):
+    """Connect to a node without any proof."""
+    address = peer.address
+    return await connect(
+        f'ws://{address.host}:{address.port}',
+        proxy=None,
+        compression=None,
+    )
+
+
+async def raw_proven(peer, key=KEY):
+    """Connect with a proof; return the connection and the proven server."""
+    conn = await raw_connection(peer)
+    handshake = ClientHandshake(key, RAW_CLIENT, b'n' * 32)
+    await conn.send(handshake.hello)
+    proof, proven = handshake.answer(await conn.recv())
+    await conn.send(proof)
+    proven.seals.incoming.unseal(await conn.recv())
+    return conn, proven
+
+
+def cbor(value):
+    """Return any value as CBOR."""
+    return cbor2.dumps(value)
--- /dev/null
+++ b/tests/peers/test_codec.py
@@ -0,0 +1,132 @@
+import cbor2
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from foxtailhatch.core import Address, Stamp
+from foxtailhatch.membership import (
+    Digest,
+    Entry,
+    EntryState,
+    LeaveNotice,
+    Suspicion,
+    Want,
+)
+from foxtailhatch.peers import (
+    AccountUsage,
+    ConfigurationAsk,
+    ConfigurationPush,
+    EndpointStreams,
+    Envelope,
+    FrameFault,
+    StreamsReport,
+    UsageReport,
+    decode,
+    encode,
+)
+
+STAMP = Stamp(1.5, 2, 'entry-1')
+ENTRY = Entry(
+    name='entry-1',
+    caller_address=Address('10.0.0.1', 80),
+    peer_address=Address('::1', 90),
+    availability_zone='whk-a',
+    region='whk',
+    incarnation=3,
+    beat=4,
+    state=EntryState.STOPPING,
+    load=0.25,
+    configuration_version=5,
+)
+DIGEST = Digest(
+    sender=ENTRY,
+    members=9,
+    want=Want.EVERYTHING,
+    entries=(ENTRY,),
+    suspicions=(Suspicion('entry-2', 1),),
+    leaves=(LeaveNotice('gpu-1', 0.5),),
+)
+MESSAGES = [
+    DIGEST,
+    ConfigurationAsk(7),
+    ConfigurationPush(8, -1, b'\x00body'),
+    UsageReport('entry-1', (AccountUsage('ward', 3, 1.5),)),
+    StreamsReport('entry-1', (EndpointStreams('gpu-1', 12),)),
+]
+
+
+@pytest.mark.parametrize('message', MESSAGES)
+def test_a_message_comes_out_as_it_went_in(message):
+    assert decode(encode(message, STAMP)) == Success(Envelope(STAMP, message))
+
+
+@pytest.mark.parametrize(
+    ('frame', 'fault'),
+    [
+        (b'\x81' * 60_000, FrameFault.NOT_CBOR),
+        (cbor2.dumps([2, 2, [1.0, 0, 'a'], [7]]), FrameFault.OTHER_VERSION),
+        (cbor2.dumps([1, 99, [1.0, 0, 'a'], [7]]), FrameFault.BAD_SHAPE),
+        (cbor2.dumps([1, 2, [1.0, 0, 'a'], [-7]]), FrameFault.BAD_SHAPE),
+        (cbor2.dumps([1, 2, [1.0, 0, 'a'], ['7']]), FrameFault.BAD_SHAPE),
+        (cbor2.dumps([1, 2, [1e400, 0, 'a'], [7]]), FrameFault.BAD_SHAPE),
+        (cbor2.dumps([1, 2, [1.0, 0, 'a' * 65], [7]]), FrameFault.BAD_SHAPE),
+        (cbor2.dumps([1, 2, [1.0, 0, 'a'], b'x' * 70_000]), 'too_large'),
+        (b'x' * 5_000_000, FrameFault.TOO_LARGE),
+        (b'\xc1\xfb\x7f\xf0' + b'\x00' * 6, FrameFault.NOT_CBOR),
+    ],
+)
+def test_a_bad_frame_is_a_typed_fault(frame, fault):
+    assert decode(frame) == Failure(fault)
+
+
+def test_a_host_name_in_place_of_an_ip_number_is_refused():
+    frame = encode(ENTRY_AT_HOST, STAMP)
+    assert decode(frame) == Failure(FrameFault.BAD_SHAPE)
+
+
+ENTRY_AT_HOST = Digest(
+    Entry('e', Address('evil.example', 80), Address('10.0.0.1', 1), 'z', 'r'),
+)
+ANYTHING = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text()
+    | st.binary(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=20,
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.binary(max_size=300))
+def test_no_bytes_break_the_decoder(frame):
+    assert isinstance(decode(frame), Failure | Success)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.integers(0, 6), ANYTHING, ANYTHING)
+def test_no_value_in_a_frame_breaks_the_decoder(kind, stamp, payload):
+    frame = cbor2.dumps([1, kind, stamp, payload])
+    assert isinstance(decode(frame), Failure | Success)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(
+    st.sampled_from(MESSAGES),
+    st.integers(0, 10_000),
+    st.binary(min_size=1, max_size=4),
+)
+def test_no_change_to_a_good_frame_breaks_the_decoder(message, place, patch):
+    frame = bytearray(encode(message, STAMP))
+    start = place % len(frame)
+    frame[start : start + len(patch)] = patch
+    decoded = decode(bytes(frame))
+    match decoded:
+        case Success(envelope):
+            again = encode(envelope.message, envelope.stamp)
+            assert decode(again) == decoded
+        case Failure(fault):
+            assert isinstance(fault, FrameFault)
--- /dev/null
+++ b/tests/peers/test_handshake.py
@@ -0,0 +1,77 @@
+from foxtailhatch.core import Address
+from foxtailhatch.peers import PeerIdentity
+from foxtailhatch.peers.handshake import ClientHandshake, ServerHandshake
+
+KEY = b'k' * 32
+CLIENT = PeerIdentity('client', Address('10.0.0.1', 1))
+SERVER = PeerIdentity('server', Address('10.0.0.2', 2))
+
+
+def sides(client_key=KEY, server_key=KEY, server_nonce=b's' * 32):
+    client = ClientHandshake(client_key, CLIENT, b'c' * 32)
+    server = ServerHandshake(server_key, SERVER, server_nonce)
+    return client, server
+
+
+def exchange():
+    client, server = sides()
+    challenge = server.challenge(client.hello)
+    proof, proven_server = client.answer(challenge)
+    return proven_server, server.finish(proof), (challenge, proof)
+
+
+def test_both_sides_learn_who_the_other_is():
+    server, client, _ = exchange()
+    assert (server.peer, client.peer) == (SERVER, CLIENT)
+
+
+def test_the_key_is_in_no_frame():
+    _, _, frames = exchange()
+    assert not any(KEY[:8] in frame for frame in frames)
+
+
+def test_a_server_with_another_key_is_refused_before_we_prove_ourselves():
+    client, server = sides(server_key=b'other')
+    assert client.answer(server.challenge(client.hello)) is None
+
+
+def test_a_client_with_another_key_is_refused():
+    client, server = sides()
+    server.challenge(client.hello)
+    assert server.finish(b'x' * 32) is None
+
+
+def test_a_recorded_proof_is_useless_with_a_fresh_nonce():
+    _, _, (_, proof) = exchange()
+    client, server = sides(server_nonce=b'f' * 32)
+    server.challenge(client.hello)
+    assert server.finish(proof) is None
+
+
+def test_a_servers_own_proof_does_not_pass_as_a_clients():
+    client, server = sides()
+    challenge = server.challenge(client.hello)
+    assert server.finish(challenge[-32:]) is None
+
+
+def test_a_proof_before_any_hello_is_refused():
+    _, server = sides()
+    assert server.finish(b'x' * 32) is None
+
+
+def test_frames_pass_once_in_order_and_in_their_direction():
+    server, client, _ = exchange()
+    sender, receiver = server.seals.outgoing, client.seals.incoming
+    first, second = sender.seal(b'1'), sender.seal(b'2')
+    assert receiver.unseal(first) == b'1'
+    assert receiver.unseal(first) is None
+    back = client.seals.incoming.unseal(client.seals.outgoing.seal(b'3'))
+    assert back is None
+    assert second != first
+
+
+def test_a_changed_frame_is_noticed():
+    server, client, _ = exchange()
+    frame = bytearray(server.seals.outgoing.seal(b'hello'))
+    frame[-1] ^= 1
+    assert client.seals.incoming.unseal(bytes(frame)) is None
--- /dev/null
+++ b/tests/peers/test_outbox.py
@@ -0,0 +1,23 @@
+import asyncio
+
+from foxtailhatch.peers.outbox import QUEUE_BYTES_MAX, Outbox, SendOutcome
+
+
+def test_frames_leave_in_order():
+    outbox = Outbox()
+    outbox.put(b'1')
+    outbox.put(b'2')
+
+    async def take_two():
+        return [await outbox.get(), await outbox.get()]
+
+    assert asyncio.run(take_two()) == [b'1', b'2']
+
+
+def test_the_bytes_that_wait_are_bounded_and_the_room_comes_back():
+    outbox = Outbox()
+    half = b'x' * (QUEUE_BYTES_MAX // 2 + 1)
+    assert outbox.put(half) is SendOutcome.QUEUED
+    assert outbox.put(half) is SendOutcome.QUEUE_FULL
+    asyncio.run(outbox.get())
+    assert outbox.put(half) is SendOutcome.QUEUED
