--- /dev/null
+++ b/foxtailhatch/callers/services.py
@@ -0,0 +1,128 @@
+"""The resource that passes calls on to plain services."""
+
+from urllib.parse import quote, unquote
+
+from returns.result import Failure, Result, Success
+from twisted.web.http import Request
+from twisted.web.resource import Resource
+
+from foxtailhatch.callers.base import UnknownPath, bad_method, caller_of
+from foxtailhatch.callers.front import Front
+from foxtailhatch.callers.gateway import ServiceRequest
+from foxtailhatch.callers.later import reply_later
+from foxtailhatch.callers.replies import (
+    Reply,
+    body_of,
+    call_headers,
+    header_text,
+    refusal_reply,
+)
+from foxtailhatch.core import ErrorCode, Refusal
+
+METHODS = (
+    b'DELETE',
+    b'GET',
+    b'HEAD',
+    b'OPTIONS',
+    b'PATCH',
+    b'POST',
+    b'PUT',
+)
+SERVICES_PATH = b'/v1/services/'
+
+
+class ServicesResource(UnknownPath):
+    """``/v1/services``, under which each service has its name."""
+
+    def getChild(self, path: bytes, request: Request) -> Resource:
+        """Return the resource of one service."""
+        return ServiceResource(self.front, path)
+
+
+class ServiceResource(UnknownPath):
+    """``/v1/services/NAME`` and all paths below it, with any method."""
+
+    isLeaf = True
+
+    def __init__(self, front: Front, name: bytes) -> None:
+        """Stand for the service called ``name``."""
+        super().__init__(front)
+        self._name = name
+
+    def reply(self, req: Request) -> Reply | int:
+        """Pass one call on and answer what the service answers."""
+        if req.method not in METHODS:
+            return bad_method(req, METHODS)
+        match self._asked(req):
+            case Failure(refusal):
+                return refusal_reply(refusal)
+            case Success(asked):
+                req.setHeader('X-Request-Id', asked.request_id)
+                return reply_later(self.front, req, self._call(asked))
+        raise AssertionError(req)
+
+    def _asked(self, req: Request) -> Result[ServiceRequest, Refusal]:
+        return service_path(req.uri).bind(
+            lambda path: self._request(req, path),
+        )
+
+    def _request(
+        self,
+        req: Request,
+        path: str,
+    ) -> Result[ServiceRequest, Refusal]:
+        return Result.do(
+            ServiceRequest(
+                request_id=self.front.new_request_id(),
+                caller=caller,
+                service=self._name.decode(errors='replace'),
+                method=req.method.decode(),
+                path=path,
+                body=body_of(req),
+                content_type=header_text(req, b'Content-Type') or '',
+                key=headers.key,
+                first_try=headers.first_try,
+            )
+            for caller in caller_of(self.front, req)
+            for headers in call_headers(req)
+        )
+
+    async def _call(self, asked: ServiceRequest) -> Reply:
+        match await self.front.gateway.call_service(asked):
+            case Success(answer):
+                headers = {'Content-Type': answer.content_type}
+                return Reply(answer.body, answer.status, headers)
+            case Failure(refusal):
+                return refusal_reply(refusal)
+        raise AssertionError(asked)
+
+
+def service_path(uri: bytes) -> Result[str, Refusal]:
+    """Return what follows the service's name, in its one normal spelling.
+
+    Selectors and services compare paths by their text, so a path that could
+    be spelled in several ways must reach them in one.  Segments ``.``, ``..``
+    and empty ones are refused.
+
+    >>> service_path(b'/v1/services/desk/%62ook?reel=7').unwrap()
+    '/book?reel=7'
+    >>> service_path(b'/v1/services/desk/x/../book').failure().code.value
+    'bad_request'
+    """
+    path, mark, query = uri.decode('latin-1').partition('?')
+    below = path.removeprefix(SERVICES_PATH.decode())
+    _, _, rest = below.partition('/')
+    segments = [unquote(segment) for segment in rest.split('/')]
+    if all(map(_is_plain, segments[:-1])) and _may_be_last(segments[-1]):
+        spelled = '/'.join(quote(segment, safe='') for segment in segments)
+        return Success(f'/{spelled}{mark}{query}')
+    message = 'The path holds a segment that is empty, . or .. or holds a /.'
+    return Failure(Refusal(ErrorCode.BAD_REQUEST, message))
+
+
+def _is_plain(segment: str) -> bool:
+    return segment not in {'', '.', '..'} and '/' not in segment
+
+
+def _may_be_last(segment: str) -> bool:
+    return not segment or _is_plain(segment)
--- /dev/null
+++ b/foxtailhatch/daemon/blackboard.py
@@ -0,0 +1,71 @@
+"""The state that all controllers of one entry read and write."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from foxtailhatch.config import ConfigurationFold, ConfigurationIndex
+from foxtailhatch.core import EventKind, HybridClock, Timeline
+from foxtailhatch.daemon.logs import EventLog
+from foxtailhatch.limits import Admission
+from foxtailhatch.membership import EndpointTable, EntryTable, PlannedStop
+from foxtailhatch.recovery import EndpointHealth, ProgressWatch, RetryBudget
+from foxtailhatch.routing import Pool
+
+
+@dataclass(slots=True)
+class Blackboard:
+    """One entry's knowledge; each part is written by the part that owns it.
+
+    ``leaves_seen`` names endpoints that said they leave, for the peers to be
+    told.  ``index`` is the configuration in force with its look-up tables, absent
+    until one is known.  ``random`` is the one source of randomness.
+    """
+
+    name: str
+    zone: str
+    random: Random
+    timeline: Timeline
+    events: EventLog
+    pool: Pool
+    entries: EntryTable
+    stop: PlannedStop
+    wall_time: Callable[[], float]
+    health: EndpointHealth
+    budget: RetryBudget
+    endpoints: EndpointTable = field(default_factory=EndpointTable)
+    progress: ProgressWatch = field(default_factory=ProgressWatch)
+    admission: Admission = field(default_factory=Admission)
+    fold: ConfigurationFold = field(default_factory=ConfigurationFold)
+    leaves_seen: list[str] = field(default_factory=list)
+    index: ConfigurationIndex | None = None
+
+    def record(self, kind: EventKind, subject: str, detail: str = '') -> None:
+        """Record an event at the present wall time."""
+        self.events.record(self.wall_time(), kind, subject, detail)
+
+
+def new_blackboard(
+    name: str,
+    zone: str,
+    seed: int,
+    entries: EntryTable,
+    stop: PlannedStop,
+    wall_time: Callable[[], float],
+) -> Blackboard:
+    """Return the blackboard of an entry that knows nothing yet."""
+    random = Random(seed)
+    timeline = Timeline(HybridClock(name))
+    return Blackboard(
+        name=name,
+        zone=zone,
+        random=random,
+        timeline=timeline,
+        events=EventLog(timeline),
+        pool=Pool(zone),
+        entries=entries,
+        stop=stop,
+        wall_time=wall_time,
+        health=EndpointHealth(random),
+        budget=RetryBudget(random),
+    )
--- /dev/null
+++ b/foxtailhatch/daemon/platform_watch.py
@@ -0,0 +1,87 @@
+"""What the platform says of endpoints, read into the blackboard."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+from returns.result import Success
+
+from foxtailhatch.core import LoadReport
+from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.daemon.endpoint_care import EndpointCare
+from foxtailhatch.platform import Engine, InstanceList
+from foxtailhatch.routing.polling import PollCandidate, PollSchedule
+
+
+class PlatformWatch:
+    """Poll the live-instance list and the engines' load reports."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        care: EndpointCare,
+        engine: Engine,
+        instances: InstanceList,
+        now: Callable[[], float],
+    ) -> None:
+        """Join the parts; nothing is polled yet."""
+        self.schedule = PollSchedule()
+        self.list_faults = 0
+        self.load_faults = 0
+        self._board = board
+        self._care = care
+        self._engine = engine
+        self._instances = instances
+        self._now = now
+
+    async def read_list(self) -> None:
+        """Read the live-instance list once."""
+        listed = await self._instances.instances()
+        if not isinstance(listed, Success):
+            self.list_faults += 1
+            return
+        now = self._now()
+        changes = self._board.endpoints.note_list(listed.unwrap(), now)
+        self._care.take_changes(changes)
+
+    async def read_loads(self) -> None:
+        """Ask the engines whose turn it is for their reports."""
+        candidates = [
+            PollCandidate(view.endpoint.name, view.own.streams > 0)
+            for view in self._board.pool
+            if view.usable
+        ]
+        due = self.schedule.due(candidates, self._now())
+        await asyncio.gather(*map(self._read_load, due))
+
+    async def probe(self) -> None:
+        """Ask ejected endpoints for a sign of life when it is due."""
+        now = self._now()
+        due = [
+            name
+            for name in self._board.health.probes_due(now)
+            if self._board.health.begin_probe(name, now)
+        ]
+        await asyncio.gather(*map(self._probe, due))
+
+    async def _probe(self, name: str) -> None:
+        if await self._read_load(name):
+            self._care.answered(name)
+
+    async def _read_load(self, name: str) -> bool:
+        endpoint = self._board.endpoints.endpoint(name)
+        if endpoint is None:
+            return False
+        report = await self._engine.load_report(endpoint)
+        if isinstance(report, Success):
+            dated = self._dated(report.unwrap())
+            self._board.pool.take_report(dated, self._now())
+            return True
+        self.load_faults += 1
+        self._care.failed(name)
+        return False
+
+    def _dated(self, report: LoadReport) -> LoadReport:
+        # The engine dates its report by wall time, the pool by the loop's.
+        age_s = max(0, self._board.wall_time() - report.measured_at)
+        return replace(report, measured_at=self._now() - age_s)
