Let entries find each other and pass the configuration on

Cause: each entry stood alone; a log outage left a new entry without configuration and callers were advised of one address only. Change: gossip over proven websocket links is wired; a newer version is pushed to whoever asks; leaving endpoints are told to peers.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -75,7 +75,7 @@
         call(engine.admin, 'POST', '/faults', {'slow_s': 0.002})
     system.start_service('desk-1', ZONES[0])
     for number, zone in enumerate(ZONES):
-        seeds = [entry.address for entry in system.entries.values()]
+        seeds = [entry.peers for entry in system.entries.values()]
         keep = {'entry_advice_keep_s': 0.1}
         system.start_entry(f'entry-{number}', zone, seeds, periods=keep)
     say('started 3 engines, a store desk, the platform and 3 entries')
--- a/demo/launcher.py
+++ b/demo/launcher.py
@@ -25,6 +25,7 @@
     process: 'subprocess.Popen[str]'
     log: Path
     admin: str = ''
+    peers: str = ''
 
     def kill(self) -> None:
         """End the process at once."""
@@ -77,6 +78,7 @@
             process,
             log,
             line.get('admin', ''),
+            line.get('peers', ''),
         )
         self.started.append(started)
         return started
--- a/foxtailhatch/daemon/app.py
+++ b/foxtailhatch/daemon/app.py
@@ -1,5 +1,6 @@
 """The daemon's process: reactor, ports, signals and exit codes."""
 
+import asyncio
 import json
 import os
 import signal
@@ -8,30 +9,38 @@
 from typing import Any
 
 from returns.result import Success
-from twisted.internet import asyncioreactor
-from twisted.web.server import Site
 
-from foxtailhatch.core import Address
+from foxtailhatch.core import Address, HybridClock
 from foxtailhatch.daemon.assembly import (
     configuration_loop,
     empty_blackboard,
     front_site,
     own_entry,
+    peer_loop,
+    peer_node,
 )
+from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
 from foxtailhatch.daemon.entry import EntryParts, join_parts, start_loops
 from foxtailhatch.daemon.guard import Guard, GuardedClock
+from foxtailhatch.daemon.listening import (
+    bound_socket,
+    install_reactor,
+    serve_on,
+)
 from foxtailhatch.daemon.logs import configure_logging
 from foxtailhatch.daemon.loops import Loops
 from foxtailhatch.daemon.outside import connect_outside
+from foxtailhatch.daemon.peer_inbox import PeerInbox
 from foxtailhatch.daemon.secrets import Secrets, read_secrets
 from foxtailhatch.daemon.settings import Settings
 from foxtailhatch.daemon.stopping import Stopping
+from foxtailhatch.peers import PeerNode
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 EXIT_INVARIANT = 3
-BACKLOG = 512
+PEER_STEP_S = 0.05
 
 
 def run(cfg: Settings) -> int:
@@ -48,15 +57,6 @@
     return process.exit_code
 
 
-def install_reactor() -> Any:
-    """Install the asyncio reactor of this process and return it."""
-    asyncioreactor.install()
-    # Twisted binds this name at its first import.
-    from twisted.internet import reactor  # noqa: WPS433
-
-    return reactor
-
-
 class EntryProcess:
     """The entry that this process runs."""
 
@@ -68,21 +68,55 @@
         self._reactor = reactor
 
     def start(self) -> None:
-        """Listen, start the loops and print the first line."""
+        """Begin to listen; the first line is printed once all is open."""
+        asyncio.ensure_future(self._open()).add_done_callback(self._opened)
+
+    async def _open(self) -> None:
         cfg = self._cfg
+        clock = HybridClock(cfg.instance)
+        inbox = PeerInbox()
+        node = peer_node(cfg, self._secrets, clock, inbox)
+        peers = await node.start()
         listener = bound_socket(cfg.listen.callers.address())
-        address = Address(*listener.getsockname())
-        parts, following = self._join(address)
-        self._listen(
-            listener,
-            front_site(cfg, self._secrets, parts, following, self._reactor),
+        callers = Address(*listener.getsockname())
+        own = own_entry(cfg, callers, peers)
+        self._run(empty_blackboard(cfg, own, clock), node, inbox, listener)
+        _announce(cfg.instance, callers, peers)
+
+    def _run(
+        self,
+        board: Blackboard,
+        node: PeerNode,
+        inbox: PeerInbox,
+        listener: socket.socket,
+    ) -> None:
+        cfg = self._cfg
+        parts, following = self._join(board)
+        now = self._reactor.seconds
+        inbox.open(parts.guard, peer_loop(cfg, parts, following, node, now))
+        site = front_site(
+            cfg,
+            self._secrets,
+            parts,
+            following,
+            node.counters,
+            self._reactor,
         )
-        self._start(parts, following)
-        _announce(cfg.instance, address)
+        serve_on(self._reactor, listener, site)
+        self._start(parts, following, inbox)
 
-    def _join(self, address: Address) -> tuple[EntryParts, ConfigurationLoop]:
+    def _opened(self, opening: 'asyncio.Task[None]') -> None:
+        failure = opening.exception()
+        if failure is not None:
+            sys.stderr.write(f'{failure}\n')
+            self.exit_code = EXIT_SETTINGS
+            self._reactor.stop()
+
+    def _join(
+        self,
+        board: Blackboard,
+    ) -> tuple[EntryParts, ConfigurationLoop]:
         cfg = self._cfg
-        board = empty_blackboard(cfg, own_entry(cfg, address))
         guard = Guard(board, self._broken)
         outside = connect_outside(cfg, self._reactor)
         clock = GuardedClock(self._reactor, guard)
@@ -95,18 +129,11 @@
         )
         return parts, following
 
-    def _listen(self, listener: socket.socket, site: Site) -> None:
-        self._reactor.adoptStreamPort(
-            listener.fileno(),
-            listener.family,
-            site,
-        )
-        listener.close()
-
     def _start(
         self,
         parts: EntryParts,
         following: ConfigurationLoop,
+        inbox: PeerInbox,
     ) -> None:
         reactor = self._reactor
         stopping = Stopping(
@@ -117,6 +144,7 @@
         )
         loops = Loops(parts.guard.invariant_broken)
         start_loops(loops, parts, following, stopping, self._cfg.periods)
+        loops.every(PEER_STEP_S, inbox.step)
 
         def stop(*_: object) -> None:  # noqa: WPS430
             reactor.callFromThread(stopping.ask)
@@ -129,17 +157,7 @@
         self._reactor.stop()
 
 
-def bound_socket(address: Address) -> socket.socket:
-    """Return a listening socket, so that a port of 0 becomes known."""
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.setblocking(False)
-    listener.bind((address.host, address.port))
-    listener.listen(BACKLOG)
-    return listener
-
-
-def _announce(instance: str, address: Address) -> None:
-    line = {'name': instance, 'address': str(address)}
+def _announce(instance: str, callers: Address, peers: Address) -> None:
+    line = {'name': instance, 'address': str(callers), 'peers': str(peers)}
     sys.stdout.write(f'{json.dumps(line)}\n')
     sys.stdout.flush()
--- a/foxtailhatch/daemon/assembly.py
+++ b/foxtailhatch/daemon/assembly.py
@@ -10,27 +10,44 @@
 from foxtailhatch.callers.operations import OperatorAccess
 from foxtailhatch.callers.site import build_site
 from foxtailhatch.config.snapshots import SnapshotWriter
-from foxtailhatch.core import Address
+from foxtailhatch.core import Address, HybridClock
 from foxtailhatch.daemon.blackboard import Blackboard, new_blackboard
 from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
 from foxtailhatch.daemon.entry import EntryParts
 from foxtailhatch.daemon.metrics import Metrics
 from foxtailhatch.daemon.observability import EntryObservability
 from foxtailhatch.daemon.operations import EntryOperations
+from foxtailhatch.daemon.peer_inbox import PeerInbox
+from foxtailhatch.daemon.peer_loop import PeerLoop
 from foxtailhatch.daemon.secrets import Secrets
 from foxtailhatch.daemon.settings import Settings
-from foxtailhatch.membership import Entry, EntryTable, PlannedStop
+from foxtailhatch.membership import (
+    Entry,
+    EntryTable,
+    Gossip,
+    PlannedStop,
+)
+from foxtailhatch.peers import (
+    PeerCounters,
+    PeerIdentity,
+    PeerNode,
+    PeerSettings,
+)
 from foxtailhatch.platform import LogService
 
 MILLISECONDS = 1000
 RANDOM_BITS = 64
 
 
-def own_entry(cfg: Settings, listening: Address) -> Entry:
-    """Return this instance's account of itself as it starts."""
+def own_entry(cfg: Settings, callers: Address, peers: Address) -> Entry:
+    """Return this instance's account of itself as it starts.
+
+    The addresses are those it listens on; advertised ones replace them.
+    """
     advertised = cfg.advertise
-    callers = advertised.callers.address() if advertised else listening
-    peers = (advertised or cfg.listen).peers.address()
+    if advertised is not None:
+        callers = advertised.callers.address()
+        peers = advertised.peers.address()
     return Entry(
         cfg.instance,
         callers,
@@ -41,11 +58,15 @@
     )
 
 
-def empty_blackboard(cfg: Settings, own: Entry) -> Blackboard:
+def empty_blackboard(
+    cfg: Settings,
+    own: Entry,
+    clock: HybridClock,
+) -> Blackboard:
     """Return the blackboard of an entry that starts."""
     keep_s = cfg.periods.entry_advice_keep_s
     return new_blackboard(
-        cfg.instance,
+        clock,
         cfg.availability_zone,
         SystemRandom().getrandbits(RANDOM_BITS),
         EntryTable(own, keep_s),
@@ -77,6 +98,7 @@
     secrets: Secrets,
     parts: EntryParts,
     configuration: ConfigurationLoop,
+    peers: PeerCounters,
     reactor: Any,
 ) -> Site:
     """Return the site towards callers, operators and monitoring."""
@@ -86,6 +108,7 @@
         parts.answers,
         parts.care,
         parts.guard,
+        peers,
     )
     operators = None
     if secrets.operator_key is not None:
@@ -98,3 +121,29 @@
         cfg.timeouts.first_token_s,
     )
     return build_site(parts.gateway, observability, limits, reactor, operators)
+
+
+def peer_node(
+    cfg: Settings,
+    secrets: Secrets,
+    clock: HybridClock,
+    inbox: PeerInbox,
+) -> PeerNode:
+    """Return the node that talks with other entries."""
+    identity = PeerIdentity(cfg.instance, cfg.listen.peers.address())
+    settings = PeerSettings(identity, secrets.peer_key)
+    return PeerNode(settings, clock, inbox.take, inbox.unreachable)
+
+
+def peer_loop(
+    cfg: Settings,
+    parts: EntryParts,
+    configuration: ConfigurationLoop,
+    node: PeerNode,
+    now: Any,
+) -> PeerLoop:
+    """Return the loop that exchanges with other entries."""
+    seeds = [seed.address() for seed in cfg.seeds]
+    board = parts.board
+    gossip = Gossip(board.entries, board.random, seeds)
+    return PeerLoop(board, parts.care, configuration, gossip, node, now)
--- a/foxtailhatch/daemon/blackboard.py
+++ b/foxtailhatch/daemon/blackboard.py
@@ -48,7 +48,7 @@
 
 
 def new_blackboard(
-    name: str,
+    clock: HybridClock,
     zone: str,
     seed: int,
     entries: EntryTable,
@@ -57,9 +57,9 @@
 ) -> Blackboard:
     """Return the blackboard of an entry that knows nothing yet."""
     random = Random(seed)
-    timeline = Timeline(HybridClock(name))
+    timeline = Timeline(clock)
     return Blackboard(
-        name=name,
+        name=clock.instance,
         zone=zone,
         random=random,
         timeline=timeline,
--- a/foxtailhatch/daemon/observability.py
+++ b/foxtailhatch/daemon/observability.py
@@ -10,6 +10,7 @@
 from foxtailhatch.daemon.endpoint_care import EndpointCare
 from foxtailhatch.daemon.guard import Guard
 from foxtailhatch.daemon.metrics import Metrics
+from foxtailhatch.peers import PeerCounters
 
 
 @dataclass(slots=True)
@@ -21,6 +22,7 @@
     answers: Answers
     care: EndpointCare
     guard: Guard
+    peers: PeerCounters
 
     def metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -57,6 +59,7 @@
             'recoveries': self.answers.recoveries,
             'stopping': board.stop.is_asked(),
             'endpoints': self._endpoints(),
+            'peer_links_refused': self.peers.links_refused,
             'entries': [entry.name for entry in board.entries.members()],
         }
 
--- a/foxtailhatch/daemon/order_loop.py
+++ b/foxtailhatch/daemon/order_loop.py
@@ -110,10 +110,10 @@
         if due is None:
             return None
         page = await self._log.read(due.stream, due.offset, due.limit)
-        if isinstance(page, Success):
-            return page.unwrap()
-        follower.read_failed(self._board.wall_time())
-        return None
+        known: LogPage | None = page.value_or(None)
+        if known is None:
+            follower.read_failed(self._board.wall_time())
+        return known
 
     async def _append(self, record: AppendRecord | None) -> None:
         if record is not None:
--- /dev/null
+++ b/foxtailhatch/daemon/peer_loop.py
@@ -0,0 +1,122 @@
+"""The exchange with other entries, carried out on the loop."""
+
+from collections.abc import Callable, Iterable
+
+from returns.result import Success
+
+from foxtailhatch.config import (
+    SnapshotRecord,
+    decode_record,
+    encode_record,
+    snapshot_of,
+    state_of,
+)
+from foxtailhatch.core import Address, EventKind
+from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
+from foxtailhatch.daemon.endpoint_care import EndpointCare
+from foxtailhatch.membership import (
+    AskConfiguration,
+    Digest,
+    EndpointLeaving,
+    EntryChange,
+    Gossip,
+    GossipAction,
+    SendDigest,
+)
+from foxtailhatch.peers import (
+    ConfigurationAsk,
+    ConfigurationPush,
+    Message,
+    PeerIdentity,
+    PeerNode,
+)
+
+
+class PeerLoop:
+    """Carry out what gossip decides, and pass the configuration on."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        care: EndpointCare,
+        configuration: ConfigurationLoop,
+        gossip: Gossip,
+        node: PeerNode,
+        now: Callable[[], float],
+    ) -> None:
+        """Join the parts; nothing is sent yet."""
+        self.node = node
+        self._board = board
+        self._care = care
+        self._configuration = configuration
+        self._gossip = gossip
+        self._now = now
+
+    async def step(self) -> None:
+        """Send what is due, and spread which endpoints leave."""
+        now = self._now()
+        while self._board.leaves_seen:
+            endpoint = self._board.leaves_seen.pop()
+            self._gossip.note_endpoint_leaving(endpoint, now)
+        self._carry_out(self._gossip.tick(now))
+
+    def take(self, peer: PeerIdentity, message: Message) -> None:
+        """Take a message from a proven peer."""
+        match message:
+            case Digest():
+                self._carry_out(self._gossip.receive(message, self._now()))
+            case ConfigurationAsk(version):
+                self._push(peer.address, version)
+            case ConfigurationPush():
+                self._adopt(message)
+
+    def unreachable(self, address: Address) -> None:
+        """Learn that no connection to a peer could be opened."""
+        actions = self._gossip.note_unreachable(address, self._now())
+        self._carry_out(actions)
+
+    def _carry_out(self, actions: Iterable[GossipAction]) -> None:
+        for action in actions:
+            match action:
+                case SendDigest(address, digest, fresh_link):
+                    self.node.send(address, digest, fresh_link=fresh_link)
+                case AskConfiguration(address, version):
+                    self.node.send(address, ConfigurationAsk(version))
+                case EndpointLeaving(endpoint, _):
+                    self._leaving(endpoint)
+                case EntryChange(entry, liveness):
+                    self._board.record(
+                        EventKind.MEMBER_CHANGED,
+                        entry,
+                        liveness.value,
+                    )
+
+    def _leaving(self, endpoint: str) -> None:
+        changes = self._board.endpoints.note_leaving_observed(
+            endpoint,
+            self._now(),
+        )
+        self._care.take_changes(changes)
+
+    def _push(self, address: Address, version: int) -> None:
+        fold = self._board.fold
+        if fold.version <= version:
+            return
+        snapshot = snapshot_of(fold.export())
+        push = ConfigurationPush(
+            fold.version,
+            fold.through,
+            encode_record(snapshot),
+        )
+        self.node.send(address, push)
+
+    def _adopt(self, push: ConfigurationPush) -> None:
+        match decode_record(push.body):
+            case Success(SnapshotRecord() as snapshot):
+                known = state_of(snapshot)
+            case _:
+                return
+        if isinstance(known, Success):
+            if self._board.fold.adopt(known.unwrap()):
+                self._configuration.adopted()
