Split the engine stand-in and compare four ways to relay

The engine's orders, whole calls and HTTP front have modules of their own. bench/relay.py measures a session for each answer and a request for each step beside the session for each engine.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -1,26 +1,34 @@
 """Processor time of a relay for each token: ``python -m bench.relay``.
 
-Four engines hold one layer each, and 32 answers run at once.  A bare relay
-and the engines' adapter relay the same answers, one after the other, against
-the same engines, each in a process of its own.  Each line printed is one
-JSON object.
+Four engines hold one layer each, and 32 answers run at once.  The relays
+make the same answers, one after the other, against the same engines, each in
+a process of its own: a bare one, the engines' adapter with a session for each
+engine, the adapter with sessions for each answer, and one HTTP request for
+each step.  Each line printed is one JSON object.
 """
 
 import json
 import subprocess
 import sys
+from collections.abc import Callable
 from contextlib import ExitStack
+from functools import partial
 from statistics import median
 from typing import Any
 
 import click
 
-from bench import relay_adapter, relay_bare
+from bench import relay_adapter, relay_bare, relay_requests
 from bench.relay_job import MODEL, PROMPT, STAGES, VERSION, RelayJob
 from standins.toy_model import reference_answer
 
 SIZES_BYTES = (16, 16_384)
-RELAYS = {'bare': relay_bare.main, 'adapter': relay_adapter.main}
+RELAYS: dict[str, Callable[[RelayJob], None]] = {
+    'bare': relay_bare.main,
+    'adapter': relay_adapter.main,
+    'session_per_answer': partial(relay_adapter.main, shared=False),
+    'request_per_step': relay_requests.main,
+}
 
 
 @click.group(invoke_without_command=True)
--- a/bench/relay_adapter.py
+++ b/bench/relay_adapter.py
@@ -1,4 +1,7 @@
-"""The engines' adapter with the least that a relay needs around it."""
+"""The engines' adapter with the least that a relay needs around it.
+
+Sessions are shared by all answers, or each answer has its own ones.
+"""
 
 import sys
 from typing import Any
@@ -14,7 +17,13 @@
     stage_layers,
 )
 from foxtailhatch.core import Address, Endpoint, EndpointKind
-from foxtailhatch.platform import DownFrame, OpenStage, StageOutput, StepStage
+from foxtailhatch.platform import (
+    DownFrame,
+    EngineSession,
+    OpenStage,
+    StageOutput,
+    StepStage,
+)
 from foxtailhatch.platform.engine_http import HttpEngine
 from foxtailhatch.platform.http_client import HttpClient
 
@@ -22,24 +31,29 @@
 class _Relay:
     """Hear all sessions and pass each output on to the next stage."""
 
-    def __init__(self, job: RelayJob, reactor: Any) -> None:
+    def __init__(self, job: RelayJob, reactor: Any, shared: bool) -> None:
         self.job = job
         self.reactor = reactor
         self.clock = TokenClock(job)
         self.positions = dict.fromkeys(job.streams(), 0)
         engine = HttpEngine(HttpClient(reactor))
-        self.sessions = [
-            engine.open_session(_endpoint(stage, address), self)
-            for stage, address in enumerate(job.stages)
-        ]
+        self.sessions: dict[str, list[EngineSession]] = {}
+        opened: list[EngineSession] = []
+        for stream in job.streams():
+            if not (opened and shared):
+                opened = [
+                    engine.open_session(_endpoint(stage, address), self)
+                    for stage, address in enumerate(job.stages)
+                ]
+            self.sessions[stream] = opened
 
     def start(self) -> None:
         """Open all stages of all answers and send the prompts."""
-        for stream in self.job.streams():
-            for stage, session in enumerate(self.sessions):
+        for stream, sessions in self.sessions.items():
+            for stage, session in enumerate(sessions):
                 layers = stage_layers(stage)
                 session.send(OpenStage(stream, 1, MODEL, VERSION, layers))
-            self.sessions[0].send(StepStage(stream, 1, 0, PROMPT))
+            sessions[0].send(StepStage(stream, 1, 0, PROMPT))
 
     def frame_received(self, endpoint: str, frame: DownFrame) -> None:
         """Pass on what a stage gave."""
@@ -47,19 +61,24 @@
             return
         stream = frame.stream
         if frame.token is None:
-            self.sessions[frame.layers.end].send(
+            self.sessions[stream][frame.layers.end].send(
                 StepStage(stream, 1, frame.position, (), frame.activations),
             )
             return
         self.positions[stream] += 1 if self.positions[stream] else len(PROMPT)
         if self.clock.token(stream, frame.token):
-            self.sessions[0].send(
+            self.sessions[stream][0].send(
                 StepStage(stream, 1, self.positions[stream], (frame.token,)),
             )
         elif self.clock.finished():
-            for session in self.sessions:
+            self.stop()
+
+    def stop(self) -> None:
+        """Close all sessions and end the loop."""
+        for sessions in self.sessions.values():
+            for session in sessions:
                 session.close()
-            self.reactor.stop()
+        self.reactor.stop()
 
     def session_lost(self, endpoint: str, reason: str) -> None:
         """Give up: a comparison without all stages means nothing."""
@@ -76,13 +95,13 @@
     )
 
 
-def main(job: RelayJob) -> None:
+def main(job: RelayJob, *, shared: bool = True) -> None:
     """Relay the job's answers and print the report."""
     asyncioreactor.install()
     from twisted.internet import reactor
 
     loop: Any = reactor
-    relay = _Relay(job, loop)
+    relay = _Relay(job, loop, shared)
     relay.start()
     loop.run()
     print(relay.clock.report())
--- /dev/null
+++ b/bench/relay_requests.py
@@ -0,0 +1,94 @@
+"""The way not taken: one HTTP request for each step of each stage."""
+
+import asyncio
+from typing import Any
+
+from twisted.internet import asyncioreactor
+
+from bench.relay_job import (
+    MODEL,
+    PROMPT,
+    VERSION,
+    RelayJob,
+    TokenClock,
+    stage_layers,
+)
+from foxtailhatch.core import Address
+from foxtailhatch.platform import (
+    DownFrame,
+    OpenStage,
+    StageOutput,
+    StepStage,
+    UpFrame,
+)
+from foxtailhatch.platform.frames_json import decode_down, encode_frame
+from foxtailhatch.platform.http_client import HttpCall, HttpClient
+
+
+class _Relay:
+    """Send every frame as a request and wait for its answer."""
+
+    def __init__(self, job: RelayJob, client: HttpClient) -> None:
+        self.clock = TokenClock(job)
+        self.client = client
+        self.addresses = list(map(_address, job.stages))
+
+    async def ask(self, stage: int, frame: UpFrame) -> DownFrame:
+        """Return the frame that answers a frame."""
+        call = HttpCall('POST', '/frames', encode_frame(frame))
+        answer = await self.client.send(self.addresses[stage], call)
+        return decode_down(answer.unwrap().body).unwrap()
+
+    async def answer(self, stream: str) -> None:
+        """Make one whole answer."""
+        await asyncio.gather(
+            *(
+                self.ask(
+                    stage,
+                    OpenStage(stream, 1, MODEL, VERSION, stage_layers(stage)),
+                )
+                for stage, _ in enumerate(self.addresses)
+            ),
+        )
+        fed, position = PROMPT, 0
+        goes_on = True
+        while goes_on:
+            token = await self.token(stream, position, fed)
+            position += len(fed)
+            fed = (token,)
+            goes_on = self.clock.token(stream, token)
+
+    async def token(self, stream: str, position: int, fed: Any) -> int:
+        """Run one step through all stages."""
+        step = StepStage(stream, 1, position, fed)
+        stage = 0
+        while True:
+            output = await self.ask(stage, step)
+            assert isinstance(output, StageOutput)
+            if output.token is not None:
+                return output.token
+            step = StepStage(stream, 1, position, (), output.activations)
+            stage += 1
+
+
+def _address(text: str) -> Address:
+    host, port = text.split(':')
+    return Address(host, int(port))
+
+
+async def _run(job: RelayJob, reactor: Any) -> None:
+    relay = _Relay(job, HttpClient(reactor))
+    await asyncio.gather(*map(relay.answer, job.streams()))
+    print(relay.clock.report())
+    reactor.stop()
+
+
+def main(job: RelayJob) -> None:
+    """Make the job's answers and print the report."""
+    asyncioreactor.install()
+    from twisted.internet import reactor
+
+    loop: Any = reactor
+    task = loop._asyncioEventloop.create_task(_run(job, reactor))
+    loop.run()
+    task.result()
--- /dev/null
+++ b/standins/engine_calls.py
@@ -0,0 +1,66 @@
+"""Whole calls about an engine's streams: moved caches and single frames."""
+
+from typing import Final
+
+from pydantic import TypeAdapter
+from returns.result import Failure, Success
+
+from foxtailhatch.platform import OpenStage, StepStage
+from foxtailhatch.platform.frames_json import decode_up, encode_frame
+from standins.engine_streams import EngineStreams, StageStream
+from standins.http_app import CONFLICT, NOT_FOUND, OK, Call, Reply, reply
+
+_streams: Final = TypeAdapter(StageStream)
+
+
+def answer_stream_call(
+    streams: EngineStreams,
+    call: Call,
+    now: float,
+) -> Reply:
+    """Answer a call about one stream."""
+    match (call.method, call.path):
+        case ('GET', ('kv', name)):
+            return _export(streams, name)
+        case ('PUT', ('kv', name)):
+            return _import(streams, name, call.body, now)
+        case ('POST', ('frames',)):
+            return _frame(streams, call.body, now)
+        case _:
+            return reply({'error': 'no such thing here'}, NOT_FOUND)
+
+
+def _export(streams: EngineStreams, name: str) -> Reply:
+    """Show a stream with its KV cache."""
+    stream = streams.streams.get(name)
+    if stream is None:
+        return reply({'error': f'no stream {name}'}, NOT_FOUND)
+    return reply(stream)
+
+
+def _import(
+    streams: EngineStreams,
+    name: str,
+    body: bytes,
+    now: float,
+) -> Reply:
+    """Take a stream's KV cache that another engine exported."""
+    stream = _streams.validate_json(body)
+    if len(stream.cache.rows) != len(stream.opened.layers):
+        return reply({'error': 'rows do not fit the layers'}, CONFLICT)
+    stream.used_at = now
+    streams.streams[name] = stream
+    return reply({'positions': len(stream.cache)})
+
+
+def _frame(streams: EngineStreams, line: bytes, now: float) -> Reply:
+    """Answer one frame without a session, for the bench to compare."""
+    match decode_up(line):
+        case Success(OpenStage() as opening):
+            return Reply(OK, encode_frame(streams.open(opening, '', now)))
+        case Success(StepStage() as step):
+            return Reply(OK, encode_frame(streams.step(step, now)))
+        case Failure(reason):
+            raise ValueError(reason)
+        case _:
+            raise ValueError('neither open nor step')
--- a/tests/standins/test_engine_node.py
+++ b/tests/standins/test_engine_node.py
@@ -2,7 +2,8 @@
 from twisted.internet.task import Clock
 
 from foxtailhatch.core import Holding, LayerRange
-from foxtailhatch.platform import EngineOrder, OpenStage
+from foxtailhatch.platform import EngineOrder, OpenStage, Ping, StepStage
+from foxtailhatch.platform.frames_json import decode_down, encode_frame
 from standins.engine_node import Engine, EngineSettings
 from standins.engine_streams import EngineStreams
 from standins.http_app import Call, reply
@@ -61,6 +62,18 @@
     assert node.streams.holdings == (HELD,)
 
 
+def test_single_frames_are_answered_without_a_session(node):
+    def ask(line):
+        return node.answer(Call('POST', ('frames',), {}, {}, line)).body
+
+    opening = OpenStage('s', 1, 'toy', '1', HELD.layers)
+    assert decode_down(ask(encode_frame(opening))).unwrap().cached == 0
+    step = StepStage('s', 1, 0, (1,))
+    assert decode_down(ask(encode_frame(step))).unwrap().token is not None
+    with pytest.raises(ValueError, match='neither'):
+        ask(encode_frame(Ping(1)))
+
+
 def test_an_order_for_an_unknown_model_changes_nothing(node):
     other = Holding('other', '1', LayerRange(0, 2))
     assert _order(node, 1, other).status == 404
