Take a service's path by its segments

A path such as /v1/%73ervices/desk/book reached the resource of the service, but its own path was found by comparing the raw start of the whole; the service got /v1/services/desk/book, which no entry of not_repeatable begins (test_an_escape_in_the_front_path_leaves_the_service_path).

--- a/foxtailhatch/callers/services.py
+++ b/foxtailhatch/callers/services.py
@@ -28,7 +28,8 @@
     b'POST',
     b'PUT',
 )
-SERVICES_PATH = b'/v1/services/'
+# An empty one before the first slash, then v1, services and the name.
+SEGMENTS_TO_NAME = 4
 PATH_SAFE = "!$&'()*+,;=:@"
 QUERY_SAFE = f'{PATH_SAFE}/?%'
 
@@ -112,8 +113,8 @@
     'bad_request'
     """
     path, mark, query = uri.partition(b'?')
-    _, _, rest = path.removeprefix(SERVICES_PATH).partition(b'/')
-    segments = [unquote_to_bytes(segment) for segment in rest.split(b'/')]
+    below = path.split(b'/')[SEGMENTS_TO_NAME:] or [b'']
+    segments = [unquote_to_bytes(segment) for segment in below]
     if all(map(_is_plain, segments[:-1])) and _may_be_last(segments[-1]):
         spelled = '/'.join(quote(segment, PATH_SAFE) for segment in segments)
         asked = f'{mark.decode()}{quote(query, QUERY_SAFE)}'
--- a/tests/callers/test_services.py
+++ b/tests/callers/test_services.py
@@ -53,6 +53,14 @@
     assert refusal.code is ErrorCode.BAD_REQUEST
 
 
+@with_front
+async def test_an_escape_in_the_front_path_leaves_the_service_path(front):
+    path = '/v1/%73ervices/d%65sk/book'
+    await front.ask('POST', path, **GOOD)
+    call = front.gateway.calls[0]
+    assert (call.service, call.path) == ('desk', '/book')
+
+
 def test_a_path_with_needless_escapes_reaches_the_service_without_them():
     spelled = service_path(b'/v1/services/desk/%62%6fok').unwrap()
     assert spelled == '/book'
