Show an endpoint's chains on its time line

Words of the detail count now.

Red on this commit, both from main and not changed here: mypy at foxtailhatch/daemon/order_loop.py:114, and tests/test_docs.py for settings that docs/CONFIGURATION.md does not name yet.

--- a/foxtailhatch/cli/timeline.py
+++ b/foxtailhatch/cli/timeline.py
@@ -1,11 +1,13 @@
 """The subcommand that joins the time lines of all entries."""
 
 import json
+import re
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from datetime import UTC, datetime
+from itertools import chain
 from operator import attrgetter
 from pathlib import Path
-from urllib.parse import quote
 
 import click
 from returns.result import Failure, Success
@@ -18,6 +20,9 @@
 from foxtailhatch.core import Event
 from foxtailhatch.core.timeline_json import events_from_json
 
+# Chains are written as names with > between them.
+WORD = re.compile(r'[^\s>:,]+')
+
 
 @click.command()
 @entries_option
@@ -44,29 +49,45 @@
     Example:
       foxtailhatch timeline --entry 10.20.1.11:8080 --trace events.json
     """
-    gathered = [_gather(address, subject) for address in all_entries(known)]
+    gathered = [_gather(address) for address in all_entries(known)]
     if not any(part is not None for part in gathered):
         leave('No entry answered.', Exit.UNREACHABLE)
     parts = [part for part in gathered if part is not None]
-    events = merged(parts, since, until)
+    events = merged(parts, Wanted(subject, since, until))
     for event in events:
         click.echo(event_line(event))
     if trace is not None:
         trace.write_text(json.dumps(chrome_trace(events)))
 
 
-def merged(
-    parts: Iterable[Iterable[Event]],
-    since: float | None,
-    until: float | None,
-) -> list[Event]:
-    """Return the events of all parts within a span, by their stamps."""
-    events = [
-        event
-        for part in parts
-        for event in part
-        if _within(event.stamp.wall, since, until)
-    ]
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """Which events to show; an empty or absent part wants all.
+
+    An event is about ``subject`` if that is its own subject or a word of its
+    detail, such as an endpoint of a chain.
+    """
+
+    subject: str = ''
+    since: float | None = None
+    until: float | None = None
+
+    def takes(self, event: Event) -> bool:
+        """Tell whether to show ``event``."""
+        wall = event.stamp.wall
+        is_late_enough = self.since is None or self.since <= wall
+        is_early_enough = self.until is None or wall <= self.until
+        return is_late_enough and is_early_enough and self._is_about(event)
+
+    def _is_about(self, event: Event) -> bool:
+        if self.subject in {'', event.subject}:
+            return True
+        return self.subject in WORD.findall(f'{event.subject} {event.detail}')
+
+
+def merged(parts: Iterable[Iterable[Event]], wanted: Wanted) -> list[Event]:
+    """Return the wanted events of all parts, by their stamps."""
+    events = [event for event in chain(*parts) if wanted.takes(event)]
     return sorted(events, key=attrgetter('stamp'))
 
 
@@ -85,9 +106,8 @@
     return ' '.join(words).rstrip()
 
 
-def _gather(address: str, subject: str) -> Sequence[Event] | None:
-    query = f'?subject={quote(subject)}' if subject else ''
-    match make_call(address, Call('GET', f'/timeline{query}')):
+def _gather(address: str) -> Sequence[Event] | None:
+    match make_call(address, Call('GET', '/timeline')):
         case Success(answer):
             return _events(address, answer)
         case Failure(unreachable):
@@ -102,8 +122,3 @@
         case Failure(message):
             click.echo(f'skipped: {address}: {message}', err=True)
     return None
-
-
-def _within(wall: float, since: float | None, until: float | None) -> bool:
-    is_late_enough = since is None or since <= wall
-    return is_late_enough and (until is None or wall <= until)
--- a/tests/cli/test_timeline.py
+++ b/tests/cli/test_timeline.py
@@ -1,7 +1,7 @@
 import json
 
 from foxtailhatch.callers import EntryAdvice
-from foxtailhatch.cli.timeline import merged
+from foxtailhatch.cli.timeline import Wanted, merged
 from foxtailhatch.cli.trace import chrome_trace
 from foxtailhatch.core import Event, EventKind, Stamp
 from tests.cli.served import run, serving
@@ -27,7 +27,15 @@
     assert len(json.loads(trace.read_text())['traceEvents']) == 7
 
 
-def test_a_subject_is_asked_for():
+CHOSEN = Event(
+    Stamp(1.0, 2, 'a'),
+    EventKind.CHAIN_CHOSEN,
+    'req-1',
+    '1:engine-0>engine-1',
+)
+
+
+def test_one_subject_is_shown():
     with serving() as (entry,):
         entry.observability.events = [STARTED, RECOVERED]
         args = ('--entry', entry.address, '--subject', 'req-1')
@@ -35,9 +43,16 @@
     assert len(done.stdout.splitlines()) == 1
 
 
+def test_an_endpoint_is_shown_with_the_chains_it_is_in():
+    lost = Event(Stamp(2.0, 0, 'a'), EventKind.SESSION_LOST, 'engine-1')
+    events = [ADMITTED, CHOSEN, lost]
+    assert merged([events], Wanted('engine-1')) == [CHOSEN, lost]
+    assert merged([events], Wanted('engine')) == []
+
+
 def test_a_span_leaves_out_what_is_before_and_after():
     parts = [[STARTED, ADMITTED], [FINISHED]]
-    assert merged(parts, 0.6, 1.2) == [ADMITTED]
+    assert merged(parts, Wanted('', 0.6, 1.2)) == [ADMITTED]
 
 
 def test_a_request_is_a_span_of_its_instance_in_the_trace():
