--- a/foxtailhatch/durable/placement.py
+++ b/foxtailhatch/durable/placement.py
@@ -2,13 +2,13 @@
 
 A group of endpoints is grown only after it was overloaded for a while, and
 only by an endpoint whose own group would stay well below that load without
-it, also if its latest peak came back.  An endpoint that was moved stays for a
-while, and a new controller watches for a while before it takes an endpoint
+it, also if its latest peak came back, and a new controller watches for a while before it takes an endpoint
 from a model that has one.  So the plan follows a lasting shift and does not swing with demand.
 """
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping
 from dataclasses import replace
+from functools import partial
 
 from foxtailhatch.core import Holding, LayerRange
 from foxtailhatch.durable.fleet import FleetView, Groups, gaps
@@ -21,7 +21,6 @@
 HIGH_LOAD = 0.8
 DONOR_LOAD = 0.5
 HIGH_FOR_S = 30.0
-STAY_S = 300.0
 WATCH_S = 300.0
 PEAK_HALF_LIFE_S = 600.0
 
@@ -32,7 +31,6 @@
     def __init__(self, now: float) -> None:
         """Start at ``now`` without a memory of load or moves."""
         self._high_since: dict[Holding, float] = {}
-        self._moved_at: dict[str, float] = {}
         self._peaks: dict[str, float] = {}
         self._remembered_at = float(0)
         self._watching_since = now
@@ -45,10 +43,7 @@
         """
         self._remember(now, view.demand)
         groups = Groups(view)
-        move = next(self._moves(now, view, groups), None)
-        if move:
-            self._moved_at[move.endpoint] = now
-        return move
+        return next(self._moves(now, view, groups), None)
 
     def _moves(
         self,
@@ -57,7 +52,7 @@
         groups: Groups,
     ) -> Iterator[Move]:
         for gap in gaps(view):
-            yield from self._filled(now, view, groups, gap)
+            yield from self._filled(view, groups, gap)
         for need in view.needs:
             yield from next_update(need, view.plan, view.settled)
         for holding in self._overloaded(now, view, groups):
@@ -65,14 +60,13 @@
 
     def _filled(
         self,
-        now: float,
         view: FleetView,
         groups: Groups,
         gap: Holding,
     ) -> Iterator[Move]:
         """Give layers that nobody holds to a spare endpoint or a donor."""
         spare = view.largest(spare_endpoints(view.needs, view.plan))
-        donor = spare or self._donor(now, view, groups, gap)
+        donor = spare or self._donor(view, groups, gap)
         if donor:
             first = gap.layers.first
             end = first + view.capacities[donor].layers
@@ -113,7 +107,7 @@
         fitting = [name for name in spares if view.fits(name, holding)]
         donor = view.largest(fitting)
         if donor is None and now >= self._watching_since + WATCH_S:
-            donor = self._donor(now, view, groups, holding)
+            donor = self._donor(view, groups, holding)
         if donor:
             # The group shows the effect before it may grow again.
             self._high_since[holding] = now
@@ -121,38 +115,23 @@
 
     def _donor(
         self,
-        now: float,
         view: FleetView,
         groups: Groups,
         wanted: Holding,
     ) -> str | None:
         """Return an endpoint whose group bears its load well without it."""
+        fits = partial(view.fits, wanted=wanted)
         loads: list[tuple[float, str]] = []
         for holding, members in groups.members.items():
             if holding == wanted or len(members) == 1:
                 continue
-            donor = self._leaver(now, view, members, wanted)
+            donor = next(filter(fits, members), None)
             if donor:
                 load = groups.load(holding, self._peaks, donor)
                 loads.append((load, donor))
         lowest, least_loaded = min(loads, default=(DONOR_LOAD, ''))
         return least_loaded if lowest < DONOR_LOAD else None
 
-    def _leaver(
-        self,
-        now: float,
-        view: FleetView,
-        members: Sequence[str],
-        wanted: Holding,
-    ) -> str | None:
-        """Return the first member that fits and was not moved of late."""
-        for name in members:
-            moved_at = self._moved_at.get(name)
-            rested = moved_at is None or now >= moved_at + STAY_S
-            if rested and view.fits(name, wanted):
-                return name
-        return None
-
     def _remember(self, now: float, demand: Mapping[str, float]) -> None:
         """Keep the peak of each demand, which fades by half in a while."""
         elapsed_s = now - self._remembered_at
--- a/tests/durable/test_claims.py
+++ b/tests/durable/test_claims.py
@@ -433,3 +433,11 @@
     assert lagging.refused('r3') == IN_USE
     other.turn()
     assert other.send('r2')
+
+
+def test_a_send_without_a_known_claim_breaks_the_invariant():
+    _, (entry, _) = cluster()
+    held(entry)
+    entry.claims.table.forget(START + 1)
+    with pytest.raises(InvariantBroken, match=Invariant.AT_MOST_ONCE):
+        entry.send()
--- a/tests/durable/test_leases.py
+++ b/tests/durable/test_leases.py
@@ -3,7 +3,14 @@
 import pytest
 
 from foxtailhatch.durable.lease_holder import LeaseHolder
-from foxtailhatch.durable.leases import LEASE_STREAM, TERM_S, LeaseTable
+from foxtailhatch.durable.leases import (
+    LEASE_STREAM,
+    TERM_S,
+    LeaseTable,
+    RenewLease,
+    TakeLease,
+    encode_lease_record,
+)
 from tests.durable.fake_log import AppendFate, FakeLog
 
 RETENTION_S = 600.0
@@ -135,3 +142,37 @@
     holder.awake = False
     seen = run(entries, 20, 20 + TERM_S / 2)
     assert len(holders(seen[-1])) == 1
+
+
+def put(log, now, *records):
+    for record in records:
+        log.append(LEASE_STREAM, encode_lease_record(record), now)
+
+
+def table_of(log, now):
+    table = LeaseTable()
+    page = log.read(LEASE_STREAM, 0, now).unwrap()
+    return table, table.take_page(now, page)
+
+
+def test_a_take_is_not_believed_after_lost_records_until_it_is_renewed():
+    log = FakeLog()
+    put(log, 0, TakeLease('placement', 'a'))
+    put(log, 5, RenewLease('placement', 'b', 0))
+    put(log, 8, TakeLease('placement', 'refused'))
+    put(log, 9, RenewLease('placement', 'c', 0))
+    log.streams[LEASE_STREAM].expire(7)
+    table, grants = table_of(log, 10)
+    assert table.state('placement').fence == 0
+    assert grants == []
+    assert not table.is_free('placement', 10 + TERM_S)
+
+
+def test_a_renewal_of_an_earlier_lease_is_refused():
+    log = FakeLog()
+    put(log, 0, TakeLease('placement', 'a'))
+    put(log, TERM_S, TakeLease('placement', 'b'))
+    put(log, TERM_S + 5, RenewLease('placement', 'late', 0))
+    table, grants = table_of(log, TERM_S + 6)
+    assert [grant.wish_id for grant in grants] == ['a', 'b']
+    assert table.is_free('placement', 2 * TERM_S)
