--- a/foxtailhatch/daemon/assembly.py
+++ b/foxtailhatch/daemon/assembly.py
@@ -65,7 +65,7 @@
     return ConfigurationLoop(
         parts.board,
         log,
-        parts.watch,
+        parts.care,
         parts.follower,
         SnapshotWriter(cfg.periods.log_retention_s, rng),
         now,
@@ -84,7 +84,7 @@
         parts.board,
         Metrics(cfg.instance),
         parts.answers,
-        parts.session_watch,
+        parts.care,
         parts.guard,
     )
     operators = None
@@ -95,5 +95,6 @@
         cfg.limits.body_bytes,
         cfg.timeouts.request_body_s,
         cfg.timeouts.slow_caller_s,
+        cfg.timeouts.first_token_s,
     )
     return build_site(parts.gateway, observability, limits, reactor, operators)
