--- /dev/null
+++ b/bench/configuration_costs.py
@@ -0,0 +1,195 @@
+"""What a publication costs a node at the target size."""
+
+import hashlib
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from functools import partial
+
+from bench.memory_log import MemoryLog
+from bench.report import report
+from foxtailhatch.config import (
+    CONFIGURATION_STREAM,
+    Account,
+    CallerEntry,
+    Configuration,
+    ConfigurationFold,
+    ConfigurationIndex,
+    Model,
+    Publication,
+    Selector,
+    access,
+    caller_of,
+    encode_record,
+    index_configuration,
+    parse_configuration,
+    render_configuration,
+    snapshot_of,
+)
+from foxtailhatch.config.changes import render_changes
+from foxtailhatch.core import Caller
+
+ACCOUNTS = 580
+MODELS = 37
+CALLERS = 5000
+SELECTORS = 200
+CHANGES_PER_DAY = 950
+DAY_S = 86_400
+NODE_BYTES_PER_S = 6000
+ROUNDS = 10
+
+
+def target_configuration() -> Configuration:
+    """Return a configuration of the target size."""
+    return Configuration(
+        1,
+        accounts=tuple(
+            Account(f'account-{number}') for number in range(ACCOUNTS)
+        ),
+        callers=tuple(
+            CallerEntry(
+                f'caller-{number}',
+                f'account-{number % ACCOUNTS}',
+                hashlib.sha256(str(number).encode()).hexdigest(),
+                {
+                    'account': f'account-{number % ACCOUNTS}',
+                    'team': f't{number % 9}',
+                },
+            )
+            for number in range(CALLERS)
+        ),
+        models=tuple(
+            Model(f'model-{number}', 'v1', 32, {'pool': f'pool-{number % 5}'})
+            for number in range(MODELS)
+        ),
+        selectors=tuple(
+            Selector(
+                f'selector-{number}',
+                {'account': f'account-{number * 3 % ACCOUNTS}'},
+                {'pool': f'pool-{number % 5}'},
+                priority=number % 4,
+            )
+            for number in range(SELECTORS)
+        ),
+    )
+
+
+def changed(cfg: Configuration, version: int) -> Configuration:
+    """Return the next version, in which one account differs."""
+    accounts = (Account('account-0', weight=version), *cfg.accounts[1:])
+    return replace(cfg, version=version, accounts=accounts)
+
+
+def publications(whole: bool) -> tuple[MemoryLog, float]:
+    """Return a log of the first version and :data:`ROUNDS` changes of it.
+
+    The second figure is the bytes of one change.
+    """
+    log = MemoryLog()
+    cfg = target_configuration()
+    first = Publication(1, 0, 'p1', render_configuration(cfg))
+    log.append(CONFIGURATION_STREAM, encode_record(first), 0)
+    before = log.size()
+    for version in range(2, 2 + ROUNDS):
+        newer = changed(cfg, version)
+        document = (
+            render_configuration(newer) if whole else render_changes(cfg, newer)
+        )
+        record = Publication(
+            version,
+            version - 1,
+            f'p{version}',
+            document,
+            whole,
+        )
+        log.append(CONFIGURATION_STREAM, encode_record(record), 0)
+        cfg = newer
+    return log, (log.size() - before) / ROUNDS
+
+
+def timed(action: Callable[[], object]) -> float:
+    """Return the processor time of an action in milliseconds."""
+    began = time.process_time()
+    action()
+    return (time.process_time() - began) * 1000
+
+
+def fold_time(log: MemoryLog) -> float:
+    """Return the milliseconds to fold one change."""
+    fold = ConfigurationFold()
+    page = log.read(CONFIGURATION_STREAM, 0)
+    fold.take_page(replace(page, records=page.records[:1]))
+    rest = replace(page, records=page.records[1:])
+    spent = timed(lambda: fold.take_page(rest))
+    assert fold.version == 1 + ROUNDS
+    return spent / ROUNDS
+
+
+def measure_configuration() -> None:
+    """Report changes against whole documents, and the costs of a version."""
+    small, small_bytes = publications(whole=False)
+    large, large_bytes = publications(whole=True)
+    report(
+        'processor time to fold a publication',
+        round(fold_time(small), 2),
+        'ms',
+        round(fold_time(large), 2),
+        accounts=ACCOUNTS,
+        models=MODELS,
+        callers=CALLERS,
+    )
+    for name, count in (('a change', small_bytes), ('a document', large_bytes)):
+        report(
+            f'bytes a node reads if publications are {name}',
+            round(count * CHANGES_PER_DAY / DAY_S, 2),
+            'bytes/s',
+            NODE_BYTES_PER_S,
+            record_bytes=round(count),
+        )
+    measure_version(small)
+    measure_access(target_configuration())
+
+
+def measure_version(log: MemoryLog) -> None:
+    """Report the size of a snapshot and the time to index a version."""
+    cfg = target_configuration()
+    document = render_configuration(cfg)
+    fold = ConfigurationFold()
+    fold.take_page(log.read(CONFIGURATION_STREAM, 0))
+    report(
+        'bytes of a snapshot',
+        len(encode_record(snapshot_of(fold.export()))),
+        'bytes',
+        len(document),
+    )
+    report(
+        'processor time to index a version',
+        round(timed(lambda: index_configuration(cfg)), 2),
+        'ms',
+        round(timed(lambda: parse_configuration(document)), 2),
+        baseline_is='parsing the document',
+    )
+
+
+def look_up_all(index: ConfigurationIndex, callers: Sequence[Caller]) -> None:
+    """Ask for one access of each caller."""
+    for number, caller in enumerate(callers):
+        access(index, caller, f'model-{number % MODELS}')
+
+
+def measure_access(cfg: Configuration) -> None:
+    """Report the look-up of an access against its first evaluation."""
+    index = index_configuration(cfg)
+    callers = [index.callers[entry.token_sha256] for entry in cfg.callers]
+    look_up = partial(look_up_all, index, callers)
+    first = timed(look_up)
+    again = timed(look_up)
+    tokens = timed(lambda: [caller_of(index, 'x' * 32) for _ in callers])
+    report(
+        'processor time of an access',
+        round(again / CALLERS * 1000, 2),
+        'us',
+        round(first / CALLERS * 1000, 2),
+        baseline_is='its first evaluation in a version',
+        token_us=round(tokens / CALLERS * 1000, 2),
+    )
--- a/foxtailhatch/durable/__init__.py
+++ b/foxtailhatch/durable/__init__.py
@@ -41,6 +41,7 @@
     WishTable,
     encode_wish,
     may_serve,
+    restatement,
 )
 
 __all__ = [
@@ -85,4 +86,5 @@
     'key_time',
     'may_serve',
     'part_readers',
+    'restatement',
 ]
--- a/foxtailhatch/durable/claims.py
+++ b/foxtailhatch/durable/claims.py
@@ -32,6 +32,7 @@
 from foxtailhatch.durable.tickets import Ticket, TicketBook, TicketState
 from foxtailhatch.platform import LogPage
 
+MAX_KEY_WINDOW_S = 21_600.0
 HOLDER_SILENT_S = 60.0
 HELD_GRACE_S = 30.0
 FORGET_INTERVAL_S = 60.0
@@ -45,7 +46,9 @@
     log keeps a record.
 
     >>> ClaimSettings(8, 86400.0).key_window_s
-    43080.0
+    21600.0
+    >>> ClaimSettings(8, 7200.0).key_window_s
+    3480.0
     """
 
     parts: int
@@ -56,9 +59,10 @@
         """Return for how long after its making a key is accepted.
 
         Half of the retention leaves a reader that starts late every claim
-        to every key that is still accepted.
+        to every key that is still accepted.  The bound keeps the table small.
         """
-        return self.retention_s / 2 - 2 * CLOCK_MARGIN_S
+        half_s = self.retention_s / 2 - 2 * CLOCK_MARGIN_S
+        return min(half_s, MAX_KEY_WINDOW_S)
 
 
 class ClaimController:
--- a/foxtailhatch/durable/fleet.py
+++ b/foxtailhatch/durable/fleet.py
@@ -82,15 +82,15 @@
         return wanted / speed if speed > 0 else float('inf')
 
 
-def gaps(view: FleetView) -> Iterator[Holding]:
+def gaps(view: FleetView, plans: Mapping[str, Plan]) -> Iterator[Holding]:
     """Yield the layers that nobody is wished to hold, by model.
 
-    A model that is being brought to a new version fills its own gaps.
+    ``plans`` is the plan by model.  A model that is being brought to a new version fills its own gaps.
     """
-    holdings = all_holdings(view.plan)
     for need in view.needs:
-        gap = first_gap(need, holdings)
-        old = list(outdated_endpoints(need, view.plan).values())
+        plan = plans.get(need.name, {})
+        gap = first_gap(need, all_holdings(plan))
+        old = list(outdated_endpoints(need, plan).values())
         if gap and len(old) == len(set(old)):
             yield holding_of(need, gap)
 
--- a/foxtailhatch/durable/placement.py
+++ b/foxtailhatch/durable/placement.py
@@ -15,6 +15,7 @@
 from foxtailhatch.durable.rollout import (
     Move,
     next_update,
+    plans_by_model,
     spare_endpoints,
 )
 
@@ -22,6 +23,7 @@
 DONOR_LOAD = 0.5
 HIGH_FOR_S = 30.0
 WATCH_S = 300.0
+PAUSE_S = 60.0
 PEAK_HALF_LIFE_S = 600.0
 
 
@@ -32,7 +34,7 @@
         """Start at ``now`` without a memory of load or moves."""
         self._high_since: dict[Holding, float] = {}
         self._peaks: dict[str, float] = {}
-        self._remembered_at = float(0)
+        self._remembered_at = now
         self._watching_since = now
 
     def step(self, now: float, view: FleetView) -> Move | None:
@@ -51,10 +53,12 @@
         view: FleetView,
         groups: Groups,
     ) -> Iterator[Move]:
-        for gap in gaps(view):
+        plans = plans_by_model(view.plan)
+        for gap in gaps(view, plans):
             yield from self._filled(view, groups, gap)
         for need in view.needs:
-            yield from next_update(need, view.plan, view.settled)
+            plan = plans.get(need.name, {})
+            yield from next_update(need, plan, view.settled)
         for holding in self._overloaded(now, view, groups):
             yield from self._grown(now, view, groups, holding)
 
@@ -135,6 +139,10 @@
     def _remember(self, now: float, demand: Mapping[str, float]) -> None:
         """Keep the peak of each demand, which fades by half in a while."""
         elapsed_s = now - self._remembered_at
+        if elapsed_s > PAUSE_S:
+            # Another holder decided meanwhile; its peaks are not known here.
+            self._watching_since = now
+            self._high_since.clear()
         faded = 2 ** (-elapsed_s / PEAK_HALF_LIFE_S)
         self._remembered_at = now
         self._peaks = {
--- a/foxtailhatch/durable/rollout.py
+++ b/foxtailhatch/durable/rollout.py
@@ -6,6 +6,7 @@
 from foxtailhatch.core import Holding, LayerRange
 
 Plan = Mapping[str, tuple[Holding, ...]]
+_Part = dict[str, tuple[Holding, ...]]
 ROLLOUT_SHARE = 10
 
 
@@ -76,6 +77,15 @@
     )
 
 
+def plans_by_model(plan: Plan) -> dict[str, Plan]:
+    """Return the part of a plan that concerns each model."""
+    parts: dict[str, _Part] = {}
+    for endpoint, holdings in plan.items():
+        for holding in holdings:
+            parts.setdefault(holding.model, {})[endpoint] = holdings
+    return dict(parts)
+
+
 def all_holdings(plan: Plan) -> list[Holding]:
     """Return the holdings of all endpoints."""
     return [holding for held in plan.values() for holding in held]
--- a/foxtailhatch/durable/wishes.py
+++ b/foxtailhatch/durable/wishes.py
@@ -16,6 +16,7 @@
 from foxtailhatch.platform import LogPage
 
 WISH_STREAM = 'wishes'
+RESTATE_AT = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +103,33 @@
             self._wishes.pop(endpoint, None)
 
 
+def restatement(
+    now: float,
+    table: WishTable,
+    fence: int,
+    retention_s: float,
+) -> WishRecord | None:
+    """Return the wish that the lease holder should state again, if any.
+
+    A new holder states one at once, which shuts out wishes of the holder
+    before it, and each is stated again long before the log drops it.
+    """
+    if not table.wishes:
+        return None
+    endpoint, oldest = min(
+        table.wishes.items(),
+        key=_logged_at,
+    )
+    old = now >= oldest.logged_at + retention_s * RESTATE_AT
+    if old or table.fence < fence:
+        return WishRecord(fence, endpoint, oldest.holdings)
+    return None
+
+
+def _logged_at(entry: tuple[str, Wish]) -> float:
+    return entry[1].logged_at
+
+
 def may_serve(
     wish: Wish | None,
     model: str,
--- a/tests/durable/test_orders.py
+++ b/tests/durable/test_orders.py
@@ -18,6 +18,7 @@
     WishTable,
     encode_wish,
     may_serve,
+    restatement,
 )
 from tests.durable.fake_log import FakeLog
 
@@ -168,3 +169,36 @@
     assert not may_serve(table.wishes['e'], 'guide', 'v1', LayerRange(0, 2))
     assert may_serve(table.wishes['e'], 'guide', 'v2', LayerRange(0, 1))
     assert may_serve(None, 'guide', 'v1', LayerRange(0, 2))
+
+
+def table_of(log, now):
+    table = WishTable()
+    table.take_page(log.read(WISH_STREAM, 0, now).unwrap())
+    return table
+
+
+def state(log, record, now):
+    append = encode_wish(record)
+    log.append(append.stream, append.body, now)
+
+
+def test_a_new_holder_shuts_out_late_wishes_of_the_one_before():
+    log = FakeLog()
+    state(log, WishRecord(3, 'e', (NEW,)), 1.0)
+    again = restatement(2.0, table_of(log, 2.0), 7, 1000)
+    assert again == WishRecord(7, 'e', (NEW,))
+    state(log, again, 2.0)
+    state(log, WishRecord(3, 'e', (OLD,)), 3.0)
+    assert table_of(log, 3.0).wishes['e'].holdings == (NEW,)
+
+
+def test_wishes_are_restated_before_they_expire():
+    log = FakeLog(retention_s=1000)
+    state(log, WishRecord(7, 'e', (NEW,)), 0.0)
+    state(log, WishRecord(7, 'f', (OLD,)), 1.0)
+    for now in range(0, 5000, 10):
+        again = restatement(now, table_of(log, now), 7, 1000)
+        if again:
+            state(log, again, now)
+    assert set(table_of(log, 5000).wishes) == {'e', 'f'}
+    assert len(log.streams[WISH_STREAM].records) < 20
--- a/tests/durable/test_placement.py
+++ b/tests/durable/test_placement.py
@@ -34,8 +34,11 @@
 
 
 def watching():
-    """Return a controller that has watched for long enough."""
-    return PlacementController(-WATCH_S)
+    """Return a controller that has watched an idle fleet for long enough."""
+    placement = PlacementController(-WATCH_S)
+    for now in range(-int(WATCH_S), 0, 10):
+        placement.step(now, view({}, {}))
+    return placement
 
 
 def names(model, count):
@@ -142,3 +145,12 @@
     moves = settle(watching(), plan, {}, end=600, needs=(newer, GAUGE))
     assert len(moves) == 6
     assert all(move.endpoint.startswith('guide') for _, move in moves)
+
+
+def test_a_holder_that_returns_watches_anew():
+    plan, demand = fleet([*names('guide', 2), *names('gauge', 4)], guide=190)
+    placement = watching()
+    placement.step(0, view(plan, demand))
+    assert placement.step(1000, view(plan, demand)) is None
+    assert settle(placement, plan, demand, 1000, 1000 + int(WATCH_S)) == []
+    assert settle(placement, plan, demand, 1000 + int(WATCH_S), 1400)
