Count the work of other entries and spread it by speed

Entries that saw the same late report each filled the same gap, so a gap was filled eight times over; and a path's cost was proportional to an engine's time a layer, which sent too little to the slower kinds, and asked engines for small parts although a batch has a base cost. Change: what an entry opened since a report counts as often as all streams exceed its own (at most 8 times); a visit costs its link, its step and the square of the endpoint's streams times its step; half of a step is paid however few layers are asked; of many endpoints with one range a random sample is asked; only the best offers of a range enter the path search. Admission can put a taken ticket back. The fitted depth curve went: its samples mixed streams held and batch depth.

--- /dev/null
+++ b/bench/decision_cost.py
@@ -0,0 +1,59 @@
+"""The processor time of one routing decision at several pool sizes."""
+
+import random
+from time import process_time
+
+from bench.entry_model import MODEL, VERSION
+from bench.figures import Figure
+from bench.pool_model import EngineModel, Events
+from bench.pools import LAYERS, THRISSUR_ZONES, user_pool
+from foxtailhatch.core import Holding
+from foxtailhatch.routing import (
+    ChainChooser,
+    ChainQuery,
+    Pool,
+    ShortestPathChooser,
+)
+from foxtailhatch.routing.baselines import LeastLoadedChooser
+
+SIZES = (40, 400, 1200)
+DECISIONS = 100
+MICRO = 1e6
+
+
+def pool_of_size(replicas: int, source: random.Random) -> Pool:
+    """Return a pool of four kinds, all holding ranges of one model."""
+    quarter = replicas // 4
+    specs = user_pool(THRISSUR_ZONES, (quarter,) * 4, source)
+    pool = Pool(THRISSUR_ZONES[0])
+    for spec in specs:
+        engine = EngineModel(spec, Events())
+        engine.streams = source.randrange(spec.max_streams // 2)
+        pool.add(spec.endpoint())
+        holding = Holding(MODEL, VERSION, spec.layers)
+        pool.take_report(engine.report(holding), 0)
+    return pool
+
+
+def decision_us(chooser: ChainChooser, pool: Pool) -> float:
+    """Return the microseconds of one decision, its streams opened."""
+    query = ChainQuery(MODEL, VERSION, LAYERS, (), 160, 48)
+    began = process_time()
+    for number in range(DECISIONS):
+        chain = chooser.choose(query, pool, number).unwrap()
+        for stage in chain.stages:
+            pool.opened(stage.endpoint, 160, number)
+    return (process_time() - began) / DECISIONS * MICRO
+
+
+def figures() -> list[Figure]:
+    """Measure at each size, against the least loaded baseline."""
+    found = []
+    for replicas in SIZES:
+        pool = pool_of_size(replicas, random.Random(1))
+        cost = decision_us(ShortestPathChooser(source=random.Random(2)), pool)
+        other = pool_of_size(replicas, random.Random(1))
+        baseline = decision_us(LeastLoadedChooser(), other)
+        name = f'routing_decision_{replicas}_replicas'
+        found.append(Figure(name, cost, 'us', baseline))
+    return found
--- /dev/null
+++ b/bench/entry_model.py
@@ -0,0 +1,218 @@
+"""Entries of the bench: a pool, a chooser and an admission each."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Success
+
+from bench.pool_model import EngineModel, Events, Request
+from bench.pools import OTHER_ZONE_ONE_WAY_S, SAME_ZONE_ONE_WAY_S
+from foxtailhatch.core import Caller, Chain, Holding, LoadReport
+from foxtailhatch.limits import Admission, Ticket
+from foxtailhatch.routing import ChainChooser, ChainQuery, Pool
+
+REPORT_EVERY_S = 0.5
+REPORT_LAG_S = 0.5
+MODEL = 'guidance'
+VERSION = '1'
+OPEN_ATTEMPTS = 3
+
+
+@dataclass(slots=True)
+class Outcomes:
+    """What became of the requests of a run."""
+
+    finished: list[Request] = field(default_factory=list)
+    token_times: list[float] = field(default_factory=list)
+    refused: int = 0
+    refused_by_engines: int = 0
+    put_back: int = 0
+
+
+class EntryModel:
+    """One entry: it admits, chooses and relays between engines."""
+
+    def __init__(
+        self,
+        zone: str,
+        engines: Mapping[str, EngineModel],
+        events: Events,
+        chooser: ChainChooser,
+        admission: Admission,
+        outcomes: Outcomes,
+        layers: int,
+    ) -> None:
+        """Start with the endpoints known and nothing reported."""
+        self.zone = zone
+        self.engines = engines
+        self.events = events
+        self.chooser = chooser
+        self.admission = admission
+        self.outcomes = outcomes
+        self.layers = layers
+        self.pool = Pool(zone)
+        self.requests: dict[str, Request] = {}
+        for engine in engines.values():
+            self.pool.add(engine.spec.endpoint())
+
+    def arrive(self, req: Request, deadline_s: float | None = None) -> None:
+        """Take a request of a caller."""
+        now = self.events.now
+        ticket = Ticket(
+            str(req.number),
+            Caller(req.account, req.account),
+            now,
+            work=req.answer_tokens,
+            deadline=None if deadline_s is None else now + deadline_s,
+        )
+        match self.admission.offer(ticket, now):
+            case Success(queued):
+                self.requests[ticket.ticket_id] = req
+                for gone in queued.displaced:
+                    self._refuse(gone.ticket)
+                self.pump()
+            case Failure():
+                self.outcomes.refused += 1
+
+    def pump(self) -> None:
+        """Start what may start."""
+        now = self.events.now
+        for late in self.admission.expire(now):
+            self._refuse(late.ticket)
+        taken = self.admission.take(now)
+        for index, ticket in enumerate(taken):
+            if not self._start(self.requests[ticket.ticket_id]):
+                for again in reversed(taken[index:]):
+                    self.admission.put_back(again.ticket_id)
+                    self.outcomes.put_back += 1
+                break
+
+    def one_way_s(self, engine: EngineModel) -> float:
+        """Return the time of the way to an engine."""
+        same = engine.spec.zone == self.zone
+        way = SAME_ZONE_ONE_WAY_S if same else OTHER_ZONE_ONE_WAY_S
+        return way + engine.spec.link_s
+
+    def query(self, req: Request, excluded: frozenset[str]) -> ChainQuery:
+        """Return what the chooser is asked."""
+        return ChainQuery(
+            MODEL,
+            VERSION,
+            self.layers,
+            req.blocks,
+            req.prompt_tokens,
+            req.answer_tokens,
+            excluded,
+        )
+
+    def _refuse(self, ticket: Ticket) -> None:
+        self.requests.pop(ticket.ticket_id)
+        self.outcomes.refused += 1
+
+    def _start(self, req: Request) -> bool:
+        excluded: frozenset[str] = frozenset()
+        for _ in range(OPEN_ATTEMPTS):
+            query = self.query(req, excluded)
+            chosen = self.chooser.choose(query, self.pool, self.events.now)
+            if isinstance(chosen, Failure):
+                return False
+            chain = chosen.unwrap()
+            full = self._full(chain)
+            if not full:
+                self._open(req, chain)
+                return True
+            excluded |= full
+            self.outcomes.refused_by_engines += 1
+        return False
+
+    def _full(self, chain: Chain) -> frozenset[str]:
+        used = [self.engines[stage.endpoint] for stage in chain.stages]
+        return frozenset(
+            engine.spec.name
+            for engine in used
+            if engine.streams >= engine.spec.max_streams
+        )
+
+    def _open(self, req: Request, chain: Chain) -> None:
+        now = self.events.now
+        for stage in chain.stages:
+            self.engines[stage.endpoint].streams += 1
+            self.pool.opened(stage.endpoint, req.prompt_tokens, now)
+        req.chain = chain
+        req.stage_done = self._stage_done
+        self._send(req, 0)
+
+    def _send(self, req: Request, back_s: float) -> None:
+        assert req.chain is not None
+        engine = self.engines[req.chain.stages[req.stage].endpoint]
+        req.sent_at = self.events.now + back_s
+        delay_s = back_s + self.one_way_s(engine)
+        self.events.after(delay_s, lambda: engine.submit(req))
+
+    def _stage_done(self, req: Request, now: float) -> None:
+        assert req.chain is not None
+        stage = req.chain.stages[req.stage]
+        back_s = self.one_way_s(self.engines[stage.endpoint])
+        self._observe(req, stage.endpoint, len(stage.layers), now + back_s)
+        req.stage += 1
+        if req.stage == len(req.chain.stages):
+            req.stage = 0
+            req.done += 1
+            req.token_times.append(now + back_s)
+            self.outcomes.token_times.append(now + back_s)
+            if req.done == req.answer_tokens:
+                self.events.after(back_s, lambda: self._finish(req))
+                return
+        self._send(req, back_s)
+
+    def _observe(
+        self,
+        req: Request,
+        endpoint: str,
+        layers: int,
+        heard_at: float,
+    ) -> None:
+        seconds = heard_at - req.sent_at
+        if req.done:
+            self.pool.observe_step(endpoint, layers, seconds)
+            return
+        tokens = req.prompt_tokens
+        self.pool.prefilled(endpoint, tokens, heard_at)
+        self.pool.observe_prefill(endpoint, layers, tokens, seconds)
+
+    def _finish(self, req: Request) -> None:
+        assert req.chain is not None
+        for stage in req.chain.stages:
+            self.engines[stage.endpoint].streams -= 1
+            self.pool.closed(stage.endpoint, self.events.now)
+        self.requests.pop(str(req.number))
+        self.admission.finished(str(req.number), self.events.now)
+        self.outcomes.finished.append(req)
+        self.pump()
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReporter:
+    """Let an engine report regularly; all entries hear it late."""
+
+    engine: EngineModel
+    entries: Sequence[EntryModel]
+    events: Events
+
+    def start(self, delay_s: float) -> None:
+        """Tell the present load at once and the next after ``delay_s``."""
+        self._hear(self._load())
+        self.events.after(delay_s, self._report)
+
+    def _load(self) -> LoadReport:
+        layers = self.engine.spec.layers
+        return self.engine.report(Holding(MODEL, VERSION, layers))
+
+    def _report(self) -> None:
+        load = self._load()
+        self.events.after(REPORT_LAG_S, lambda: self._hear(load))
+        self.events.after(REPORT_EVERY_S, self._report)
+
+    def _hear(self, load: LoadReport) -> None:
+        for entry in self.entries:
+            entry.pool.take_report(load, self.events.now)
--- /dev/null
+++ b/bench/pool_model.py
@@ -0,0 +1,247 @@
+"""Engines with a batch-depth curve and the entries before them, in model time.
+
+This is no cluster simulator: there are no faults.  It has what the choice of
+chains depends on: batches, streams, links, lagging reports and prefix caches.
+"""
+
+import heapq
+import random
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+from typing import NamedTuple
+
+from foxtailhatch.core import (
+    Address,
+    Chain,
+    Endpoint,
+    EndpointKind,
+    Holding,
+    LayerRange,
+    LoadReport,
+)
+
+BLOCK_TOKENS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSpec:
+    """An engine's place, holding and speed.
+
+    A batch of ``n`` streams over all held layers takes ``base_s + n *
+    per_stream_s`` and ``per_token_s`` for each prefilled token; over part of
+    them it takes that part.  ``pad_to`` rounds ``n`` up, as engines with
+    prepared batch sizes do.
+    """
+
+    name: str
+    zone: str
+    layers: LayerRange
+    base_s: float
+    per_stream_s: float
+    per_token_s: float
+    max_batch: int = 16
+    max_streams: int = 256
+    link_s: float = 0
+    pad_to: int = 1
+    cache_blocks: int = 0
+
+    def batch_s(self, streams: int) -> float:
+        """Return the time of a decoding batch over all held layers."""
+        padded = -(-streams // self.pad_to) * self.pad_to
+        return self.base_s + padded * self.per_stream_s
+
+    def endpoint(self) -> Endpoint:
+        """Return the endpoint that entries know."""
+        place = Address('127.0.0.1', 1)
+        return Endpoint(self.name, place, EndpointKind.ENGINE, self.zone)
+
+
+@dataclass(slots=True)
+class Request:
+    """One answer on its way through a chain."""
+
+    number: int
+    account: str
+    arrived_at: float
+    prompt_tokens: int
+    answer_tokens: int
+    blocks: tuple[str, ...] = ()
+    chain: Chain | None = None
+    done: int = 0
+    stage: int = 0
+    sent_at: float = 0
+    token_times: list[float] = field(default_factory=list)
+    finished: Callable[['Request'], None] | None = None
+    stage_done: Callable[['Request', float], None] | None = None
+
+    @property
+    def positions(self) -> int:
+        """Return the positions of the present pass."""
+        return 1 if self.done else self.prompt_tokens
+
+    def began_at(self) -> float:
+        """Return the time of the first token."""
+        return self.token_times[0]
+
+    def first_token_s(self) -> float:
+        """Return the wait for the first token."""
+        return self.began_at() - self.arrived_at
+
+    def between_tokens_s(self) -> float:
+        """Return the mean time between two tokens."""
+        lasted = self.token_times[-1] - self.began_at()
+        return lasted / max(1, len(self.token_times) - 1)
+
+
+class _Due(NamedTuple):
+    time: float
+    number: int
+    call: Callable[[], None]
+
+
+class Events:
+    """The model's clock and what is to happen."""
+
+    def __init__(self) -> None:
+        """Start at time zero."""
+        self.now: float = 0
+        self._due: list[_Due] = []
+        self._numbers = count()
+
+    def after(self, delay_s: float, call: Callable[[], None]) -> None:
+        """Call something later."""
+        due = _Due(self.now + delay_s, next(self._numbers), call)
+        heapq.heappush(self._due, due)
+
+    def run_until(self, end: float) -> None:
+        """Let time pass."""
+        while self._due and self._due[0].time <= end:
+            due = heapq.heappop(self._due)
+            self.now = due.time
+            due.call()
+        self.now = end
+
+
+class EngineModel:
+    """One engine that batches continuously."""
+
+    def __init__(self, spec: EngineSpec, events: Events) -> None:
+        """Start empty."""
+        self.spec = spec
+        self.events = events
+        self.streams = 0
+        self.busy = False
+        self.depth = 1
+        self.batches = 0
+        self.steps = 0
+        self.cache: OrderedDict[str, None] = OrderedDict()
+        self._waiting: deque[Request] = deque()
+
+    def submit(self, req: Request) -> None:
+        """Take the present pass of a request."""
+        self._waiting.append(req)
+        if not self.busy:
+            self._begin()
+
+    def report(self, holding: Holding) -> LoadReport:
+        """Return the present load."""
+        return LoadReport(
+            endpoint=self.spec.name,
+            measured_at=self.events.now,
+            streams=self.streams,
+            queued_tokens=sum(
+                req.positions for req in self._waiting if not req.done
+            ),
+            step_seconds=self.spec.batch_s(self.depth),
+            max_streams=self.spec.max_streams,
+            holdings=(holding,),
+        )
+
+    def cached_tokens(self, req: Request) -> int:
+        """Return how much of a prompt is in the prefix cache."""
+        known = 0
+        for block in req.blocks:
+            if block not in self.cache:
+                break
+            self.cache.move_to_end(block)
+            known += BLOCK_TOKENS
+        return min(known, req.prompt_tokens - 1)
+
+    def _begin(self) -> None:
+        batch = [
+            self._waiting.popleft()
+            for _ in range(min(len(self._waiting), self.spec.max_batch))
+        ]
+        self.busy = True
+        self.depth = len(batch)
+        self.batches += 1
+        self.steps += len(batch)
+        self.events.after(self._duration(batch), lambda: self._end(batch))
+
+    def _duration(self, batch: list[Request]) -> float:
+        spec = self.spec
+        held = len(spec.layers)
+        shares = [self._asked(req) / held for req in batch]
+        prefill = sum(
+            share * (req.positions - 1 - self._known(req))
+            for share, req in zip(shares, batch, strict=True)
+        )
+        padded = -(-len(batch) // spec.pad_to) * spec.pad_to / len(batch)
+        return (
+            spec.base_s * max(shares)
+            + spec.per_stream_s * sum(shares) * padded
+            + spec.per_token_s * prefill
+        )
+
+    def _known(self, req: Request) -> int:
+        return 0 if req.done else self.cached_tokens(req)
+
+    def _asked(self, req: Request) -> int:
+        assert req.chain is not None
+        return len(req.chain.stages[req.stage].layers)
+
+    def _end(self, batch: list[Request]) -> None:
+        for req in batch:
+            if not req.done:
+                self._keep(req)
+            if req.stage_done:
+                req.stage_done(req, self.events.now)
+        self.busy = False
+        if self._waiting:
+            self._begin()
+
+    def _keep(self, req: Request) -> None:
+        for block in req.blocks:
+            self.cache[block] = None
+            self.cache.move_to_end(block)
+        while len(self.cache) > self.spec.cache_blocks:
+            self.cache.popitem(last=False)
+
+
+def poisson(
+    events: Events,
+    rate: float,
+    source: random.Random,
+    arrive: Callable[[], None],
+) -> None:
+    """Let something arrive at random, ``rate`` times a second."""
+
+    stream = _Arriving(events, rate, source, arrive)
+    stream.wait()
+
+
+@dataclass(frozen=True, slots=True)
+class _Arriving:
+    events: Events
+    rate: float
+    source: random.Random
+    arrive: Callable[[], None]
+
+    def wait(self) -> None:
+        self.events.after(self.source.expovariate(self.rate), self.come)
+
+    def come(self) -> None:
+        self.arrive()
+        self.wait()
--- a/foxtailhatch/limits/admission.py
+++ b/foxtailhatch/limits/admission.py
@@ -111,6 +111,19 @@
             more = work - ended.ticket.work
             shares.charge(account, more, self._weight(account))
 
+    def put_back(self, ticket_id: str) -> None:
+        """Let a taken ticket wait again: nothing of it was sent anywhere.
+
+        It keeps its time of arrival and gets back what it was charged.
+        """
+        taken = self.running.pop(ticket_id, None)
+        if taken is None:
+            return
+        ticket = taken.ticket
+        account = ticket.caller.account
+        self._running_of[account] -= 1
+        self.waiting.put_back(ticket)
+
     def withdraw(self, ticket_id: str) -> Ticket | None:
         """Take a waiting ticket out because nobody waits for it any more."""
         ticket = self.waiting.tickets.get(ticket_id)
--- a/foxtailhatch/limits/fair_queue.py
+++ b/foxtailhatch/limits/fair_queue.py
@@ -26,6 +26,13 @@
             self.shares.join(name)
         self.callers[name][ticket.ticket_id] = ticket
 
+    def put_back(self, ticket: Ticket) -> None:
+        """Put a ticket before the others of its caller; undo its charge."""
+        others = self.callers.pop(ticket.caller.name, {})
+        self.push(ticket)
+        self.callers[ticket.caller.name].update(others)
+        self.shares.charge(ticket.caller.name, -ticket.work, 1)
+
     def pop(self) -> Ticket:
         """Take the oldest ticket of the caller whose turn it is."""
         name = self.shares.first(self.callers) or ''
@@ -65,11 +72,17 @@
 
     def push(self, ticket: Ticket) -> None:
         """Put a ticket into its account's queue."""
+        self._account(ticket.caller.account).push(ticket)
+
+    def put_back(
+        self,
+        ticket: Ticket,
+        weight: Callable[[str], float],
+    ) -> None:
+        """Put a popped ticket back in front; undo its charge."""
         name = ticket.caller.account
-        if name not in self.accounts:
-            self.accounts[name] = AccountQueue()
-            self.shares.join(name)
-        self.accounts[name].push(ticket)
+        self._account(name).put_back(ticket)
+        self.shares.charge(name, -ticket.work, weight(name))
 
     def pop(
         self,
@@ -109,6 +122,12 @@
             return None
         return self.accounts[most].newest()
 
+    def _account(self, name: str) -> AccountQueue:
+        if name not in self.accounts:
+            self.accounts[name] = AccountQueue()
+            self.shares.join(name)
+        return self.accounts[name]
+
     def _drop_empty(self, name: str) -> None:
         if not self.accounts[name].callers:
             self.accounts.pop(name)
--- a/foxtailhatch/limits/waiting_room.py
+++ b/foxtailhatch/limits/waiting_room.py
@@ -31,6 +31,11 @@
         self.tickets[ticket.ticket_id] = ticket
         self.queue(ticket.priority).push(ticket)
 
+    def put_back(self, ticket: Ticket) -> None:
+        """Let a ticket that was next wait again, before its caller's others."""
+        self.tickets[ticket.ticket_id] = ticket
+        self.queue(ticket.priority).put_back(ticket, self.weight)
+
     def leave(self, ticket: Ticket) -> None:
         """Take a waiting ticket out at once."""
         self.tickets.pop(ticket.ticket_id)
--- a/foxtailhatch/routing/chooser.py
+++ b/foxtailhatch/routing/chooser.py
@@ -1,5 +1,6 @@
 """Choose a chain by a shortest path over layer boundaries."""
 
+import random
 from dataclasses import dataclass, field
 
 from returns.result import Failure, Result, Success
@@ -27,10 +28,12 @@
     The cost of a chain is its expected time to first token plus its expected
     time between tokens for each token of the answer, as ``weights`` weighs
     them.  Activations go through the entry, so each stage adds one round trip
-    between entry and endpoint to every token.
+    between entry and endpoint to every token.  ``source`` samples among many
+    endpoints of one range; give each entry its own.
     """
 
     weights: Weights = field(default_factory=Weights)
+    source: random.Random = field(default_factory=random.Random)
 
     def choose(
         self,
@@ -39,7 +42,7 @@
         now: float,
     ) -> Result[Chain, Refusal]:
         """Return the cheapest chain, or a refusal: nothing was run."""
-        offered = tuple(offers(query, pool, self.weights))
+        offered = offers(query, pool, self.weights, self.source)
         path = cheapest(offered, query.layer_count)
         if path is None:
             return Failure(no_chain(query))
--- a/foxtailhatch/routing/pool.py
+++ b/foxtailhatch/routing/pool.py
@@ -22,6 +22,9 @@
     layers: LayerRange
 
 
+HolderGroup = tuple[Holder, ...]
+
+
 @dataclass(slots=True)
 class Pool:
     """All engine endpoints that one entry knows.
@@ -33,7 +36,7 @@
     zone: str
     zone_round_trips: Mapping[str, float] = field(default_factory=dict)
     views: dict[str, EndpointView] = field(default_factory=dict)
-    _holders: dict[tuple[str, str], tuple[Holder, ...]] = field(
+    _holders: dict[tuple[str, str], tuple[HolderGroup, ...]] = field(
         default_factory=dict,
     )
 
@@ -102,8 +105,8 @@
         """
         view = self.views.get(name)
         if view and layers:
-            busy = max(0, seconds - self.round_trip(view))
-            view.curve.add(max(1, view.streams()), busy / layers)
+            busy_s = max(0, seconds - self.round_trip(view))
+            view.observed_layer_s = ewma(view.observed_layer_s, busy_s / layers)
 
     def observe_prefill(
         self,
@@ -130,14 +133,18 @@
             return SAME_ZONE_ROUND_TRIP_S
         return self.zone_round_trips.get(zone, OTHER_ZONE_ROUND_TRIP_S)
 
-    def holders(self, model: str, version: str) -> tuple[Holder, ...]:
-        """Return who holds which layers of a model; cached until it changes."""
+    def holders(self, model: str, version: str) -> tuple[HolderGroup, ...]:
+        """Return who holds which layers of a model, one group a range.
+
+        The result is kept until a report shows other holdings.
+        """
         found = self._holders.get((model, version))
         if found is None:
-            found = tuple(
-                Holder(view, held.layers)
-                for view in self
-                for held in view.holding(model, version)
-            )
+            groups: dict[LayerRange, list[Holder]] = {}
+            for view in self:
+                for held in view.holding(model, version):
+                    holder = Holder(view, held.layers)
+                    groups.setdefault(held.layers, []).append(holder)
+            found = tuple(tuple(group) for group in groups.values())
             self._holders[model, version] = found
         return found
--- a/foxtailhatch/routing/view.py
+++ b/foxtailhatch/routing/view.py
@@ -4,11 +4,10 @@
 from dataclasses import dataclass, field
 
 from foxtailhatch.core import Endpoint, Holding, LoadReport
-from foxtailhatch.routing.curve import DepthCurve
 
 HISTORY_CHANGES = 256
 EWMA_SHARE = 0.2
-DEFAULT_LAYER_S = 0.001
+DEFAULT_STEP_S = 0.02
 PREFILL_TOKENS_PER_STEP = 64
 
 
@@ -29,7 +28,7 @@
 class OwnWork:
     """The work of this entry on an endpoint from time ``since`` on."""
 
-    since: float
+    since: float = float('-inf')
     streams: int = 0
     queued_tokens: int = 0
 
@@ -38,22 +37,24 @@
 class EndpointView:
     """One endpoint as this entry sees it; times are wall time in seconds.
 
-    ``history`` holds this entry's own work at its latest changes, newest last,
-    so that a report can be compared with what this entry had sent when the
-    report was measured.
+    ``own`` is this entry's own work there, ``history`` that work at its
+    latest changes, newest last, and ``own_reported`` what it was when the
+    newest report was measured.
     """
 
     endpoint: Endpoint
     usable: bool = True
     report: LoadReport | None = None
     received_at: float = 0
-    own: OwnWork = OwnWork(float('-inf'))
+    own: OwnWork = OwnWork()
+    own_reported: OwnWork = OwnWork()
     history: deque[OwnWork] = field(
         default_factory=lambda: deque(maxlen=HISTORY_CHANGES),
     )
-    curve: DepthCurve = field(default_factory=DepthCurve)
+    reported_step_s: float | None = None
     round_trip_s: float | None = None
     prefill_layer_s: float | None = None
+    observed_layer_s: float | None = None
 
     def holding(self, model: str, version: str) -> tuple[Holding, ...]:
         """Return what the newest report holds of one model's version."""
@@ -72,7 +73,7 @@
         for work in reversed(self.history):
             if work.since <= time:
                 return work
-        return OwnWork(float('-inf'))
+        return OwnWork()
 
     def change_own(self, streams: int, tokens: int, now: float) -> None:
         """Add to this entry's own streams and queued prefill tokens."""
@@ -84,64 +85,59 @@
         )
 
     def take_report(self, report: LoadReport, now: float) -> bool:
-        """Keep a report unless a newer one is known; tell whether kept."""
-        if self.report and report.measured_at < self.report.measured_at:
+        """Keep a report unless as new a one is known; tell whether kept."""
+        if self.report and report.measured_at <= self.report.measured_at:
             return False
-        if self.report is None or report.measured_at > self.report.measured_at:
-            self._learn_curve(report)
+        if report.step_seconds > 0:
+            self.reported_step_s = ewma(
+                self.reported_step_s,
+                report.step_seconds,
+            )
         self.report = report
         self.received_at = now
+        self.own_reported = self.own_at(min(report.measured_at, now))
         return True
 
-    def streams(self) -> int:
+    def streams(self, growth: float = 1) -> float:
         """Estimate the streams that all entries now have on the endpoint.
 
-        The others' part is the report's count less what this entry had there
-        when the report was measured; to it comes this entry's own part of now.
+        What this entry opened and closed there since the report was measured
+        counts ``growth`` times, because the other entries that saw the same
+        report have likely done the same.
         """
         if self.report is None:
             return self.own.streams
-        earlier = self._own_when_measured(self.report)
-        others = self.report.streams - earlier.streams
-        return max(0, others) + self.own.streams
+        since = self.own.streams - self.own_reported.streams
+        estimate = self.report.streams + growth * since
+        return max(self.own.streams, estimate)
 
     def queued_tokens(self) -> int:
         """Estimate the prefill tokens that now wait at the endpoint."""
         if self.report is None:
             return self.own.queued_tokens
-        earlier = self._own_when_measured(self.report)
-        others = self.report.queued_tokens - earlier.queued_tokens
+        others = self.report.queued_tokens - self.own_reported.queued_tokens
         return max(0, others) + self.own.queued_tokens
 
-    def has_room(self) -> bool:
+    def has_room(self, growth: float = 1) -> bool:
         """Tell whether one more stream is expected to be let in."""
         if self.report is None:
             return False
-        return self.streams() < self.report.max_streams
-
-    def layer_s(self, depth: float) -> float:
-        """Return the expected seconds of one layer of a decoding step."""
-        if not self.curve.weight:
-            return DEFAULT_LAYER_S
-        return self.curve.at(depth)
-
-    def prefill_s(self, tokens: int, depth: float) -> float:
-        """Return the expected seconds to prefill ``tokens`` in one layer."""
-        each = self.prefill_layer_s
-        if each is None:
-            each = self.layer_s(depth) / PREFILL_TOKENS_PER_STEP
-        return tokens * each
-
-    def _own_when_measured(self, report: LoadReport) -> OwnWork:
-        return self.own_at(min(report.measured_at, self.received_at))
-
-    def _learn_curve(self, report: LoadReport) -> None:
-        layers = max(
-            (len(held.layers) for held in report.holdings),
-            default=0,
-        )
-        if layers and report.step_seconds > 0:
-            self.curve.add(
-                max(1, report.streams),
-                report.step_seconds / layers,
-            )
+        return self.streams(growth) < self.report.max_streams
+
+    def step_s(self, layers: int) -> float:
+        """Return the usual seconds of a step over all held ``layers``.
+
+        What the endpoint reports goes before what was observed, which has
+        the wait for other steps in it.
+        """
+        if self.reported_step_s:
+            return self.reported_step_s
+        if self.observed_layer_s:
+            return self.observed_layer_s * layers
+        return DEFAULT_STEP_S
+
+    def prefill_s(self, layers: int, tokens: int) -> float:
+        """Return the expected seconds to prefill all of the held layers."""
+        if self.prefill_layer_s is None:
+            return self.step_s(layers) * tokens / PREFILL_TOKENS_PER_STEP
+        return self.prefill_layer_s * layers * tokens
--- a/tests/limits/test_admission.py
+++ b/tests/limits/test_admission.py
@@ -161,3 +161,13 @@
     queue.accounts = {'crew': Account('crew', requests_per_s=10)}
     assert queue.offer(ticket('2'), 0.1).failure()
     assert queue.offer(ticket('2'), 0.2).unwrap()
+
+
+def test_a_ticket_put_back_is_next_again_and_costs_nothing():
+    queue = admission(running=1)
+    offered(queue, ticket('1'), ticket('2'), ticket('3', 'other'))
+    queue.take(0.0)
+    queue.put_back('1')
+    assert not queue.running
+    order = [each.ticket_id for each in served(queue, 3)]
+    assert order == ['1', '3', '2']
--- /dev/null
+++ b/tests/routing/test_offers.py
@@ -0,0 +1,99 @@
+import random
+from collections import Counter
+
+import pytest
+
+from foxtailhatch.routing import ChainQuery, ShortestPathChooser
+from foxtailhatch.routing.offers import SAMPLED_HOLDERS, growth_of
+from tests.routing.worlds import pool_of, report
+
+ENTRIES = 8
+QUERY = ChainQuery('m', '1', 4, expected_tokens=10)
+
+
+def chooser(seed=0):
+    return ShortestPathChooser(source=random.Random(seed))
+
+
+def entry_pool():
+    """Return a pool as each entry sees it: 8 of 64 streams on two are ours."""
+    pool = pool_of(
+        report('one', 0, 4, max_streams=999),
+        report('two', 0, 4, max_streams=999),
+    )
+    for _ in range(8):
+        pool.opened('two', 0, 1.0)
+    pool.take_report(
+        report('two', 0, 4, streams=64, max_streams=999, measured_at=2.0),
+        3.0,
+    )
+    return pool
+
+
+def test_entries_that_see_one_late_report_do_not_all_rush_to_one_endpoint():
+    placed = Counter({'two': 64})
+    for _ in range(ENTRIES):
+        pool = entry_pool()
+        for _ in range(16):
+            stage = chooser().choose(QUERY, pool, 4.0).unwrap().stages[0]
+            pool.opened(stage.endpoint, 0, 4.0)
+            placed[stage.endpoint] += 1
+    assert abs(placed['one'] - placed['two']) <= 2 * ENTRIES
+
+
+def test_growth_is_what_all_report_over_our_own():
+    assert growth_of(entry_pool()) == 8
+
+
+def test_growth_is_one_where_nothing_is_known_of_others():
+    assert growth_of(pool_of(report('one', 0, 4))) == 1
+
+
+def test_a_report_counts_own_work_only_once():
+    pool = pool_of(report('one', 0, 4))
+    pool.opened('one', 100, 1.0)
+    pool.take_report(
+        report('one', 0, 4, streams=3, queued_tokens=100, measured_at=2.0),
+        2.5,
+    )
+    view = pool.views['one']
+    assert view.streams() == 3
+    pool.opened('one', 50, 3.0)
+    assert view.streams() == 4
+    assert view.queued_tokens() == 150
+
+
+def test_an_older_report_does_not_replace_a_newer_one():
+    pool = pool_of(report('one', 0, 4, measured_at=5.0, streams=2))
+    pool.take_report(report('one', 0, 4, measured_at=4.0, streams=7), 6.0)
+    assert pool.views['one'].streams() == 2
+
+
+def test_a_slow_engine_is_known_from_its_steps_where_it_reports_none():
+    pool = pool_of(
+        report('one', 0, 4, step_seconds=0),
+        report('two', 0, 4, step_seconds=0),
+    )
+    pool.observe_step('one', 4, 0.5)
+    stages = chooser().choose(QUERY, pool, 0.0).unwrap().stages
+    assert stages[0].endpoint == 'two'
+
+
+def test_many_holders_of_one_range_are_sampled_differently_by_entries():
+    names = [f'e{number}' for number in range(8 * SAMPLED_HOLDERS)]
+    pool = pool_of(*(report(name, 0, 4) for name in names))
+    chosen = {
+        chooser(seed).choose(QUERY, pool, 0.0).unwrap().stages[0].endpoint
+        for seed in range(ENTRIES)
+    }
+    assert len(chosen) > ENTRIES // 2
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_a_sample_without_a_usable_endpoint_is_widened(seed):
+    names = [f'e{number}' for number in range(8 * SAMPLED_HOLDERS)]
+    pool = pool_of(*(report(name, 0, 4) for name in names))
+    for name in names[1:]:
+        pool.set_usable(name, usable=False)
+    stages = chooser(seed).choose(QUERY, pool, 0.0).unwrap().stages
+    assert stages[0].endpoint == 'e0'
