Count recoveries, claims and log faults, and drop settings nobody read

Change: the blackboard carries the counters; recovery time runs from the loss, or from when an overdue frame was owed, to the next token; the queue's bounds and the time line's size follow the settings.

--- a/foxtailhatch/daemon/answers.py
+++ b/foxtailhatch/daemon/answers.py
@@ -20,6 +20,7 @@
     Action,
     AnswerFailed,
     AnswerFinished,
+    AnswerRecovered,
     AnswerRun,
     ChainStarted,
     StageDenied,
@@ -82,7 +83,6 @@
         clock: LoopClock,
     ) -> None:
         """Start with no answer."""
-        self.tokens = 0
         self.recoveries = 0
         self._board = board
         self._care = care
@@ -152,6 +152,8 @@
                 self._care.stage_opened(endpoint)
             case StageDenied(endpoint, fault):
                 self._care.stage_refused(endpoint, fault)
+            case AnswerRecovered(seconds):
+                self._board.metrics.answer_recovered(seconds)
             case StepAnswered():
                 self._step_answered(action)
 
@@ -162,7 +164,9 @@
         if handle.load is not None:
             handle.load.close(now)
         work = answer.delivered - len(answer.run.plan.received)
-        self.tokens += work
+        self._board.metrics.tokens_delivered += work
+        if isinstance(outcome, AnswerFailed) and answer.run.attempt_number > 1:
+            self._board.metrics.answer_not_recovered()
         self._board.admission.finished(answer.stream, now, max(1, work))
         self._board.record(_event_of(outcome), answer.stream, _detail(outcome))
         self._clock.callLater(0, self._start_ready)
--- a/foxtailhatch/daemon/assembly.py
+++ b/foxtailhatch/daemon/assembly.py
@@ -14,7 +14,6 @@
 from foxtailhatch.daemon.blackboard import Blackboard, new_blackboard
 from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
 from foxtailhatch.daemon.entry import EntryParts
-from foxtailhatch.daemon.metrics import Metrics
 from foxtailhatch.daemon.observability import EntryObservability
 from foxtailhatch.daemon.operations import EntryOperations
 from foxtailhatch.daemon.peer_inbox import PeerInbox
@@ -72,6 +71,7 @@
         EntryTable(own, keep_s),
         PlannedStop(keep_s, wait_max_s=cfg.timeouts.planned_stop_s),
         time.time,
+        cfg.limits,
     )
 
 
@@ -104,7 +104,6 @@
     """Return the site towards callers, operators and monitoring."""
     observability = EntryObservability(
         parts.board,
-        Metrics(cfg.instance),
         parts.answers,
         parts.care,
         parts.guard,
--- a/foxtailhatch/daemon/blackboard.py
+++ b/foxtailhatch/daemon/blackboard.py
@@ -7,8 +7,10 @@
 from foxtailhatch.config import ConfigurationFold, ConfigurationIndex
 from foxtailhatch.core import EventKind, HybridClock, Timeline
 from foxtailhatch.daemon.logs import EventLog
+from foxtailhatch.daemon.metrics import Metrics
+from foxtailhatch.daemon.settings import Limits
 from foxtailhatch.durable.wishes import WishTable
-from foxtailhatch.limits import Admission
+from foxtailhatch.limits import Admission, AdmissionBounds
 from foxtailhatch.membership import EndpointTable, EntryTable, PlannedStop
 from foxtailhatch.recovery import EndpointHealth, ProgressWatch, RetryBudget
 from foxtailhatch.routing import Pool
@@ -28,6 +30,7 @@
     random: Random
     timeline: Timeline
     events: EventLog
+    metrics: Metrics
     pool: Pool
     entries: EntryTable
     stop: PlannedStop
@@ -54,20 +57,24 @@
     entries: EntryTable,
     stop: PlannedStop,
     wall_time: Callable[[], float],
+    limits: Limits,
 ) -> Blackboard:
     """Return the blackboard of an entry that knows nothing yet."""
     random = Random(seed)
-    timeline = Timeline(clock)
+    timeline = Timeline(clock, limits.timeline_events)
+    bounds = AdmissionBounds(limits.running_answers, limits.queued_requests)
     return Blackboard(
         name=clock.instance,
         zone=zone,
         random=random,
         timeline=timeline,
         events=EventLog(timeline),
+        metrics=Metrics(clock.instance),
         pool=Pool(zone),
         entries=entries,
         stop=stop,
         wall_time=wall_time,
+        admission=Admission(bounds),
         health=EndpointHealth(random),
         budget=RetryBudget(random),
     )
--- a/foxtailhatch/daemon/claim_loop.py
+++ b/foxtailhatch/daemon/claim_loop.py
@@ -82,6 +82,7 @@
             decisions = self.desk.page_read(now, due.stream, page.unwrap())
             self._settle(decisions)
         else:
+            self._board.metrics.log_failed(page.failure().fault)
             self.desk.read_failed(now, due.stream)
 
     async def _append(self, due: AppendClaims) -> None:
@@ -90,7 +91,9 @@
         if isinstance(appended, Success):
             self.desk.appended(now, due.stream, due.batch)
         else:
-            self.desk.append_failed(now, due, appended.failure().fault)
+            fault = appended.failure().fault
+            self._board.metrics.log_failed(fault)
+            self.desk.append_failed(now, due, fault)
 
     def _settle(self, decisions: Iterable[Decision]) -> None:
         for decision in decisions:
--- a/foxtailhatch/daemon/configuration_loop.py
+++ b/foxtailhatch/daemon/configuration_loop.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
 
@@ -30,19 +29,11 @@
 from foxtailhatch.daemon.endpoint_care import EndpointCare
 from foxtailhatch.durable.appends import AppendRecord
 from foxtailhatch.durable.follower import LogFollower
-from foxtailhatch.platform import LogService, PlatformError
+from foxtailhatch.platform import LogService, PlatformError, PlatformFault
 
 PUBLISH_STEP_S = 0.02
 
 
-@dataclass(slots=True)
-class LogCounts:
-    """Calls of the log that failed, and bytes that were read."""
-
-    faults: int = 0
-    bytes_read: int = 0
-
-
 class ConfigurationLoop:
     """Fold the configuration stream and bring the blackboard in line."""
 
@@ -56,7 +47,6 @@
         now: Callable[[], float],
     ) -> None:
         """Join the parts; nothing is read yet."""
-        self.counts = LogCounts()
         self._marks_taken: dict[str, str] = {}
         self._board = board
         self._log = log
@@ -73,10 +63,9 @@
             return
         page = await self._log.read(due.stream, due.offset, due.limit)
         if not isinstance(page, Success):
-            self._read_failed()
+            self._read_failed(page.failure().fault)
             return
         known = page.unwrap()
-        self.counts.bytes_read += sum(len(each.body) for each in known.records)
         outcomes = fold.take_page(known)
         if self._follower.page_read(self._now(), known, fold.wanted):
             self._record(EventKind.LOG_AVAILABLE, CONFIGURATION_STREAM)
@@ -140,7 +129,7 @@
         if isinstance(appended, Success):
             self._follower.hurry(self._now())
         else:
-            self.counts.faults += 1
+            self._board.metrics.log_failed(appended.failure().fault)
         return appended
 
     async def _write_snapshot(self, caught_up: bool) -> None:
@@ -153,8 +142,8 @@
             await self._append(snapshot)
             self._record(EventKind.SNAPSHOT_WRITTEN, CONFIGURATION_STREAM)
 
-    def _read_failed(self) -> None:
-        self.counts.faults += 1
+    def _read_failed(self, fault: PlatformFault) -> None:
+        self._board.metrics.log_failed(fault)
         if self._follower.read_failed(self._now()):
             self._record(EventKind.LOG_UNAVAILABLE, CONFIGURATION_STREAM)
 
--- a/foxtailhatch/daemon/metrics.py
+++ b/foxtailhatch/daemon/metrics.py
@@ -7,6 +7,7 @@
 
 from foxtailhatch.callers.answer_times import AnswerTimes
 from foxtailhatch.core import ErrorCode, Invariant, checks_made
+from foxtailhatch.peers import PeerCounters
 from foxtailhatch.platform import PlatformFault
 
 WHOLE = 'whole'
@@ -55,6 +56,7 @@
         self._claims = self._counter('claims', 'Claims by outcome')
         self._log_faults = self._counter('log_faults', 'Log calls that failed')
         self._checks = self._counter('invariant_checks', 'Checks that held')
+        self._peers = self._counter('peers', 'What links with peers carried')
         self._cpu = self._counter('cpu_seconds', 'Processor time in seconds')
         self._version = self._gauge(
             'configuration_version',
@@ -114,6 +116,13 @@
         """Note how many answers are in progress."""
         self._answers.set(NO_LABELS, count)
 
+    def peers_met(self, counters: PeerCounters) -> None:
+        """Note what the links with other entries carried."""
+        self._peers.set({'of': 'bytes_sent'}, counters.bytes_sent)
+        self._peers.set({'of': 'bytes_received'}, counters.bytes_received)
+        self._peers.set({'of': 'links_refused'}, counters.links_refused)
+        self._peers.set({'of': 'frames_rejected'}, counters.frames_rejected)
+
     def render(self) -> bytes:
         """Return everything in the Prometheus text format."""
         self._tokens.set(NO_LABELS, self.tokens_delivered)
--- a/foxtailhatch/daemon/observability.py
+++ b/foxtailhatch/daemon/observability.py
@@ -9,7 +9,6 @@
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.endpoint_care import EndpointCare
 from foxtailhatch.daemon.guard import Guard
-from foxtailhatch.daemon.metrics import Metrics
 from foxtailhatch.peers import PeerCounters
 
 
@@ -18,7 +17,6 @@
     """Metrics, health, events and state of one entry."""
 
     board: Blackboard
-    metrics_book: Metrics
     answers: Answers
     care: EndpointCare
     guard: Guard
@@ -26,10 +24,10 @@
 
     def metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        book = self.metrics_book
-        book.tokens_delivered = self.answers.tokens
+        book = self.board.metrics
         book.answers_running(len(self.answers))
         book.sessions_open(len(self.care.open))
+        book.peers_met(self.peers)
         book.configuration_in_force(self.board.fold.version)
         return book.render()
 
@@ -65,11 +63,11 @@
 
     def request_ended(self, code: ErrorCode | None) -> None:
         """Count one request, with its error code or ``None`` if whole."""
-        self.metrics_book.request_ended(code)
+        self.board.metrics.request_ended(code)
 
     def answer_timed(self, times: AnswerTimes) -> None:
         """Count when the tokens of one answer came."""
-        self.metrics_book.answer_timed(times)
+        self.board.metrics.answer_timed(times)
 
     def invariant_broken(self, exc: InvariantBroken) -> None:
         """Record a broken invariant and stop the process."""
--- a/foxtailhatch/daemon/settings.py
+++ b/foxtailhatch/daemon/settings.py
@@ -102,7 +102,6 @@
     instance_list_call_s: Seconds = 2
     engine_call_s: Seconds = 2
     engine_silence_s: Seconds = 3
-    peer_silence_s: Seconds = 3
     planned_stop_s: Seconds | None = None
 
 
@@ -112,8 +111,6 @@
     log_poll_s: Seconds = 1
     log_retention_s: Seconds = 86_400
     instance_list_poll_s: Seconds = 1
-    load_report_poll_s: Seconds = 0.5
-    peer_beat_s: Seconds = 1
     entry_advice_keep_s: Seconds = 30
 
 
@@ -121,6 +118,7 @@
     """Bounds on what the instance takes in."""
 
     body_bytes: Count = 1_048_576
+    running_answers: Count = 256
     queued_requests: Count = 1000
     timeline_events: Count = 20_000
     claim_streams: Count = 4
--- a/foxtailhatch/pipeline/actions.py
+++ b/foxtailhatch/pipeline/actions.py
@@ -56,6 +56,13 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerRecovered:
+    """The next token came ``seconds`` after a stage was lost or stalled."""
+
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerFinished:
     """The answer is complete."""
@@ -77,6 +84,7 @@
     | StageDenied
     | StepAnswered
     | DeliverToken
+    | AnswerRecovered
     | AnswerFinished
     | AnswerFailed
 )
--- a/foxtailhatch/pipeline/answer.py
+++ b/foxtailhatch/pipeline/answer.py
@@ -27,6 +27,7 @@
     Action,
     AnswerFailed,
     AnswerFinished,
+    AnswerRecovered,
     ChainStarted,
     DeliverToken,
     SendFrame,
@@ -40,6 +41,7 @@
     Patience,
 )
 from foxtailhatch.pipeline.retained import RETAINED_BYTES, RetainedInputs
+from foxtailhatch.pipeline.stage import StageRun
 from foxtailhatch.platform.frames import (
     DownFrame,
     Pong,
@@ -120,7 +122,7 @@
         self._losses[endpoint] += 1
         if self._losses[endpoint] >= LOSSES_BEFORE_EXCLUSION:
             self._excluded.add(endpoint)
-        return list(self._recover({endpoint}, now))
+        return list(self._recover({endpoint}, now, now))
 
     def tick(self, now: float, patience: Patience) -> list[Action]:
         """Give up stages that owe a frame for too long; retry a choice."""
@@ -128,16 +130,17 @@
             return []
         if self.attempt is None:
             return list(self._retry(now))
-        overdue = {
-            stage.endpoint
+        overdue = [
+            stage
             for stage in self.attempt.stages
-            if stage.waiting()
-            and now - stage.waiting_since
-            > patience.limit_s(stage.endpoint, stage.owed_positions())
-            and patience.may_give_up(stage.endpoint)
-        }
-        self._excluded |= overdue
-        return list(self._recover(overdue, now)) if overdue else []
+            if _is_overdue(stage, now, patience)
+        ]
+        if not overdue:
+            return []
+        names = {stage.endpoint for stage in overdue}
+        self._excluded |= names
+        since = min(stage.waiting_since for stage in overdue)
+        return list(self._recover(names, since, now))
 
     def cancel(self) -> list[Action]:
         """End the answer because nobody waits for it any more."""
@@ -222,7 +225,9 @@
         # whole known sequence is new.
         if output.position + 1 != len(self._tokens) or output.token is None:
             return
-        self._broken_since = None
+        if self._broken_since is not None:
+            yield AnswerRecovered(now - self._broken_since)
+            self._broken_since = None
         if output.end:
             yield from self._finish(attempt, FinishReason.STOP)
             return
@@ -254,9 +259,14 @@
         yield StageDenied(endpoint, frame.fault)
         if frame.fault is not StageFault.STALE_ATTEMPT:
             self._excluded.add(endpoint)
-        yield from self._recover({endpoint}, now)
+        yield from self._recover({endpoint}, now, now)
 
-    def _recover(self, broken: set[str], now: float) -> Iterator[Action]:
+    def _recover(
+        self,
+        broken: set[str],
+        since: float,
+        now: float,
+    ) -> Iterator[Action]:
         attempt = self.attempt
         if attempt is None:
             return
@@ -265,7 +275,7 @@
             yield from self._fail(NOT_REPEATED)
             return
         if self._broken_since is None:
-            self._broken_since = now
+            self._broken_since = since
         chain = self._choose(self._kept(attempt, broken), now)
         if not is_successful(chain):
             yield from self._wait(attempt, chain.failure(), now)
@@ -349,3 +359,12 @@
             refusal.retry_after_s,
             refusal.address,
         )
+
+
+def _is_overdue(stage: StageRun, now: float, patience: Patience) -> bool:
+    if not stage.waiting():
+        return False
+    limit_s = patience.limit_s(stage.endpoint, stage.owed_positions())
+    if now - stage.waiting_since <= limit_s:
+        return False
+    return patience.may_give_up(stage.endpoint)
