Measure the membership at 9, 90 and 360 entries

Change: python -m bench.membership runs the controllers and the codec in virtual time beside a full mesh of heartbeats, and nine nodes on real sockets beside the same; tests show that knocking at the dead and asking for everything are what brings regions and cold starts together.

--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,191 @@
+"""Cost and speed of the membership: ``python -m bench.membership``.
+
+The pure controllers and the codec run in virtual time, beside a full mesh in
+which every entry sends a heartbeat to every other once a second.  Bytes are
+those of frames with their seals and websocket headers, sent and received;
+those of TCP and IP come on top.  A second part runs nine nodes on real
+sockets of one process, beside heartbeats in a full mesh on the same sockets.  Each line printed is one JSON object.
+"""
+
+import asyncio
+import time
+from dataclasses import replace
+
+import click
+
+from bench.membership_sockets import measure_sockets
+from bench.report import report
+from bench.virtual_mesh import (
+    STEP_S,
+    VirtualMesh,
+    build,
+    introduce_all,
+    place_of,
+)
+from foxtailhatch.core import Stamp
+from foxtailhatch.membership import Digest, Entry, EntryTable
+from foxtailhatch.peers import decode, encode
+from foxtailhatch.peers.handshake import TAG_BYTES
+
+SIZES = (9, 90, 360)
+TODAY_ENTRIES = 9
+WARM_UP_S = 15
+MEASURED_S = 20
+LIMIT_S = 120
+WEBSOCKET_HEADER_BYTES = 8
+OVERHEAD_BYTES = TAG_BYTES + WEBSOCKET_HEADER_BYTES
+STAMP = Stamp(1_800_000_000.125, 3, 'entry-000')
+CHECKS = 5
+
+
+class Meter:
+    """Pass digests through the codec, and count their bytes."""
+
+    def __init__(self) -> None:
+        """Start at nothing."""
+        self.frame_bytes = 0
+
+    def carry(self, digest: Digest) -> Digest:
+        """Return the digest as it comes out of its frame."""
+        frame = encode(digest, STAMP)
+        self.frame_bytes += len(frame) + OVERHEAD_BYTES
+        message = decode(frame).unwrap().message
+        return message if isinstance(message, Digest) else digest
+
+
+def settled(count: int, seed: int) -> VirtualMesh:
+    """Return entries that have long known each other."""
+    today = count <= TODAY_ENTRIES
+    mesh = build(
+        count, seed, zones=3 if today else 8, regions=1 if today else 3
+    )
+    introduce_all(mesh)
+    mesh.run(WARM_UP_S)
+    return mesh
+
+
+def full_mesh_cost(own: Entry, count: int) -> tuple[float, float]:
+    """Return bytes and processor seconds of one entry's heartbeats a second."""
+    meter = Meter()
+    table = EntryTable(own)
+    start = time.process_time()
+    for beat in range(CHECKS):
+        for number in range(count - 1):
+            # One sent by this entry, and one received and merged.
+            encode(Digest(own), STAMP)
+            peer = replace(own, name=f'peer-{number:03}', beat=beat)
+            table.merge(meter.carry(Digest(peer)).sender, float(beat))
+    took = time.process_time() - start
+    return 2 * meter.frame_bytes / CHECKS, took / CHECKS
+
+
+def report_cost(mesh: VirtualMesh, count: int) -> None:
+    """Report what an entry spends when nothing changes."""
+    meter = Meter()
+    mesh.carry = meter.carry
+    start = time.process_time()
+    mesh.run(MEASURED_S)
+    took = time.process_time() - start
+    mesh.carry = lambda digest: digest
+    node_seconds = count * MEASURED_S
+    own = next(iter(mesh.nodes.values())).table.own
+    mesh_bytes, mesh_took = full_mesh_cost(own, count)
+    report(
+        f'membership_bytes_{count}',
+        round(2 * meter.frame_bytes / node_seconds, 1),
+        'bytes/s/node',
+        round(mesh_bytes, 1),
+    )
+    report(
+        f'membership_processor_{count}',
+        round(took / node_seconds, 6),
+        's/s/node',
+        round(mesh_took, 6),
+    )
+
+
+def leave_known_s(mesh: VirtualMesh, number: int) -> float:
+    """Return how long the leave of an endpoint takes to reach all."""
+    first = next(iter(mesh.nodes.values()))
+    endpoint = f'gpu-{number}'
+    first.note_endpoint_leaving(endpoint, mesh.now)
+    others = list(mesh.heard.values())[1:]
+    return mesh.run_until(
+        lambda: all(
+            heard and heard[-1].endpoint == endpoint for heard in others
+        ),
+        LIMIT_S,
+    )
+
+
+def version_known_s(mesh: VirtualMesh, version: int) -> float:
+    """Return how long a configuration version takes to reach all."""
+    tables = [gossip.table for gossip in mesh.nodes.values()]
+    tables[0].update_own(configuration_version=version)
+    return mesh.run_until(
+        lambda: all(
+            table.own.configuration_version == version for table in tables
+        ),
+        LIMIT_S,
+    )
+
+
+def report_speed(mesh: VirtualMesh, count: int) -> None:
+    """Report how fast news reaches all; a full mesh needs one message."""
+    numbers = range(1, CHECKS + 1)
+    leaves = [leave_known_s(mesh, number) for number in numbers]
+    report(
+        f'membership_leave_known_{count}', round(max(leaves), 2), 's', STEP_S
+    )
+    versions = [version_known_s(mesh, number) for number in numbers]
+    report(
+        f'membership_version_known_{count}',
+        round(max(versions), 2),
+        's',
+        STEP_S,
+    )
+
+
+def report_newcomer(mesh: VirtualMesh, count: int) -> None:
+    """Report how soon a new entry knows 19 in 20 of the others."""
+    wanted = 0.95 * count
+    seeds = list(mesh.nodes)[:3]
+    newcomer = mesh.add('newcomer', place_of(0, 3, 1), seeds)
+    took = mesh.run_until(lambda: newcomer.table.count() >= wanted, LIMIT_S)
+    report(f'membership_newcomer_{count}', round(took, 2), 's', STEP_S)
+
+
+def report_sockets(seconds: int) -> None:
+    """Report the processor time with real links, beside a full mesh."""
+    costs = [
+        asyncio.run(
+            measure_sockets(TODAY_ENTRIES, seconds, full_mesh=full_mesh),
+        )
+        for full_mesh in (False, True)
+    ]
+    gossip, mesh = costs
+    report(
+        f'membership_socket_processor_{TODAY_ENTRIES}',
+        round(gossip.processor_s, 6),
+        's/s/node',
+        round(mesh.processor_s, 6),
+        links=round(gossip.links, 1),
+        baseline_links=round(mesh.links, 1),
+    )
+
+
+@click.command()
+@click.option('--seed', default=1)
+@click.option('--socket-seconds', default=10)
+def main(seed: int, socket_seconds: int) -> None:
+    """Measure at each size."""
+    for count in SIZES:
+        mesh = settled(count, seed)
+        report_cost(mesh, count)
+        report_speed(mesh, count)
+        report_newcomer(mesh, count)
+    report_sockets(socket_seconds)
+
+
+if __name__ == '__main__':
+    main()
--- a/bench/virtual_mesh.py
+++ b/bench/virtual_mesh.py
@@ -163,6 +163,14 @@
     return mesh
 
 
+def introduce_all(mesh: VirtualMesh) -> None:
+    """Let every entry know all others, as after a long time together."""
+    owns = [gossip.table.own for gossip in mesh.nodes.values()]
+    for gossip in mesh.nodes.values():
+        for own in owns:
+            gossip.table.merge(own, mesh.now)
+
+
 def known_counts(mesh: VirtualMesh) -> list[int]:
     """Return how many members each entry knows, itself included."""
     return [gossip.table.count() for gossip in mesh.nodes.values()]
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -144,6 +144,27 @@
     assert mesh.run_until(lambda: min(known_counts(mesh)) == 8, 300) < 120
 
 
+def test_without_knocking_at_the_dead_regions_stay_apart(monkeypatch):
+    mesh = settled(count=8, regions=2)
+    mesh.is_cut = lambda one, other: one.region != other.region
+    mesh.run(60)
+    monkeypatch.setattr(gossip.Gossip, '_strangers', lambda self: [])
+    mesh.is_cut = lambda one, other: False
+    mesh.run(120)
+    assert set(known_counts(mesh)) == {4}
+
+
+def test_an_entry_behind_by_far_asks_for_everything(monkeypatch):
+    def cold_start_s():
+        mesh = build(40, seed=1, zones=4, regions=2)
+        most = 0.9 * 40
+        return mesh.run_until(lambda: min(known_counts(mesh)) >= most, 120.0)
+
+    with_sync = cold_start_s()
+    monkeypatch.setattr(gossip.Gossip, '_sync', lambda self, digest, now: ())
+    assert with_sync <= 15.0 < cold_start_s()
+
+
 def test_entries_replaced_at_a_high_rate_stay_known():
     mesh = settled(count=12)
     seeds = list(mesh.nodes)[:3]
