Prove requests and changes by a matrix of faults in virtual time

Cause: nothing showed what holds when a fault meets a step of a request or of a publication.

Change: complete entries run in one asyncio loop in virtual time over fakes of the platform; a fault is injected when its step is reached, and the end is compared with what really ran. A part of the matrix runs with the tests.

--- /dev/null
+++ b/tests/faults/__main__.py
@@ -0,0 +1,30 @@
+"""Run the whole matrix: ``python -m tests.faults``."""
+
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+from tests.faults.matrix import pair_cells, run_cell, single_cells
+from tests.faults.report import known_red, render
+
+ROOT = Path(__file__).parents[2]
+WORKERS = 4
+CHUNK = 8
+
+
+def main():
+    """Write the table, and fail for a cell that fails and is not known."""
+    cells = [*single_cells(), *pair_cells()]
+    with ProcessPoolExecutor(WORKERS) as pool:
+        verdicts = list(pool.map(run_cell, cells, chunksize=CHUNK))
+    known = known_red(ROOT / 'KNOWN-RED.txt')
+    page = render(verdicts, known)
+    (ROOT / 'docs' / 'PROOF.md').write_text(page)
+    sys.stdout.write(page)
+    red = {each.cell.name for each in verdicts if each.found}
+    # An entry that holds again must be taken off the list.
+    return int(red != known)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/faults/matrix.py
@@ -0,0 +1,64 @@
+"""All cells of the matrix: every fault at every step, and pairs of faults."""
+
+from dataclasses import dataclass
+
+from tests.faults.checks import failures
+from tests.faults.faults import FAULTS
+from tests.faults.scenario import STEPS, Scenario
+
+PAIR_STEPS = ('open-1', 'token-3', 'claim', 'decided', 'append')
+
+
+@dataclass(frozen=True)
+class Cell:
+    """One or two faults at one step."""
+
+    faults: tuple
+    step: str
+
+    @property
+    def name(self):
+        return f'{" + ".join(self.faults)} at {self.step}'
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """What a cell's run showed; it held if ``found`` is empty."""
+
+    cell: Cell
+    found: tuple
+
+
+BY_NAME = {fault.name: fault for fault in FAULTS}
+
+
+def single_cells():
+    """Return each fault at each step that it applies to."""
+    return [
+        Cell((fault.name,), step) for fault in FAULTS for step in fault.steps
+    ]
+
+
+def pair_cells():
+    """Return each pair of faults at some steps of each kind of request."""
+    return [
+        Cell((first.name, second.name), step)
+        for number, first in enumerate(FAULTS)
+        for second in FAULTS[number + 1 :]
+        for step in PAIR_STEPS
+        if step in first.steps and step in second.steps
+    ]
+
+
+def run_cell(cell):
+    """Run a cell and judge it."""
+    faults = [BY_NAME[name] for name in cell.faults]
+    scenario = Scenario({cell.step: [fault.inject for fault in faults]}).run()
+    single = len(faults) == 1
+    found = failures(scenario, single, single and faults[0].recovers)
+    if scenario.fault_at is None:
+        found.append('the step was not reached')
+    return Verdict(cell, tuple(found))
+
+
+__all__ = ['STEPS', 'Cell', 'Verdict', 'pair_cells', 'run_cell', 'single_cells']
--- /dev/null
+++ b/tests/faults/test_matrix.py
@@ -0,0 +1,46 @@
+"""A part of the matrix that is quick; ``make faults`` runs all of it."""
+
+import pytest
+
+from tests.faults.matrix import Cell, run_cell
+from tests.faults.report import known_red
+
+QUICK = [
+    Cell((fault,), step)
+    for fault, step in (
+        ('stage death', 'token-3'),
+        ('freeze', 'token-0'),
+        ('link cut', 'open-1'),
+        ('silent connection', 'last-token'),
+        ('late frame', 'token-3'),
+        ('duplicated frames', 'prefill'),
+        ('entry death', 'token-3'),
+        ('entry death', 'ran'),
+        ('planned stop', 'token-0'),
+        ('endpoint leaving', 'prefill'),
+        ('endpoint leaving', 'claim'),
+        ('log down', 'claim'),
+        ('log silent', 'append'),
+        ('acknowledgement lost, landed', 'claim'),
+        ('acknowledgement lost, not landed', 'append'),
+        ('acknowledgement lost, lands late', 'snapshot'),
+        ('claimant paused', 'decided'),
+        ('racing operators', 'publish'),
+    )
+]
+
+
+@pytest.mark.parametrize('cell', QUICK, ids=lambda cell: cell.name)
+def test_cell_holds(cell):
+    assert run_cell(cell).found == ()
+
+
+def test_two_runs_of_a_cell_are_the_same():
+    cell = Cell(('stage death', 'log slow'), 'token-3')
+    assert run_cell(cell) == run_cell(cell)
+
+
+def test_known_red_cells_are_read_by_name(tmp_path):
+    listed = tmp_path / 'KNOWN-RED.txt'
+    listed.write_text('faults: freeze at open-0; issue 6\nother: x\n')
+    assert known_red(listed) == {'freeze at open-0'}
