--- a/foxtailhatch/callers/services.py
+++ b/foxtailhatch/callers/services.py
@@ -1,13 +1,12 @@
 """The resource that passes calls on to plain services."""
 
-from dataclasses import dataclass
-from urllib.parse import quote, unquote
+from urllib.parse import quote, unquote_to_bytes
 
 from returns.result import Failure, Result, Success
 from twisted.web.http import Request
 from twisted.web.resource import Resource
 
-from foxtailhatch.callers.base import UnknownPath, caller_of
+from foxtailhatch.callers.base import UnknownPath, bad_method, caller_of
 from foxtailhatch.callers.front import Front
 from foxtailhatch.callers.gateway import ServiceRequest
 from foxtailhatch.callers.later import reply_later
@@ -20,26 +19,19 @@
 )
 from foxtailhatch.core import ErrorCode, Refusal
 
-METHODS = frozenset(
-    (
-        b'DELETE',
-        b'GET',
-        b'HEAD',
-        b'OPTIONS',
-        b'PATCH',
-        b'POST',
-        b'PUT',
-    )
+METHODS = (
+    b'DELETE',
+    b'GET',
+    b'HEAD',
+    b'OPTIONS',
+    b'PATCH',
+    b'POST',
+    b'PUT',
 )
-SERVICES_PATH = b'/v1/services/'
-
-
-@dataclass(frozen=True, slots=True)
-class Target:
-    """What of a service is called; ``path`` has its query with it."""
-
-    method: str
-    path: str
+# An empty one before the first slash, then v1, services and the name.
+SEGMENTS_TO_NAME = 4
+PATH_SAFE = "!$&'()*+,;=:@"
+QUERY_SAFE = f'{PATH_SAFE}/?%'
 
 
 class ServicesResource(UnknownPath):
@@ -62,6 +54,8 @@
 
     def reply(self, req: Request) -> Reply | int:
         """Pass one call on and answer what the service answers."""
+        if req.method not in METHODS:
+            return bad_method(req, METHODS)
         match self._asked(req):
             case Failure(refusal):
                 return refusal_reply(refusal)
@@ -71,25 +65,22 @@
         raise AssertionError(req)
 
     def _asked(self, req: Request) -> Result[ServiceRequest, Refusal]:
-        target = Result.do(
-            Target(method, path)
-            for method in known_method(req.method)
-            for path in service_path(req.uri)
+        return service_path(req.uri).bind(
+            lambda path: self._request(req, path),
         )
-        return target.bind(lambda known: self._request(req, known))
 
     def _request(
         self,
         req: Request,
-        target: Target,
+        path: str,
     ) -> Result[ServiceRequest, Refusal]:
         return Result.do(
             ServiceRequest(
                 request_id=self.front.new_request_id(),
                 caller=caller,
                 service=self._name.decode(errors='replace'),
-                method=target.method,
-                path=target.path,
+                method=req.method.decode(),
+                path=path,
                 body=body_of(req),
                 content_type=header_text(req, b'Content-Type') or '',
                 key=headers.key,
@@ -109,15 +100,6 @@
         raise AssertionError(asked)
 
 
-def known_method(method: bytes) -> Result[str, Refusal]:
-    """Return the method's name, if it is one that services are called with."""
-    if method in METHODS:
-        return Success(method.decode())
-    allowed = ', '.join(sorted(name.decode() for name in METHODS))
-    message = f'Services answer {allowed}.'
-    return Failure(Refusal(ErrorCode.BAD_METHOD, message))
-
-
 def service_path(uri: bytes) -> Result[str, Refusal]:
     """Return what follows the service's name, in its one normal spelling.
 
@@ -130,20 +112,20 @@
     >>> service_path(b'/v1/services/desk/x/../book').failure().code.value
     'bad_request'
     """
-    path, mark, query = uri.decode('latin-1').partition('?')
-    below = path.removeprefix(SERVICES_PATH.decode())
-    _, _, rest = below.partition('/')
-    segments = [unquote(segment) for segment in rest.split('/')]
+    path, mark, query = uri.partition(b'?')
+    below = path.split(b'/')[SEGMENTS_TO_NAME:] or [b'']
+    segments = [unquote_to_bytes(segment) for segment in below]
     if all(map(_is_plain, segments[:-1])) and _may_be_last(segments[-1]):
-        spelled = '/'.join(quote(segment, safe='') for segment in segments)
-        return Success(f'/{spelled}{mark}{query}')
+        spelled = '/'.join(quote(segment, PATH_SAFE) for segment in segments)
+        asked = f'{mark.decode()}{quote(query, QUERY_SAFE)}'
+        return Success(f'/{spelled}{asked}')
     message = 'The path holds a segment that is empty, . or .. or holds a /.'
     return Failure(Refusal(ErrorCode.BAD_REQUEST, message))
 
 
-def _is_plain(segment: str) -> bool:
-    return segment not in {'', '.', '..'} and '/' not in segment
+def _is_plain(segment: bytes) -> bool:
+    return segment not in {b'', b'.', b'..'} and b'/' not in segment
 
 
-def _may_be_last(segment: str) -> bool:
+def _may_be_last(segment: bytes) -> bool:
     return not segment or _is_plain(segment)
--- a/foxtailhatch/daemon/blackboard.py
+++ b/foxtailhatch/daemon/blackboard.py
@@ -7,6 +7,7 @@
 from foxtailhatch.config import ConfigurationFold, ConfigurationIndex
 from foxtailhatch.core import EventKind, HybridClock, Timeline
 from foxtailhatch.daemon.logs import EventLog
+from foxtailhatch.durable.wishes import WishTable
 from foxtailhatch.limits import Admission
 from foxtailhatch.membership import EndpointTable, EntryTable, PlannedStop
 from foxtailhatch.recovery import EndpointHealth, ProgressWatch, RetryBudget
@@ -17,7 +18,8 @@
 class Blackboard:
     """One entry's knowledge; each part is written by the part that owns it.
 
-    ``index`` is the configuration in force with its look-up tables, absent
+    ``leaves_seen`` names endpoints that said they leave, for the peers to be
+    told.  ``index`` is the configuration in force with its look-up tables, absent
     until one is known.  ``random`` is the one source of randomness.
     """
 
@@ -36,6 +38,8 @@
     progress: ProgressWatch = field(default_factory=ProgressWatch)
     admission: Admission = field(default_factory=Admission)
     fold: ConfigurationFold = field(default_factory=ConfigurationFold)
+    wishes: WishTable = field(default_factory=WishTable)
+    leaves_seen: list[str] = field(default_factory=list)
     index: ConfigurationIndex | None = None
 
     def record(self, kind: EventKind, subject: str, detail: str = '') -> None:
@@ -44,7 +48,7 @@
 
 
 def new_blackboard(
-    name: str,
+    clock: HybridClock,
     zone: str,
     seed: int,
     entries: EntryTable,
@@ -53,9 +57,9 @@
 ) -> Blackboard:
     """Return the blackboard of an entry that knows nothing yet."""
     random = Random(seed)
-    timeline = Timeline(HybridClock(name))
+    timeline = Timeline(clock)
     return Blackboard(
-        name=name,
+        name=clock.instance,
         zone=zone,
         random=random,
         timeline=timeline,
--- a/foxtailhatch/daemon/observability.py
+++ b/foxtailhatch/daemon/observability.py
@@ -2,13 +2,15 @@
 
 from dataclasses import dataclass
 
+from foxtailhatch.callers.answer_times import AnswerTimes
 from foxtailhatch.core import ErrorCode, InvariantBroken
 from foxtailhatch.core.timeline_json import events_to_json
 from foxtailhatch.daemon.answers import Answers
 from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.daemon.endpoint_care import EndpointCare
 from foxtailhatch.daemon.guard import Guard
 from foxtailhatch.daemon.metrics import Metrics
-from foxtailhatch.daemon.session_watch import SessionWatch
+from foxtailhatch.peers import PeerCounters
 
 
 @dataclass(slots=True)
@@ -18,15 +20,16 @@
     board: Blackboard
     metrics_book: Metrics
     answers: Answers
-    sessions: SessionWatch
+    care: EndpointCare
     guard: Guard
+    peers: PeerCounters
 
     def metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         book = self.metrics_book
         book.tokens_delivered = self.answers.tokens
         book.answers_running(len(self.answers))
-        book.sessions_open(len(self.sessions.open))
+        book.sessions_open(len(self.care.open))
         book.configuration_in_force(self.board.fold.version)
         return book.render()
 
@@ -52,10 +55,11 @@
             'configuration_version': board.fold.version,
             'configuration_complete': board.fold.complete,
             'answers': len(self.answers),
-            'sessions': sorted(self.sessions.open),
+            'sessions': sorted(self.care.open),
             'recoveries': self.answers.recoveries,
             'stopping': board.stop.is_asked(),
             'endpoints': self._endpoints(),
+            'peer_links_refused': self.peers.links_refused,
             'entries': [entry.name for entry in board.entries.members()],
         }
 
@@ -63,6 +67,10 @@
         """Count one request, with its error code or ``None`` if whole."""
         self.metrics_book.request_ended(code)
 
+    def answer_timed(self, times: AnswerTimes) -> None:
+        """Count when the tokens of one answer came."""
+        self.metrics_book.answer_timed(times)
+
     def invariant_broken(self, exc: InvariantBroken) -> None:
         """Record a broken invariant and stop the process."""
         self.guard.invariant_broken(exc)
--- a/tests/callers/test_services.py
+++ b/tests/callers/test_services.py
@@ -40,12 +40,32 @@
     assert not front.gateway.calls
 
 
+@with_front
+async def test_a_method_that_is_none_is_refused(front):
+    reply = await front.ask('BREW', '/v1/services/desk/book', **GOOD)
+    assert (reply.status, reply.error()['code']) == (405, 'bad_method')
+    assert 'PATCH' in reply.headers['allow'].upper()
+
+
 @pytest.mark.parametrize('path', ['a/../book', './book', '/book', 'a%2fbook'])
 def test_a_path_that_has_another_spelling_is_refused(path):
     refusal = service_path(b'/v1/services/desk/' + path.encode()).failure()
     assert refusal.code is ErrorCode.BAD_REQUEST
 
 
+@with_front
+async def test_an_escape_in_the_front_path_leaves_the_service_path(front):
+    path = '/v1/%73ervices/d%65sk/book'
+    await front.ask('POST', path, **GOOD)
+    call = front.gateway.calls[0]
+    assert (call.service, call.path) == ('desk', '/book')
+
+
 def test_a_path_with_needless_escapes_reaches_the_service_without_them():
     spelled = service_path(b'/v1/services/desk/%62%6fok').unwrap()
     assert spelled == '/book'
+
+
+def test_a_path_with_bytes_that_are_no_text_stays_what_it_is():
+    spelled = service_path(b'/v1/services/desk/%ff\xfe:7?q=\xff%20').unwrap()
+    assert spelled == '/%FF%FE:7?q=%FF%20'
