--- a/tests/faults/entry.py
+++ b/tests/faults/entry.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from foxtailhatch.config.snapshots import WINDOW_OPENS, SnapshotWriter
-from foxtailhatch.core import Address, InvariantBroken
+from foxtailhatch.core import Address, HybridClock, InvariantBroken
 from foxtailhatch.daemon.blackboard import new_blackboard
 from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
 from foxtailhatch.daemon.entry import join_parts, start_loops
@@ -17,7 +17,7 @@
 from foxtailhatch.membership import Entry, EntryTable, PlannedStop
 from tests.faults.engines import Engines
 from tests.faults.loop import VirtualClock
-from tests.faults.platform import Log, Services
+from tests.faults.platform import Log, Services, Weights
 
 KEEP_S = 1.0
 RETENTION_S = 600.0
@@ -93,12 +93,13 @@
         here = Address('127.0.0.1', seed)
         own = Entry(self.name, here, here, cfg.availability_zone, cfg.region)
         board = new_blackboard(
-            self.name,
+            HybridClock(self.name),
             cfg.availability_zone,
             seed,
             EntryTable(own, KEEP_S),
             PlannedStop(KEEP_S),
             world.wall,
+            cfg.limits,
         )
         board.events = HookedEvents(board.timeline, self._noted)
         clock = VirtualClock(world.loop)
@@ -107,7 +108,13 @@
         self.parts = join_parts(
             cfg,
             board,
-            Outside(self.engines, Services(world), log, world.instances),
+            Outside(
+                self.engines,
+                Services(world),
+                log,
+                world.instances,
+                Weights(),
+            ),
             guard,
             GuardedClock(clock, guard),
         )
@@ -117,7 +124,7 @@
         self.configuration = ConfigurationLoop(
             board,
             log,
-            self.parts.watch,
+            self.parts.care,
             self.parts.follower,
             snapshots,
             clock.seconds,
--- a/tests/faults/platform.py
+++ b/tests/faults/platform.py
@@ -120,6 +120,13 @@
         return Success(ServiceAnswer(200, call.key.encode(), 'text/plain'))
 
 
+class Weights:
+    """The weight store; every layer has the same size."""
+
+    async def size_bytes(self, model, version):
+        return Success(1)
+
+
 @dataclass
 class Services:
     """The plain services as an entry reaches them."""
