Stop the entry when a log call of the claims breaks an invariant

Cause: reads and appends of the claims run in tasks of their own, and nobody looked at what they raised: a broken invariant in them was lost.

Change: the failure ends the loop that started the call, which stops the process.

--- a/foxtailhatch/daemon/claim_loop.py
+++ b/foxtailhatch/daemon/claim_loop.py
@@ -42,14 +42,18 @@
         self._follower = follower
         self._waiting: dict[str, asyncio.Future[Decision]] = {}
         self._calls: set[asyncio.Task[None]] = set()
+        self._failure: BaseException | None = None
 
     async def step(self) -> None:
         """Start the log calls that are due, and settle what time settles."""
+        # What a call raised ends the loop that started it.
+        if self._failure is not None:
+            raise self._failure
         now = self._board.wall_time()
         for action in self.desk.actions(now):
             call = asyncio.ensure_future(self._carry_out(action))
             self._calls.add(call)
-            call.add_done_callback(self._calls.discard)
+            call.add_done_callback(self._called)
         self._settle(self.desk.step(now, self._log_up()))
 
     async def decide(self, req: ClaimRequest) -> Decision:
@@ -65,6 +69,11 @@
         self._waiting[req.request_id] = waiting
         return await waiting
 
+    def _called(self, call: asyncio.Task[None]) -> None:
+        self._calls.discard(call)
+        if not call.cancelled() and self._failure is None:
+            self._failure = call.exception()
+
     def _log_up(self) -> bool:
         return self._follower.availability is not LogAvailability.DOWN
 
