Check at the end of a planned stop that nothing is cut off

Cause: the check for the invariant stop_cuts_nothing was never called.

Change: the stop calls it before it ends the loop.

Before: an entry whose stop was broken on purpose cut an answer and exited with 0. After: it exits with 3. Conclusion: the invariant is asserted in the running entry.

--- a/foxtailhatch/daemon/stopping.py
+++ b/foxtailhatch/daemon/stopping.py
@@ -36,7 +36,8 @@
 
     async def step(self) -> None:
         """Go on with a stop that was asked."""
-        step = self._board.stop.step(self._running(), self._now())
+        running, now = self._running(), self._now()
+        step = self._board.stop.step(running, now)
         if step.phase is self._phase:
             return
         self._phase = step.phase
@@ -44,6 +45,7 @@
         if state is not None:
             self._board.entries.update_own(state=state)
         if step.may_exit:
+            self._board.stop.check_exit(running, now)
             self._board.record(
                 EventKind.STOPPED,
                 self._board.name,
