Send nothing new after a pause before the sources were asked again

Change: an entry notices its own pauses of more than a second, and starts nothing on any endpoint until the instance list and the configuration stream were read again; a read that fails counts. A configuration whose version is in force already is not announced again.

--- a/foxtailhatch/daemon/answers.py
+++ b/foxtailhatch/daemon/answers.py
@@ -119,6 +119,7 @@
 
     async def tick(self) -> None:
         """Let time pass for the queue and for every answer."""
+        self._care.pause.beat()
         now = self.now()
         self._refuse_tickets(self._board.admission.expire(now))
         late = now - self._ticked_at > 2 * TICK_S
@@ -168,6 +169,8 @@
         self._clock.callLater(0, self._start_ready)
 
     def _start_ready(self) -> None:
+        if not self._care.pause.is_current():
+            return
         for ticket in self._board.admission.take(self.now()):
             self._start(self._handles[ticket.ticket_id])
 
--- a/foxtailhatch/daemon/configuration_loop.py
+++ b/foxtailhatch/daemon/configuration_loop.py
@@ -28,6 +28,7 @@
 from foxtailhatch.core import EventKind, Mark
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.endpoint_care import EndpointCare
+from foxtailhatch.daemon.pause_watch import Source
 from foxtailhatch.durable.appends import AppendRecord
 from foxtailhatch.durable.follower import LogFollower
 from foxtailhatch.platform import LogService, PlatformError
@@ -71,7 +72,9 @@
         due = self._follower.next_read(self._now(), fold.wanted)
         if due is None:
             return
+        begun_at = self._now()
         page = await self._log.read(due.stream, due.offset, due.limit)
+        self._care.pause.asked(Source.LOG, begun_at)
         if not isinstance(page, Success):
             self._read_failed()
             return
@@ -173,7 +176,8 @@
     def _enforce(self) -> None:
         cfg = self._board.fold.in_force
         index = self._board.index
-        if cfg is None or (index is not None and index.cfg is cfg):
+        # A snapshot or a peer's state may restate the version in force.
+        if cfg is None or (index and index.cfg.version == cfg.version):
             return
         self._board.index = index_configuration(cfg)
         accounts = {account.name: account for account in cfg.accounts}
--- a/foxtailhatch/daemon/endpoint_care.py
+++ b/foxtailhatch/daemon/endpoint_care.py
@@ -4,6 +4,7 @@
 
 from foxtailhatch.core import EndpointKind, EventKind
 from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.daemon.pause_watch import PauseWatch
 from foxtailhatch.membership import EndpointChange, EndpointState
 from foxtailhatch.platform import StageFault
 from foxtailhatch.recovery import Admission, Ejected, HealthOutcome, Restored
@@ -13,7 +14,7 @@
     """Keep the endpoint table, the health and the pool in line.
 
     ``open`` names the endpoints with an open session, ``lost`` counts the
-    sessions that were lost.
+    sessions that were lost; ``pause`` knows of pauses of this process.
     """
 
     def __init__(
@@ -24,6 +25,7 @@
         """Start with no session."""
         self.open: set[str] = set()
         self.lost = 0
+        self.pause = PauseWatch(now)
         self._board = board
         self._now = now
 
@@ -68,6 +70,8 @@
 
         Call it in the loop turn in which the work is sent.
         """
+        if not self.pause.is_current():
+            return False
         now = self._now()
         may_send = self._board.endpoints.may_send(endpoint, now)
         if may_send:
--- a/foxtailhatch/daemon/platform_watch.py
+++ b/foxtailhatch/daemon/platform_watch.py
@@ -9,6 +9,7 @@
 from foxtailhatch.core import LoadReport
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.endpoint_care import EndpointCare
+from foxtailhatch.daemon.pause_watch import Source
 from foxtailhatch.platform import Engine, InstanceList
 from foxtailhatch.routing.polling import PollCandidate, PollSchedule
 
@@ -36,7 +37,9 @@
 
     async def read_list(self) -> None:
         """Read the live-instance list once."""
+        begun_at = self._now()
         listed = await self._instances.instances()
+        self._care.pause.asked(Source.LIST, begun_at)
         if not isinstance(listed, Success):
             self.list_faults += 1
             return
--- a/foxtailhatch/daemon/service_calls.py
+++ b/foxtailhatch/daemon/service_calls.py
@@ -54,7 +54,7 @@
         now: Callable[[], float],
     ) -> None:
         """Start with no call in progress."""
-        self.choice = ServiceChoice(board)
+        self.choice = ServiceChoice(board, care.pause)
         self._board = board
         self._care = care
         self._service = service
--- a/foxtailhatch/daemon/service_choice.py
+++ b/foxtailhatch/daemon/service_choice.py
@@ -6,6 +6,7 @@
 from foxtailhatch.config import Access, Service, carries
 from foxtailhatch.core import Endpoint, EndpointKind
 from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.daemon.pause_watch import PauseWatch
 from foxtailhatch.recovery import Admission
 
 
@@ -15,9 +16,10 @@
     ``running`` counts this entry's calls in progress by endpoint.
     """
 
-    def __init__(self, board: Blackboard) -> None:
+    def __init__(self, board: Blackboard, pause: PauseWatch) -> None:
         """Start with no call."""
         self.running: Counter[str] = Counter()
+        self._pause = pause
         self._board = board
 
     def choose(
@@ -28,6 +30,8 @@
         now: float,
     ) -> Endpoint | None:
         """Return an endpoint that was not tried yet, if there is any."""
+        if not self._pause.is_current():
+            return None
         names = self._board.endpoints.usable_names(now)
         known = [
             self._board.endpoints.endpoint(name)
