Break the claims' log call itself in its test

Cause: the test for it also passed without the change, since the broken ticket was found again at its deadline.

Change: the read of the claims breaks the invariant itself.

Before: passed with and without the change. After: fails without it, passes with it. Conclusion: the test shows the mended fault.

--- a/tests/faults/test_invariants.py
+++ b/tests/faults/test_invariants.py
@@ -11,7 +11,7 @@
 from demo.system import environment, start_engines, start_platform
 from foxtailhatch.config import encode_record, snapshot_of
 from foxtailhatch.config.state import FoldState
-from foxtailhatch.core import EventKind, Invariant, RunState
+from foxtailhatch.core import EventKind, Invariant, RunState, require
 from foxtailhatch.daemon.app import EXIT_INVARIANT
 from foxtailhatch.daemon.chains import PoolChains
 from foxtailhatch.durable.claims import ClaimController
@@ -130,10 +130,7 @@
     """The claims' log calls ran in tasks whose failures nobody saw."""
 
     def read(claims, now, page):
-        for ticket in claims._book:
-            ticket.may_have_run = True
-            claims.sends.abandon(ticket, None)
-        return []
+        require(Invariant.NOT_RUN_IS_TRUE, False, 'broken on purpose')
 
     with mock.patch.object(ClaimController, 'take_page', read):
         assert_stopped(caplog, Invariant.NOT_RUN_IS_TRUE)
