--- a/foxtailhatch/daemon/entry.py
+++ b/foxtailhatch/daemon/entry.py
@@ -10,13 +10,14 @@
 from foxtailhatch.daemon.claim_loop import ClaimLoop
 from foxtailhatch.daemon.claimed_calls import ClaimedCalls
 from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
+from foxtailhatch.daemon.endpoint_care import EndpointCare
 from foxtailhatch.daemon.gateway import DaemonGateway
 from foxtailhatch.daemon.guard import Guard, GuardedClock
 from foxtailhatch.daemon.loops import Loops
+from foxtailhatch.daemon.order_loop import OrderLoop
 from foxtailhatch.daemon.outside import Outside
 from foxtailhatch.daemon.platform_watch import PlatformWatch
 from foxtailhatch.daemon.service_calls import ServiceCalls
-from foxtailhatch.daemon.session_watch import SessionWatch
 from foxtailhatch.daemon.sessions import Sessions
 from foxtailhatch.daemon.settings import Periods, Settings
 from foxtailhatch.daemon.stopping import Stopping
@@ -26,12 +27,16 @@
     LogAvailability,
     LogFollower,
 )
+from foxtailhatch.durable.lease_holder import LeaseHolder
 from foxtailhatch.routing import ShortestPathChooser
 
 FOLLOW_STEP_S = 0.02
 CLAIM_STEP_S = 0.01
+PROBE_STEP_S = 0.1
 STOP_STEP_S = 0.05
+ORDER_STEP_S = 0.2
 RUN_ID_BITS = 64
+PLACEMENT_LEASE = 'placement'
 
 
 @dataclass(slots=True)
@@ -45,10 +50,11 @@
     board: Blackboard
     guard: Guard
     follower: LogFollower
-    session_watch: SessionWatch
+    care: EndpointCare
     watch: PlatformWatch
     answers: Answers
     claims: ClaimLoop
+    orders: OrderLoop
     gateway: DaemonGateway
 
     def running(self) -> int:
@@ -73,11 +79,12 @@
     """Return the parts of an entry, joined and with nothing started."""
     rng = board.random
     follower = LogFollower(CONFIGURATION_STREAM, rng, cfg.periods.log_poll_s)
-    session_watch = SessionWatch(board)
-    answers = _answers(board, outside, guard, clock, session_watch)
+    care = EndpointCare(board, clock.seconds)
+    answers = _answers(board, outside, guard, clock, care)
     claims = _claims(cfg, board, outside, follower)
     calls = ServiceCalls(
         board,
+        care,
         outside.service,
         cfg.timeouts.service_call_s,
         clock.seconds,
@@ -86,10 +93,11 @@
         board,
         guard,
         follower,
-        session_watch,
-        PlatformWatch(board, outside.engine, outside.instances, clock.seconds),
+        care,
+        _watch(board, care, outside, clock),
         answers,
         claims,
+        _orders(cfg, board, outside, clock),
         DaemonGateway(
             board,
             answers,
@@ -106,15 +114,30 @@
     outside: Outside,
     guard: Guard,
     clock: GuardedClock,
-    session_watch: SessionWatch,
+    care: EndpointCare,
 ) -> Answers:
     sessions = Sessions(
         outside.engine,
         board.endpoints.endpoint,
-        session_watch,
+        care,
         guard,
     )
-    return Answers(board, sessions, ShortestPathChooser(), clock)
+    return Answers(board, care, sessions, ShortestPathChooser(), clock)
+
+
+def _watch(
+    board: Blackboard,
+    care: EndpointCare,
+    outside: Outside,
+    clock: GuardedClock,
+) -> PlatformWatch:
+    return PlatformWatch(
+        board,
+        care,
+        outside.engine,
+        outside.instances,
+        clock.seconds,
+    )
 
 
 def _claims(
@@ -134,6 +157,25 @@
     return ClaimLoop(board, desk, outside.log, follower)
 
 
+def _orders(
+    cfg: Settings,
+    board: Blackboard,
+    outside: Outside,
+    clock: GuardedClock,
+) -> OrderLoop:
+    run_number = board.random.getrandbits(RUN_ID_BITS)
+    run_id = f'{board.name}/{run_number}'
+    return OrderLoop(
+        board,
+        outside.log,
+        outside.engine,
+        outside.weights,
+        LeaseHolder(PLACEMENT_LEASE, run_id, board.random),
+        cfg.placement.load_bytes_per_s if cfg.placement else None,
+        clock.seconds,
+    )
+
+
 def start_loops(
     loops: Loops,
     parts: EntryParts,
@@ -143,12 +185,18 @@
 ) -> None:
     """Start every loop of an entry."""
     parts.board.record(EventKind.STARTED, parts.board.name)
-    loops.every(FOLLOW_STEP_S, configuration.step)
-    loops.every(CLAIM_STEP_S, parts.claims.step)
-    loops.every(periods.instance_list_poll_s, parts.watch.read_list)
-    loops.every(TICK_S, parts.watch.read_loads)
-    loops.every(TICK_S, parts.answers.tick)
-    loops.every(STOP_STEP_S, stopping.step)
+    steps = (
+        (FOLLOW_STEP_S, configuration.step),
+        (CLAIM_STEP_S, parts.claims.step),
+        (ORDER_STEP_S, parts.orders.step),
+        (periods.instance_list_poll_s, parts.watch.read_list),
+        (TICK_S, parts.watch.read_loads),
+        (PROBE_STEP_S, parts.watch.probe),
+        (TICK_S, parts.answers.tick),
+        (STOP_STEP_S, stopping.step),
+    )
+    for period_s, step in steps:
+        loops.every(period_s, step)
 
 
 def _no_blocks(prompt: tuple[int, ...]) -> tuple[str, ...]:
