Rest sessions that have no open stream

Now a session closes its two connections after 10 s without a stream and opens new ones with the next frame, and a connection on which frames come is not pinged.

--- a/foxtailhatch/platform/engine_http.py
+++ b/foxtailhatch/platform/engine_http.py
@@ -1,5 +1,6 @@
 """Model engines over HTTP and JSON."""
 
+from functools import partial
 from itertools import count
 from typing import Final
 from uuid import uuid4
@@ -7,7 +8,7 @@
 from pydantic import TypeAdapter
 from returns.result import Result
 
-from foxtailhatch.core import Endpoint, LoadReport
+from foxtailhatch.core import Address, Endpoint, LoadReport
 from foxtailhatch.platform.documents import read_document
 from foxtailhatch.platform.http_client import (
     ANSWER_TIMEOUT_S,
@@ -22,6 +23,7 @@
     SessionListener,
 )
 from foxtailhatch.platform.session_http import HttpSession, SessionTiming
+from foxtailhatch.platform.session_link import LinkListener, SessionLink
 
 _loads: Final = TypeAdapter(LoadReport)
 _pages: Final = TypeAdapter(CachePage)
@@ -52,15 +54,13 @@
         listener: SessionListener,
     ) -> EngineSession:
         """Open a session at once; a failure is told to the listener."""
-        session = HttpSession(
+        return HttpSession(
             endpoint,
             listener,
+            partial(self._link, endpoint.address),
             self._client.reactor,
-            self._timing,
+            self._timing.idle_s,
         )
-        name = f'{self._prefix}-{next(self._numbers)}'
-        session.open(self._client.streaming_agent(), name)
-        return session
 
     async def load_report(
         self,
@@ -101,3 +101,15 @@
             self._timeout_s,
         )
         return answer.bind(lambda whole: read_document(_pages, whole))
+
+    def _link(self, address: Address, listener: LinkListener) -> SessionLink:
+        """Open a link under a name that no other has."""
+        link = SessionLink(
+            listener,
+            self._client.reactor,
+            self._timing.heartbeat_s,
+            self._timing.silent_s,
+        )
+        name = f'{self._prefix}-{next(self._numbers)}'
+        link.open(self._client.streaming_agent(), address, name)
+        return link
--- a/tests/platform/test_session_http.py
+++ b/tests/platform/test_session_http.py
@@ -1,7 +1,6 @@
 import asyncio
 
 import pytest
-from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 from twisted.logger import globalLogPublisher
 
@@ -13,166 +12,94 @@
     InvariantBroken,
     LayerRange,
 )
-from foxtailhatch.platform import Ping, StageOutput
+from foxtailhatch.platform import (
+    CancelStage,
+    OpenStage,
+    StageFault,
+    StageOutput,
+    StageRefused,
+    StepStage,
+)
 from foxtailhatch.platform.engine_http import HttpEngine
-from foxtailhatch.platform.frames_json import MAX_LINE_BYTES, encode_frame
+from foxtailhatch.platform.frames_json import encode_frame
 from foxtailhatch.platform.session_http import HttpSession, SessionTiming
 from tests.platform.loop import Heard, run
 from tests.platform.raw import raw_server
 from tests.platform.standin import client, endpoint, engine, listening
 
 ENGINE = Endpoint('ep', Address('127.0.0.1', 1), EndpointKind.ENGINE, 'whk-a')
-TIMING = SessionTiming(heartbeat_s=1, silent_s=3)
+IDLE_S = 10
+OPEN = OpenStage('s', 1, 'toy', '1', LayerRange(0, 2))
 OUTPUT = StageOutput('s', 1, LayerRange(0, 2), 0, ('a',))
 LINE = encode_frame(OUTPUT)
 HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n'
 
 
-class _Agent:
-    """An agent whose requests never get an answer."""
-
-    def __init__(self):
-        self.bodies = []
-
-    def request(self, method, url, headers=None, producer=None):
-        self.bodies.append(producer)
-        return Deferred()
-
-
-class _Consumer:
+class _Link:
     def __init__(self):
-        self.writes = []
-
-    def write(self, chunk):
-        self.writes.append(chunk)
-
-
-@pytest.fixture
-def clock():
-    return Clock()
-
-
-@pytest.fixture
-def heard():
-    return Heard()
-
-
-@pytest.fixture
-def consumer():
-    return _Consumer()
-
-
-@pytest.fixture
-def session(clock, heard, consumer):
-    opened = HttpSession(ENGINE, heard, clock, TIMING)
-    agent = _Agent()
-    opened.open(agent, 'one')
-    clock.advance(0)
-    agent.bodies[0].startProducing(consumer)
-    return opened
-
-
-def test_a_session_without_bytes_is_lost_as_silent(session, clock, heard):
-    clock.pump([1, 1])
-    assert not heard.reasons
-    clock.pump([1, 1, 1, 0])
-    assert heard.reasons == ['silent']
-
-
-def test_any_byte_keeps_a_session(session, clock, heard):
-    for _ in range(6):
-        clock.advance(1)
-        session.bytes_received(b'{')
-    assert not heard.reasons
-
+        self.frames = []
+        self.closed = False
 
-def test_a_pause_of_this_process_is_not_silence(session, clock, heard):
-    clock.advance(30)
-    assert not heard.reasons
-    clock.pump([1, 1, 1, 1, 0])
-    assert heard.reasons == ['silent']
+    def send(self, frame):
+        self.frames.append(frame)
 
+    def close(self):
+        self.closed = True
 
-def test_frames_of_one_turn_leave_in_one_write(session, clock, consumer):
-    consumer.writes.clear()
-    session.send(Ping(7))
-    session.send(Ping(8))
-    clock.advance(0)
-    assert consumer.writes == [encode_frame(Ping(7)) + encode_frame(Ping(8))]
 
+class _Case:
+    """A session whose links are kept in the order they were opened."""
 
-def test_frames_sent_before_the_connection_are_kept_in_order(clock, heard):
-    opened = HttpSession(ENGINE, heard, clock, TIMING)
-    agent = _Agent()
-    opened.send(Ping(7))
-    opened.open(agent, 'one')
-    clock.advance(0)
-    opened.send(Ping(8))
-    clock.advance(0)
-    late = _Consumer()
-    agent.bodies[0].startProducing(late)
-    expected = b''.join(encode_frame(Ping(number)) for number in (7, 1, 8))
-    assert late.writes == [expected]
-
-
-def test_a_frame_cut_in_two_is_heard_once(session, clock, heard):
-    session.bytes_received(LINE[:9])
-    clock.advance(0)
-    assert not heard.frames
-    session.bytes_received(LINE[9:])
-    clock.advance(0)
-    assert heard.frames == [OUTPUT]
-
-
-@pytest.mark.parametrize(
-    'bad',
-    [
-        b'no json\n',
-        b'{}\n',
-        b'{"kind":"nothing"}\n',
-        b'{"kind":"output","stream":"s","attempt":"1"}\n',
-        b'\xff\n',
-        b'[' * 100_000 + b'\n',
-        b'\n',
-    ],
-)
-def test_a_bad_frame_loses_the_session_and_what_follows(
-    session,
-    clock,
-    heard,
-    bad,
-):
-    session.bytes_received(LINE + bad + LINE)
-    clock.advance(0)
-    assert heard.frames == [OUTPUT]
-    assert len(heard.reasons) == 1
-    assert heard.reasons[0].startswith('bad frame')
-
-
-def test_a_line_without_end_loses_the_session(session, clock, heard):
-    session.bytes_received(b'x' * (MAX_LINE_BYTES + 1))
-    clock.advance(0)
-    assert heard.reasons[0].startswith('bad frame')
-
-
-def test_a_closed_session_tells_nothing_more(session, clock, heard):
-    session.bytes_received(LINE)
-    session.close()
-    session.bytes_received(LINE)
-    session.lost('late')
-    clock.pump([1] * 9)
-    assert not heard.frames
-    assert not heard.reasons
-    assert not clock.getDelayedCalls()
-
-
-def test_frames_that_arrived_are_heard_before_the_loss(session, clock, heard):
-    session.bytes_received(LINE)
-    session.lost('closed')
-    session.bytes_received(LINE)
-    clock.advance(0)
-    assert heard.frames == [OUTPUT]
-    assert heard.reasons == ['closed']
+    def __init__(self):
+        self.clock = Clock()
+        self.heard = Heard()
+        self.links = []
+        self.session = HttpSession(
+            ENGINE, self.heard, self.connect, self.clock, IDLE_S
+        )
+
+    def connect(self, listener):
+        self.links.append(_Link())
+        return self.links[-1]
+
+
+def test_a_session_without_streams_rests_and_wakes_on_a_new_link():
+    case = _Case()
+    case.clock.advance(IDLE_S)
+    assert case.links[0].closed
+    case.session.send(OPEN)
+    assert case.links[1].frames == [OPEN]
+    assert not case.heard.reasons
+
+
+@pytest.mark.parametrize('frame', [OPEN, StepStage('s', 1, 0, (1,))])
+def test_a_session_with_a_stream_never_rests(frame):
+    case = _Case()
+    case.session.send(frame)
+    case.clock.pump([IDLE_S] * 3)
+    assert not case.links[0].closed
+
+
+def test_a_session_rests_when_its_last_stream_is_cancelled_or_refused():
+    refused = StageRefused('s', 1, StageFault.FULL)
+    for case, leave in (
+        (_Case(), lambda session: session.send(CancelStage('s', 1))),
+        (_Case(), lambda session: session.frame_received(refused)),
+    ):
+        case.session.send(OPEN)
+        case.clock.advance(IDLE_S)
+        leave(case.session)
+        case.clock.advance(IDLE_S)
+        assert case.links[0].closed
+
+
+def test_a_closed_or_lost_session_opens_no_link_again():
+    case = _Case()
+    case.session.link_lost('silent')
+    case.session.send(OPEN)
+    assert case.heard.reasons == ['silent']
+    assert len(case.links) == 1
+    assert not case.clock.getDelayedCalls()
 
 
 def test_a_broken_invariant_in_the_listener_is_not_hidden():
@@ -261,3 +188,19 @@
     standin = engine((0, 2))
     with listening(standin) as ports:
         assert len(run(scenario(ports, standin))) == 1
+
+
+def test_a_closed_session_leaves_no_connection():
+    async def scenario(ports, standin):
+        heard = Heard()
+        session = HttpEngine(client()).open_session(endpoint(ports), heard)
+        while not standin.sessions.count():
+            await heard.turn()
+        session.close()
+        while ports.factory.protocols:
+            await heard.turn()
+        return standin.sessions.count()
+
+    standin = engine((0, 2))
+    with listening(standin) as ports:
+        assert run(scenario(ports, standin)) == 0
--- /dev/null
+++ b/tests/platform/test_session_link.py
@@ -0,0 +1,182 @@
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from foxtailhatch.core import Address, LayerRange
+from foxtailhatch.platform import Ping, StageOutput
+from foxtailhatch.platform.frames_json import MAX_LINE_BYTES, encode_frame
+from foxtailhatch.platform.session_link import SessionLink
+
+ENGINE = Address('127.0.0.1', 1)
+OUTPUT = StageOutput('s', 1, LayerRange(0, 2), 0, ('a',))
+LINE = encode_frame(OUTPUT)
+
+
+class _Agent:
+    """An agent whose requests never get an answer."""
+
+    def __init__(self):
+        self.bodies = []
+
+    def request(self, method, url, headers=None, producer=None):
+        self.bodies.append(producer)
+        return Deferred()
+
+
+class _LinkHeard:
+    def __init__(self):
+        self.frames = []
+        self.reasons = []
+
+    def frame_received(self, frame):
+        self.frames.append(frame)
+
+    def link_lost(self, reason):
+        self.reasons.append(reason)
+
+
+class _Consumer:
+    def __init__(self):
+        self.writes = []
+
+    def write(self, chunk):
+        self.writes.append(chunk)
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def heard():
+    return _LinkHeard()
+
+
+@pytest.fixture
+def consumer():
+    return _Consumer()
+
+
+@pytest.fixture
+def link(clock, heard, consumer):
+    opened = SessionLink(heard, clock, heartbeat_s=1, silent_s=3)
+    agent = _Agent()
+    opened.open(agent, ENGINE, 'one')
+    clock.advance(0)
+    agent.bodies[0].startProducing(consumer)
+    return opened
+
+
+def test_a_link_without_bytes_is_lost_as_silent(link, clock, heard):
+    clock.pump([1, 1])
+    assert not heard.reasons
+    clock.pump([1, 1, 1, 0])
+    assert heard.reasons == ['silent']
+
+
+def test_any_byte_keeps_a_link(link, clock, heard):
+    for _ in range(6):
+        clock.advance(1)
+        link.bytes_received(b'{')
+    assert not heard.reasons
+
+
+def test_a_pause_of_this_process_is_not_silence(link, clock, heard):
+    clock.advance(30)
+    assert not heard.reasons
+    clock.pump([1, 1, 1, 1, 0])
+    assert heard.reasons == ['silent']
+
+
+def test_a_link_that_is_heard_sends_no_pings(link, clock, consumer):
+    consumer.writes.clear()
+    for _ in range(6):
+        clock.advance(0.5)
+        link.bytes_received(b'{')
+        clock.advance(0.5)
+    assert not consumer.writes
+    clock.advance(1)
+    assert consumer.writes == [encode_frame(Ping(2))]
+
+
+def test_frames_of_one_turn_leave_in_one_write(link, clock, consumer):
+    consumer.writes.clear()
+    link.send(Ping(7))
+    link.send(Ping(8))
+    clock.advance(0)
+    assert consumer.writes == [encode_frame(Ping(7)) + encode_frame(Ping(8))]
+
+
+def test_frames_sent_before_the_connection_are_kept_in_order(clock, heard):
+    opened = SessionLink(heard, clock, heartbeat_s=1, silent_s=3)
+    agent = _Agent()
+    opened.send(Ping(7))
+    opened.open(agent, ENGINE, 'one')
+    clock.advance(0)
+    opened.send(Ping(8))
+    clock.advance(0)
+    late = _Consumer()
+    agent.bodies[0].startProducing(late)
+    expected = b''.join(encode_frame(Ping(number)) for number in (7, 1, 8))
+    assert late.writes == [expected]
+
+
+def test_a_frame_cut_in_two_is_heard_once(link, clock, heard):
+    link.bytes_received(LINE[:9])
+    clock.advance(0)
+    assert not heard.frames
+    link.bytes_received(LINE[9:])
+    clock.advance(0)
+    assert heard.frames == [OUTPUT]
+
+
+@pytest.mark.parametrize(
+    'bad',
+    [
+        b'no json\n',
+        b'{}\n',
+        b'{"kind":"nothing"}\n',
+        b'{"kind":"output","stream":"s","attempt":"1"}\n',
+        b'\xff\n',
+        b'[' * 100_000 + b'\n',
+        b'\n',
+    ],
+)
+def test_a_bad_frame_loses_the_link_and_what_follows(
+    link,
+    clock,
+    heard,
+    bad,
+):
+    link.bytes_received(LINE + bad + LINE)
+    clock.advance(0)
+    assert heard.frames == [OUTPUT]
+    assert len(heard.reasons) == 1
+    assert heard.reasons[0].startswith('bad frame')
+
+
+def test_a_line_without_end_loses_the_link(link, clock, heard):
+    link.bytes_received(b'x' * (MAX_LINE_BYTES + 1))
+    clock.advance(0)
+    assert heard.reasons[0].startswith('bad frame')
+
+
+def test_a_closed_link_tells_nothing_more(link, clock, heard):
+    link.bytes_received(LINE)
+    link.close()
+    link.bytes_received(LINE)
+    link.lost('late')
+    clock.pump([1] * 9)
+    assert not heard.frames
+    assert not heard.reasons
+    assert not clock.getDelayedCalls()
+
+
+def test_frames_that_arrived_are_heard_before_the_loss(link, clock, heard):
+    link.bytes_received(LINE)
+    link.lost('closed')
+    link.bytes_received(LINE)
+    clock.advance(0)
+    assert heard.frames == [OUTPUT]
+    assert heard.reasons == ['closed']
