Measure what an idle session costs

The stand-ins listen with a longer backlog, since hundreds of connects at once overran the usual one of 50.

--- /dev/null
+++ b/bench/sessions.py
@@ -0,0 +1,154 @@
+"""What a session costs an entry that no answer uses: ``python -m bench.sessions``.
+
+Many sessions to one engine are opened and left alone, once with connections
+that stay open and once with ones that rest.  Each line printed is one JSON
+object; the figure is a slope for each session.
+"""
+
+import json
+import resource
+import subprocess
+import sys
+import time
+from typing import Any
+
+import click
+from twisted.internet import asyncioreactor
+
+from bench.relay import started_engine
+from foxtailhatch.core import Address, Endpoint, EndpointKind
+from foxtailhatch.platform import DownFrame
+from foxtailhatch.platform.engine_http import HttpEngine
+from foxtailhatch.platform.http_client import HttpClient
+from foxtailhatch.platform.session_http import SessionTiming
+
+NEVER_S = 1e6
+KINDS = {'kept_open': NEVER_S, 'resting': 1.0}
+SETTLE_S = 3.0
+OPEN_EACH_S = 0.01
+
+
+class _Idle:
+    """Sessions that are opened one after the other and then left alone."""
+
+    def __init__(self, kind: str, address: str, count: int, loop: Any) -> None:
+        self.loop = loop
+        self.count = count
+        self.lost: list[str] = []
+        self.opened: list[Any] = []
+        timing = SessionTiming(idle_s=KINDS[kind])
+        self.engine = HttpEngine(HttpClient(loop), timing)
+        host, port = address.split(':')
+        self.endpoint = Endpoint(
+            'ep',
+            Address(host, int(port)),
+            EndpointKind.ENGINE,
+            'whk-a',
+        )
+        self.before_kb = _memory_kb()
+        self.begun_s: float = 0
+        self.begun_at: float = 0
+
+    def open(self, seconds: float) -> None:
+        """Open the next session, or let the measured time begin soon."""
+        if len(self.opened) < self.count:
+            self.opened.append(self.engine.open_session(self.endpoint, self))
+            self.loop.callLater(OPEN_EACH_S, self.open, seconds)
+        else:
+            self.loop.callLater(SETTLE_S, self.begin, seconds)
+
+    def begin(self, seconds: float) -> None:
+        """Let the measured time begin."""
+        self.begun_s = time.process_time()
+        self.begun_at = time.monotonic()
+        self.loop.callLater(seconds, self.end)
+
+    def end(self) -> None:
+        """Print what the sessions cost."""
+        spent_s = time.process_time() - self.begun_s
+        passed_s = time.monotonic() - self.begun_at
+        report = {
+            'us_each_s': spent_s / passed_s / self.count * 1e6,
+            'kb': (_memory_kb() - self.before_kb) / self.count,
+            'lost': len(self.lost),
+        }
+        print(json.dumps(report))
+        self.loop.stop()
+
+    def frame_received(self, endpoint: str, frame: DownFrame) -> None:
+        """Drop the frame."""
+
+    def session_lost(self, endpoint: str, reason: str) -> None:
+        """Count the loss, which spoils the figure."""
+        self.lost.append(reason)
+
+
+@click.group(invoke_without_command=True)
+@click.option('--sessions', default=300)
+@click.option('--seconds', default=10.0)
+@click.pass_context
+def main(ctx: click.Context, sessions: int, seconds: float) -> None:
+    """Compare sessions that stay open with ones that rest."""
+    if ctx.invoked_subcommand is not None:
+        return
+    with started_engine(0, 0) as address:
+        figures = {
+            kind: _measured(kind, address, sessions, seconds) for kind in KINDS
+        }
+    baseline = figures['kept_open']
+    for kind, figure in figures.items():
+        for measure, unit in (
+            ('us_each_s', 'us of processor time a second and session'),
+            ('kb', 'KB of memory a session'),
+        ):
+            line = {
+                'measure': f'session_{kind}_{measure}',
+                'figure': round(figure[measure], 1),
+                'unit': unit,
+                'baseline': round(baseline[measure], 1),
+                'ratio': round(figure[measure] / baseline[measure], 3),
+            }
+            print(json.dumps(line))
+
+
+@main.command()
+@click.argument('kind', type=click.Choice(list(KINDS)))
+@click.argument('address')
+@click.argument('sessions', type=int)
+@click.argument('seconds', type=float)
+def idle(kind: str, address: str, sessions: int, seconds: float) -> None:
+    """Open sessions, wait, and print what they cost."""
+    asyncioreactor.install()
+    from twisted.internet import reactor
+
+    loop: Any = reactor
+    _Idle(kind, address, sessions, loop).open(seconds)
+    loop.run()
+
+
+def _memory_kb() -> float:
+    """Return the most memory that this process has used."""
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+
+
+def _measured(
+    kind: str,
+    address: str,
+    sessions: int,
+    seconds: float,
+) -> dict[str, float]:
+    """Run one kind in a process of its own."""
+    command = [sys.executable, '-m', 'bench.sessions', 'idle', kind]
+    given = subprocess.run(
+        [*command, address, str(sessions), str(seconds)],
+        stdout=subprocess.PIPE,
+        check=True,
+    )
+    report: dict[str, float] = json.loads(given.stdout)
+    if report['lost']:
+        sys.exit(f'{kind}: sessions were lost: {report["lost"]}')
+    return report
+
+
+if __name__ == '__main__':
+    main()
--- a/standins/process.py
+++ b/standins/process.py
@@ -16,6 +16,7 @@
 from standins.http_app import Answer, Call, JsonApp, Reply, reply
 
 LOOPBACK: Final = '127.0.0.1'
+BACKLOG: Final = 1024
 FAULTS_PATH: Final = ('faults',)
 
 
@@ -115,7 +116,7 @@
     factory = FaultyFactory(site, standin.faults, reactor)
     desk.silence = factory.silence
     return Listening(
-        reactor.listenTCP(port, factory, interface=LOOPBACK),
+        reactor.listenTCP(port, factory, BACKLOG, LOOPBACK),
         reactor.listenTCP(
             0,
             json_site(reactor, desk.answer),
