--- a/bench/time_to_force.py
+++ b/bench/time_to_force.py
@@ -18,8 +18,9 @@
 from foxtailhatch.platform import LogPage
 
 TICK_S = 0.05
-PEER_INTERVAL_S = 1.0
-PEER_DELAY_S = 0.05
+PARTNERS = 4
+ROUND_S = 1.0
+EXCHANGE_S = 0.15
 FAST_READ_S = 0.05
 SLOW_READ_S = 8.0
 TARGET_S = 18.0
@@ -29,13 +30,20 @@
 
 @dataclass(slots=True)
 class Instance:
-    """One reader; ``read_s`` is how long the log takes to answer it."""
+    """One reader; ``read_s`` is how long the log takes to answer it.
+
+    It tells its partners of each new version at once, and asks one of them
+    every :data:`ROUND_S`; ``heard`` holds whose records arrive when.
+    """
 
     fold: ConfigurationFold
     follower: LogFollower
     read_s: float
-    next_peer_at: float
+    next_round_at: float
+    told: int = 0
+    partners: list['Instance'] = field(default_factory=list)
     answers: list[tuple[float, LogPage]] = field(default_factory=list)
+    heard: list[tuple[float, 'Instance']] = field(default_factory=list)
 
     def poll(self, now: float, log: MemoryLog) -> None:
         """Read the log when it is due, and take answers that arrived."""
@@ -48,16 +56,28 @@
             self.fold.take_page(page)
             self.follower.page_read(now, page, self.fold.wanted)
 
-    def ask_peer(self, now: float, peer: 'Instance') -> None:
-        """Take over what a peer has folded beyond this instance."""
-        if now < self.next_peer_at:
-            return
-        self.next_peer_at = now + PEER_INTERVAL_S
-        records = peer.fold.records_after(self.fold.through)
-        if records is None:
-            self.fold.adopt(peer.fold.export())
-        else:
-            self.fold.take_records(records)
+    def tell(self, now: float) -> None:
+        """Tell the partners of a version that they were not told of."""
+        if self.fold.version > self.told:
+            self.told = self.fold.version
+            for partner in self.partners:
+                partner.heard.append((now + EXCHANGE_S, self))
+
+    def ask(self, now: float, rng: random.Random) -> None:
+        """Ask one partner when a round is due."""
+        if self.partners and now >= self.next_round_at:
+            self.next_round_at = now + ROUND_S
+            self.heard.append((now + EXCHANGE_S, rng.choice(self.partners)))
+
+    def listen(self, now: float) -> None:
+        """Take over what others have folded beyond this instance."""
+        while self.heard and self.heard[0][0] <= now:
+            peer = self.heard.pop(0)[1]
+            records = peer.fold.records_after(self.fold.through)
+            if records is None:
+                self.fold.adopt(peer.fold.export())
+            else:
+                self.fold.take_records(records)
 
 
 def publication(version: int) -> bytes:
@@ -82,16 +102,24 @@
     log = MemoryLog()
     log.append(CONFIGURATION_STREAM, publication(1), 0)
     fleet = [instance(number < slow, rng) for number in range(count)]
+    if peers:
+        join(fleet, rng)
     published_at = 2 * SLOW_READ_S + rng.uniform(0, 2)
     now = published_at - 2 * SLOW_READ_S
     while now < published_at:
-        turn(now, fleet, log, rng, peers)
+        turn(now, fleet, log, rng)
         now += TICK_S
     log.append(CONFIGURATION_STREAM, publication(2), now)
     while any(reader.fold.version < 2 for reader in fleet):
-        turn(now, fleet, log, rng, peers)
+        turn(now, fleet, log, rng)
         now += TICK_S
-    return now + PEER_DELAY_S - published_at
+    return now - published_at
+
+
+def join(fleet: list[Instance], rng: random.Random) -> None:
+    """Give each instance its partners."""
+    for each in fleet:
+        each.partners = rng.sample(fleet, min(len(fleet), PARTNERS))
 
 
 def instance(is_slow: bool, rng: random.Random) -> Instance:
@@ -100,7 +128,7 @@
         ConfigurationFold(),
         LogFollower(CONFIGURATION_STREAM, rng),
         SLOW_READ_S if is_slow else FAST_READ_S,
-        rng.uniform(0, PEER_INTERVAL_S),
+        rng.uniform(0, ROUND_S),
     )
 
 
@@ -109,13 +137,13 @@
     fleet: list[Instance],
     log: MemoryLog,
     rng: random.Random,
-    peers: bool,
 ) -> None:
     """Let each instance do what is due."""
     for reader in fleet:
         reader.poll(now, log)
-        if peers:
-            reader.ask_peer(now, rng.choice(fleet))
+        reader.listen(now)
+        reader.tell(now)
+        reader.ask(now, rng)
 
 
 def measure_time_to_force() -> None:
