--- a/foxtailhatch/config/__init__.py
+++ b/foxtailhatch/config/__init__.py
@@ -62,6 +62,7 @@
     snapshot_of,
     state_of,
 )
+from foxtailhatch.config.updates import encode_update, take_update
 
 __all__ = [
     'CONFIGURATION_STREAM',
@@ -105,6 +106,7 @@
     'decode_record',
     'differences',
     'encode_record',
+    'encode_update',
     'index_configuration',
     'must_not_repeat',
     'parse_configuration',
@@ -113,4 +115,5 @@
     'render_configuration',
     'snapshot_of',
     'state_of',
+    'take_update',
 ]
--- a/foxtailhatch/config/coverage.py
+++ b/foxtailhatch/config/coverage.py
@@ -34,6 +34,19 @@
             times = times[::2]
         return replace(self, times=times)
 
+    def known_up_to(self, through: int) -> 'Coverage':
+        """Return the coverage of a reader that has folded up to an offset.
+
+        Without any times it counts as long overdue, so that somebody writes
+        a snapshot soon.
+
+        >>> Coverage().known_up_to(7).since
+        0.0
+        """
+        if self.times or through < 0:
+            return self
+        return self.logged(through, float(0))
+
     def restated(self, through: int) -> 'Coverage':
         """Return the coverage after a snapshot; an older one is ignored.
 
--- a/foxtailhatch/config/fold.py
+++ b/foxtailhatch/config/fold.py
@@ -32,6 +32,7 @@
 from foxtailhatch.platform import LogPage, LogRecord
 
 BEFORE_ALL = -1
+VERSIONS_KEPT = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +67,7 @@
         self._cursor = BEFORE_ALL
         self._lost_below = 0
         self._recent = RecentRecords()
+        self._accepted_at: dict[int, int] = {0: BEFORE_ALL}
 
     @property
     def in_force(self) -> Configuration | None:
@@ -115,6 +117,13 @@
             return ()
         return self._recent.after(offset)
 
+    def records_since(self, version: int) -> tuple[LogRecord, ...] | None:
+        """Return what a peer may lack that has ``version`` in force."""
+        if version >= self.version:
+            return ()
+        offset = self._accepted_at.get(version)
+        return None if offset is None else self._recent.after(offset)
+
     def adopt(self, state: FoldState) -> bool:
         """Take in a peer's state if it has folded more than this reader.
 
@@ -164,8 +173,15 @@
             return Unchanged(decoded.failure())
         state, outcome = fold_record(self._state, record, decoded.unwrap())
         self._replace(state)
+        if isinstance(outcome, Accepted):
+            self._note_accepted(outcome.cfg.version, record.offset)
         return outcome
 
+    def _note_accepted(self, version: int, offset: int) -> None:
+        self._accepted_at[version] = offset
+        if len(self._accepted_at) > VERSIONS_KEPT:
+            self._accepted_at.pop(min(self._accepted_at))
+
     def _lose(self, first: int) -> RecordsLost:
         lost = RecordsLost(self.wanted, first)
         self._lost_below = first
--- a/foxtailhatch/config/records.py
+++ b/foxtailhatch/config/records.py
@@ -5,13 +5,14 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, field
 from typing import Any
 
 import cbor2
 from pydantic import TypeAdapter, ValidationError
 from returns.result import Failure, Result, Success
 
+from foxtailhatch.config.coverage import Coverage
 from foxtailhatch.core import Mark
 
 CONFIGURATION_STREAM = 'configuration'
@@ -60,6 +61,7 @@
     marks: tuple[MarkRecord, ...]
     mark_ids: tuple[str, ...] = ()
     decided: tuple[tuple[str, int], ...] = ()
+    coverage: Coverage = field(default_factory=Coverage)
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailhatch/config/state.py
+++ b/foxtailhatch/config/state.py
@@ -123,6 +123,7 @@
         marks=tuple(state.marks.values()),
         mark_ids=state.mark_ids,
         decided=tuple(state.decided.items()),
+        coverage=state.coverage,
     )
 
 
@@ -141,6 +142,7 @@
             {record.instance: record for record in snapshot.marks},
             snapshot.mark_ids,
             dict(snapshot.decided),
+            snapshot.coverage.known_up_to(snapshot.through),
         ),
     )
 
--- a/tests/config/test_snapshots.py
+++ b/tests/config/test_snapshots.py
@@ -1,8 +1,10 @@
 import random
+from dataclasses import replace
 
 from foxtailhatch.config.coverage import Coverage
 from foxtailhatch.config.fold import ConfigurationFold
 from foxtailhatch.config.snapshots import HOLD_S, SnapshotWriter
+from foxtailhatch.config.state import snapshot_of, state_of
 from tests.config.stream import catch_up, publication, put, read_all
 from tests.durable.fake_log import FakeLog
 
@@ -90,3 +92,26 @@
     covered = coverage.restated(1)
     assert covered.since == 3.0
     assert covered.restated(0) == covered
+
+
+def test_an_instance_that_knows_only_its_peer_renews_the_snapshot():
+    log = FakeLog(retention_s=RETENTION_S)
+    put(log, publication(1, 'a'))
+    replaced, _ = read_all(log)
+    passed_on = state_of(snapshot_of(replaced.export())).unwrap()
+    assert passed_on == replaced.export()
+    newcomer = ConfigurationFold()
+    newcomer.adopt(passed_on)
+    assert run(log, [newcomer], 900, start=1) == 1
+    fold, _ = read_all(log, 1200)
+    assert fold.version == 1
+
+
+def test_a_state_without_coverage_is_restated_soon():
+    log = FakeLog(retention_s=RETENTION_S)
+    put(log, publication(1, 'a'))
+    snapshot = snapshot_of(read_all(log)[0].export())
+    bare = replace(snapshot, coverage=Coverage())
+    newcomer = ConfigurationFold()
+    newcomer.adopt(state_of(bare).unwrap())
+    assert writers(1)[0].step(RETENTION_S, newcomer, caught_up=True)
--- /dev/null
+++ b/tests/config/test_updates.py
@@ -0,0 +1,52 @@
+import pytest
+
+from foxtailhatch.config.fold import ConfigurationFold
+from foxtailhatch.config.records import MarkRecord
+from foxtailhatch.config.updates import encode_update, take_update
+from foxtailhatch.core import Mark
+from tests.config.stream import publication, put, read_all
+from tests.durable.fake_log import FakeLog
+
+LEAVE = MarkRecord('m', 'engine-1', Mark.LEAVE)
+
+
+def test_a_peer_that_is_little_behind_gets_only_the_records():
+    log = FakeLog()
+    put(log, publication(1, 'a' * 200))
+    behind, _ = read_all(log)
+    put(log, LEAVE, publication(2, 'b'))
+    ahead, _ = read_all(log)
+    update = encode_update(ahead, behind.version)
+    assert b'a' * 200 not in update
+    take_update(behind, update)
+    assert behind.export() == ahead.export()
+
+
+def test_a_new_peer_gets_the_whole_state():
+    log = FakeLog()
+    put(log, publication(1, 'a'), LEAVE)
+    first, _ = read_all(log)
+    second = ConfigurationFold()
+    second.adopt(first.export())
+    third = ConfigurationFold()
+    take_update(third, encode_update(second, third.version))
+    assert third.export() == first.export()
+
+
+def test_a_stale_update_changes_nothing():
+    log = FakeLog()
+    put(log, publication(1, 'a'))
+    stale = encode_update(read_all(log)[0], 0)
+    put(log, publication(2, 'b'))
+    fold, _ = read_all(log)
+    assert take_update(fold, stale) == []
+    assert fold.version == 2
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [b'', b'\xff', b'\x82\x65state\x41x', b'\x82\x67records\x81\x01', b'\x05'],
+)
+def test_a_malformed_update_changes_nothing(raw):
+    fold = ConfigurationFold()
+    assert take_update(fold, raw) == []
