--- a/foxtailhatch/config/fold.py
+++ b/foxtailhatch/config/fold.py
@@ -148,6 +148,9 @@
         outcomes: list[TakeOutcome] = []
         if page.first > self.wanted:
             outcomes.append(self._lose(page.first))
+        elif not self.complete:
+            # More has expired since the gap was met.
+            self._lost_below = max(self._lost_below, page.first)
         for record in page.records:
             if record.offset != self.wanted:
                 continue
--- a/tests/config/test_fold.py
+++ b/tests/config/test_fold.py
@@ -166,3 +166,36 @@
     assert fold.version == 0
     fold.take_records(records + records)
     assert fold.version == 2
+
+
+def test_a_restoration_below_what_is_known_is_ignored():
+    log = FakeLog()
+    put(log, publication(1, 'a'), publication(2, 'b'))
+    document = publication(2, 'restored').document
+    put(log, Restoration(2, 'r', document, ()))
+    fold, _ = read_all(log)
+    assert fold.in_force.accounts[0].name == 'b'
+
+
+def test_a_stale_peer_of_the_same_version_takes_back_no_mark():
+    log = FakeLog()
+    put(log, publication(1, 'a'))
+    stale = read_all(log)[0].export()
+    put(log, MarkRecord('m1', 'engine-1', Mark.LEAVE))
+    fold, _ = read_all(log)
+    assert not fold.adopt(stale)
+    assert fold.marks == {'engine-1': Mark.LEAVE}
+
+
+def test_a_snapshot_that_reached_the_log_too_late_is_not_followed():
+    """When the gap was met it would have covered; now more has expired."""
+    log = FakeLog(retention_s=100)
+    put(log, publication(1, 'a'))
+    early, _ = read_all(log)
+    put(log, publication(2, 'b'), now=50.0)
+    put(log, MarkRecord('m', 'engine-1', Mark.LEAVE), now=140.0)
+    fold, _ = read_all(log, now=120.0)
+    assert not fold.complete
+    put(log, snapshot_of(early.export()), now=160.0)
+    catch_up(fold, log, 200.0)
+    assert fold.in_force is None
