Call a second try that is refused early unknown, not unrun

Change: unless the caller says that it is the first try, such a refusal says that the run is unknown.

Conclusion: not run is said of first tries and of claims only.

--- a/foxtailhatch/daemon/gateway.py
+++ b/foxtailhatch/daemon/gateway.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from returns.result import Failure, Result, Success
 
@@ -23,7 +24,7 @@
     must_not_repeat,
     reachable_models,
 )
-from foxtailhatch.core import Caller, ErrorCode, Refusal
+from foxtailhatch.core import Caller, ErrorCode, Refusal, RunState
 from foxtailhatch.daemon.answers import Answers
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.claimed_calls import ClaimedCalls
@@ -118,7 +119,7 @@
         """Run one call of a plain service."""
         refusal = self._stopping()
         if refusal is not None:
-            return Failure(refusal)
+            return Failure(_unclaimed(refusal, req))
         with InProgress(self._running, req.service):
             return await self._call_service(req)
 
@@ -132,7 +133,7 @@
     ) -> Result[ServiceAnswer, Refusal]:
         found = _granted_service(self._board.index, req)
         if not isinstance(found, Success):
-            return Failure(found.failure())
+            return Failure(_unclaimed(found.failure(), req))
         service, granted = found.unwrap()
         call = ServiceCall(
             req.method, req.path, req.body, req.content_type, req.key
@@ -158,6 +159,13 @@
     )
 
 
+def _unclaimed(refusal: Refusal, req: ServiceRequest) -> Refusal:
+    # Nothing was asked of the log, and an earlier try may have run.
+    if req.key is None or req.first_try:
+        return refusal
+    return replace(refusal, run=RunState.UNKNOWN)
+
+
 def _granted_service(
     index: ConfigurationIndex | None,
     req: ServiceRequest,
