--- a/foxtailhatch/daemon/answers.py
+++ b/foxtailhatch/daemon/answers.py
@@ -30,6 +30,8 @@
 from foxtailhatch.routing import ChainChooser
 
 TICK_S = 0.02
+IDLE_TICK_S = 0.1
+LATE_TICK_S = 0.05
 
 
 class AnswerHandle:
@@ -122,7 +124,7 @@
         self._care.pause.beat()
         now = self.now()
         self._refuse_tickets(self._board.admission.expire(now))
-        late = now - self._ticked_at > 2 * TICK_S
+        late = now - self._ticked_at > LATE_TICK_S
         self._ticked_at = now
         # After a pause of this process the frames of the meantime are still
         # unread, so no endpoint is blamed before the loop has turned again.
@@ -133,6 +135,10 @@
                 handle.live.tick(self._patience)
         self._start_ready()
 
+    def pace_s(self) -> float:
+        """Return the pause until the next tick, longer when nothing runs."""
+        return TICK_S if self._handles else IDLE_TICK_S
+
     def now(self) -> float:
         """Return the present time in seconds."""
         return self._clock.seconds()
--- a/foxtailhatch/daemon/app.py
+++ b/foxtailhatch/daemon/app.py
@@ -40,7 +40,7 @@
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 EXIT_INVARIANT = 3
-PEER_STEP_S = 0.05
+PEER_STEP_S = 0.1
 
 
 def run(cfg: Settings) -> int:
--- a/foxtailhatch/daemon/claim_loop.py
+++ b/foxtailhatch/daemon/claim_loop.py
@@ -49,11 +49,8 @@
         # What a call raised ends the loop that started it.
         if self._failure is not None:
             raise self._failure
+        self._start_due()
         now = self._board.wall_time()
-        for action in self.desk.actions(now):
-            call = asyncio.ensure_future(self._carry_out(action))
-            self._calls.add(call)
-            call.add_done_callback(self._called)
         self._settle(self.desk.step(now, self._log_up()))
 
     async def decide(self, req: ClaimRequest) -> Decision:
@@ -67,8 +64,15 @@
         loop = asyncio.get_running_loop()
         waiting: asyncio.Future[Decision] = loop.create_future()
         self._waiting[req.request_id] = waiting
+        self._start_due()
         return await waiting
 
+    def _start_due(self) -> None:
+        for action in self.desk.actions(self._board.wall_time()):
+            call = asyncio.ensure_future(self._carry_out(action))
+            self._calls.add(call)
+            call.add_done_callback(self._called)
+
     def _called(self, call: asyncio.Task[None]) -> None:
         self._calls.discard(call)
         if not call.cancelled() and self._failure is None:
@@ -83,6 +87,8 @@
                 await self._read(action)
             case AppendClaims():
                 await self._append(action)
+        # What an answer makes due does not wait for the next step.
+        self._start_due()
 
     async def _read(self, due: ReadStream) -> None:
         page = await self._log.read(due.stream, due.offset, due.limit)
--- a/foxtailhatch/daemon/configuration_loop.py
+++ b/foxtailhatch/daemon/configuration_loop.py
@@ -32,7 +32,7 @@
 from foxtailhatch.durable.follower import LogFollower
 from foxtailhatch.platform import LogService, PlatformError, PlatformFault
 
-PUBLISH_STEP_S = 0.02
+PUBLISH_STEP_S = 0.05
 
 
 class ConfigurationLoop:
--- a/foxtailhatch/daemon/entry.py
+++ b/foxtailhatch/daemon/entry.py
@@ -5,7 +5,7 @@
 
 from foxtailhatch.config import CONFIGURATION_STREAM
 from foxtailhatch.core import EventKind
-from foxtailhatch.daemon.answers import TICK_S, Answers
+from foxtailhatch.daemon.answers import Answers
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.claim_loop import ClaimLoop
 from foxtailhatch.daemon.claimed_calls import ClaimedCalls
@@ -30,11 +30,12 @@
 from foxtailhatch.durable.lease_holder import LeaseHolder
 from foxtailhatch.routing import ShortestPathChooser
 
-FOLLOW_STEP_S = 0.02
-CLAIM_STEP_S = 0.01
-PROBE_STEP_S = 0.1
-STOP_STEP_S = 0.05
-ORDER_STEP_S = 0.2
+FOLLOW_STEP_S = 0.1
+CLAIM_STEP_S = 0.1
+LOAD_STEP_S = 0.1
+PROBE_STEP_S = 0.25
+STOP_STEP_S = 0.1
+ORDER_STEP_S = 0.25
 RUN_ID_BITS = 64
 PLACEMENT_LEASE = 'placement'
 
@@ -190,13 +191,13 @@
         (CLAIM_STEP_S, parts.claims.step),
         (ORDER_STEP_S, parts.orders.step),
         (periods.instance_list_poll_s, parts.watch.read_list),
-        (TICK_S, parts.watch.read_loads),
+        (LOAD_STEP_S, parts.watch.read_loads),
         (PROBE_STEP_S, parts.watch.probe),
-        (TICK_S, parts.answers.tick),
         (STOP_STEP_S, stopping.step),
     )
     for period_s, step in steps:
         loops.every(period_s, step)
+    loops.paced(parts.answers.pace_s, parts.answers.tick)
 
 
 def _no_blocks(prompt: tuple[int, ...]) -> tuple[str, ...]:
--- a/foxtailhatch/daemon/loops.py
+++ b/foxtailhatch/daemon/loops.py
@@ -21,18 +21,22 @@
 
     def every(self, period_s: float, step: Step) -> None:
         """Run ``step`` now and ``period_s`` after each of its ends."""
-        self._tasks.append(asyncio.ensure_future(self._run(period_s, step)))
+        self.paced(lambda: period_s, step)
+
+    def paced(self, pace: Callable[[], float], step: Step) -> None:
+        """Run ``step`` again and again; ``pace`` gives each pause in seconds."""
+        self._tasks.append(asyncio.ensure_future(self._run(pace, step)))
 
     def stop(self) -> None:
         """End all loops."""
         for task in self._tasks:
             task.cancel()
 
-    async def _run(self, period_s: float, step: Step) -> None:
+    async def _run(self, pace: Callable[[], float], step: Step) -> None:
         while True:
             try:
                 await step()
             except InvariantBroken as exc:
                 self._on_broken(exc)
                 return
-            await asyncio.sleep(period_s)
+            await asyncio.sleep(pace())
