Keep a session awake when an older attempt is refused

A refusal or cancellation of an older attempt counted as the end of the stream, so a session could rest and close the connections of a newer attempt that waited for a long step. Only the newest attempt counts now.

--- a/foxtailhatch/platform/session_http.py
+++ b/foxtailhatch/platform/session_http.py
@@ -60,7 +60,8 @@
         self._clock = clock
         self._idle_s = idle_s
         self._closed = False
-        self._streams: set[str] = set()
+        # The newest attempt of each open stream.
+        self._streams: dict[str, int] = {}
         self._rest_call: Any = None
         self._link: SessionLink | None = connect(self)
         self._rest_later()
@@ -73,9 +74,9 @@
             self._link = self._connect(self)
         self._link.send(frame)
         if isinstance(frame, CancelStage):
-            self._forget(frame.stream)
+            self._forget(frame)
         elif not isinstance(frame, Ping):
-            self._streams.add(frame.stream)
+            self._streams[frame.stream] = frame.attempt
 
     def close(self) -> None:
         """Close the session; the listener hears no more of it."""
@@ -86,7 +87,7 @@
     def frame_received(self, frame: DownFrame) -> None:
         """Pass a frame on; a stream that was refused is not open."""
         if isinstance(frame, StageRefused):
-            self._forget(frame.stream)
+            self._forget(frame)
         self._listener.frame_received(self.endpoint.name, frame)
 
     def link_lost(self, reason: str) -> None:
@@ -94,9 +95,11 @@
         self.close()
         self._listener.session_lost(self.endpoint.name, reason)
 
-    def _forget(self, stream: str) -> None:
-        """Let the session rest soon if this was the last open stream."""
-        self._streams.discard(stream)
+    def _forget(self, frame: CancelStage | StageRefused) -> None:
+        """Let the session rest soon if this ended the last open stream."""
+        newest = self._streams.get(frame.stream)
+        if newest is not None and newest <= frame.attempt:
+            self._streams.pop(frame.stream)
         if not self._streams:
             self._rest_later()
 
--- a/tests/platform/test_session_http.py
+++ b/tests/platform/test_session_http.py
@@ -1,4 +1,5 @@
 import asyncio
+from dataclasses import replace
 
 import pytest
 from twisted.internet.task import Clock
@@ -93,6 +94,21 @@
         assert case.links[0].closed
 
 
+@pytest.mark.parametrize(
+    'late',
+    [StageRefused('s', 1, StageFault.STALE_ATTEMPT), CancelStage('s', 1)],
+)
+def test_what_is_said_of_an_older_attempt_closes_nothing(late):
+    case = _Case()
+    case.session.send(replace(OPEN, attempt=2))
+    if isinstance(late, CancelStage):
+        case.session.send(late)
+    else:
+        case.session.frame_received(late)
+    case.clock.pump([IDLE_S] * 2)
+    assert not case.links[0].closed
+
+
 def test_a_closed_or_lost_session_opens_no_link_again():
     case = _Case()
     case.session.link_lost('silent')
