--- a/bench/claim_costs.py
+++ b/bench/claim_costs.py
@@ -9,7 +9,8 @@
 from bench.report import report
 from foxtailhatch.core import RunState
 from foxtailhatch.durable import ClaimRequest, KeyOwner, MayRun, Outcome
-from foxtailhatch.durable.claims import ClaimController, ClaimSettings
+from foxtailhatch.durable.claim_settings import ClaimSettings
+from foxtailhatch.durable.claims import ClaimController
 
 START = 1_796_356_800.0
 STREAM = 'claims-0'
--- a/foxtailhatch/config/__init__.py
+++ b/foxtailhatch/config/__init__.py
@@ -31,6 +31,13 @@
     RecordsLost,
     StateAdopted,
 )
+from foxtailhatch.config.outcomes import (
+    Accepted,
+    FoldOutcome,
+    Marked,
+    Refused,
+    Unchanged,
+)
 from foxtailhatch.config.publisher import (
     Conflicted,
     Faulty,
@@ -52,16 +59,7 @@
 )
 from foxtailhatch.config.references import ConfigFault
 from foxtailhatch.config.snapshots import SnapshotWriter
-from foxtailhatch.config.state import (
-    Accepted,
-    FoldOutcome,
-    FoldState,
-    Marked,
-    Refused,
-    Unchanged,
-    snapshot_of,
-    state_of,
-)
+from foxtailhatch.config.state import FoldState, snapshot_of, state_of
 from foxtailhatch.config.updates import encode_update, take_update
 
 __all__ = [
--- a/foxtailhatch/config/changes.py
+++ b/foxtailhatch/config/changes.py
@@ -12,7 +12,6 @@
 from foxtailhatch.config.differences import differences_in, entries_by_name
 from foxtailhatch.config.documents import (
     ConfigurationDocument,
-    Document,
     configuration_of,
 )
 from foxtailhatch.config.references import (
@@ -22,6 +21,7 @@
     json_path,
     reference_faults,
 )
+from foxtailhatch.config.sections import Document
 
 _Fields = Mapping[str, Any]
 
--- a/foxtailhatch/config/documents.py
+++ b/foxtailhatch/config/documents.py
@@ -1,25 +1,15 @@
 """The JSON document that operators publish, validated at the border.
 
-The models here mirror the data classes of
-:mod:`foxtailhatch.config.configuration` and add the rules that one entry can
-be checked against alone.  Rules between entries stand in
-:mod:`foxtailhatch.config.references`.
+The rules of one entry stand in :mod:`foxtailhatch.config.sections`, those
+between entries in :mod:`foxtailhatch.config.references`.
 """
 
-import ipaddress
 import json
 from collections.abc import Iterable, Mapping
 from dataclasses import asdict
-from typing import Annotated, Any, TypeVar
-
-from pydantic import (
-    AfterValidator,
-    BaseModel,
-    ConfigDict,
-    Field,
-    StringConstraints,
-    ValidationError,
-)
+from typing import Any, TypeVar
+
+from pydantic import ValidationError
 from returns.result import Failure, Result, Success
 
 from foxtailhatch.config.configuration import (
@@ -38,114 +28,20 @@
     json_path,
     reference_faults,
 )
-from foxtailhatch.core import Address, Endpoint, EndpointKind
+from foxtailhatch.config.sections import (
+    AccountDocument,
+    AdapterDocument,
+    CallerDocument,
+    Document,
+    EndpointDocument,
+    ModelDocument,
+    SelectorDocument,
+    ServiceDocument,
+)
+from foxtailhatch.core import Address, Endpoint
 
 MirrorT = TypeVar('MirrorT')
 
-MAX_NAME_CHARS = 200
-MAX_PORT = 65535
-
-
-def _ip_number(text: str) -> str:
-    """Return ``text`` if it is an IP number, else raise ``ValueError``."""
-    ipaddress.ip_address(text)
-    return text
-
-
-Name = Annotated[
-    str,
-    StringConstraints(pattern=r'^[^\s/]+$', max_length=MAX_NAME_CHARS),
-]
-Digest = Annotated[str, StringConstraints(pattern='^[0-9a-f]{64}$')]
-IpNumber = Annotated[str, AfterValidator(_ip_number)]
-LabelsDocument = dict[str, str]
-
-
-class Document(BaseModel):
-    """The base of all documents: strict types and no unknown keys."""
-
-    model_config = ConfigDict(
-        strict=True,
-        extra='forbid',
-        frozen=True,
-        allow_inf_nan=False,
-    )
-
-
-class AccountDocument(Document):
-    """A client account."""
-
-    name: Name
-    weight: int = Field(default=1, ge=1)
-    requests_per_s: float | None = Field(default=None, gt=0)
-    max_running: int | None = Field(default=None, ge=1)
-
-
-class CallerDocument(Document):
-    """A caller; the digest is 64 hexadecimal digits in lower case."""
-
-    name: Name
-    account: str
-    token_sha256: Digest
-    labels: LabelsDocument = {}
-
-
-class ModelDocument(Document):
-    """A model in the version that shall serve."""
-
-    name: Name
-    version: Name
-    layers: int = Field(ge=1)
-    labels: LabelsDocument = {}
-
-
-class AdapterDocument(Document):
-    """An adapter of a model."""
-
-    name: Name
-    model: str
-    labels: LabelsDocument = {}
-
-
-class ServiceDocument(Document):
-    """A plain service."""
-
-    name: Name
-    endpoints: LabelsDocument
-    not_repeatable: tuple[str, ...] = ()
-    checks_key: bool = False
-    labels: LabelsDocument = {}
-
-
-class AddressDocument(Document):
-    """An IP number and a port."""
-
-    host: IpNumber
-    port: int = Field(ge=1, le=MAX_PORT)
-
-
-class EndpointDocument(Document):
-    """An endpoint that the live-instance list does not show."""
-
-    name: Name
-    address: AddressDocument
-    kind: EndpointKind
-    availability_zone: str
-    accelerator: str = ''
-    labels: LabelsDocument = {}
-    checks_fencing: bool = False
-
-
-class SelectorDocument(Document):
-    """A selector over labels."""
-
-    name: Name
-    callers: LabelsDocument
-    targets: LabelsDocument
-    endpoints: LabelsDocument = {}
-    priority: int = 0
-    repeatable: bool = True
-
 
 class ConfigurationDocument(Document):
     """All that operators publish, in one document."""
--- a/foxtailhatch/config/fold.py
+++ b/foxtailhatch/config/fold.py
@@ -12,6 +12,7 @@
 from returns.pipeline import is_successful
 
 from foxtailhatch.config.configuration import Configuration
+from foxtailhatch.config.outcomes import Accepted, FoldOutcome, Unchanged
 from foxtailhatch.config.recent import RecentRecords
 from foxtailhatch.config.records import (
     ConfigurationRecord,
@@ -20,10 +21,7 @@
     decode_record,
 )
 from foxtailhatch.config.state import (
-    Accepted,
-    FoldOutcome,
     FoldState,
-    Unchanged,
     fold_record,
     skip_record,
     state_of,
--- a/foxtailhatch/config/state.py
+++ b/foxtailhatch/config/state.py
@@ -10,11 +10,18 @@
 from foxtailhatch.config.changes import apply_changes
 from foxtailhatch.config.configuration import Configuration
 from foxtailhatch.config.coverage import Coverage
-from foxtailhatch.config.differences import Difference, differences
+from foxtailhatch.config.differences import differences
 from foxtailhatch.config.documents import (
     parse_configuration,
     render_configuration,
 )
+from foxtailhatch.config.outcomes import (
+    Accepted,
+    FoldOutcome,
+    Marked,
+    Refused,
+    Unchanged,
+)
 from foxtailhatch.config.records import (
     ConfigurationRecord,
     MarkRecord,
@@ -32,46 +39,6 @@
 REFUSED = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Accepted:
-    """A publication was accepted; ``cfg`` is in force from here on."""
-
-    publication_id: str
-    cfg: Configuration
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """A publication was refused; nothing changed.
-
-    ``difference`` shows what is in force against what was wanted, and
-    ``faults`` what is wrong with the document; one of them may be empty.
-    """
-
-    publication_id: str
-    made_from: int
-    in_force: int
-    difference: tuple[Difference, ...] = ()
-    faults: tuple[ConfigFault, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Marked:
-    """A mark counts from here on."""
-
-    record: MarkRecord
-
-
-@dataclass(frozen=True, slots=True)
-class Unchanged:
-    """The record changes nothing; ``reason`` says why."""
-
-    reason: str
-
-
-FoldOutcome = Accepted | Refused | Marked | Unchanged
-
-
 @dataclass(frozen=True, slots=True)
 class FoldState:
     """What all records up to offset ``through`` fold to.
--- a/foxtailhatch/durable/__init__.py
+++ b/foxtailhatch/durable/__init__.py
@@ -20,7 +20,8 @@
     Replay,
     SendRight,
 )
-from foxtailhatch.durable.claims import ClaimController, ClaimSettings
+from foxtailhatch.durable.claim_settings import ClaimSettings
+from foxtailhatch.durable.claims import ClaimController
 from foxtailhatch.durable.fleet import FleetView
 from foxtailhatch.durable.follower import (
     LogAvailability,
--- a/foxtailhatch/durable/claim_desk.py
+++ b/foxtailhatch/durable/claim_desk.py
@@ -21,7 +21,8 @@
     Refuse,
     SendRight,
 )
-from foxtailhatch.durable.claims import ClaimController, ClaimSettings
+from foxtailhatch.durable.claim_settings import ClaimSettings
+from foxtailhatch.durable.claims import ClaimController
 from foxtailhatch.durable.follower import LogFollower, ReadStream
 from foxtailhatch.durable.keys import part_of, part_stream
 from foxtailhatch.durable.sends import Sends
--- a/foxtailhatch/durable/claim_table.py
+++ b/foxtailhatch/durable/claim_table.py
@@ -23,10 +23,10 @@
     Outcome,
     decode_batch,
 )
+from foxtailhatch.durable.claim_settings import CLOCK_MARGIN_S
 from foxtailhatch.platform import LogPage, LogRecord
 
 NOT_YET = -1
-CLOCK_MARGIN_S = 60.0
 
 
 class Standing(StrEnum):
@@ -90,11 +90,6 @@
         """Return the offset to read next."""
         return self.through + 1
 
-    @property
-    def has_read(self) -> bool:
-        """Tell whether any page was read."""
-        return self._has_read
-
     def look_up(self, owner: KeyOwner) -> KeyState | None:
         """Return what the stream says of a key, if anything."""
         return self._keys.get(owner)
--- a/foxtailhatch/durable/claims.py
+++ b/foxtailhatch/durable/claims.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from foxtailhatch.core import Refusal, RunState
 from foxtailhatch.durable import claim_refusals as refusals
@@ -19,52 +18,24 @@
     Refuse,
     Replay,
 )
+from foxtailhatch.durable.claim_settings import ClaimSettings
 from foxtailhatch.durable.claim_table import (
-    CLOCK_MARGIN_S,
     ClaimRead,
     ClaimTable,
     KeyState,
     Standing,
 )
-from foxtailhatch.durable.keys import key_time
+from foxtailhatch.durable.key_rules import KeyRules
 from foxtailhatch.durable.outbox import Outbox
-from foxtailhatch.durable.sends import Sends, run_before
+from foxtailhatch.durable.sends import Sends
 from foxtailhatch.durable.tickets import Ticket, TicketBook, TicketState
 from foxtailhatch.platform import LogPage
 
-MAX_KEY_WINDOW_S = 21_600.0
 HOLDER_SILENT_S = 60.0
 HELD_GRACE_S = 30.0
 FORGET_INTERVAL_S = 60.0
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimSettings:
-    """What all entries must agree on.
-
-    ``parts`` is the number of claim streams, ``retention_s`` how long the
-    log keeps a record.
-
-    >>> ClaimSettings(8, 86400.0).key_window_s
-    21600.0
-    >>> ClaimSettings(8, 7200.0).key_window_s
-    3480.0
-    """
-
-    parts: int
-    retention_s: float
-
-    @property
-    def key_window_s(self) -> float:
-        """Return for how long after its making a key is accepted.
-
-        Half of the retention leaves a reader that starts late every claim
-        to every key that is still accepted.  The bound keeps the table small.
-        """
-        half_s = self.retention_s / 2 - 2 * CLOCK_MARGIN_S
-        return min(half_s, MAX_KEY_WINDOW_S)
-
-
 class ClaimController:
     """The claims of one entry on one stream.
 
@@ -78,6 +49,7 @@
         self.outbox = Outbox()
         self._book = TicketBook(run_id)
         self.sends = Sends(self._book, self.table, self.outbox)
+        self._rules = KeyRules(cfg, self.table)
         self._cfg = cfg
         self._forget_at = float(0)
 
@@ -93,7 +65,7 @@
         log_up: bool,
     ) -> Decision | None:
         """Take a request in; ``None`` says that the decision comes later."""
-        refusal = self._barred(now, req)
+        refusal = self._rules.refusal(now, req)
         if refusal is not None:
             return Refuse(req.request_id, refusal)
         ticket = self._book.open(req, self.table.through)
@@ -125,8 +97,7 @@
         """Decide what time or an outage settles."""
         if now >= self._forget_at:
             self._forget_at = now + FORGET_INTERVAL_S
-            kept_s = self._cfg.key_window_s + 2 * CLOCK_MARGIN_S
-            self.table.forget(now - kept_s)
+            self.table.forget(now - self._cfg.kept_s)
         decisions: list[Decision] = []
         for ticket in self._book:
             if ticket.is_open and (not log_up or now >= ticket.req.deadline_at):
@@ -135,29 +106,6 @@
                 self.sends.give_back(ticket.req.request_id)
         return decisions
 
-    def _barred(self, now: float, req: ClaimRequest) -> Refusal | None:
-        """Return why a request can't even be claimed, if so."""
-        made_at = key_time(req.owner.key)
-        if made_at is None:
-            return refusals.malformed_key()
-        # A clock that lags behind the log's must not accept an old key.
-        clock = max(now, self.table.log_time)
-        if clock > made_at + self._cfg.key_window_s:
-            return refusals.key_expired()
-        if made_at > clock + CLOCK_MARGIN_S:
-            return refusals.key_from_the_future(run_before(req))
-        return self._untold(now, made_at)
-
-    def _untold(self, now: float, made_at: float) -> Refusal | None:
-        """Return why the stream can't tell about a key, if so."""
-        foreign_at = self.table.foreign_at
-        if foreign_at is not None:
-            if now < foreign_at + self._cfg.key_window_s:
-                return refusals.parts_differ()
-        if not self.table.knows(made_at):
-            return refusals.key_unreadable()
-        return None
-
     def _claim(self, ticket: Ticket) -> None:
         self.outbox.put(
             Claim(
@@ -175,7 +123,7 @@
         ticket: Ticket,
         read: ClaimRead,
     ) -> Decision | None:
-        refusal = self._barred(now, ticket.req)
+        refusal = self._rules.refusal(now, ticket.req)
         if refusal is not None:
             return self.sends.abandon(ticket, refusal)
         if read.standing is not Standing.HOLDS:
@@ -209,7 +157,7 @@
         state = self.table.look_up(ticket.req.owner)
         if state is None:
             return None
-        refusal = self._barred(now, ticket.req)
+        refusal = self._rules.refusal(now, ticket.req)
         if refusal is not None:
             return self._close(ticket, refusal)
         if state.holder:
--- /dev/null
+++ b/foxtailhatch/durable/key_rules.py
@@ -0,0 +1,44 @@
+"""Whether a key can be decided upon at all."""
+
+from foxtailhatch.core import Refusal
+from foxtailhatch.durable import claim_refusals as refusals
+from foxtailhatch.durable.claim_requests import ClaimRequest
+from foxtailhatch.durable.claim_settings import (
+    CLOCK_MARGIN_S,
+    ClaimSettings,
+)
+from foxtailhatch.durable.claim_table import ClaimTable
+from foxtailhatch.durable.keys import key_time
+from foxtailhatch.durable.sends import run_before
+
+
+class KeyRules:
+    """The rules on a key's time, and on what its stream can tell of it."""
+
+    def __init__(self, cfg: ClaimSettings, table: ClaimTable) -> None:
+        """Judge by the settings and by what was read of the stream."""
+        self._cfg = cfg
+        self._table = table
+
+    def refusal(self, now: float, req: ClaimRequest) -> Refusal | None:
+        """Return why a request can't be decided upon, if so."""
+        made_at = key_time(req.owner.key)
+        if made_at is None:
+            return refusals.malformed_key()
+        # A clock that lags behind the log's must not accept an old key.
+        clock = max(now, self._table.log_time)
+        if clock > made_at + self._cfg.key_window_s:
+            return refusals.key_expired()
+        if made_at > clock + CLOCK_MARGIN_S:
+            return refusals.key_from_the_future(run_before(req))
+        return self._untold(now, made_at)
+
+    def _untold(self, now: float, made_at: float) -> Refusal | None:
+        """Return why the stream can't tell about a key, if so."""
+        foreign_at = self._table.foreign_at
+        if foreign_at is not None:
+            if now < foreign_at + self._cfg.key_window_s:
+                return refusals.parts_differ()
+        if not self._table.knows(made_at):
+            return refusals.key_unreadable()
+        return None
--- a/foxtailhatch/durable/leases.py
+++ b/foxtailhatch/durable/leases.py
@@ -12,7 +12,7 @@
 import cbor2
 from pydantic import TypeAdapter, ValidationError
 
-from foxtailhatch.durable.claim_table import CLOCK_MARGIN_S
+from foxtailhatch.durable.claim_settings import CLOCK_MARGIN_S
 from foxtailhatch.platform import LogPage, LogRecord
 
 LEASE_STREAM = 'leases'
--- a/tests/config/test_fold.py
+++ b/tests/config/test_fold.py
@@ -5,6 +5,7 @@
     RecordsLost,
     StateAdopted,
 )
+from foxtailhatch.config.outcomes import Accepted, Refused
 from foxtailhatch.config.records import (
     CONFIGURATION_STREAM,
     MarkRecord,
@@ -12,7 +13,7 @@
     Restoration,
     SnapshotRecord,
 )
-from foxtailhatch.config.state import Accepted, Refused, snapshot_of
+from foxtailhatch.config.state import snapshot_of
 from foxtailhatch.core import Mark
 from tests.config.stream import catch_up, publication, put, read_all
 from tests.durable.fake_log import FakeLog
--- a/tests/durable/entries.py
+++ b/tests/durable/entries.py
@@ -10,7 +10,8 @@
     Refuse,
     Replay,
 )
-from foxtailhatch.durable.claims import ClaimController, ClaimSettings
+from foxtailhatch.durable.claim_settings import ClaimSettings
+from foxtailhatch.durable.claims import ClaimController
 from tests.durable.fake_log import FakeLog
 
 RETENTION_S = 10_000.0
--- a/tests/durable/test_claim_desk.py
+++ b/tests/durable/test_claim_desk.py
@@ -6,7 +6,7 @@
     NotFollowed,
 )
 from foxtailhatch.durable.claim_requests import MayRun
-from foxtailhatch.durable.claims import ClaimSettings
+from foxtailhatch.durable.claim_settings import ClaimSettings
 from foxtailhatch.durable.keys import part_of, part_readers
 from foxtailhatch.platform import PlatformFault
 from tests.durable.entries import ANSWER, RETENTION_S, START, request
--- a/tests/durable/test_claims.py
+++ b/tests/durable/test_claims.py
@@ -5,7 +5,8 @@
 from foxtailhatch.core import Invariant, InvariantBroken, RunState
 from foxtailhatch.durable.claim_records import Done, KeyOwner, Outcome
 from foxtailhatch.durable.claim_refusals import given_back
-from foxtailhatch.durable.claims import HOLDER_SILENT_S, ClaimSettings
+from foxtailhatch.durable.claim_settings import ClaimSettings
+from foxtailhatch.durable.claims import HOLDER_SILENT_S
 from foxtailhatch.durable.outbox import APPEND_TIMEOUT_S, RETRY_S
 from foxtailhatch.durable.tickets import Ticket
 from tests.durable.entries import (
