--- a/tests/faults/entry.py
+++ b/tests/faults/entry.py
@@ -12,15 +12,19 @@
 from foxtailhatch.daemon.loops import Loops
 from foxtailhatch.daemon.operations import EntryOperations
 from foxtailhatch.daemon.outside import Outside
+from foxtailhatch.daemon.peer_inbox import PeerInbox
+from foxtailhatch.daemon.peer_loop import PeerLoop
 from foxtailhatch.daemon.settings import Settings
 from foxtailhatch.daemon.stopping import Stopping
-from foxtailhatch.membership import Entry, EntryTable, PlannedStop
+from foxtailhatch.membership import Entry, EntryTable, Gossip, PlannedStop
 from tests.faults.engines import Engines
 from tests.faults.loop import VirtualClock
+from tests.faults.peers import FakeNode
 from tests.faults.platform import Log, Services, Weights
 
 KEEP_S = 1.0
 RETENTION_S = 600.0
+PEER_STEP_S = 0.05
 NOWHERE = {'host': '127.0.0.1', 'port': 1}
 
 
@@ -90,11 +94,14 @@
 
     def _join(self, cfg, seed):
         world = self.world
+        inbox = PeerInbox()
+        node = FakeNode(world, self.name, inbox)
         here = Address('127.0.0.1', seed)
-        own = Entry(self.name, here, here, cfg.availability_zone, cfg.region)
+        zone, region = cfg.availability_zone, cfg.region
+        own = Entry(self.name, here, node.address, zone, region)
         board = new_blackboard(
             HybridClock(self.name),
-            cfg.availability_zone,
+            zone,
             seed,
             EntryTable(own, KEEP_S),
             PlannedStop(KEEP_S),
@@ -133,6 +140,17 @@
         self.stopping = Stopping(
             board, self.parts.running, clock.seconds, self._leave
         )
+        gossip = Gossip(board.entries, board.random, world.seeds())
+        peers = PeerLoop(
+            board,
+            self.parts.care,
+            self.configuration,
+            gossip,
+            node,
+            clock.seconds,
+        )
+        inbox.open(guard, peers)
+        self.inbox = inbox
         self.loops = Loops(guard.invariant_broken)
         self.cfg = cfg
 
@@ -156,6 +174,7 @@
             self.stopping,
             self.cfg.periods,
         )
+        self.loops.every(PEER_STEP_S, self.inbox.step)
 
     def spawn(self, coroutine):
         """Run a coroutine as a task of this entry's process."""
@@ -164,10 +183,16 @@
     def die(self):
         """End at once, as by ``kill -9``."""
         self.dead = True
+        self.world.dead.add(self.name)
         self.world.loop.pause(self.name)
         for session in self.engines.sessions:
             session.closed = True
 
+    def failures(self):
+        """Return what ended loops that should run for ever."""
+        ended = [task for task in self.loops._tasks if task.done()]
+        return [task.exception() for task in ended if task.exception()]
+
     async def guarded(self, coroutine):
         """Await as the HTTP front does: a broken invariant is reported."""
         try:
