Ask only engines for a load report as a probe

Change: probes go to engines; a plain service is probed by its next call.

Before: the probe of a plain service failed. After: none is sent. Conclusion: a plain service that is well again gets calls again.

--- a/foxtailhatch/daemon/platform_watch.py
+++ b/foxtailhatch/daemon/platform_watch.py
@@ -6,7 +6,7 @@
 
 from returns.result import Success
 
-from foxtailhatch.core import LoadReport
+from foxtailhatch.core import EndpointKind, LoadReport
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.endpoint_care import EndpointCare
 from foxtailhatch.daemon.pause_watch import Source
@@ -58,15 +58,23 @@
         await asyncio.gather(*map(self._read_load, due))
 
     async def probe(self) -> None:
-        """Ask ejected endpoints for a sign of life when it is due."""
+        """Ask ejected engines for a sign of life when it is due.
+
+        A plain service reports no load; the next call is its probe.
+        """
         now = self._now()
         due = [
             name
             for name in self._board.health.probes_due(now)
-            if self._board.health.begin_probe(name, now)
+            if self._is_engine(name)
+            and self._board.health.begin_probe(name, now)
         ]
         await asyncio.gather(*map(self._probe, due))
 
+    def _is_engine(self, name: str) -> bool:
+        endpoint = self._board.endpoints.endpoint(name)
+        return endpoint is not None and endpoint.kind is EndpointKind.ENGINE
+
     async def _probe(self, name: str) -> None:
         if await self._read_load(name):
             self._care.answered(name)
