Do not call a late claim unrun where keys are checked

Cause: to a service that checks keys a try may be sent without a claim while the log is down.

Change: for such a service a claim that is given back says not run only for a first try.

Conclusion: a claim proves that nothing ran only if every send needs one.

--- a/foxtailhatch/durable/claim_refusals.py
+++ b/foxtailhatch/durable/claim_refusals.py
@@ -103,12 +103,12 @@
     )
 
 
-def given_back() -> Refusal:
-    """The key was given up before anything was sent."""
+def given_back(run: RunState) -> Refusal:
+    """The key was given up before anything was sent under its claim."""
     return Refusal(
         ErrorCode.DEADLINE,
         'The request was not sent in time.  Try again with the same key.',
-        RunState.NOT_RUN,
+        run,
         KEY_RETRY_S,
     )
 
--- a/foxtailhatch/durable/claims.py
+++ b/foxtailhatch/durable/claims.py
@@ -28,7 +28,7 @@
 )
 from foxtailhatch.durable.keys import key_time
 from foxtailhatch.durable.outbox import Outbox
-from foxtailhatch.durable.sends import Sends, run_before
+from foxtailhatch.durable.sends import Sends, run_before, run_claimed
 from foxtailhatch.durable.tickets import Ticket, TicketBook, TicketState
 from foxtailhatch.platform import LogPage
 
@@ -257,6 +257,10 @@
         return Refuse(ticket.req.request_id, refusal)
 
 
+def _given_back(ticket: Ticket) -> Refusal:
+    return refusals.given_back(run_claimed(ticket.req))
+
+
 def _is_forgotten(now: float, ticket: Ticket) -> bool:
     """Tell whether nobody asked to send a request that may be sent."""
     late_s = now - ticket.req.deadline_at
--- a/foxtailhatch/durable/sends.py
+++ b/foxtailhatch/durable/sends.py
@@ -36,6 +36,15 @@
     return RunState.NOT_RUN if req.first_try else RunState.UNKNOWN
 
 
+def run_claimed(req: ClaimRequest) -> RunState:
+    """Return what may be said of a key whose claim was never sent.
+
+    To a service that checks keys a try may be sent without a claim, while
+    the log is down.
+    """
+    return run_before(req) if req.checks_key else RunState.NOT_RUN
+
+
 class Sends:
     """The steps of a request from the right to send it to its outcome."""
 
@@ -107,7 +116,8 @@
             return self._finish_unknown(ticket)
         if ticket.fence is None:
             return self.withdraw(ticket, refusals.log_unavailable)
-        return self.abandon(ticket, refusals.given_back())
+        told = refusals.given_back(run_claimed(ticket.req))
+        return self.abandon(ticket, told)
 
     def abandon(self, ticket: Ticket, refusal: Refusal) -> Refuse:
         """Free the key of a claim that is in the log but was not sent."""
--- a/tests/durable/test_claims.py
+++ b/tests/durable/test_claims.py
@@ -164,7 +164,7 @@
     _, (entry, _) = cluster()
     ticket = Ticket(request(), 'c1', 0, may_have_run=True)
     with pytest.raises(InvariantBroken, match=Invariant.NOT_RUN_IS_TRUE):
-        entry.claims.sends.abandon(ticket, given_back())
+        entry.claims.sends.abandon(ticket, given_back(RunState.NOT_RUN))
 
 
 def test_a_held_claim_is_sent_although_the_log_goes_down():
@@ -441,3 +441,12 @@
     entry.claims.table.forget(START + 1)
     with pytest.raises(InvariantBroken, match=Invariant.AT_MOST_ONCE):
         entry.send()
+
+
+def test_a_late_claim_to_a_service_that_checks_keys_is_not_called_not_run():
+    """An earlier try may have been sent without a claim."""
+    entry = Entry('e', FakeLog())
+    entry.begin(request(checks_key=True))
+    entry.turn()
+    assert entry.may_run()
+    assert entry.send(now=START + 3).failure().run is RunState.UNKNOWN
