Run random requests and faults for as long as one likes

Cause: the matrix shows each fault by itself or with one other, in a system that starts fresh.

Change: make soak draws a schedule from a seed, runs it over the same fakes with repairs, judges it by the same checks and shrinks what fails.

--- a/tests/faults/engines.py
+++ b/tests/faults/engines.py
@@ -188,7 +188,8 @@
         self._later(SILENT_S / 4, self._beat)
 
     def _pong(self):
-        self._later(self._delay_s(), self._heard)
+        if self._delay_s():
+            self._later(self._delay_s(), self._heard)
 
     def _heard(self):
         if not self.silent:
--- a/tests/faults/platform.py
+++ b/tests/faults/platform.py
@@ -90,6 +90,9 @@
     def show_leaving(self, name):
         self.lines[name] = replace(self.lines[name], leaving=True)
 
+    def show_back(self, name):
+        self.lines[name] = replace(self.lines[name], leaving=False)
+
     def freeze(self):
         self.stale = list(self.lines.values())
 
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,33 @@
+"""Run long: ``python -m tests.soak --seed 1 --steps 200``."""
+
+import sys
+
+import click
+
+from foxtailhatch.core.invariants import checks_made
+from tests.soak.schedule import draw, run, shrink
+
+
+@click.command()
+@click.option('--seed', default=1)
+@click.option('--steps', default=200)
+def main(seed, steps):
+    """Run one schedule; print a shrunk one if it fails."""
+    schedule = draw(seed, steps)
+    soak, found = run(schedule)
+    click.echo(
+        f'seed {seed}: {steps} steps, {soak.injected} faults, '
+        f'{soak.world.loop.time():.0f} virtual seconds, '
+        f'{sum(each.finished for each in soak.answers)} of '
+        f'{len(soak.answers)} answers whole, {len(soak.entries)} entries, '
+        f'{checks_made.total()} invariant checks',
+    )
+    if found:
+        click.echo('\n'.join(found))
+        click.echo('Shrunk:')
+        click.echo('\n'.join(map(str, shrink(schedule))))
+        sys.exit(1)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/soak/schedule.py
@@ -0,0 +1,65 @@
+"""Schedules of requests and faults, drawn from a seed and shrunk."""
+
+from dataclasses import dataclass
+from random import Random
+
+from tests.faults.scenario import STEPS
+from tests.soak.system import BY_NAME, Soak, check
+
+START_S = 2.0
+GAP_S = 0.25
+FAULT_SHARE = 0.12
+REQUESTS = ('answer', 'booking', 'publish')
+SHARES = (6, 3, 1)
+SERVICES = ('store-desk', 'gauge-desk')
+
+
+@dataclass(frozen=True)
+class Step:
+    """A request or a fault at a time; ``where`` says what a fault hits."""
+
+    at: float
+    number: int
+    kind: str
+    detail: str = ''
+    where: str = ''
+
+
+def draw(seed, count):
+    """Return a schedule of so many steps."""
+    random = Random(seed)
+    at = START_S
+    steps = []
+    for number in range(count):
+        at += random.expovariate(1 / GAP_S)
+        steps.append(_step(random, at, number))
+    return steps
+
+
+def _step(random, at, number):
+    if random.random() < FAULT_SHARE:
+        name = random.choice(list(BY_NAME))
+        return Step(at, number, 'fault', name, random.choice(STEPS))
+    kind = random.choices(REQUESTS, SHARES)[0]
+    return Step(at, number, kind, random.choice(SERVICES))
+
+
+def run(steps):
+    """Run a schedule; return the system and what does not hold."""
+    soak = Soak(steps).run()
+    return soak, check(soak)
+
+
+def shrink(steps):
+    """Return fewer steps that still fail, by leaving out ever less."""
+    size = len(steps) // 2
+    while size:
+        start = 0
+        while start < len(steps):
+            fewer = steps[:start] + steps[start + size :]
+            if run(fewer)[1]:
+                steps = fewer
+            else:
+                start += size
+        size //= 2
+    return steps
