--- a/tests/faults/entry.py
+++ b/tests/faults/entry.py
@@ -20,7 +20,7 @@
 from tests.faults.engines import Engines
 from tests.faults.loop import VirtualClock
 from tests.faults.peers import FakeNode
-from tests.faults.platform import Log, Services
+from tests.faults.platform import Log, Services, Weights
 
 KEEP_S = 1.0
 RETENTION_S = 600.0
@@ -106,6 +106,7 @@
             EntryTable(own, KEEP_S),
             PlannedStop(KEEP_S),
             world.wall,
+            cfg.limits,
         )
         board.events = HookedEvents(board.timeline, self._noted)
         clock = VirtualClock(world.loop)
@@ -114,7 +115,13 @@
         self.parts = join_parts(
             cfg,
             board,
-            Outside(self.engines, Services(world), log, world.instances, None),
+            Outside(
+                self.engines,
+                Services(world),
+                log,
+                world.instances,
+                Weights(),
+            ),
             guard,
             GuardedClock(clock, guard),
         )
