--- a/tests/faults/test_invariants.py
+++ b/tests/faults/test_invariants.py
@@ -7,10 +7,13 @@
 from types import SimpleNamespace
 from unittest import mock
 
+import cbor2
+
 from demo.launcher import entry_settings, new_launcher
 from demo.system import environment, start_engines, start_platform
 from foxtailhatch.config import encode_record, snapshot_of
 from foxtailhatch.config.state import FoldState
+from foxtailhatch.config.updates import STATE
 from foxtailhatch.core import EventKind, Invariant, RunState, require
 from foxtailhatch.daemon.app import EXIT_INVARIANT
 from foxtailhatch.daemon.chains import PoolChains
@@ -119,7 +122,8 @@
         entry = scenario.entries[0]
         newest = entry.board.fold.export()
         older = replace(newest.cfg, version=newest.cfg.version - 1)
-        body = encode_record(snapshot_of(FoldState(99, older)))
+        snapshot = encode_record(snapshot_of(FoldState(99, older)))
+        body = cbor2.dumps([STATE, snapshot])
         entry.inbox.take(None, ConfigurationPush(older.version, 99, body))
 
     invariant = Invariant.CONFIGURATION_NEVER_REVERTS
