Know cached prefixes, observed waits, and shares of accounts' limits

Queued prefill tokens of a late report say nothing of the queue of now, and engines with many layers were the bottleneck (250 of 256 streams held, rate 0.75 of their capacity) while those with few had slack (0.42), because a visit cost the same congestion for sixteen layers as for six. Change: an index of believed prefix caches, fed by own sendings and by cache events with gaps, spares a visit two steps a cached block; the time this entry lately waited for a step counts for 10 s; congestion counts for each layer held. Entries divide the accounts' limits by the demand that peers report. The daemon passes the time to `observe_step`. The strong congestion term costs latency below the bound and hides most of the gain from prefixes: the next thing to mend.

--- a/bench/entry_model.py
+++ b/bench/entry_model.py
@@ -1,5 +1,6 @@
 """Entries of the bench: a pool, a chooser and an admission each."""
 
+import random
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -9,6 +10,7 @@
 from bench.pools import OTHER_ZONE_ONE_WAY_S, SAME_ZONE_ONE_WAY_S
 from foxtailhatch.core import Caller, Chain, Holding, LoadReport
 from foxtailhatch.limits import Admission, Ticket
+from foxtailhatch.platform import CachePage
 from foxtailhatch.routing import ChainChooser, ChainQuery, Pool
 
 REPORT_EVERY_S = 0.5
@@ -16,6 +18,7 @@
 MODEL = 'guidance'
 VERSION = '1'
 OPEN_ATTEMPTS = 3
+LOST_EVENTS_SHARE = 0.1
 
 
 @dataclass(slots=True)
@@ -174,10 +177,11 @@
     ) -> None:
         seconds = heard_at - req.sent_at
         if req.done:
-            self.pool.observe_step(endpoint, layers, seconds)
+            self.pool.observe_step(endpoint, layers, seconds, heard_at)
             return
         tokens = req.prompt_tokens
         self.pool.prefilled(endpoint, tokens, heard_at)
+        self.pool.prefixes.filled(endpoint, req.blocks, heard_at)
         self.pool.observe_prefill(endpoint, layers, tokens, seconds)
 
     def _finish(self, req: Request) -> None:
@@ -193,15 +197,19 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReporter:
-    """Let an engine report regularly; all entries hear it late."""
+    """Let an engine report regularly; all entries hear it late.
+
+    Now and then its cache events are lost.
+    """
 
     engine: EngineModel
     entries: Sequence[EntryModel]
     events: Events
+    source: random.Random
 
     def start(self, delay_s: float) -> None:
         """Tell the present load at once and the next after ``delay_s``."""
-        self._hear(self._load())
+        self._hear(self._load(), CachePage((), gap=False))
         self.events.after(delay_s, self._report)
 
     def _load(self) -> LoadReport:
@@ -210,9 +218,13 @@
 
     def _report(self) -> None:
         load = self._load()
-        self.events.after(REPORT_LAG_S, lambda: self._hear(load))
+        lost = self.source.random() < LOST_EVENTS_SHARE
+        page = self.engine.new_cache_events(lost=lost)
+        self.events.after(REPORT_LAG_S, lambda: self._hear(load, page))
         self.events.after(REPORT_EVERY_S, self._report)
 
-    def _hear(self, load: LoadReport) -> None:
+    def _hear(self, load: LoadReport, page: CachePage) -> None:
+        now = self.events.now
         for entry in self.entries:
-            entry.pool.take_report(load, self.events.now)
+            entry.pool.take_report(load, now)
+            entry.pool.prefixes.take_page(load.endpoint, page, now)
--- a/bench/pool_model.py
+++ b/bench/pool_model.py
@@ -21,6 +21,7 @@
     LayerRange,
     LoadReport,
 )
+from foxtailhatch.platform import CacheEvent, CachePage
 
 BLOCK_TOKENS = 16
 
@@ -137,6 +138,8 @@
         self.batches = 0
         self.steps = 0
         self.cache: OrderedDict[str, None] = OrderedDict()
+        self.cache_events: list[CacheEvent] = []
+        self._event_numbers = count(1)
         self._waiting: deque[Request] = deque()
 
     def submit(self, req: Request) -> None:
@@ -159,6 +162,12 @@
             holdings=(holding,),
         )
 
+    def new_cache_events(self, *, lost: bool) -> CachePage:
+        """Return the events since the last call, or a gap in their place."""
+        page = CachePage(() if lost else tuple(self.cache_events), gap=lost)
+        self.cache_events.clear()
+        return page
+
     def cached_tokens(self, req: Request) -> int:
         """Return how much of a prompt is in the prefix cache."""
         known = 0
@@ -214,10 +223,17 @@
 
     def _keep(self, req: Request) -> None:
         for block in req.blocks:
+            if block not in self.cache:
+                self._tell(block, present=True)
             self.cache[block] = None
             self.cache.move_to_end(block)
         while len(self.cache) > self.spec.cache_blocks:
-            self.cache.popitem(last=False)
+            dropped, _ = self.cache.popitem(last=False)
+            self._tell(dropped, present=False)
+
+    def _tell(self, block: str, *, present: bool) -> None:
+        number = next(self._event_numbers)
+        self.cache_events.append(CacheEvent(number, block, present))
 
 
 def poisson(
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -6,20 +6,32 @@
 
 import random
 from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from returns.result import Result
 
 from bench import decision_cost
 from bench.figures import Figure
-from bench.overload import ChooserMaker, LoadResult, run
+from bench.overload import ChooserMaker, LoadResult, Scenario, run
 from bench.pool_model import EngineSpec
 from bench.pools import kalahari, thrissur
-from foxtailhatch.routing import ShortestPathChooser
+from bench.report import report
+from bench.shapes import KALAHARI_SUMMARIES, THRISSUR_GUIDANCE, SharedPrefixes
+from foxtailhatch.core import Chain, Refusal
+from foxtailhatch.routing import (
+    ChainChooser,
+    ChainQuery,
+    Pool,
+    ShortestPathChooser,
+)
 from foxtailhatch.routing.baselines import (
     LeastLoadedChooser,
     RandomChooser,
     RoundRobinChooser,
 )
 
-SEED = 5
+LIGHT_LOAD = 0.8
+CACHE_BLOCKS = 256
 POLICIES: dict[str, ChooserMaker] = {
     'least_loaded': lambda source: LeastLoadedChooser(),
     'random': RandomChooser,
@@ -32,7 +44,7 @@
     """Yield the figures of all policies at 1.2 times the bound."""
     least: LoadResult | None = None
     for policy, make_chooser in POLICIES.items():
-        got = run(specs, make_chooser, SEED)
+        got = run(Scenario(specs, make_chooser))
         least = least or got
         name = f'{user}_{policy}'
         yield Figure(f'{name}_throughput_over_bound', got.over_bound, '', 1)
@@ -51,17 +63,80 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class WithoutPrefixes:
+    """A chooser that isn't told which prefix a prompt has."""
+
+    chooser: ChainChooser
+
+    def choose(
+        self,
+        query: ChainQuery,
+        pool: Pool,
+        now: float,
+    ) -> Result[Chain, Refusal]:
+        """Choose as for a prompt that shares nothing."""
+        return self.chooser.choose(replace(query, prompt_blocks=()), pool, now)
+
+
+def prefixes(
+    user: str,
+    specs: tuple[EngineSpec, ...],
+    shapes: SharedPrefixes,
+) -> Iterator[Figure]:
+    """Yield what knowing prefixes gains, below the bound."""
+    caching = [replace(spec, cache_blocks=CACHE_BLOCKS) for spec in specs]
+    scenario = Scenario(
+        caching,
+        POLICIES['shortest_path'],
+        load=LIGHT_LOAD,
+        filled=False,
+        make_shape=shapes,
+        mean_prompt_tokens=shapes.mean_prompt_tokens(),
+    )
+    informed = run(scenario)
+    blind = run(
+        replace(
+            scenario,
+            make_chooser=lambda source: WithoutPrefixes(
+                ShortestPathChooser(source=source),
+            ),
+        ),
+    )
+    for measure in (
+        'first_token_median',
+        'first_token_p95',
+        'between_tokens_p95',
+    ):
+        yield Figure(
+            f'{user}_prefix_{measure}',
+            getattr(informed, measure),
+            's',
+            getattr(blind, measure),
+        )
+
+
 def figures() -> Iterator[Figure]:
     """Yield all figures of routing."""
     yield from throughput('thrissur', thrissur(random.Random(1)))
     yield from throughput('kalahari', kalahari(random.Random(1)))
+    yield from prefixes(
+        'thrissur',
+        thrissur(random.Random(1)),
+        THRISSUR_GUIDANCE,
+    )
+    yield from prefixes(
+        'kalahari',
+        kalahari(random.Random(1)),
+        KALAHARI_SUMMARIES,
+    )
     yield from decision_cost.figures()
 
 
 def main() -> None:
     """Print one JSON object a line."""
     for figure in figures():
-        print(figure.line(), flush=True)
+        report(figure.measure, figure.figure, figure.unit, figure.baseline)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/bench/shapes.py
@@ -0,0 +1,70 @@
+"""The sizes and shared prefixes of the requests of the bench."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bench.pool_model import BLOCK_TOKENS
+
+MEAN_PROMPT_TOKENS = 160
+MEAN_ANSWER_TOKENS = 48
+SHORTEST_ANSWER = 8
+
+
+@dataclass(frozen=True, slots=True)
+class RequestShape:
+    """The size of one request, and the digests of its prompt's blocks."""
+
+    prompt_tokens: int
+    answer_tokens: int
+    blocks: tuple[str, ...] = ()
+
+
+ShapeMaker = Callable[[random.Random], RequestShape]
+
+
+def answer_tokens(source: random.Random) -> int:
+    """Return the length of an answer."""
+    longer = source.expovariate(1 / (MEAN_ANSWER_TOKENS - SHORTEST_ANSWER))
+    return SHORTEST_ANSWER + round(longer)
+
+
+def plain(source: random.Random) -> RequestShape:
+    """Return a request that shares nothing with others."""
+    half = MEAN_PROMPT_TOKENS // 2
+    prompt = source.randint(half, 3 * half)
+    return RequestShape(prompt, answer_tokens(source))
+
+
+@dataclass(frozen=True, slots=True)
+class SharedPrefixes:
+    """Prompts that begin with one of some templates and end differently.
+
+    Templates differ in how often they are used: the second is used half as
+    often as the first, the third a third as often, and so on.
+    """
+
+    templates: int
+    template_blocks: int
+    tail_tokens: int
+
+    def __call__(self, source: random.Random) -> RequestShape:
+        """Return a request."""
+        shares = [1 / (rank + 1) for rank in range(self.templates)]
+        template = source.choices(range(self.templates), shares)[0]
+        tail = source.randint(1, 2 * self.tail_tokens)
+        blocks = [f'{template}.{at}' for at in range(self.template_blocks)]
+        own = [f'{source.random()}' for _ in range(tail // BLOCK_TOKENS)]
+        return RequestShape(
+            self.template_blocks * BLOCK_TOKENS + tail,
+            answer_tokens(source),
+            (*blocks, *own),
+        )
+
+    def mean_prompt_tokens(self) -> int:
+        """Return the mean length of a prompt."""
+        return self.template_blocks * BLOCK_TOKENS + self.tail_tokens
+
+
+THRISSUR_GUIDANCE = SharedPrefixes(24, 16, 40)
+KALAHARI_SUMMARIES = SharedPrefixes(60, 32, 30)
--- a/foxtailhatch/daemon/answer_load.py
+++ b/foxtailhatch/daemon/answer_load.py
@@ -36,7 +36,12 @@
 
     def _answered(self, step: StepAnswered, now: float) -> None:
         if step.positions == 1:
-            self._pool.observe_step(step.endpoint, step.layers, step.seconds)
+            self._pool.observe_step(
+                step.endpoint,
+                step.layers,
+                step.seconds,
+                now,
+            )
         else:
             self._pool.observe_prefill(
                 step.endpoint,
--- a/foxtailhatch/limits/__init__.py
+++ b/foxtailhatch/limits/__init__.py
@@ -5,13 +5,21 @@
     AdmissionBounds,
     RunningTicket,
 )
+from foxtailhatch.limits.shares import (
+    AccountDemand,
+    AccountShares,
+    UsageReport,
+)
 from foxtailhatch.limits.tickets import Queued, RefusedTicket, Ticket
 
 __all__ = [
+    'AccountDemand',
+    'AccountShares',
     'Admission',
     'AdmissionBounds',
     'Queued',
     'RefusedTicket',
     'RunningTicket',
     'Ticket',
+    'UsageReport',
 ]
--- a/foxtailhatch/routing/__init__.py
+++ b/foxtailhatch/routing/__init__.py
@@ -1,8 +1,10 @@
 """Which endpoints run an answer, from lagging knowledge of their load."""
 
+from foxtailhatch.routing.blocks import prompt_blocks
 from foxtailhatch.routing.chooser import ShortestPathChooser
-from foxtailhatch.routing.offers import Weights
+from foxtailhatch.routing.costs import Weights
 from foxtailhatch.routing.pool import Holder, Pool
+from foxtailhatch.routing.prefix_index import PrefixIndex
 from foxtailhatch.routing.query import ChainChooser, ChainQuery
 from foxtailhatch.routing.view import EndpointView
 
@@ -12,6 +14,8 @@
     'EndpointView',
     'Holder',
     'Pool',
+    'PrefixIndex',
     'ShortestPathChooser',
     'Weights',
+    'prompt_blocks',
 ]
--- a/foxtailhatch/routing/baselines.py
+++ b/foxtailhatch/routing/baselines.py
@@ -12,8 +12,8 @@
 from returns.result import Failure, Result, Success
 
 from foxtailhatch.core import Chain, ChainStage, LayerRange, Refusal
+from foxtailhatch.routing.candidates import usable
 from foxtailhatch.routing.chooser import checked, no_chain
-from foxtailhatch.routing.offers import eligible
 from foxtailhatch.routing.pool import Holder, Pool
 from foxtailhatch.routing.query import ChainQuery
 
@@ -79,19 +79,16 @@
     pool: Pool,
     pick: Pick,
 ) -> Result[Chain, Refusal]:
-    usable = [
-        holder
-        for holder in chain.from_iterable(
-            pool.holders(query.model, query.version),
-        )
-        if eligible(holder.view, query) and holder.view.has_room()
-    ]
+    holders = usable(
+        chain.from_iterable(pool.holders(query.model, query.version)),
+        query,
+    )
     stages: list[ChainStage] = []
     reached = 0
     while reached < query.layer_count:
         found = [
             holder
-            for holder in usable
+            for holder in holders
             if holder.layers.first <= reached < holder.layers.end
         ]
         if not found:
--- a/foxtailhatch/routing/chooser.py
+++ b/foxtailhatch/routing/chooser.py
@@ -13,7 +13,8 @@
     require,
     tiles,
 )
-from foxtailhatch.routing.offers import Weights, offers
+from foxtailhatch.routing.costs import Weights
+from foxtailhatch.routing.offers import offers
 from foxtailhatch.routing.paths import cheapest
 from foxtailhatch.routing.pool import Pool
 from foxtailhatch.routing.query import ChainQuery
@@ -42,7 +43,7 @@
         now: float,
     ) -> Result[Chain, Refusal]:
         """Return the cheapest chain, or a refusal: nothing was run."""
-        offered = offers(query, pool, self.weights, self.source)
+        offered = offers(query, pool, self.weights, self.source, now)
         path = cheapest(offered, query.layer_count)
         if path is None:
             return Failure(no_chain(query))
--- a/foxtailhatch/routing/paths.py
+++ b/foxtailhatch/routing/paths.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from foxtailhatch.core import ChainStage, LayerRange
-from foxtailhatch.routing.offers import Offer
+from foxtailhatch.routing.costs import Offer
 
 REUSE_COST_SHARE = 0.8
 
--- a/foxtailhatch/routing/pool.py
+++ b/foxtailhatch/routing/pool.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from foxtailhatch.core import Endpoint, LayerRange, LoadReport
+from foxtailhatch.routing.prefix_index import PrefixIndex
 from foxtailhatch.routing.view import EndpointView, ewma
 
 SAME_ZONE_ROUND_TRIP_S = 0.0004
@@ -36,6 +37,7 @@
     zone: str
     zone_round_trips: Mapping[str, float] = field(default_factory=dict)
     views: dict[str, EndpointView] = field(default_factory=dict)
+    prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     _holders: dict[tuple[str, str], tuple[HolderGroup, ...]] = field(
         default_factory=dict,
     )
@@ -57,6 +59,7 @@
         """Forget an endpoint and all that is known of it."""
         if self.views.pop(name, None):
             self._holders.clear()
+            self.prefixes.forget(name)
 
     def set_usable(self, name: str, *, usable: bool) -> None:
         """Let the choosers use an endpoint, or keep them off it."""
@@ -97,7 +100,13 @@
         if view:
             view.round_trip_s = ewma(view.round_trip_s, seconds)
 
-    def observe_step(self, name: str, layers: int, seconds: float) -> None:
+    def observe_step(
+        self,
+        name: str,
+        layers: int,
+        seconds: float,
+        now: float,
+    ) -> None:
         """Learn from the time between sending a step and its output.
 
         The step is one of decoding, over one position and ``layers`` layers;
@@ -106,7 +115,7 @@
         view = self.views.get(name)
         if view and layers:
             busy_s = max(0, seconds - self.round_trip(view))
-            view.observed_layer_s = ewma(view.observed_layer_s, busy_s / layers)
+            view.observe_step(layers, busy_s, now)
 
     def observe_prefill(
         self,
--- a/foxtailhatch/routing/view.py
+++ b/foxtailhatch/routing/view.py
@@ -8,6 +8,7 @@
 HISTORY_CHANGES = 256
 EWMA_SHARE = 0.2
 DEFAULT_STEP_S = 0.02
+OBSERVED_FOR_S = 10.0
 PREFILL_TOKENS_PER_STEP = 64
 
 
@@ -55,6 +56,7 @@
     round_trip_s: float | None = None
     prefill_layer_s: float | None = None
     observed_layer_s: float | None = None
+    observed_at: float = float('-inf')
 
     def holding(self, model: str, version: str) -> tuple[Holding, ...]:
         """Return what the newest report holds of one model's version."""
@@ -124,20 +126,32 @@
             return False
         return self.streams(growth) < self.report.max_streams
 
-    def step_s(self, layers: int) -> float:
-        """Return the usual seconds of a step over all held ``layers``.
+    def step_s(self) -> float:
+        """Return the usual seconds of a step over all held layers."""
+        return self.reported_step_s or DEFAULT_STEP_S
 
-        What the endpoint reports goes before what was observed, which has
-        the wait for other steps in it.
+    def observe_step(self, layers: int, seconds: float, now: float) -> None:
+        """Learn how long a step over ``layers`` took, the link left out."""
+        layer_s = seconds / layers
+        known = self.observed_layer_s if self._is_fresh(now) else None
+        self.observed_layer_s = ewma(known, layer_s)
+        self.observed_at = now
+
+    def observed_step_s(self, layers: int, now: float) -> float:
+        """Return the seconds that steps lately took; 0 if none were seen.
+
+        What was seen long ago is left out, so that an endpoint which was slow
+        once is tried again.
         """
-        if self.reported_step_s:
-            return self.reported_step_s
-        if self.observed_layer_s:
-            return self.observed_layer_s * layers
-        return DEFAULT_STEP_S
+        if self.observed_layer_s is None or not self._is_fresh(now):
+            return 0
+        return self.observed_layer_s * layers
 
-    def prefill_s(self, layers: int, tokens: int) -> float:
+    def prefill_s(self, layers: int, tokens: float) -> float:
         """Return the expected seconds to prefill all of the held layers."""
         if self.prefill_layer_s is None:
-            return self.step_s(layers) * tokens / PREFILL_TOKENS_PER_STEP
+            return self.step_s() * tokens / PREFILL_TOKENS_PER_STEP
         return self.prefill_layer_s * layers * tokens
+
+    def _is_fresh(self, now: float) -> bool:
+        return now - self.observed_at <= OBSERVED_FOR_S
--- /dev/null
+++ b/tests/limits/test_shares.py
@@ -0,0 +1,118 @@
+import pytest
+
+from foxtailhatch.config.configuration import Account
+from foxtailhatch.core import Caller
+from foxtailhatch.limits import AccountShares, Admission, Ticket
+from foxtailhatch.limits.shares import HOLD_S
+
+CREW = Account('crew', requests_per_s=20, max_running=40)
+ENTRIES = 4
+
+
+class Fleet:
+    """Entries that exchange reports each second unless they are cut off."""
+
+    def __init__(self):
+        self.shares = [AccountShares(f'e{i}') for i in range(ENTRIES)]
+        self.admissions = [Admission() for _ in self.shares]
+        self.tickets = 0
+
+    def second(self, now, offered, *, connected=True):
+        """Offer tickets to each entry; return how many were let in."""
+        let_in = 0
+        for at in range(10):
+            for shares, admission, each in zip(
+                self.shares, self.admissions, offered, strict=True
+            ):
+                moment = now + at / 10
+                admission.accounts = shares.accounts(
+                    [CREW], {}, ENTRIES if connected else 1, moment
+                )
+                for _ in range(each // 10):
+                    let_in += self.offer(shares, admission, moment)
+        if connected:
+            reports = [shares.report({}, now + 1) for shares in self.shares]
+            for shares in self.shares:
+                for report in reports:
+                    shares.take_report(report)
+        return let_in
+
+    def offer(self, shares, admission, now):
+        self.tickets += 1
+        shares.offered('crew', now)
+        ticket = Ticket(str(self.tickets), Caller('ann', 'crew'), now)
+        result = admission.offer(ticket, now)
+        admission.withdraw(ticket.ticket_id)
+        return bool(result.value_or(None))
+
+
+@pytest.mark.parametrize(
+    'offered', [(20, 20, 20, 20), (50, 10, 10, 10), (0, 80, 0, 0)]
+)
+def test_entries_hold_a_limit_together_however_demand_is_spread(offered):
+    fleet = Fleet()
+    for now in range(20):
+        fleet.second(now, offered)
+    total = sum(fleet.second(20 + now, offered) for now in range(10))
+    assert total <= 10 * CREW.requests_per_s * 1.1
+    assert total >= 10 * CREW.requests_per_s * 0.8
+
+
+def test_a_short_partition_changes_nothing_and_a_long_one_is_bounded():
+    fleet = Fleet()
+    offered = (100,) * ENTRIES
+    for now in range(20):
+        fleet.second(now, offered)
+    early = fleet.second(25, offered, connected=False)
+    assert early <= CREW.requests_per_s * 1.5
+    late = 0
+    for now in range(10):
+        late += fleet.second(30 + HOLD_S + now, offered, connected=False)
+    assert late <= 10 * ENTRIES * CREW.requests_per_s * 1.1
+    assert late > 10 * CREW.requests_per_s
+
+
+def test_demand_that_moves_to_another_entry_takes_the_limit_along():
+    fleet = Fleet()
+    for now in range(10):
+        fleet.second(now, (80, 0, 0, 0))
+    for now in range(10, 40):
+        last = fleet.second(now, (0, 0, 0, 80))
+    assert last >= CREW.requests_per_s * 0.8
+
+
+def test_running_answers_are_divided_by_what_is_open():
+    here, there = AccountShares('a'), AccountShares('b')
+    here.take_report(there.report({'crew': 30}, 0.0))
+    limited = here.accounts([CREW], {'crew': 10}, 2, 0.0)['crew']
+    assert 8 <= limited.max_running <= 12
+
+
+def test_an_entry_never_takes_more_than_the_whole_limit():
+    alone = AccountShares('a')
+    for _ in range(500):
+        alone.offered('crew', 0.0)
+    limited = alone.accounts([CREW], {'crew': 500}, 1, 0.0)['crew']
+    assert limited.requests_per_s <= CREW.requests_per_s
+    assert limited.max_running <= CREW.max_running
+
+
+def test_an_account_without_limits_keeps_none():
+    free = AccountShares('a').accounts([Account('crew')], {}, 3, 0.0)['crew']
+    assert free.requests_per_s is None
+    assert free.max_running is None
+
+
+def test_quiet_accounts_are_forgotten():
+    shares = AccountShares('a')
+    shares.offered('crew', 0.0)
+    assert shares.report({}, 0.0).demands
+    assert not shares.report({}, 1000.0).demands
+
+
+def test_an_older_report_of_a_peer_is_dropped():
+    here, there = AccountShares('a'), AccountShares('b')
+    newer = there.report({'crew': 5}, 2.0)
+    here.take_report(newer)
+    here.take_report(there.report({'crew': 90}, 1.0))
+    assert here.peers['b'] == newer
--- a/tests/routing/test_chooser.py
+++ b/tests/routing/test_chooser.py
@@ -123,6 +123,12 @@
     assert chosen(pool, asked)[0] == kept[0]
 
 
+def test_kept_stages_that_are_full_can_go_on():
+    pool = pool_of(report('one', 0, 4, streams=8))
+    kept = (ChainStage('one', LayerRange(0, 4)),)
+    assert chosen(pool, query(keep=kept)) == kept
+
+
 def test_a_chain_that_skips_a_layer_breaks_the_invariant():
     chain = Chain('m', '1', (ChainStage('one', LayerRange(1, 4)),))
     with pytest.raises(InvariantBroken):
