Put throughput first while requests wait, and latency while none do

Change: the pool holds how many requests wait at the entry; while some do, endpoints count as congested at 4 streams instead of 64.

--- /dev/null
+++ b/bench/batch_depth.py
@@ -0,0 +1,142 @@
+"""Try routing by batch depth: ``python -m bench.batch_depth``.
+
+Tezcan and Zhang (2014, Routing and Staffing in Customer Service Chat Systems
+with Impatient Customers) call a level of sharing inefficient if a mix of a
+lower and a higher level does more, and fill engines past such levels.  Here
+equal engines serve whole answers at a rate that depends on their level, and
+the mean time in the system is compared with least loaded, for the stand-in
+engine's curve and for one that pads its batches.
+"""
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from itertools import pairwise, repeat
+
+from bench.report import report
+
+ENGINES = 40
+TOP_LEVEL = 16
+ANSWER_TOKENS = 48
+BASE_S = 0.0032
+PER_STREAM_S = 0.00048
+PADDED_BASE_S = 0.001
+PADDED_PER_STREAM_S = 0.001
+PADDING = 4
+LOADS = (0.5, 0.7, 0.85, 0.95)
+LASTS_S = 60.0
+SEED = 1
+
+Rate = Callable[[int], float]
+
+
+def stand_in_rate(level: int) -> float:
+    """Return the answers a second of the stand-in engine at a level."""
+    return level / (BASE_S + PER_STREAM_S * level) / ANSWER_TOKENS
+
+
+def padded_rate(level: int) -> float:
+    """Return those of an engine that rounds its batches up."""
+    padded = -(-level // PADDING) * PADDING
+    step_s = PADDED_BASE_S + PADDED_PER_STREAM_S * padded
+    return level / step_s / ANSWER_TOKENS
+
+
+def efficient_levels(rate: Rate) -> list[int]:
+    """Return the levels on the least concave curve above the rates."""
+    kept: list[int] = []
+    for level in range(TOP_LEVEL + 1):
+        while len(kept) > 1 and _below(rate, kept[-2], kept[-1], level):
+            kept.pop()
+        kept.append(level)
+    return kept
+
+
+def _below(rate: Rate, low: int, middle: int, high: int) -> bool:
+    rise = (rate(high) - rate(low)) / (high - low)
+    return rate(middle) <= rate(low) + rise * (middle - low)
+
+
+def paper_order(rate: Rate) -> list[int]:
+    """Return which level's engines get the next answer, best first."""
+    order: list[int] = []
+    for low, high in pairwise(efficient_levels(rate)):
+        order.extend(range(high - 1, low - 1, -1))
+    return order
+
+
+@dataclass(slots=True)
+class Levels:
+    """How many engines are at each level, and how many answers wait."""
+
+    engines: list[int]
+    waiting: int = 0
+
+    def arrive(self, order: Sequence[int]) -> None:
+        """Give an answer to an engine of the first level that has one."""
+        for level in order:
+            if self.engines[level]:
+                self._move(level, level + 1)
+                return
+        self.waiting += 1
+
+    def finish(self, level: int) -> None:
+        """Let an engine finish an answer and take one that waits."""
+        if self.waiting:
+            self.waiting -= 1
+        else:
+            self._move(level, level - 1)
+
+    def rates(self, rate: Rate) -> list[float]:
+        """Return how many answers a second end at each level."""
+        return [count * rate(level) for level, count in enumerate(self.engines)]
+
+    def answers(self) -> int:
+        """Return the answers in the system."""
+        held = sum(level * count for level, count in enumerate(self.engines))
+        return held + self.waiting
+
+    def _move(self, before: int, after: int) -> None:
+        self.engines[before] -= 1
+        self.engines[after] += 1
+
+
+def time_in_system(rate: Rate, order: Sequence[int], load: float) -> float:
+    """Return the mean seconds from an answer's arrival to its end."""
+    source = random.Random(SEED)
+    levels = Levels([ENGINES, *repeat(0, TOP_LEVEL)])
+    arrivals = load * ENGINES * rate(TOP_LEVEL)
+    now: float = 0
+    area: float = 0
+    while now < LASTS_S:
+        rates = levels.rates(rate)
+        passed = source.expovariate(arrivals + sum(rates))
+        now += passed
+        area += passed * levels.answers()
+        # What happens is either an arrival, in the last place, or an end.
+        event = source.choices(range(TOP_LEVEL + 2), [*rates, arrivals])[0]
+        if event > TOP_LEVEL:
+            levels.arrive(order)
+        else:
+            levels.finish(event)
+    return area / now / arrivals
+
+
+def main() -> None:
+    """Print one JSON object a line."""
+    curves: dict[str, Rate] = {
+        'stand_in': stand_in_rate,
+        'padded': padded_rate,
+    }
+    for name, rate in curves.items():
+        for load in LOADS:
+            report(
+                f'batch_depth_{name}_time_in_system_at_{load}',
+                time_in_system(rate, paper_order(rate), load),
+                's',
+                time_in_system(rate, range(TOP_LEVEL), load),
+            )
+
+
+if __name__ == '__main__':
+    main()
--- a/bench/entry_model.py
+++ b/bench/entry_model.py
@@ -83,6 +83,7 @@
         for late in self.admission.expire(now):
             self._refuse(late.ticket)
         taken = self.admission.take(now)
+        self.pool.waiting = len(self.admission.waiting)
         for index, ticket in enumerate(taken):
             if not self._start(self.requests[ticket.ticket_id]):
                 for again in reversed(taken[index:]):
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -31,6 +31,7 @@
 )
 
 LIGHT_LOAD = 0.8
+LIGHT_WARM_UP_S = 7.0
 CACHE_BLOCKS = 256
 POLICIES: dict[str, ChooserMaker] = {
     'least_loaded': lambda source: LeastLoadedChooser(),
@@ -91,6 +92,7 @@
         POLICIES['shortest_path'],
         load=LIGHT_LOAD,
         filled=False,
+        warm_up_s=LIGHT_WARM_UP_S,
         make_shape=shapes,
         mean_prompt_tokens=shapes.mean_prompt_tokens(),
     )
--- a/foxtailhatch/routing/costs.py
+++ b/foxtailhatch/routing/costs.py
@@ -25,15 +25,17 @@
     """How seconds of waiting are weighed against each other.
 
     A second before the first token costs ``first_token``; a second between
-    any two tokens of the answer costs ``between_tokens``.  Endpoints are
-    expected to be congested when they hold about ``depth`` streams.  A cached
+    any two tokens of the answer costs ``between_tokens``.  Endpoints count as
+    congested when they hold about ``depth`` streams, or ``pressed_depth`` while
+    requests wait at this entry: then throughput goes before latency.  A cached
     block of the prompt spares as much as ``cached_block`` steps cost: its
     prefill would have kept the whole batch waiting.
     """
 
     first_token: float = 1
     between_tokens: float = 1
-    depth: float = 4
+    depth: float = 64
+    pressed_depth: float = 4
     cached_block: float = 2
 
 
@@ -128,6 +130,11 @@
     def _links_s(self, view: EndpointView) -> float:
         return self._steps() * self.pool.round_trip(view)
 
+    def _depth(self) -> float:
+        if self.pool.waiting:
+            return self.weights.pressed_depth
+        return self.weights.depth
+
     def _visit_s(
         self,
         view: EndpointView,
@@ -136,7 +143,7 @@
     ) -> float:
         step_s = view.step_s()
         streams = view.streams(self.growth) + new_streams
-        round_s = streams * step_s / self.weights.depth
+        round_s = streams * step_s / self._depth()
         observed_s = view.observed_step_s(layers, self.now)
         congestion_s = round_s**2 / self.mean.step_s
         return step_s + observed_s + congestion_s * layers / self.mean.layers
--- a/foxtailhatch/routing/pool.py
+++ b/foxtailhatch/routing/pool.py
@@ -32,10 +32,12 @@
 
     ``zone`` is the entry's own availability zone, ``zone_round_trips`` the
     seconds of a round trip from it to others, used until one is observed.
+    ``waiting`` is how many requests wait at the entry for a place to run.
     """
 
     zone: str
     zone_round_trips: Mapping[str, float] = field(default_factory=dict)
+    waiting: int = 0
     views: dict[str, EndpointView] = field(default_factory=dict)
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     _holders: dict[tuple[str, str], tuple[HolderGroup, ...]] = field(
--- a/tests/routing/test_offers.py
+++ b/tests/routing/test_offers.py
@@ -43,6 +43,20 @@
     assert abs(placed['one'] - placed['two']) <= 2 * ENTRIES
 
 
+@pytest.mark.parametrize(
+    ('waiting', 'expected'),
+    [(0, 'fast'), (1, 'free')],
+)
+def test_throughput_goes_first_while_requests_wait(waiting, expected):
+    pool = pool_of(
+        report('fast', 0, 4, step_seconds=0.01, streams=7),
+        report('free', 0, 4, step_seconds=0.015, streams=1),
+    )
+    pool.waiting = waiting
+    stages = chooser().choose(QUERY, pool, 0.0).unwrap().stages
+    assert stages[0].endpoint == expected
+
+
 def test_growth_is_what_all_report_over_our_own():
     assert growth_of(entry_pool()) == 8
 
