--- a/foxtailhatch/membership/composer.py
+++ b/foxtailhatch/membership/composer.py
@@ -38,8 +38,7 @@
         self._suspicions.drop(name)
 
     def add_suspicion(self, entry: Entry) -> None:
-        """Pass on that an entry is suspected, and nothing else of it."""
-        self._entries.drop(entry.name)
+        """Pass on that an entry is suspected."""
         suspicion = Suspicion(entry.name, entry.incarnation)
         self._suspicions.add(entry.name, suspicion)
 
@@ -72,7 +71,7 @@
             members=self._table.count(),
             want=want,
             entries=self._choose_entries(receiver, rounds, with_all),
-            suspicions=self._choose_suspicions(receiver, rounds),
+            suspicions=tuple(self._suspicions.take(SUSPICIONS_MAX, rounds)),
             leaves=self._choose_leaves(rounds, now),
         )
 
@@ -116,23 +115,6 @@
             entry for name, entry in by_name.items() if name not in left_out
         ]
 
-    def _choose_suspicions(
-        self,
-        receiver: Entry | None,
-        rounds: int,
-    ) -> tuple[Suspicion, ...]:
-        chosen = self._suspicions.take(SUSPICIONS_MAX, rounds)
-        if receiver is not None:
-            chosen = [*self._doubt_of(receiver), *chosen]
-        return tuple(dict.fromkeys(chosen))[:SUSPICIONS_MAX]
-
-    def _doubt_of(self, receiver: Entry) -> list[Suspicion]:
-        """Tell the receiver what is thought of it, so that it can refute."""
-        record = self._table.record(receiver.name)
-        if record is None or record.liveness is Liveness.ALIVE:
-            return []
-        return [Suspicion(receiver.name, record.entry.incarnation)]
-
     def _choose_leaves(
         self,
         rounds: int,
--- a/tests/membership/test_endpoints.py
+++ b/tests/membership/test_endpoints.py
@@ -115,6 +115,34 @@
     assert table.may_send('a', 501.0)
 
 
+def test_what_shows_an_endpoint_dead_fades():
+    table = EndpointTable()
+    table.note_configuration([configured('a')])
+    table.note_session_refused('a', 500.0)
+    assert table.may_send('a', 510.0)
+
+
+def test_a_listed_endpoint_that_refuses_is_left_to_the_health():
+    table = listed(line('a'))
+    table.note_session_refused('a', 1.0)
+    assert table.may_send('a', 1.0)
+
+
+def test_a_stop_mark_is_told_apart_from_a_leave():
+    table = listed(line('a'))
+    table.note_mark('a', Mark.STOP, 1.0)
+    assert table.state('a', 1.0) is EndpointState.STOPPING
+
+
+def test_hearsay_of_a_leave_before_the_join_does_not_undo_it():
+    table = listed(line('a'))
+    table.note_mark('a', Mark.JOIN, 5.0)
+    table.note_leaving_observed('a', 6.0, observed_at=4.0)
+    assert table.may_send('a', 6.0)
+    table.note_leaving_observed('a', 6.0, observed_at=5.5)
+    assert not table.may_send('a', 6.0)
+
+
 def test_an_empty_list_takes_no_endpoint_away_at_once():
     table = listed(line('a'), line('b'))
     table.note_session_open('b', 0.0)
--- a/tests/peers/test_node.py
+++ b/tests/peers/test_node.py
@@ -115,6 +115,7 @@
 @on_loop
 async def test_strangers_take_no_more_than_their_places(monkeypatch):
     monkeypatch.setattr('foxtailhatch.peers.node.UNPROVEN_MAX', 0)
+    monkeypatch.setattr('foxtailhatch.peers.node.HANDSHAKE_TIMEOUT_S', 1e6)
     async with running(Peer('a')) as (peer,):
         await closed(await raw_connection(peer))
 
@@ -182,6 +183,14 @@
         assert one.node.link_count() == 2
 
 
+@on_loop
+async def test_a_link_beyond_the_bound_is_closed_and_not_just_forgotten():
+    async with running(Peer('a', links_max=1)) as (peer,):
+        first, _ = await raw_proven(peer)
+        await raw_proven(peer)
+        await closed(first)
+
+
 @on_loop
 async def test_an_address_where_nobody_listens_is_told():
     async with running(Peer('a'), Peer('b')) as (one, other):
--- a/tests/recovery/test_health.py
+++ b/tests/recovery/test_health.py
@@ -67,6 +67,16 @@
     assert fail(health, 'a', first).until - first >= 1.0
 
 
+def test_an_endpoint_that_worked_for_a_while_starts_with_a_short_pause():
+    health = tracker('a', 'b')
+    now = fail(health, 'a', 0.0).until
+    for _ in range(5):
+        now = health.note_failure('a', now).until
+    health.note_success('a', now)
+    health.note_success('a', now)
+    assert fail(health, 'a', now).until - now <= 1.0
+
+
 def test_late_failures_do_not_lengthen_a_pause():
     health = tracker('a', 'b')
     until = fail(health, 'a', 1.0).until
