Take an old join for a newer word than a leave no more

Cause: an entry that starts reads marks of any age, and took each join as made at that moment. For as long as the list may lag it then outweighed a leave that the list or a peer had told, and new work went to a leaving endpoint.

Change: a join outweighs other claims only if it took back a mark seen here, or if the caller says when it was made (made_at).

Conclusion: without a known time the endpoint stays closed until the list shows it live, which costs availability and not safety.

--- a/foxtailhatch/membership/endpoint_record.py
+++ b/foxtailhatch/membership/endpoint_record.py
@@ -9,6 +9,7 @@
 MISSING_KEEP_S = 60.0
 REFUSED_KEEP_S = 10.0
 MARK_KEEP_S = 3600.0
+NEVER = float('-inf')
 
 
 class EndpointState(StrEnum):
@@ -26,7 +27,8 @@
     """The newest word of each source about one endpoint.
 
     Times are seconds of the caller's clock; ``None`` says that the source
-    has not spoken, or that a newer word took its claim back.
+    has not spoken, or that a newer word took its claim back.  ``joined_at``
+    is the time before which a ``join`` mark outweighs all other claims.
     """
 
     listed: Endpoint | None = None
@@ -34,6 +36,7 @@
     missing_since: float | None = None
     mark: Mark | None = None
     mark_at: float = 0
+    joined_at: float = NEVER
     mark_offset: int = -1
     list_leaving_since: float | None = None
     list_read_at: float = 0
@@ -53,6 +56,23 @@
             return EndpointState.DEAD
         return EndpointState.USABLE
 
+    def take_mark(self, mark: Mark, now: float, made_at: float | None) -> None:
+        """Take the newest mark of the log."""
+        was_marked_out = self.mark in {Mark.LEAVE, Mark.STOP}
+        self.mark = mark
+        self.mark_at = now
+        if mark is not Mark.JOIN:
+            self.joined_at = NEVER
+            return
+        # An entry that starts reads marks of any age.  Only a join that took
+        # back a mark seen here is known to be newer than the other claims.
+        learned_at = now if was_marked_out else NEVER
+        self.joined_at = learned_at if made_at is None else made_at
+        self.refused_at = None
+        observed = self.observed_leaving_at
+        if observed is not None and observed <= self.joined_at:
+            self.observed_leaving_at = None
+
     def leave_learned(self, now: float) -> float | None:
         """Return when the oldest claim in force that it leaves was learned."""
         claims = (
@@ -81,11 +101,11 @@
 
     def _listed_leaving_at(self) -> float | None:
         since = self.list_leaving_since
-        if since is None or self.mark is not Mark.JOIN:
-            return since
+        if since is None:
+            return None
         # The list lags: what it said before a join may be older than the join.
-        said_before_join = since <= self.mark_at
-        list_may_lag = self.list_read_at < self.mark_at + LIST_LAG_S
+        said_before_join = since <= self.joined_at
+        list_may_lag = self.list_read_at < self.joined_at + LIST_LAG_S
         return None if said_before_join and list_may_lag else since
 
     def _is_known(self, now: float) -> bool:
--- a/foxtailhatch/membership/endpoints.py
+++ b/foxtailhatch/membership/endpoints.py
@@ -9,7 +9,7 @@
    is read ``LIST_LAG_S`` later and shows it live.
 3. The platform's list closes an endpoint that it shows as leaving.  A
    ``join`` mark outweighs what the list said before the mark, for as long as
-   the list may lag.
+   the list may lag, if the mark is known to be newer.
 4. An endpoint that the list has dropped stays usable while a session to it is
    open or the configuration names it, else for ``MISSING_KEEP_S``.  If the
    list does not show it, a refused session shows it dead for a while.
@@ -67,21 +67,21 @@
         mark: Mark,
         now: float,
         offset: int | None = None,
+        made_at: float | None = None,
     ) -> tuple[EndpointChange, ...]:
         """Take a mark of the log, in the log's order.
 
         With its log ``offset`` given, a mark that is read again is ignored.
+        ``made_at`` says when it was made, on the clock of ``now``; without
+        it, a ``join`` that follows no mark seen here may be of any age.
         """
         record = self._record(instance)
         if offset is not None and offset <= record.mark_offset:
             return ()
         before = record.state(now)
-        record.mark = mark
-        record.mark_at = now
-        record.mark_offset = record.mark_offset if offset is None else offset
-        if mark is Mark.JOIN:
-            record.observed_leaving_at = None
-            record.refused_at = None
+        record.take_mark(mark, now, made_at)
+        if offset is not None:
+            record.mark_offset = offset
         return _changed(instance, before, record.state(now))
 
     def note_list(
@@ -125,7 +125,7 @@
         """
         since = now if observed_at is None else observed_at
         record = self._record(name)
-        if record.mark is Mark.JOIN and since < record.mark_at:
+        if since < record.joined_at:
             return ()
         before = record.state(now)
         if record.observed_leaving_at is None:
