--- /dev/null
+++ b/bench/endpoint_recovery.py
@@ -0,0 +1,168 @@
+"""Detection and retries against baselines: ``python -m bench.endpoint_recovery``.
+
+Step times are drawn from a lognormal distribution around 13 ms, with one step
+in a thousand ten times as long.  The baseline of the detection is a fixed
+timeout of half the recovery target, that of the retries three attempts
+without a budget.  Each line printed is one JSON object.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from math import log
+from random import Random
+from statistics import median
+
+import click
+
+from bench.report import report
+from foxtailhatch.recovery import (
+    EndpointHealth,
+    FailedAttempt,
+    FailureCause,
+    ProgressWatch,
+    RetryBudget,
+    RetryGranted,
+    Unchanged,
+    Wait,
+)
+
+STEP_S = 0.013
+STEP_SPREAD = 0.3
+SLOW_SHARE = 0.001
+SLOW_FACTOR = 10
+FIXED_TIMEOUT_S = 0.27
+FLOORS_S = (0, 0.05, 0.1, 0.15, 0.2)
+POLL_S = 0.02
+STEPS = 200_000
+FREEZES = 500
+REQUESTS = 20_000
+ATTEMPTS = 4
+ENDPOINTS = 90
+
+
+@dataclass(frozen=True, slots=True)
+class Detection:
+    """How long a freeze goes unnoticed, and how often none was one."""
+
+    noticed_s: float
+    false_alarms: int
+
+
+def step_times(random: Random, count: int) -> Iterator[float]:
+    """Draw step times in seconds."""
+    for _ in range(count):
+        step_s = random.lognormvariate(log(STEP_S), STEP_SPREAD)
+        is_slow = random.random() < SLOW_SHARE
+        yield step_s * SLOW_FACTOR if is_slow else step_s
+
+
+def detect(watch: ProgressWatch, random: Random) -> Detection:
+    """Count steps over their allowance, and time freezes polled for."""
+    false_alarms = 0
+    for took_s in step_times(random, STEPS):
+        false_alarms += took_s > watch.allowance_s('gpu', 1)
+        watch.measured('gpu', 1, took_s)
+    noticed = [noticed_s(watch, number, random) for number in range(FREEZES)]
+    return Detection(median(noticed), false_alarms)
+
+
+def noticed_s(watch: ProgressWatch, number: int, random: Random) -> float:
+    """Freeze one step at a random phase of the polls; time its notice."""
+    start = 1000.0 * (number + 1)
+    watch.overdue(start)
+    sent_at = start + POLL_S * random.random()
+    watch.sent(Wait(f's-{number}', 1, 'gpu'), 1, sent_at)
+    now = start
+    while not watch.overdue(now):
+        now += POLL_S
+    return now - sent_at
+
+
+def attempts_each(failing: float, random: Random, budget: RetryBudget) -> float:
+    """Return the attempts a request costs when a share of them fails."""
+    attempts = 0
+    for _ in range(REQUESTS):
+        budget.note_request()
+        attempts += 1
+        number = 1
+        while random.random() < failing:
+            lost = FailedAttempt(number, FailureCause.LOST, repeatable=True)
+            if not isinstance(budget.ask(lost), RetryGranted):
+                break
+            attempts += 1
+            number += 1
+    return attempts / REQUESTS
+
+
+def left_in_use(share_max: float, failing: int) -> int:
+    """Return how many endpoints stay in use when so many seem to fail."""
+    health = EndpointHealth(Random(1), share_max)
+    names = [f'gpu-{number}' for number in range(ENDPOINTS)]
+    health.keep_only(frozenset(names))
+    for name in names[:failing]:
+        while isinstance(health.note_failure(name, 0), Unchanged):
+            if health.ejected_count() >= int(ENDPOINTS * share_max):
+                break
+    return ENDPOINTS - health.ejected_count()
+
+
+def report_detection(seed: int) -> None:
+    """Report detection by progress, by its floor, beside a fixed timeout."""
+    fixed = detect(
+        ProgressWatch(floor_s=FIXED_TIMEOUT_S, ceiling_s=FIXED_TIMEOUT_S),
+        Random(seed),
+    )
+    for floor_s in FLOORS_S:
+        ours = detect(ProgressWatch(floor_s=floor_s), Random(seed))
+        report(
+            'frozen_stage_noticed',
+            round(ours.noticed_s, 3),
+            's',
+            round(fixed.noticed_s, 3),
+            floor_s=floor_s,
+        )
+        report(
+            'false_alarms',
+            ours.false_alarms,
+            f'in {STEPS} steps',
+            fixed.false_alarms,
+            floor_s=floor_s,
+        )
+
+
+def report_retries(seed: int) -> None:
+    """Report attempts a request beside retries without a budget."""
+    for percent in (1, 30, 100):
+        failing = percent / 100
+        ours = RetryBudget(Random(seed))
+        unbounded = RetryBudget(Random(seed), share=ATTEMPTS, burst=ATTEMPTS)
+        report(
+            f'attempts_a_request_{percent}_percent_failing',
+            round(attempts_each(failing, Random(seed), ours), 3),
+            'attempts',
+            round(attempts_each(failing, Random(seed), unbounded), 3),
+        )
+
+
+def report_ejection() -> None:
+    """Report what stays in use beside ejection without a cap."""
+    for failing in (ENDPOINTS // 3, ENDPOINTS):
+        report(
+            f'in_use_with_{failing}_of_{ENDPOINTS}_failing',
+            left_in_use(0.5, failing),
+            'endpoints',
+            left_in_use(1.0, failing),
+        )
+
+
+@click.command()
+@click.option('--seed', default=1)
+def main(seed: int) -> None:
+    """Measure detection, retries and ejection."""
+    report_detection(seed)
+    report_retries(seed)
+    report_ejection()
+
+
+if __name__ == '__main__':
+    main()
--- a/foxtailhatch/recovery/progress.py
+++ b/foxtailhatch/recovery/progress.py
@@ -11,7 +11,7 @@
 
 from foxtailhatch.recovery.step_times import StepEstimate
 
-STEP_FLOOR_S = 0.1
+STEP_FLOOR_S = 0.15
 STEP_CEILING_S = 0.27
 POSITION_CEILING_S = 0.02
 POLL_GAP_MAX_S = 0.05
