Split the large modules of membership and peers

Change: exchanges that await an answer, addresses worth a try, hearing of digests, the gossip's actions, lines of the list and the node's settings are modules of their own. Nothing behaves differently.

--- a/foxtailhatch/membership/__init__.py
+++ b/foxtailhatch/membership/__init__.py
@@ -15,10 +15,10 @@
     EntryRecord,
     Merge,
 )
-from foxtailhatch.membership.gossip import (
+from foxtailhatch.membership.gossip import Gossip
+from foxtailhatch.membership.gossip_actions import (
     AskConfiguration,
     EndpointLeaving,
-    Gossip,
     GossipAction,
     SendDigest,
 )
--- a/foxtailhatch/membership/endpoint_record.py
+++ b/foxtailhatch/membership/endpoint_record.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 
 from foxtailhatch.core import Endpoint, Mark
+from foxtailhatch.membership.endpoint_lines import endpoint_of, merge_endpoints
+from foxtailhatch.platform import LiveInstance
 
 LIST_LAG_S = 30.0
 MISSING_KEEP_S = 60.0
@@ -85,6 +87,34 @@
             default=None,
         )
 
+    def take_line(self, line: LiveInstance, now: float) -> None:
+        """Take the list's line about this endpoint, read at ``now``."""
+        known = self.listed
+        if known is not None and known.address != line.address:
+            # Another instance stands there under the same name.
+            self.observed_leaving_at = None
+            self.refused_at = None
+            self.connected = False
+        self.listed = endpoint_of(line)
+        self.missing_since = None
+        self.list_read_at = now
+        if not line.leaving:
+            self.list_leaving_since = None
+            self._end_observation(now)
+        elif self.list_leaving_since is None:
+            self.list_leaving_since = now
+
+    def take_absence(self, now: float) -> None:
+        """Learn that the list read at ``now`` does not show it."""
+        if self.listed is not None and self.missing_since is None:
+            self.missing_since = now
+
+    def merged(self) -> Endpoint | None:
+        """Return the endpoint with the list's address and all labels."""
+        if self.listed is None or self.configured is None:
+            return self.listed or self.configured
+        return merge_endpoints(self.listed, self.configured)
+
     def is_forgettable(self, now: float) -> bool:
         """Tell whether nothing of it is needed: the instance is long gone."""
         if self.configured is not None or self.connected:
@@ -94,6 +124,11 @@
         keep_s = MISSING_KEEP_S if self.mark is None else MARK_KEEP_S
         return now >= self.missing_since + keep_s
 
+    def _end_observation(self, now: float) -> None:
+        observed = self.observed_leaving_at
+        if observed is not None and now >= observed + LIST_LAG_S:
+            self.observed_leaving_at = None
+
     def _marked_leaving_at(self) -> float | None:
         if self.mark in {Mark.LEAVE, Mark.STOP}:
             return self.mark_at
--- a/foxtailhatch/membership/endpoints.py
+++ b/foxtailhatch/membership/endpoints.py
@@ -19,7 +19,7 @@
 """
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from foxtailhatch.core import (
     Endpoint,
@@ -29,7 +29,6 @@
     require,
 )
 from foxtailhatch.membership.endpoint_record import (
-    LIST_LAG_S,
     EndpointRecord,
     EndpointState,
 )
@@ -97,10 +96,10 @@
         }
         before = {name: self.state(name, now) for name in self._records}
         for name, instance in shown.items():
-            _take_line(self._record(name), instance, now)
+            self._record(name).take_line(instance, now)
         for name, record in self._records.items():
             if name not in shown:
-                _take_absence(record, now)
+                record.take_absence(now)
         self._forget(now)
         return tuple(self._changes(before, now))
 
@@ -172,7 +171,7 @@
         record = self._records.get(name)
         if record is None:
             return None
-        return _merged(record.listed, record.configured)
+        return record.merged()
 
     def check_send(self, name: str, now: float) -> None:
         """Assert, as new work is sent, that the endpoint does not leave.
@@ -217,59 +216,3 @@
     if before is after:
         return ()
     return (EndpointChange(name, before, after),)
-
-
-def _take_line(
-    record: EndpointRecord,
-    line: LiveInstance,
-    now: float,
-) -> None:
-    known = record.listed
-    if known is not None and known.address != line.address:
-        record.observed_leaving_at = None
-        record.refused_at = None
-        record.connected = False
-    record.listed = _from_list(line)
-    record.missing_since = None
-    record.list_read_at = now
-    if not line.leaving:
-        record.list_leaving_since = None
-        _end_observation(record, now)
-    elif record.list_leaving_since is None:
-        record.list_leaving_since = now
-
-
-def _end_observation(record: EndpointRecord, now: float) -> None:
-    observed = record.observed_leaving_at
-    if observed is not None and now >= observed + LIST_LAG_S:
-        record.observed_leaving_at = None
-
-
-def _take_absence(record: EndpointRecord, now: float) -> None:
-    if record.listed is not None and record.missing_since is None:
-        record.missing_since = now
-
-
-def _from_list(line: LiveInstance) -> Endpoint:
-    return Endpoint(
-        name=line.name,
-        address=line.address,
-        kind=EndpointKind(line.role),
-        availability_zone=line.availability_zone,
-        accelerator=line.accelerator,
-        labels=line.labels or {},
-    )
-
-
-def _merged(
-    listed: Endpoint | None,
-    configured: Endpoint | None,
-) -> Endpoint | None:
-    if listed is None or configured is None:
-        return listed or configured
-    return replace(
-        listed,
-        accelerator=listed.accelerator or configured.accelerator,
-        labels={**listed.labels, **configured.labels},
-        checks_fencing=configured.checks_fencing,
-    )
--- a/foxtailhatch/membership/gossip.py
+++ b/foxtailhatch/membership/gossip.py
@@ -12,73 +12,38 @@
 """
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 from random import Random
 
 from foxtailhatch.core import Address
 from foxtailhatch.membership.composer import Composer
 from foxtailhatch.membership.digest import (
     Digest,
-    LeaveNotice,
-    Suspicion,
     Want,
 )
 from foxtailhatch.membership.entries import EntryTable
-from foxtailhatch.membership.entry import Entry, EntryState, Liveness
-from foxtailhatch.membership.entry_record import EntryChange, Merge
+from foxtailhatch.membership.entry import Entry, Liveness
+from foxtailhatch.membership.entry_record import EntryChange
+from foxtailhatch.membership.exchanges import Exchange, Exchanges
+from foxtailhatch.membership.gossip_actions import (
+    AskConfiguration,
+    GossipAction,
+    SendDigest,
+)
+from foxtailhatch.membership.hearing import Hearing
 from foxtailhatch.membership.partners import Partners
+from foxtailhatch.membership.strangers import Strangers
 
 ROUND_S = 1.0
 ROUND_JITTER = 0.2
 JOIN_ROUND_S = 0.25
 EAGER_GAP_S = 0.5
-ANSWER_TIMEOUT_S = 2.0
 KNOCK_ROUNDS = 2
-DEAD_KNOCK_ROUNDS = 10
-DEAD_SHARE_MANY = 0.1
 CONFIGURATION_ASK_S = 3.0
 SYNC_FAR_GAP_S = 5.0
 SYNC_GAP_S = 30.0
 SYNC_SHARE = 1.1
 
 
-@dataclass(frozen=True, slots=True)
-class SendDigest:
-    """Send a digest; ``fresh_link`` says to replace the open connection."""
-
-    address: Address
-    digest: Digest
-    fresh_link: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class AskConfiguration:
-    """Ask a peer for its configuration, which is newer than our own."""
-
-    address: Address
-    version: int
-
-
-@dataclass(frozen=True, slots=True)
-class EndpointLeaving:
-    """A peer heard an endpoint say at ``observed_at`` that it leaves."""
-
-    endpoint: str
-    observed_at: float
-
-
-GossipAction = SendDigest | AskConfiguration | EndpointLeaving | EntryChange
-
-
-@dataclass(frozen=True, slots=True)
-class _Awaited:
-    """An exchange whose answer has not come yet."""
-
-    entry: Entry
-    sent_at: float
-    is_second: bool = False
-
-
 class Gossip:
     """Decide what to send to whom; the daemon carries the actions out.
 
@@ -97,9 +62,9 @@
         self.partners = Partners(random)
         self._composer = Composer(table, random)
         self._random = random
-        self._seeds = frozenset(seeds)
-        self._listed: frozenset[Address] = frozenset()
-        self._awaited: dict[str, _Awaited] = {}
+        self._hearing = Hearing(table, self._composer)
+        self._strangers = Strangers(table, seeds)
+        self._exchanges = Exchanges()
         self._announced = table.own
         self._is_hot = True
         self._has_joined = False
@@ -111,7 +76,7 @@
 
     def note_addresses(self, addresses: Iterable[Address]) -> None:
         """Take the peer addresses that the platform's list shows."""
-        self._listed = frozenset(addresses)
+        self._strangers.note_listed(addresses)
 
     def note_endpoint_leaving(self, endpoint: str, now: float) -> None:
         """Learn at first hand that an endpoint leaves, and spread it."""
@@ -124,12 +89,11 @@
         now: float,
     ) -> tuple[GossipAction, ...]:
         """Learn that no connection to a peer address could be made."""
-        actions: list[GossipAction] = []
-        for name, awaited in tuple(self._awaited.items()):
-            if awaited.entry.peer_address == address:
-                self._awaited.pop(name)
-                actions.extend(self._suspect(awaited.entry, now))
-        return tuple(actions)
+        return tuple(
+            change
+            for exchange in self._exchanges.take_with(address)
+            for change in self._suspect(exchange.entry, now)
+        )
 
     def tick(self, now: float) -> tuple[GossipAction, ...]:
         """Return what is due now."""
@@ -152,13 +116,9 @@
         if sender.name == self.table.own.name:
             self.table.merge(sender, now)
             return ()
-        self._awaited.pop(sender.name, None)
+        self._exchanges.end(sender.name)
         self._has_joined = True
-        changes = [
-            *self._take_entries((sender, *digest.entries), now),
-            *self._take_suspicions(digest.suspicions, now),
-            *self._take_leaves(digest.leaves, now),
-        ]
+        changes = self._hearing.take(digest, now)
         return (
             *changes,
             *self._ask_configuration(sender, now),
@@ -166,49 +126,6 @@
             *self._sync(digest, now),
         )
 
-    def _take_entries(
-        self,
-        entries: Iterable[Entry],
-        now: float,
-    ) -> Iterator[GossipAction]:
-        for entry in entries:
-            before = self.table.record(entry.name)
-            merge = self.table.merge(entry, now)
-            after = self.table.record(entry.name)
-            if merge is Merge.CHANGED and after is not None:
-                self._composer.add_entry(entry.name)
-                self._is_hot |= entry.state is not EntryState.SERVING
-                yield EntryChange(entry.name, after.liveness)
-            elif before and before.liveness is not Liveness.ALIVE:
-                # The sender has not heard what is thought of this entry.
-                self._composer.add_suspicion(before.entry)
-
-    def _take_suspicions(
-        self,
-        suspicions: Iterable[Suspicion],
-        now: float,
-    ) -> Iterator[GossipAction]:
-        for suspicion in suspicions:
-            name = suspicion.entry
-            if name == self.table.own.name:
-                self._is_hot |= self.table.refute(suspicion.incarnation)
-            elif self.table.suspect(name, suspicion.incarnation, now):
-                record = self.table.record(name)
-                if record is not None:
-                    self._composer.add_suspicion(record.entry)
-                yield EntryChange(name, Liveness.SUSPECT)
-
-    def _take_leaves(
-        self,
-        leaves: Iterable[LeaveNotice],
-        now: float,
-    ) -> Iterator[GossipAction]:
-        for notice in leaves:
-            observed_at = now - notice.age_s
-            if self._composer.add_leave(notice.endpoint, observed_at, now):
-                self._is_hot = True
-                yield EndpointLeaving(notice.endpoint, observed_at)
-
     def _ask_configuration(
         self,
         sender: Entry,
@@ -261,14 +178,11 @@
         self._announced = own
 
     def _retry_unanswered(self, now: float) -> Iterator[GossipAction]:
-        for name, awaited in tuple(self._awaited.items()):
-            if now < awaited.sent_at + ANSWER_TIMEOUT_S:
-                continue
-            self._awaited.pop(name)
-            if awaited.is_second:
-                yield from self._suspect(awaited.entry, now)
+        for exchange in self._exchanges.take_overdue(now):
+            if exchange.is_second:
+                yield from self._suspect(exchange.entry, now)
             else:
-                yield self._ask(awaited.entry, now, is_second=True)
+                yield self._ask(exchange.entry, now, is_second=True)
 
     def _suspect(self, entry: Entry, now: float) -> list[GossipAction]:
         self.partners.drop(entry.name)
@@ -278,9 +192,11 @@
         return [EntryChange(entry.name, Liveness.SUSPECT)]
 
     def _send_eagerly(self, now: float) -> Iterator[GossipAction]:
-        if not self._is_hot or now < self._eager_at:
+        is_hot = self._is_hot or self._hearing.is_hot
+        if not is_hot or now < self._eager_at:
             return
         self._is_hot = False
+        self._hearing.is_hot = False
         self.partners.refresh(self.table.own, self.table.peers(), now)
         self._eager_at = now + EAGER_GAP_S
         for entry in self._partner_entries():
@@ -302,7 +218,9 @@
         self._announced = self.table.own
         self.partners.refresh(self.table.own, self.table.peers(), now)
         record = self.table.record(self.partners.next_name() or '')
-        if record is not None and record.entry.name not in self._awaited:
+        if record is not None and not self._exchanges.awaits(
+            record.entry.name,
+        ):
             yield self._ask(record.entry, now)
         if record is None or self._round % KNOCK_ROUNDS == 0:
             yield from self._knock(now)
@@ -318,26 +236,13 @@
         *,
         is_second: bool = False,
     ) -> SendDigest:
-        self._awaited[entry.name] = _Awaited(entry, now, is_second)
+        self._exchanges.begin(Exchange(entry, now, is_second))
         digest = self._composer.compose(entry, Want.ANSWER, now)
         return SendDigest(entry.peer_address, digest, fresh_link=is_second)
 
     def _knock(self, now: float) -> Iterator[GossipAction]:
-        """Try an address where an unknown or a wrongly buried entry may be."""
-        strangers = self._strangers()
+        strangers = self._strangers.addresses(self._round)
         if strangers:
             want = Want.ANSWER if self._has_joined else Want.EVERYTHING
             digest = self._composer.compose(None, want, now)
             yield SendDigest(self._random.choice(strangers), digest)
-
-    def _strangers(self) -> list[Address]:
-        known = {entry.peer_address for entry in self.table.members()}
-        dead = {entry.peer_address for entry in self.table.dead()}
-        named = (self._seeds | self._listed) - known
-        # Many dead at once may live behind a cut, so they are tried as often
-        # as addresses of which nothing is known.
-        is_cut_likely = len(dead) > DEAD_SHARE_MANY * self.table.count()
-        is_dead_due = self._round % DEAD_KNOCK_ROUNDS == 0
-        if is_cut_likely or is_dead_due:
-            return sorted(named | dead)
-        return sorted(named - dead)
--- a/foxtailhatch/peers/__init__.py
+++ b/foxtailhatch/peers/__init__.py
@@ -12,8 +12,9 @@
     StreamsReport,
     UsageReport,
 )
-from foxtailhatch.peers.node import PeerCounters, PeerNode, PeerSettings
+from foxtailhatch.peers.node import PeerNode
 from foxtailhatch.peers.outbox import SendOutcome
+from foxtailhatch.peers.settings import PeerCounters, PeerSettings
 
 __all__ = [
     'AccountUsage',
--- a/foxtailhatch/peers/node.py
+++ b/foxtailhatch/peers/node.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable, Coroutine
 from contextlib import AsyncExitStack, ExitStack
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from returns.result import Success
 from websockets.asyncio.connection import Connection
@@ -27,8 +27,9 @@
 )
 from foxtailhatch.peers.messages import Message
 from foxtailhatch.peers.outbox import Outbox, SendOutcome
-from foxtailhatch.peers.pool import LINKS_MAX, LinkPool
+from foxtailhatch.peers.pool import LinkPool
 from foxtailhatch.peers.server import dial, listen
+from foxtailhatch.peers.settings import PeerCounters, PeerSettings
 
 OPENING_MAX = 32
 UNPROVEN_MAX = 64
@@ -38,28 +39,6 @@
 UnreachableListener = Callable[[Address], None]
 
 
-@dataclass(frozen=True, slots=True)
-class PeerSettings:
-    """Who this node is, and the key that all entries share."""
-
-    identity: PeerIdentity
-    key: bytes = field(repr=False)
-    links_max: int = LINKS_MAX
-
-
-@dataclass(slots=True)
-class PeerCounters:
-    """What happened on the links, for the metrics."""
-
-    links_opened: int = 0
-    links_refused: int = 0
-    frames_received: int = 0
-    frames_rejected: int = 0
-    bytes_received: int = 0
-    bytes_sent: int = 0
-    messages_dropped: int = 0
-
-
 class PeerNode:
     """Send messages to peers by address, and hand over those that come.
 
--- /dev/null
+++ b/foxtailhatch/peers/settings.py
@@ -0,0 +1,28 @@
+"""What a node is told, and what it counts."""
+
+from dataclasses import dataclass, field
+
+from foxtailhatch.peers.handshake import PeerIdentity
+from foxtailhatch.peers.pool import LINKS_MAX
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSettings:
+    """Who this node is, and the key that all entries share."""
+
+    identity: PeerIdentity
+    key: bytes = field(repr=False)
+    links_max: int = LINKS_MAX
+
+
+@dataclass(slots=True)
+class PeerCounters:
+    """What happened on the links, for the metrics."""
+
+    links_opened: int = 0
+    links_refused: int = 0
+    frames_received: int = 0
+    frames_rejected: int = 0
+    bytes_received: int = 0
+    bytes_sent: int = 0
+    messages_dropped: int = 0
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -4,6 +4,7 @@
 from foxtailhatch.core import Address
 from foxtailhatch.membership import EntryState, Liveness, gossip
 from foxtailhatch.membership import composer as composer_module
+from foxtailhatch.membership.strangers import Strangers
 
 
 def settled(count=24, seed=1, zones=4, regions=2, seconds=60):
@@ -148,7 +149,7 @@
     mesh = settled(count=8, regions=2)
     mesh.is_cut = lambda one, other: one.region != other.region
     mesh.run(60)
-    monkeypatch.setattr(gossip.Gossip, '_strangers', lambda self: [])
+    monkeypatch.setattr(Strangers, 'addresses', lambda self, round_number: [])
     mesh.is_cut = lambda one, other: False
     mesh.run(120)
     assert set(known_counts(mesh)) == {4}
