--- a/foxtailhatch/daemon/claimed_calls.py
+++ b/foxtailhatch/daemon/claimed_calls.py
@@ -40,7 +40,7 @@
     'was made, such as a UUID of version 7.',
 )
 ANSWER_NOT_KEPT = Refusal(
-    ErrorCode.KEY_REUSED,
+    ErrorCode.ANSWER_NOT_KEPT,
     'The request ran before; its answer was too large to be kept.',
     RunState.RAN,
 )
--- a/foxtailhatch/daemon/configuration_loop.py
+++ b/foxtailhatch/daemon/configuration_loop.py
@@ -1,7 +1,7 @@
 """Following, publishing and keeping the configuration at one entry."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 
 from returns.result import Failure, Result, Success
 
@@ -72,7 +72,7 @@
         outcomes = fold.take_page(known)
         if self._follower.page_read(self._now(), known, fold.wanted):
             self._record(EventKind.LOG_AVAILABLE, CONFIGURATION_STREAM)
-        self._take(outcomes)
+        self.take(outcomes)
         await self._write_snapshot(known.end == fold.wanted)
 
     async def publish(
@@ -99,11 +99,6 @@
         appended = await self._append(AppendRecord(CONFIGURATION_STREAM, body))
         return isinstance(appended, Success)
 
-    def adopted(self) -> None:
-        """Bring the blackboard in line after a peer's state was taken in."""
-        self._enforce()
-        self._take_marks()
-
     async def _follow(
         self,
         attempt: PublishAttempt,
@@ -150,7 +145,8 @@
         if self._follower.read_failed(self._now()):
             self._record(EventKind.LOG_UNAVAILABLE, CONFIGURATION_STREAM)
 
-    def _take(self, outcomes: Iterable[TakeOutcome]) -> None:
+    def take(self, outcomes: Sequence[TakeOutcome]) -> None:
+        """Bring the blackboard in line with what the fold took in."""
         for outcome in outcomes:
             match outcome:
                 case Accepted() | StateAdopted():
--- a/foxtailhatch/daemon/peer_loop.py
+++ b/foxtailhatch/daemon/peer_loop.py
@@ -2,15 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
-from returns.result import Success
-
-from foxtailhatch.config import (
-    SnapshotRecord,
-    decode_record,
-    encode_record,
-    snapshot_of,
-    state_of,
-)
+from foxtailhatch.config import encode_update, take_update
 from foxtailhatch.core import Address, EventKind
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
@@ -103,20 +95,13 @@
         fold = self._board.fold
         if fold.version <= version:
             return
-        snapshot = snapshot_of(fold.export())
         push = ConfigurationPush(
             fold.version,
             fold.through,
-            encode_record(snapshot),
+            encode_update(fold, version),
         )
         self.node.send(address, push)
 
     def _adopt(self, push: ConfigurationPush) -> None:
-        match decode_record(push.body):
-            case Success(SnapshotRecord() as snapshot):
-                known = state_of(snapshot)
-            case _:
-                return
-        if isinstance(known, Success):
-            if self._board.fold.adopt(known.unwrap()):
-                self._configuration.adopted()
+        outcomes = take_update(self._board.fold, push.body)
+        self._configuration.take(outcomes)
