--- a/foxtailhatch/daemon/observability.py
+++ b/foxtailhatch/daemon/observability.py
@@ -10,6 +10,7 @@
 from foxtailhatch.daemon.endpoint_care import EndpointCare
 from foxtailhatch.daemon.guard import Guard
 from foxtailhatch.peers import PeerCounters
+from foxtailhatch.recovery import Admission
 
 
 @dataclass(slots=True)
@@ -57,6 +58,7 @@
             'recoveries': self.answers.recoveries,
             'stopping': board.stop.is_asked(),
             'endpoints': self._endpoints(),
+            'ejected': self._ejected(),
             'peer_links_refused': self.peers.links_refused,
             'entries': [entry.name for entry in board.entries.members()],
         }
@@ -77,3 +79,12 @@
         table = self.board.endpoints
         now = self.answers.now()
         return {name: table.state(name, now) for name in table.names()}
+
+    def _ejected(self) -> list[str]:
+        health = self.board.health
+        now = self.answers.now()
+        return [
+            name
+            for name in sorted(self.board.endpoints.names())
+            if health.admission(name, now) is not Admission.OPEN
+        ]
