Build the binary from the pinned environment

Cause: make binary ended in an error without a folder dist, and installed unpinned libraries from a registry.

Change: tools/collect_site.py copies the package and the pinned libraries from the environment, and shiv packs them, reproducibly.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for users and developers; VENV= lets several work trees share one environment.
 VENV ?= .venv
 PY := $(VENV)/bin/python
-CODE := foxtailhatch standins bench demo tests
+CODE := foxtailhatch standins bench demo tools tests
 SEED ?= 1
 STEPS ?= 200
 export PYTHONPATH := $(CURDIR)
@@ -23,7 +23,7 @@
 	$(PY) -m ruff format --check $(CODE)
 	$(PY) -m ruff check $(CODE)
 	$(PY) -m flake8 $(CODE)
-	$(PY) -m mypy foxtailhatch standins bench demo
+	$(PY) -m mypy foxtailhatch standins bench demo tools
 
 format: $(VENV)/.ready
 	$(PY) -m ruff format $(CODE)
@@ -39,4 +39,6 @@
 	$(PY) -m bench
 
 binary: $(VENV)/.ready
-	$(VENV)/bin/shiv --quiet --compressed -c foxtailhatch -o dist/foxtailhatch -p '/usr/bin/env python3' .
+	$(PY) -m tools.collect_site build/site
+	mkdir -p dist
+	$(VENV)/bin/shiv --compressed --reproducible --site-packages build/site -e foxtailhatch.cli.main:main -o dist/foxtailhatch -p '/usr/bin/env python3'
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""What the build needs beside the libraries."""
--- /dev/null
+++ b/tools/collect_site.py
@@ -0,0 +1,55 @@
+"""Gather what the binary holds: ``python -m tools.collect_site FOLDER``.
+
+The folder gets the package and the distributions of ``requirements.txt`` as
+this environment has them, so that the binary holds what the tests ran with
+and the build fetches nothing.
+"""
+
+import re
+import shutil
+from importlib.metadata import PathDistribution, distribution
+from pathlib import Path
+
+import click
+
+ROOT = Path(__file__).parent.parent
+PACKAGE = 'foxtailhatch'
+PIN = re.compile(r'^([^\s=]+)==(\S+)$', re.MULTILINE)
+# Scripts and the like lie outside of the site folder, and compiled files
+# are made anew where the binary unpacks.
+LEFT_OUT = frozenset(('..', '__pycache__'))
+
+
+class WrongVersion(Exception):
+    """The environment does not have what ``requirements.txt`` pins."""
+
+
+@click.command()
+@click.argument('folder', type=click.Path(path_type=Path))
+def main(folder: Path) -> None:
+    """Write the package and its pinned libraries to FOLDER."""
+    shutil.rmtree(folder, ignore_errors=True)
+    ignored = shutil.ignore_patterns('__pycache__')
+    shutil.copytree(ROOT / PACKAGE, folder / PACKAGE, ignore=ignored)
+    pins = PIN.findall((ROOT / 'requirements.txt').read_text())
+    for name, version in pins:
+        _copy(name, version, folder)
+    click.echo(f'{len(pins)} libraries in {folder}')
+
+
+def _copy(name: str, version: str, folder: Path) -> None:
+    found = distribution(name)
+    if found.version != version:
+        message = f'{name} is {found.version}, pinned is {version}'
+        raise WrongVersion(message)
+    if not isinstance(found, PathDistribution) or found.files is None:
+        raise WrongVersion(f'{name} does not list its files')
+    for path in found.files:
+        if not LEFT_OUT.intersection(path.parts):
+            target = folder / path
+            target.parent.mkdir(parents=True, exist_ok=True)
+            shutil.copy(path.locate(), target)
+
+
+if __name__ == '__main__':
+    main()
