--- a/foxtailhatch/daemon/answers.py
+++ b/foxtailhatch/daemon/answers.py
@@ -183,7 +183,7 @@
             self._board.wishes.wishes,
         )
         plan = handle.granted.plan
-        run = AnswerRun(plan, chains)
+        run = AnswerRun(plan, chains, self._board.retained_bytes)
         handle.load = AnswerLoad(self._board.pool, len(plan.prompt))
         handle.live = LiveAnswer(run, handle.sink, self._sessions, self)
         self._board.record(EventKind.REQUEST_ADMITTED, plan.stream, plan.model)
--- a/foxtailhatch/daemon/blackboard.py
+++ b/foxtailhatch/daemon/blackboard.py
@@ -37,6 +37,7 @@
     wall_time: Callable[[], float]
     health: EndpointHealth
     budget: RetryBudget
+    retained_bytes: int
     endpoints: EndpointTable = field(default_factory=EndpointTable)
     progress: ProgressWatch = field(default_factory=ProgressWatch)
     admission: Admission = field(default_factory=Admission)
@@ -77,4 +78,5 @@
         admission=Admission(bounds),
         health=EndpointHealth(random),
         budget=RetryBudget(random),
+        retained_bytes=limits.retained_bytes,
     )
--- a/foxtailhatch/daemon/configuration_loop.py
+++ b/foxtailhatch/daemon/configuration_loop.py
@@ -90,11 +90,10 @@
             return Failure(begun.failure())
         return await self._follow(begun.unwrap())
 
-    async def mark(self, req: MarkRequest) -> bool:
-        """Append a mark; return whether the log acknowledged it."""
+    async def mark(self, req: MarkRequest) -> Result[int, PlatformError]:
+        """Append a mark; return its offset, or how the append failed."""
         body = encode_record(MarkRecord(req.mark_id, req.instance, req.mark))
-        appended = await self._append(AppendRecord(CONFIGURATION_STREAM, body))
-        return isinstance(appended, Success)
+        return await self._append(AppendRecord(CONFIGURATION_STREAM, body))
 
     def adopted(self) -> None:
         """Bring the blackboard in line after a peer's state was taken in."""
--- a/foxtailhatch/daemon/operations.py
+++ b/foxtailhatch/daemon/operations.py
@@ -23,6 +23,7 @@
 from foxtailhatch.core import ErrorCode, Refusal, RunState
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
+from foxtailhatch.platform import PlatformFault
 
 LOG_RETRY_S = 2.0
 
@@ -76,7 +77,11 @@
     async def mark(self, req: MarkRequest) -> Result[None, Refusal]:
         """Mark an instance, and return once the mark is in the log."""
         marked = await asyncio.shield(self._configuration.mark(req))
-        return Success(None) if marked else Failure(MAYBE_PUBLISHED)
+        if isinstance(marked, Success):
+            return Success(None)
+        if marked.failure().fault is PlatformFault.UNREACHABLE:
+            return Failure(NOT_PUBLISHED)
+        return Failure(MAYBE_PUBLISHED)
 
 
 def _refusal(failure: PublishFailure) -> PublishRefusal:
--- a/foxtailhatch/daemon/order_loop.py
+++ b/foxtailhatch/daemon/order_loop.py
@@ -60,7 +60,7 @@
         self._placement = PlacementController(board.wall_time())
         self._lease_reads = LogFollower('leases', board.random)
         self._wish_reads = LogFollower('wishes', board.random)
-        self._acted_under = -1
+        self._acted_under: int | None = None
 
     async def step(self) -> None:
         """Read what is due, keep the lease, and act if it is held."""
@@ -71,8 +71,8 @@
         wall = self._board.wall_time()
         await self._append(self._holder.step(wall, self._leases))
         lease = self._holder.held(self._board.wall_time())
+        self._note(lease)
         if lease is not None and self._board.fold.in_force is not None:
-            self._note(lease)
             await self._place(lease)
             await self._order(lease)
 
@@ -80,11 +80,17 @@
         """Give the lease back, as at a planned stop."""
         await self._append(self._holder.release(self._board.wall_time()))
 
-    def _note(self, lease: HeldLease) -> None:
-        if lease.fence != self._acted_under:
-            self._acted_under = lease.fence
-            name = self._holder.lease
-            self._board.record(EventKind.LEASE_TAKEN, name, str(lease.fence))
+    def _note(self, lease: HeldLease | None) -> None:
+        fence = None if lease is None else lease.fence
+        before = self._acted_under
+        if fence == before:
+            return
+        self._acted_under = fence
+        name = self._holder.lease
+        if fence is None:
+            self._board.record(EventKind.LEASE_LOST, name, str(before))
+        else:
+            self._board.record(EventKind.LEASE_TAKEN, name, str(fence))
 
     async def _read_leases(self) -> None:
         page = await self._read(self._lease_reads, self._leases.wanted)
--- a/foxtailhatch/daemon/settings.py
+++ b/foxtailhatch/daemon/settings.py
@@ -34,6 +34,7 @@
 ]
 Seconds = Annotated[float, Field(gt=0)]
 Count = Annotated[int, Field(ge=1)]
+Size = Annotated[int, Field(ge=0)]
 
 
 class Section(BaseModel):
@@ -122,6 +123,7 @@
     queued_requests: Count = 1000
     timeline_events: Count = 20_000
     claim_streams: Count = 4
+    retained_bytes: Size = 4_194_304
 
 
 class Placement(Section):
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,11 +1,14 @@
 """The pages name what the program has."""
 
+import re
 from pathlib import Path
 
 import pytest
 
 from foxtailhatch.callers.errors import STATUSES
 from foxtailhatch.config.documents import ConfigurationDocument
+from foxtailhatch.core import EventKind
+from foxtailhatch.daemon.metrics import Metrics
 from foxtailhatch.daemon.settings import Settings
 
 DOCS = Path(__file__).parent.parent / 'docs'
@@ -46,3 +49,21 @@
         shown = 'none' if value is None else f'{value:g}'
         shown = str(value) if value and value >= 1e6 else shown
         assert f'| `{name}` | {shown} | ' in page
+
+
+def rows_of(page, heading):
+    """Return the first cells of the table under a heading."""
+    _, _, part = (DOCS / page).read_text().partition(f'## {heading}\n')
+    section, _, _ = part.partition('\n## ')
+    return re.findall(r'^\| `(\w+)` \|', section, re.MULTILINE)
+
+
+def test_the_page_lists_each_metric_once():
+    text = Metrics('entry-1').render().decode()
+    names = re.findall(r'^# TYPE (\w+) ', text, re.MULTILINE)
+    assert rows_of('OPERATING.md', 'Metrics') == sorted(names)
+
+
+def test_the_page_lists_each_event_once():
+    kinds = sorted(kind.value for kind in EventKind)
+    assert rows_of('OPERATING.md', 'Events') == kinds
--- a/tests/whole/test_faults.py
+++ b/tests/whole/test_faults.py
@@ -211,6 +211,16 @@
     assert runs_of(system, key) == 1
 
 
+def test_a_mark_that_the_log_refused_is_not_called_unknown(system):
+    call(system.log.admin, 'POST', '/faults', {'down': True})
+    try:
+        answer = system.mark('middle-2', 'join', 'entry-1')
+    finally:
+        call(system.log.admin, 'POST', '/faults', {'down': False})
+    error = answer.json()['error']
+    assert (error['code'], error['run']) == ('log_unavailable', 'not_run')
+
+
 def claims_in_log(system, key):
     """Return how many records of the log name a key."""
     pages = (
