Let a crowd leave a stalled stage at once

Cause: each answer on a frozen stage asked the retry budget for itself, so ten answers went on and the others waited until the session was lost, and again at the next one. Letting them go together made them flee the spare as well, whose prefill for all of them took longer than a step may take.

Change: the first answer that gives up an endpoint pays, and the others leave it for nothing until it answers a step again. What all answers await of an endpoint in prefill is added to what a step there may take.

--- /dev/null
+++ b/bench/recovery.py
@@ -0,0 +1,208 @@
+"""How long a caller waits when a stage fails: ``python -m bench.recovery``.
+
+Answers of four stages lose their last one to a kill, a freeze or a silent
+connection.  One entry keeps the activations that it relays and replaces the
+stage alone; the other keeps none and runs the prefix again on all stages.
+Both stand before the same engines in the same run.
+"""
+
+import signal
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from itertools import pairwise
+from statistics import median
+
+import click
+
+from bench.report import report
+from bench.streamed import Parts, open_parts
+from demo.launcher import Started, new_launcher
+from demo.system import (
+    LAYERS,
+    MODEL,
+    VERSION,
+    System,
+    ask,
+    call,
+    configuration,
+    environment,
+    start_platform,
+)
+from standins.toy_model import reference_answer
+
+GOAL_MS = 540
+BOUNDS = (0, 3, 6, 9, LAYERS)
+ZONE = 'thrissur-a'
+SPARES = 2
+PROMPT = 'untangle strand 3'
+BEFORE_FAULT = 20
+AFTER_FAULT = 80
+HEAL_WAIT_S = 30.0
+HEAL_STEP_S = 0.05
+MILLISECONDS = 1000
+ENTRIES = ('retained', 'rerun')
+
+
+def kill(engine: Started) -> None:
+    """End the engine's process at once."""
+    engine.kill()
+
+
+def freeze(engine: Started) -> None:
+    """Stop the engine's process; its connections stay open."""
+    engine.process.send_signal(signal.SIGSTOP)
+
+
+def silence(engine: Started) -> None:
+    """Make the engine's open connections silent; new ones work."""
+    call(engine.admin, 'POST', '/faults', {'silence': True})
+
+
+FAULTS = (kill, freeze, silence)
+
+
+@dataclass(frozen=True, slots=True)
+class Bench:
+    """The running system and what its engines are started with."""
+
+    system: System
+    engine_options: tuple[str, ...]
+
+    def start(self) -> None:
+        """Start engines and entries, and wait until all serve."""
+        for number, layers in enumerate(pairwise(BOUNDS)):
+            for spare in range(SPARES):
+                self._start_engine(f'stage{number}-{spare}', layers)
+        self.system.start_entry('retained', ZONE)
+        limits = {'retained_bytes': 0}
+        self.system.start_entry('rerun', ZONE, limits=limits)
+        self.system.publish(configuration(), 0, 'retained')
+        for entry in ENTRIES:
+            self.system.wait_until_served(entry)
+
+    def recovery_s(
+        self,
+        entry: str,
+        length: int,
+        fault: Callable[[Started], None],
+    ) -> float:
+        """Break one answer's last stage; return the wait for its next token."""
+        parts = self._parts(entry, length)
+        parts.read(BEFORE_FAULT)
+        name = self._last_stage(entry, parts.request_id)
+        broken_at = time.perf_counter()
+        fault(self.system.engines[name])
+        parts.read_all()
+        self._check(parts, length)
+        address = self.system.entries[entry].address
+        if not events_of(address, parts.request_id, 'answer_recovered'):
+            raise AssertionError('the fault came after the answer')
+        self._heal(name)
+        return parts.end_of_longest_gap(broken_at) - broken_at
+
+    def _parts(self, entry: str, length: int) -> Parts:
+        received = reference(length)
+        address = self.system.entries[entry].address
+        max_tokens = length + BEFORE_FAULT + AFTER_FAULT
+        return open_parts(address, PROMPT, received, max_tokens)
+
+    def _last_stage(self, entry: str, request_id: str) -> str:
+        address = self.system.entries[entry].address
+        chosen = events_of(address, request_id, 'chain_chosen')
+        return chosen[-1].split('>')[-1]
+
+    def _check(self, parts: Parts, length: int) -> None:
+        whole = reference(length + BEFORE_FAULT + AFTER_FAULT)
+        if parts.text != bytes(whole[length:]).decode():
+            raise AssertionError('an answer is wrong')
+
+    def _heal(self, name: str) -> None:
+        engine = self.system.engines[name]
+        if engine.process.poll() is None:
+            engine.process.send_signal(signal.SIGCONT)
+        else:
+            self._start_engine(name, (BOUNDS[-2], BOUNDS[-1]))
+        deadline = time.monotonic() + HEAL_WAIT_S
+        while not self._is_well(name):
+            if time.monotonic() > deadline:
+                raise TimeoutError(f'{name} is not used again')
+            time.sleep(HEAL_STEP_S)
+
+    def _is_well(self, name: str) -> bool:
+        """Tell whether all entries have a session that works."""
+        for entry in ENTRIES:
+            address = self.system.entries[entry].address
+            with ThreadPoolExecutor() as pool:
+                asked = [pool.submit(ask, address, PROMPT, 5) for _ in range(4)]
+            if any(each.result().status != 200 for each in asked):
+                return False
+            status = self.system.status(entry)
+            if status['ejected'] or name not in status['sessions']:
+                return False
+        return True
+
+    def _start_engine(self, name: str, layers: tuple[int, int]) -> None:
+        self.system.start_engine(name, ZONE, layers, *self.engine_options)
+
+
+def events_of(address: str, request_id: str, kind: str) -> list[str]:
+    """Return the details of an answer's events of one kind."""
+    events = call(address, 'GET', f'/timeline?subject={request_id}').json()
+    return [each['detail'] for each in events if each['event'] == kind]
+
+
+def reference(length: int) -> tuple[int, ...]:
+    """Return the tokens that an answer must have."""
+    prompt = tuple(PROMPT.encode())
+    tokens, _ = reference_answer(MODEL, VERSION, LAYERS, prompt, length)
+    return tokens
+
+
+@click.command()
+@click.option('--length', 'lengths', multiple=True, default=(50, 200, 800))
+@click.option('--repeats', default=3)
+@click.option('--step-s', default=0.005, help='Time of one batch.')
+@click.option('--prefill-s', default=0.0005, help='Time of a prefill token.')
+def main(
+    lengths: tuple[int, ...],
+    repeats: int,
+    step_s: float,
+    prefill_s: float,
+) -> None:
+    """Measure the recovery of answers over separate processes."""
+    options = ('--base-s', str(step_s), '--per-token-s', str(prefill_s))
+    with new_launcher(environment()) as launcher:
+        bench = Bench(start_platform(launcher), options)
+        bench.start()
+        for fault in FAULTS:
+            for length in lengths:
+                _compare(bench, fault, length, repeats)
+
+
+def _compare(
+    bench: Bench,
+    fault: Callable[[Started], None],
+    length: int,
+    repeats: int,
+) -> None:
+    waits: dict[str, list[float]] = {entry: [] for entry in ENTRIES}
+    for _ in range(repeats):
+        for entry, seen in waits.items():
+            waited_s = bench.recovery_s(entry, length, fault)
+            seen.append(waited_s * MILLISECONDS)
+    report(
+        f'recovery_{fault.__name__}',
+        round(median(waits['retained'])),
+        'ms to the next token, median',
+        round(median(waits['rerun'])),
+        tokens_so_far=length,
+        longest=round(max(waits['retained'])),
+        baseline_longest=round(max(waits['rerun'])),
+        goal=GOAL_MS,
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/streamed.py
@@ -0,0 +1,81 @@
+"""One streamed answer with the time of each of its parts."""
+
+import json
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from http.client import HTTPResponse
+from itertools import pairwise
+
+from demo.system import MODEL, TOKEN, open_call
+
+EVENT_PREFIX = b'data: '
+END_MARK = b'[DONE]'
+
+
+@dataclass(slots=True)
+class Parts:
+    """What a caller has of its answer so far."""
+
+    request_id: str
+    response: HTTPResponse
+    texts: list[str] = field(default_factory=list)
+    times: list[float] = field(default_factory=list)
+    whole: bool = False
+
+    @property
+    def text(self) -> str:
+        """The answer's text so far."""
+        return ''.join(self.texts)
+
+    def count(self, until: float) -> int:
+        """Return how many parts came before a moment."""
+        return sum(each < until for each in self.times)
+
+    def read(self, count: int) -> None:
+        """Read until so many parts are here, or the end."""
+        while len(self.texts) < count and not self.whole:
+            self._read_line()
+
+    def read_all(self) -> None:
+        """Read to the end mark."""
+        while not self.whole:
+            self._read_line()
+
+    def end_of_longest_gap(self, since: float) -> float:
+        """Return when the first part after the longest wait came."""
+        times = [since, *(each for each in self.times if each > since)]
+        _, end = max((later - one, later) for one, later in pairwise(times))
+        return end
+
+    def _read_line(self) -> None:
+        line = self.response.readline()
+        if not line:
+            raise ConnectionError('the answer was cut off')
+        if not line.startswith(EVENT_PREFIX):
+            return
+        event = line.removeprefix(EVENT_PREFIX).strip()
+        if event == END_MARK:
+            self.whole = True
+            return
+        self.texts.append(json.loads(event)['choices'][0]['text'])
+        self.times.append(time.perf_counter())
+
+
+def open_parts(
+    address: str,
+    prompt: str,
+    received: Sequence[int],
+    max_tokens: int,
+) -> Parts:
+    """Ask for the rest of an answer of which ``received`` is there."""
+    document = {
+        'model': MODEL,
+        'prompt': prompt,
+        'received': list(received),
+        'max_tokens': max_tokens,
+        'stream': True,
+    }
+    response = open_call(address, 'POST', '/v1/completions', document, TOKEN)
+    request_id = response.headers['X-Request-Id']
+    return Parts(request_id, response)
--- a/foxtailhatch/daemon/answers.py
+++ b/foxtailhatch/daemon/answers.py
@@ -1,5 +1,6 @@
 """All answers of this entry: admitted, started, followed and ended."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from returns.pipeline import is_successful
@@ -127,9 +128,10 @@
         # unread, so no endpoint is blamed before the loop has turned again.
         if late:
             return
-        for handle in tuple(self._handles.values()):
-            if handle.live is not None:
-                handle.live.tick(self._patience)
+        running = [each.live for each in self._handles.values() if each.live]
+        self._patience.prefill = _prefill_of(running)
+        for live in running:
+            live.tick(self._patience)
         self._start_ready()
 
     def now(self) -> float:
@@ -224,9 +226,18 @@
             step.positions,
             step.seconds,
         )
+        self._patience.answered(step.endpoint)
         self._care.answered(step.endpoint)
 
 
+def _prefill_of(running: Iterable[LiveAnswer]) -> Counter[str]:
+    awaited: Counter[str] = Counter()
+    for live in running:
+        for endpoint, positions in live.run.prefill_in_flight():
+            awaited[endpoint] += positions
+    return awaited
+
+
 def _ticket(
     req: GenerateRequest,
     granted: GrantedAnswer,
--- a/foxtailhatch/daemon/patience.py
+++ b/foxtailhatch/daemon/patience.py
@@ -1,5 +1,7 @@
 """How long endpoints may owe a frame, from what their steps took before."""
 
+from collections import Counter
+
 from foxtailhatch.recovery import (
     FailedAttempt,
     FailureCause,
@@ -10,18 +12,39 @@
 
 
 class BudgetedPatience:
-    """Join the measured allowances with the retry budget."""
+    """Join the measured allowances with the retry budget.
+
+    An endpoint that stalls holds up all answers on it.  The first one to give
+    it up pays; until it answers again the others leave it for nothing, or
+    most of a crowd would wait for the session to be lost.
+
+    ``prefill`` is what all answers of this entry await of each endpoint, in
+    positions.  An engine gives nothing while it fills, so a step may take as
+    long as all of that; else a crowd that moves to a spare would flee it.
+    """
 
     def __init__(self, progress: ProgressWatch, budget: RetryBudget) -> None:
         """Join the two."""
         self._progress = progress
         self._budget = budget
+        self._stalled: set[str] = set()
+        self.prefill: Counter[str] = Counter()
 
     def limit_s(self, endpoint: str, positions: int) -> float:
         """Return the allowance of a step, or of an opening if 0."""
-        return self._progress.allowance_s(endpoint, max(1, positions))
+        longest = max(1, positions, self.prefill[endpoint] + 1)
+        return self._progress.allowance_s(endpoint, longest)
 
     def may_give_up(self, endpoint: str) -> bool:
-        """Tell whether the budget has a retry left, and spend it."""
+        """Tell whether an overdue stage may be replaced; spend if so."""
+        if endpoint in self._stalled:
+            return True
         failed = FailedAttempt(1, FailureCause.LOST, repeatable=True)
-        return isinstance(self._budget.ask(failed), RetryGranted)
+        is_granted = isinstance(self._budget.ask(failed), RetryGranted)
+        if is_granted:
+            self._stalled.add(endpoint)
+        return is_granted
+
+    def answered(self, endpoint: str) -> None:
+        """Learn that an endpoint answered a step."""
+        self._stalled.discard(endpoint)
--- a/foxtailhatch/pipeline/answer.py
+++ b/foxtailhatch/pipeline/answer.py
@@ -149,6 +149,15 @@
         self.done = True
         return list(self.attempt.cancel()) if self.attempt else []
 
+    def prefill_in_flight(self) -> Iterator[tuple[str, int]]:
+        """Yield the endpoints that owe prefill, and how many positions."""
+        if self.done or self.attempt is None:
+            return
+        for stage in self.attempt.stages:
+            positions = sum(step.count - 1 for step in stage.steps)
+            if positions:
+                yield stage.endpoint, positions
+
     def pause(self) -> None:
         """Ask for no further token until :meth:`resume`."""
         self._paused = True
