--- a/foxtailhatch/core/outcomes.py
+++ b/foxtailhatch/core/outcomes.py
@@ -33,6 +33,7 @@
     KEY_REQUIRED = 'key_required'
     KEY_IN_USE = 'key_in_use'
     KEY_REUSED = 'key_reused'
+    ANSWER_NOT_KEPT = 'answer_not_kept'
     LOG_UNAVAILABLE = 'log_unavailable'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     ENDPOINT_FAILED = 'endpoint_failed'
--- a/foxtailhatch/daemon/claim_loop.py
+++ b/foxtailhatch/daemon/claim_loop.py
@@ -42,14 +42,15 @@
         self._follower = follower
         self._waiting: dict[str, asyncio.Future[Decision]] = {}
         self._calls: set[asyncio.Task[None]] = set()
+        self._failure: BaseException | None = None
 
     async def step(self) -> None:
         """Start the log calls that are due, and settle what time settles."""
+        # What a call raised ends the loop that started it.
+        if self._failure is not None:
+            raise self._failure
+        self._start_due()
         now = self._board.wall_time()
-        for action in self.desk.actions(now):
-            call = asyncio.ensure_future(self._carry_out(action))
-            self._calls.add(call)
-            call.add_done_callback(self._calls.discard)
         self._settle(self.desk.step(now, self._log_up()))
 
     async def decide(self, req: ClaimRequest) -> Decision:
@@ -63,8 +64,20 @@
         loop = asyncio.get_running_loop()
         waiting: asyncio.Future[Decision] = loop.create_future()
         self._waiting[req.request_id] = waiting
+        self._start_due()
         return await waiting
 
+    def _start_due(self) -> None:
+        for action in self.desk.actions(self._board.wall_time()):
+            call = asyncio.ensure_future(self._carry_out(action))
+            self._calls.add(call)
+            call.add_done_callback(self._called)
+
+    def _called(self, call: asyncio.Task[None]) -> None:
+        self._calls.discard(call)
+        if not call.cancelled() and self._failure is None:
+            self._failure = call.exception()
+
     def _log_up(self) -> bool:
         return self._follower.availability is not LogAvailability.DOWN
 
@@ -74,6 +87,8 @@
                 await self._read(action)
             case AppendClaims():
                 await self._append(action)
+        # What an answer makes due does not wait for the next step.
+        self._start_due()
 
     async def _read(self, due: ReadStream) -> None:
         page = await self._log.read(due.stream, due.offset, due.limit)
--- a/foxtailhatch/daemon/configuration_loop.py
+++ b/foxtailhatch/daemon/configuration_loop.py
@@ -1,7 +1,7 @@
 """Following, publishing and keeping the configuration at one entry."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 
 from returns.result import Failure, Result, Success
 
@@ -27,11 +27,12 @@
 from foxtailhatch.core import EventKind, Mark
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.endpoint_care import EndpointCare
+from foxtailhatch.daemon.pause_watch import Source
 from foxtailhatch.durable.appends import AppendRecord
 from foxtailhatch.durable.follower import LogFollower
 from foxtailhatch.platform import LogService, PlatformError, PlatformFault
 
-PUBLISH_STEP_S = 0.02
+PUBLISH_STEP_S = 0.05
 
 
 class ConfigurationLoop:
@@ -61,7 +62,9 @@
         due = self._follower.next_read(self._now(), fold.wanted)
         if due is None:
             return
+        begun_at = self._now()
         page = await self._log.read(due.stream, due.offset, due.limit)
+        self._care.pause.asked(Source.LOG, begun_at)
         if not isinstance(page, Success):
             self._read_failed(page.failure().fault)
             return
@@ -69,7 +72,7 @@
         outcomes = fold.take_page(known)
         if self._follower.page_read(self._now(), known, fold.wanted):
             self._record(EventKind.LOG_AVAILABLE, CONFIGURATION_STREAM)
-        self._take(outcomes)
+        self.take(outcomes)
         await self._write_snapshot(known.end == fold.wanted)
 
     async def publish(
@@ -95,11 +98,6 @@
         body = encode_record(MarkRecord(req.mark_id, req.instance, req.mark))
         return await self._append(AppendRecord(CONFIGURATION_STREAM, body))
 
-    def adopted(self) -> None:
-        """Bring the blackboard in line after a peer's state was taken in."""
-        self._enforce()
-        self._take_marks()
-
     async def _follow(
         self,
         attempt: PublishAttempt,
@@ -146,7 +144,8 @@
         if self._follower.read_failed(self._now()):
             self._record(EventKind.LOG_UNAVAILABLE, CONFIGURATION_STREAM)
 
-    def _take(self, outcomes: Iterable[TakeOutcome]) -> None:
+    def take(self, outcomes: Sequence[TakeOutcome]) -> None:
+        """Bring the blackboard in line with what the fold took in."""
         for outcome in outcomes:
             match outcome:
                 case Accepted() | StateAdopted():
@@ -161,7 +160,8 @@
     def _enforce(self) -> None:
         cfg = self._board.fold.in_force
         index = self._board.index
-        if cfg is None or (index is not None and index.cfg is cfg):
+        # A snapshot or a peer's state may restate the version in force.
+        if cfg is None or (index and index.cfg.version == cfg.version):
             return
         self._board.index = index_configuration(cfg)
         accounts = {account.name: account for account in cfg.accounts}
--- a/tests/faults/platform.py
+++ b/tests/faults/platform.py
@@ -90,6 +90,9 @@
     def show_leaving(self, name):
         self.lines[name] = replace(self.lines[name], leaving=True)
 
+    def show_back(self, name):
+        self.lines[name] = replace(self.lines[name], leaving=False)
+
     def freeze(self):
         self.stale = list(self.lines.values())
 
@@ -120,6 +123,13 @@
         return Success(ServiceAnswer(200, call.key.encode(), 'text/plain'))
 
 
+class Weights:
+    """The weight store; every layer has the same size."""
+
+    async def size_bytes(self, model, version):
+        return Success(1)
+
+
 @dataclass
 class Services:
     """The plain services as an entry reaches them."""
