--- a/foxtailhatch/daemon/answers.py
+++ b/foxtailhatch/daemon/answers.py
@@ -1,5 +1,6 @@
 """All answers of this entry: admitted, started, followed and ended."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from returns.pipeline import is_successful
@@ -130,9 +131,10 @@
         # unread, so no endpoint is blamed before the loop has turned again.
         if late:
             return
-        for handle in tuple(self._handles.values()):
-            if handle.live is not None:
-                handle.live.tick(self._patience)
+        running = [each.live for each in self._handles.values() if each.live]
+        self._patience.prefill = _prefill_of(running)
+        for live in running:
+            live.tick(self._patience)
         self._start_ready()
 
     def pace_s(self) -> float:
@@ -192,7 +194,7 @@
             self._board.wishes.wishes,
         )
         plan = handle.granted.plan
-        run = AnswerRun(plan, chains)
+        run = AnswerRun(plan, chains, self._board.retained_bytes)
         handle.load = AnswerLoad(self._board.pool, len(plan.prompt))
         handle.live = LiveAnswer(run, handle.sink, self._sessions, self)
         self._board.record(EventKind.REQUEST_ADMITTED, plan.stream, plan.model)
@@ -233,9 +235,18 @@
             step.positions,
             step.seconds,
         )
+        self._patience.answered(step.endpoint)
         self._care.answered(step.endpoint)
 
 
+def _prefill_of(running: Iterable[LiveAnswer]) -> Counter[str]:
+    awaited: Counter[str] = Counter()
+    for live in running:
+        for endpoint, positions in live.run.prefill_in_flight():
+            awaited[endpoint] += positions
+    return awaited
+
+
 def _ticket(
     req: GenerateRequest,
     granted: GrantedAnswer,
