List what the matrix does not prove, and shrink a failing run in a test

Cause: the page named only what is proved, and nothing showed the shrinking.

Change: the page ends with what is not proved; a run with claims turned off shrinks to one booking. Hashes are fixed for make faults and make soak.

--- a/Makefile
+++ b/Makefile
@@ -30,10 +30,10 @@
 	$(PY) -m ruff check --fix $(CODE)
 
 faults: $(VENV)/.ready
-	$(PY) -m tests.faults
+	PYTHONHASHSEED=0 $(PY) -m tests.faults
 
 soak: $(VENV)/.ready
-	$(PY) -m tests.soak --seed $(SEED) --steps $(STEPS)
+	PYTHONHASHSEED=0 $(PY) -m tests.soak --seed $(SEED) --steps $(STEPS)
 
 bench: $(VENV)/.ready
 	$(PY) -m bench
--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -8,7 +8,7 @@
 from tests.faults.report import known_red, render
 
 ROOT = Path(__file__).parents[2]
-WORKERS = 4
+WORKERS = 6
 CHUNK = 8
 
 
--- a/tests/faults/matrix.py
+++ b/tests/faults/matrix.py
@@ -4,7 +4,7 @@
 
 from tests.faults.checks import failures
 from tests.faults.faults import FAULTS
-from tests.faults.scenario import STEPS, Scenario
+from tests.faults.scenario import Scenario
 
 PAIR_STEPS = ('open-1', 'token-3', 'claim', 'decided', 'append')
 
@@ -64,6 +64,3 @@
     if scenario.fault_at is None:
         found.append('the step was not reached')
     return Verdict(cell, tuple(found))
-
-
-__all__ = ['STEPS', 'Cell', 'Verdict', 'pair_cells', 'run_cell', 'single_cells']
--- a/tests/faults/report.py
+++ b/tests/faults/report.py
@@ -24,6 +24,18 @@
 
 """
 
+UNPROVED = """
+## Not proved here
+
+- Orders to engines, leases and placement: no entry of the matrix places.
+- Faults of the links between entries; their messages are carried whole.
+- Cache events, and faults of the weight store.
+- The HTTP adapters, which have tests of their own, and real processes, of
+  which `tests/whole` and one broken invariant are all.
+- A zone or a region that fails as a whole, and more than three entries.
+- A leave that neither the log nor the list can tell of while both are out.
+"""
+
 
 def known_red(path):
     """Return the names of the cells that are known to fail."""
@@ -76,7 +88,7 @@
         '',
         *_failed(verdicts),
     ]
-    return HEAD + '\n'.join(lines) + '\n'
+    return HEAD + '\n'.join(lines) + '\n' + UNPROVED
 
 
 def _mark(verdict, known):
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -16,7 +16,7 @@
 from tests.faults.entry import TestEntry
 from tests.faults.faults import CLAIMANT_PAUSE_S, FAULTS
 from tests.faults.scenario import Scenario, document
-from tests.faults.world import STAGES, ZONES
+from tests.faults.world import ZONES
 
 REPAIR_S = 6.0
 BACK_S = 15.0
@@ -116,13 +116,9 @@
                 service.dead = False
             for left in self.leaving:
                 await self._rejoin(left)
-            dead = [entry for entry in self.entries if entry.dead]
-            for number, _ in enumerate(dead[: self._lacking()]):
+            while len(self.live()) < ENTRIES:
                 self._replace(len(self.entries))
 
-    def _lacking(self):
-        return ENTRIES - len(self.live())
-
     def _replace(self, number):
         entry = TestEntry(self.world, number, ZONES[number % len(ZONES)])
         self.entries.append(entry)
@@ -174,6 +170,3 @@
 def check(soak):
     """Return what does not hold at the end of a run."""
     return failures(soak, finishes=False)
-
-
-__all__ = ['BY_NAME', 'STAGES', 'Soak', 'check']
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,8 +1,12 @@
 """Short runs with fixed seeds; ``make soak`` runs longer ones."""
 
+from unittest import mock
+
 import pytest
 
-from tests.soak.schedule import draw, run
+from foxtailhatch.durable.claims import ClaimController
+from tests.faults.test_mechanisms import send_at_once
+from tests.soak.schedule import draw, run, shrink
 
 
 @pytest.mark.parametrize('seed', [1, 2, 3])
@@ -18,3 +22,11 @@
     assert [each.times for each in first.answers] == [
         each.times for each in second.answers
     ]
+
+
+def test_a_run_that_fails_is_shrunk_to_what_it_needs():
+    schedule = draw(1, 20)
+    with mock.patch.object(ClaimController, 'begin', send_at_once):
+        _, found = run(schedule)
+        assert found
+        assert [step.kind for step in shrink(schedule)] == ['booking']
