Weigh congestion by its cube and turn nobody away on a guess

Cause: the guess of what other entries opened could make an endpoint look full that isn't, and so refuse a request; a kept stage that holds part of a range was charged for all of it; the history of own work could hold 256 changes of each endpoint. Change: room is judged by known streams only; kept stages are charged for their part; work before the newest report is forgotten; congestion is the cube, at a depth of 10 while requests wait.

--- a/foxtailhatch/routing/costs.py
+++ b/foxtailhatch/routing/costs.py
@@ -2,9 +2,9 @@
 
 A visit of one token at an endpoint costs the round trip to it, a step as the
 endpoint reports it, the time that this entry lately waited for one, and the
-step's congestion: the square of the time that the endpoint needs to step
+step's congestion: the cube of the time that the endpoint needs to step
 each of its streams, against the mean step of the pool, for each layer held.
-The square makes the work spread over endpoints by their speed once they are
+The cube makes the work spread over endpoints by their speed once they are
 loaded, and leaves latency to decide while they are not.
 """
 
@@ -35,7 +35,7 @@
     first_token: float = 1
     between_tokens: float = 1
     depth: float = 64
-    pressed_depth: float = 4
+    pressed_depth: float = 10
     cached_block: float = 2
 
 
@@ -99,18 +99,16 @@
         )
 
     def fresh_of(self, group: Iterable[Holder]) -> list[Offer]:
-        """Return the offers of all endpoints of a group that have room."""
-        return [
-            self.fresh(holder)
-            for holder in group
-            if holder.view.has_room(self.growth)
-        ]
+        """Return the offers of all endpoints of a group."""
+        return [self.fresh(holder) for holder in group]
 
     def kept(self, stage: ChainStage, view: EndpointView) -> Offer:
         """Return the offer of a stage that is open and needs no prefill."""
-        steps_s = self._steps() * self._visit_s(
-            view, len(stage.layers), new_streams=0
-        )
+        asked = len(stage.layers)
+        part = asked / view.held_layers(stage.layers)
+        share = BASE_SHARE + (1 - BASE_SHARE) * part
+        visit_s = self._visit_s(view, asked, new_streams=0)
+        steps_s = self._steps() * share * visit_s
         return Offer(
             stage.endpoint,
             stage.layers,
@@ -145,5 +143,5 @@
         streams = view.streams(self.growth) + new_streams
         round_s = streams * step_s / self._depth()
         observed_s = view.observed_step_s(layers, self.now)
-        congestion_s = round_s**2 / self.mean.step_s
+        congestion_s = round_s**3 / self.mean.step_s**2
         return step_s + observed_s + congestion_s * layers / self.mean.layers
--- a/foxtailhatch/routing/view.py
+++ b/foxtailhatch/routing/view.py
@@ -3,7 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from foxtailhatch.core import Endpoint, Holding, LoadReport
+from foxtailhatch.core import Endpoint, Holding, LayerRange, LoadReport
 
 HISTORY_CHANGES = 256
 EWMA_SHARE = 0.2
@@ -68,6 +68,18 @@
             if held.model == model and held.version == version
         )
 
+    def held_layers(self, asked: LayerRange) -> int:
+        """Return how many layers the holding has that covers a range."""
+        holdings = self.report.holdings if self.report else ()
+        return min(
+            (
+                len(held.layers)
+                for held in holdings
+                if held.layers.covers(asked)
+            ),
+            default=len(asked),
+        )
+
     def own_at(self, time: float) -> OwnWork:
         """Return this entry's own work on the endpoint at ``time``."""
         if self.own.since <= time:
@@ -97,7 +109,9 @@
             )
         self.report = report
         self.received_at = now
-        self.own_reported = self.own_at(min(report.measured_at, now))
+        measured_at = min(report.measured_at, now)
+        self.own_reported = self.own_at(measured_at)
+        self._forget_before(measured_at)
         return True
 
     def streams(self, growth: float = 1) -> float:
@@ -120,11 +134,15 @@
         others = self.report.queued_tokens - self.own_reported.queued_tokens
         return max(0, others) + self.own.queued_tokens
 
-    def has_room(self, growth: float = 1) -> bool:
-        """Tell whether one more stream is expected to be let in."""
+    def has_room(self) -> bool:
+        """Tell whether one more stream may be let in.
+
+        Only what is known of others counts: an engine that is full says so
+        itself, and a guess should not turn requests away.
+        """
         if self.report is None:
             return False
-        return self.streams(growth) < self.report.max_streams
+        return self.streams() < self.report.max_streams
 
     def step_s(self) -> float:
         """Return the usual seconds of a step over all held layers."""
@@ -153,5 +171,12 @@
             return self.step_s() * tokens / PREFILL_TOKENS_PER_STEP
         return self.prefill_layer_s * layers * tokens
 
+    def _forget_before(self, time: float) -> None:
+        while self.history:
+            later = self.history[1] if len(self.history) > 1 else self.own
+            if later.since > time:
+                break
+            self.history.popleft()
+
     def _is_fresh(self, now: float) -> bool:
         return now - self.observed_at <= OBSERVED_FOR_S
