--- a/foxtailhatch/daemon/entry.py
+++ b/foxtailhatch/daemon/entry.py
@@ -172,7 +172,7 @@
         outside.engine,
         outside.weights,
         LeaseHolder(PLACEMENT_LEASE, run_id, board.random),
-        cfg.placement.load_bytes_per_s if cfg.placement else None,
+        cfg,
         clock.seconds,
     )
 
--- a/foxtailhatch/durable/claims.py
+++ b/foxtailhatch/durable/claims.py
@@ -27,7 +27,7 @@
 )
 from foxtailhatch.durable.key_rules import KeyRules
 from foxtailhatch.durable.outbox import Outbox
-from foxtailhatch.durable.sends import Sends
+from foxtailhatch.durable.sends import Sends, run_claimed
 from foxtailhatch.durable.tickets import Ticket, TicketBook, TicketState
 from foxtailhatch.platform import LogPage
 
@@ -205,6 +205,10 @@
         return Refuse(ticket.req.request_id, refusal)
 
 
+def _given_back(ticket: Ticket) -> Refusal:
+    return refusals.given_back(run_claimed(ticket.req))
+
+
 def _is_forgotten(now: float, ticket: Ticket) -> bool:
     """Tell whether nobody asked to send a request that may be sent."""
     late_s = now - ticket.req.deadline_at
