Say the same of second tries that the front refuses

Cause: a keyed call whose token or headers the front refused, also while no configuration is known yet, was told not run though an earlier try may have run.

Before: the new test fails for a second try. After: it passes. Conclusion: every refusal before the claim is unknown unless it is the first try.

--- /dev/null
+++ b/foxtailhatch/callers/earlier_tries.py
@@ -0,0 +1,25 @@
+"""What may be said of a call that is refused before it is claimed."""
+
+from dataclasses import replace
+
+from foxtailhatch.core import Refusal, RunState
+
+
+def refused_unclaimed(
+    refusal: Refusal,
+    key: str | None,
+    first_try: bool,
+) -> Refusal:
+    """Return the refusal, as unknown where an earlier try may have run.
+
+    Nothing was asked of the log, so a call that has a key and is not the
+    first try may have run before.
+
+    >>> from foxtailhatch.core import ErrorCode
+    >>> refusal = Refusal(ErrorCode.SHUTTING_DOWN, 'The entry stops.')
+    >>> refused_unclaimed(refusal, 'k', first_try=False).run.value
+    'unknown'
+    """
+    if key is None or first_try:
+        return refusal
+    return replace(refusal, run=RunState.UNKNOWN)
--- a/foxtailhatch/callers/services.py
+++ b/foxtailhatch/callers/services.py
@@ -7,6 +7,7 @@
 from twisted.web.resource import Resource
 
 from foxtailhatch.callers.base import UnknownPath, bad_method, caller_of
+from foxtailhatch.callers.earlier_tries import refused_unclaimed
 from foxtailhatch.callers.front import Front
 from foxtailhatch.callers.gateway import ServiceRequest
 from foxtailhatch.callers.later import reply_later
@@ -15,6 +16,7 @@
     body_of,
     call_headers,
     header_text,
+    is_first_try,
     refusal_reply,
 )
 from foxtailhatch.core import ErrorCode, Refusal
@@ -58,7 +60,10 @@
             return bad_method(req, METHODS)
         match self._asked(req):
             case Failure(refusal):
-                return refusal_reply(refusal)
+                key = header_text(req, b'Idempotency-Key')
+                first_try = is_first_try(req)
+                told = refused_unclaimed(refusal, key, first_try)
+                return refusal_reply(told)
             case Success(asked):
                 req.setHeader('X-Request-Id', asked.request_id)
                 return reply_later(self.front, req, self._call(asked))
--- a/foxtailhatch/daemon/gateway.py
+++ b/foxtailhatch/daemon/gateway.py
@@ -2,10 +2,10 @@
 
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import replace
 
 from returns.result import Failure, Result, Success
 
+from foxtailhatch.callers.earlier_tries import refused_unclaimed
 from foxtailhatch.callers.gateway import (
     AnswerSink,
     EntryAdvice,
@@ -24,7 +24,7 @@
     must_not_repeat,
     reachable_models,
 )
-from foxtailhatch.core import Caller, ErrorCode, Refusal, RunState
+from foxtailhatch.core import Caller, ErrorCode, Refusal
 from foxtailhatch.daemon.answers import Answers
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.claimed_calls import ClaimedCalls
@@ -119,7 +119,7 @@
         """Run one call of a plain service."""
         refusal = self._stopping()
         if refusal is not None:
-            return Failure(_unclaimed(refusal, req))
+            return Failure(refused_unclaimed(refusal, req.key, req.first_try))
         with InProgress(self._running, req.service):
             return await self._call_service(req)
 
@@ -133,7 +133,9 @@
     ) -> Result[ServiceAnswer, Refusal]:
         found = _granted_service(self._board.index, req)
         if not isinstance(found, Success):
-            return Failure(_unclaimed(found.failure(), req))
+            return Failure(
+                refused_unclaimed(found.failure(), req.key, req.first_try)
+            )
         service, granted = found.unwrap()
         call = ServiceCall(
             req.method, req.path, req.body, req.content_type, req.key
@@ -159,13 +161,6 @@
     )
 
 
-def _unclaimed(refusal: Refusal, req: ServiceRequest) -> Refusal:
-    # Nothing was asked of the log, and an earlier try may have run.
-    if req.key is None or req.first_try:
-        return refusal
-    return replace(refusal, run=RunState.UNKNOWN)
-
-
 def _granted_service(
     index: ConfigurationIndex | None,
     req: ServiceRequest,
--- a/tests/callers/test_services.py
+++ b/tests/callers/test_services.py
@@ -69,3 +69,17 @@
 def test_a_path_with_bytes_that_are_no_text_stays_what_it_is():
     spelled = service_path(b'/v1/services/desk/%ff\xfe:7?q=\xff%20').unwrap()
     assert spelled == '/%FF%FE:7?q=%FF%20'
+
+
+@pytest.mark.parametrize(
+    ('first', 'run'),
+    [('true', 'not_run'), ('false', 'unknown')],
+)
+def test_a_second_try_the_front_refuses_is_not_called_not_run(first, run):
+    @with_front
+    async def ask(front):
+        headers = {'Idempotency-Key': 'k-1', 'X-First-Try': first}
+        reply = await front.ask('POST', '/v1/services/desk/book', **headers)
+        assert reply.error()['run'] == run
+
+    ask()
