--- a/foxtailhatch/callers/errors.py
+++ b/foxtailhatch/callers/errors.py
@@ -30,6 +30,7 @@
         ErrorCode.KEY_REQUIRED: HTTPStatus.PRECONDITION_REQUIRED,
         ErrorCode.KEY_IN_USE: HTTPStatus.CONFLICT,
         ErrorCode.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+        ErrorCode.ANSWER_NOT_KEPT: HTTPStatus.CONFLICT,
         ErrorCode.LOG_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
         ErrorCode.OUTCOME_UNKNOWN: HTTPStatus.GATEWAY_TIMEOUT,
         ErrorCode.ENDPOINT_FAILED: HTTPStatus.BAD_GATEWAY,
--- a/foxtailhatch/daemon/answers.py
+++ b/foxtailhatch/daemon/answers.py
@@ -1,5 +1,6 @@
 """All answers of this entry: admitted, started, followed and ended."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from returns.pipeline import is_successful
@@ -30,6 +31,8 @@
 from foxtailhatch.routing import ChainChooser
 
 TICK_S = 0.02
+IDLE_TICK_S = 0.1
+LATE_TICK_S = 0.05
 
 
 class AnswerHandle:
@@ -122,17 +125,22 @@
         self._care.pause.beat()
         now = self.now()
         self._refuse_tickets(self._board.admission.expire(now))
-        late = now - self._ticked_at > 2 * TICK_S
+        late = now - self._ticked_at > LATE_TICK_S
         self._ticked_at = now
         # After a pause of this process the frames of the meantime are still
         # unread, so no endpoint is blamed before the loop has turned again.
         if late:
             return
-        for handle in tuple(self._handles.values()):
-            if handle.live is not None:
-                handle.live.tick(self._patience)
+        running = [each.live for each in self._handles.values() if each.live]
+        self._patience.prefill = _prefill_of(running)
+        for live in running:
+            live.tick(self._patience)
         self._start_ready()
 
+    def pace_s(self) -> float:
+        """Return the pause until the next tick, longer when nothing runs."""
+        return TICK_S if self._handles else IDLE_TICK_S
+
     def now(self) -> float:
         """Return the present time in seconds."""
         return self._clock.seconds()
@@ -147,6 +155,8 @@
         if handle is not None and handle.load is not None:
             handle.load.noted(action, self.now())
         match action:
+            case StepAnswered():
+                self._step_answered(action)
             case ChainStarted():
                 self._chain_started(answer, action)
             case StageReady(endpoint):
@@ -155,8 +165,6 @@
                 self._care.stage_refused(endpoint, fault)
             case AnswerRecovered(seconds):
                 self._board.metrics.answer_recovered(seconds)
-            case StepAnswered():
-                self._step_answered(action)
 
     def ended(self, answer: LiveAnswer, outcome: AnswerOutcome) -> None:
         """Free what an answer held."""
@@ -186,7 +194,7 @@
             self._board.wishes.wishes,
         )
         plan = handle.granted.plan
-        run = AnswerRun(plan, chains)
+        run = AnswerRun(plan, chains, self._board.retained_bytes)
         handle.load = AnswerLoad(self._board.pool, len(plan.prompt))
         handle.live = LiveAnswer(run, handle.sink, self._sessions, self)
         self._board.record(EventKind.REQUEST_ADMITTED, plan.stream, plan.model)
@@ -227,9 +235,18 @@
             step.positions,
             step.seconds,
         )
+        self._patience.answered(step.endpoint)
         self._care.answered(step.endpoint)
 
 
+def _prefill_of(running: Iterable[LiveAnswer]) -> Counter[str]:
+    awaited: Counter[str] = Counter()
+    for live in running:
+        for endpoint, positions in live.run.prefill_in_flight():
+            awaited[endpoint] += positions
+    return awaited
+
+
 def _ticket(
     req: GenerateRequest,
     granted: GrantedAnswer,
--- a/foxtailhatch/daemon/order_loop.py
+++ b/foxtailhatch/daemon/order_loop.py
@@ -9,6 +9,7 @@
 from foxtailhatch.config import Model
 from foxtailhatch.core import EventKind, LoadReport
 from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.daemon.settings import Settings
 from foxtailhatch.durable import LogFollower
 from foxtailhatch.durable.appends import AppendRecord
 from foxtailhatch.durable.fleet_view import ReportedEndpoint, fleet_view
@@ -17,7 +18,7 @@
 from foxtailhatch.durable.load_rate import LoadRate
 from foxtailhatch.durable.orders import OrderController, SendOrder
 from foxtailhatch.durable.placement import PlacementController
-from foxtailhatch.durable.wishes import WishRecord, encode_wish
+from foxtailhatch.durable.wishes import WishRecord, encode_wish, restatement
 from foxtailhatch.platform import (
     Engine,
     LogPage,
@@ -40,27 +41,29 @@
         engine: Engine,
         weights: WeightStore,
         holder: LeaseHolder,
-        load_bytes_per_s: float | None,
+        cfg: Settings,
         now: Callable[[], float],
     ) -> None:
         """Join the parts; nothing is read yet.
 
-        ``load_bytes_per_s`` is the weight store's rate.  An entry without it
-        reads the wishes and never takes the lease.
+        An entry whose settings have no ``placement`` reads the wishes and
+        never takes the lease.
         """
+        rate = cfg.placement.load_bytes_per_s if cfg.placement else 0
         self._board = board
         self._log = log
-        self._is_candidate = load_bytes_per_s is not None
+        self._is_candidate = cfg.placement is not None
         self._engine = engine
         self._weights = weights
         self._holder = holder
+        self._retention_s = cfg.periods.log_retention_s
         self._now = now
         self._leases = LeaseTable()
-        self._orders = OrderController(LoadRate(load_bytes_per_s or 0))
+        self._orders = OrderController(LoadRate(rate))
         self._placement = PlacementController(board.wall_time())
         self._lease_reads = LogFollower('leases', board.random)
         self._wish_reads = LogFollower('wishes', board.random)
-        self._acted_under = -1
+        self._acted_under: int | None = None
 
     async def step(self) -> None:
         """Read what is due, keep the lease, and act if it is held."""
@@ -71,20 +74,30 @@
         wall = self._board.wall_time()
         await self._append(self._holder.step(wall, self._leases))
         lease = self._holder.held(self._board.wall_time())
+        self._note(lease)
         if lease is not None and self._board.fold.in_force is not None:
-            self._note(lease)
-            await self._place(lease)
-            await self._order(lease)
+            await self._act(lease)
 
     async def release(self) -> None:
         """Give the lease back, as at a planned stop."""
         await self._append(self._holder.release(self._board.wall_time()))
 
-    def _note(self, lease: HeldLease) -> None:
-        if lease.fence != self._acted_under:
-            self._acted_under = lease.fence
-            name = self._holder.lease
-            self._board.record(EventKind.LEASE_TAKEN, name, str(lease.fence))
+    async def _act(self, lease: HeldLease) -> None:
+        await self._restate(lease)
+        await self._place(lease)
+        await self._order(lease)
+
+    def _note(self, lease: HeldLease | None) -> None:
+        fence = None if lease is None else lease.fence
+        before = self._acted_under
+        if fence == before:
+            return
+        self._acted_under = fence
+        name = self._holder.lease
+        if fence is None:
+            self._board.record(EventKind.LEASE_LOST, name, str(before))
+        else:
+            self._board.record(EventKind.LEASE_TAKEN, name, str(fence))
 
     async def _read_leases(self) -> None:
         page = await self._read(self._lease_reads, self._leases.wanted)
@@ -122,6 +135,16 @@
             self._lease_reads.hurry(wall)
             self._wish_reads.hurry(wall)
 
+    async def _restate(self, lease: HeldLease) -> None:
+        wish = restatement(
+            self._board.wall_time(),
+            self._board.wishes,
+            lease.fence,
+            self._retention_s,
+        )
+        if wish is not None:
+            await self._append(encode_wish(wish))
+
     async def _place(self, lease: HeldLease) -> None:
         cfg = self._board.fold.in_force
         if cfg is None:
