--- a/foxtailhatch/daemon/answers.py
+++ b/foxtailhatch/daemon/answers.py
@@ -108,6 +108,7 @@
     ) -> AnswerHandle:
         """Queue a request and start what may start now."""
         now = self.now()
+        self._board.shares.offered(req.caller.account, now)
         handle = AnswerHandle(req, granted, sink, self._withdraw)
         ticket = _ticket(req, granted, now)
         offered = self._board.admission.offer(ticket, now)
@@ -137,6 +138,12 @@
             live.tick(self._patience)
         self._start_ready()
 
+    def open_by_account(self) -> Counter[str]:
+        """Return how many answers of each account wait or run."""
+        return Counter(
+            handle.req.caller.account for handle in self._handles.values()
+        )
+
     def pace_s(self) -> float:
         """Return the pause until the next tick, longer when nothing runs."""
         return TICK_S if self._handles else IDLE_TICK_S
@@ -159,8 +166,9 @@
                 self._step_answered(action)
             case ChainStarted():
                 self._chain_started(answer, action)
-            case StageReady(endpoint):
+            case StageReady(endpoint, cached):
                 self._care.stage_opened(endpoint)
+                self._stage_ready(answer, endpoint, cached)
             case StageDenied(endpoint, fault):
                 self._care.stage_refused(endpoint, fault)
             case AnswerRecovered(seconds):
@@ -229,6 +237,18 @@
         names = '>'.join(stage.endpoint for stage in action.chain.stages)
         self._board.record(kind, answer.stream, f'{action.attempt}:{names}')
 
+    def _stage_ready(
+        self,
+        answer: LiveAnswer,
+        endpoint: str,
+        cached: int,
+    ) -> None:
+        blocks = answer.run.plan.blocks
+        prefixes = self._board.pool.prefixes
+        prefixes.opened(endpoint, blocks, cached, self.now())
+        # The prefill that follows leaves the whole prompt there.
+        prefixes.filled(endpoint, blocks, self.now())
+
     def _step_answered(self, step: StepAnswered) -> None:
         self._board.progress.measured(
             step.endpoint,
--- a/foxtailhatch/daemon/assembly.py
+++ b/foxtailhatch/daemon/assembly.py
@@ -20,6 +20,7 @@
 from foxtailhatch.daemon.peer_loop import PeerLoop
 from foxtailhatch.daemon.secrets import Secrets
 from foxtailhatch.daemon.settings import Settings
+from foxtailhatch.daemon.usage import Usage
 from foxtailhatch.membership import (
     Entry,
     EntryTable,
@@ -145,4 +146,5 @@
     seeds = [seed.address() for seed in cfg.seeds]
     board = parts.board
     gossip = Gossip(board.entries, board.random, seeds)
-    return PeerLoop(board, parts.care, configuration, gossip, node, now)
+    usage = Usage(board, parts.answers.open_by_account)
+    return PeerLoop(board, parts.care, configuration, gossip, usage, node, now)
--- a/foxtailhatch/daemon/blackboard.py
+++ b/foxtailhatch/daemon/blackboard.py
@@ -5,12 +5,12 @@
 from random import Random
 
 from foxtailhatch.config import ConfigurationFold, ConfigurationIndex
-from foxtailhatch.core import EventKind, HybridClock, Timeline
+from foxtailhatch.core import Address, EventKind, HybridClock, Timeline
 from foxtailhatch.daemon.logs import EventLog
 from foxtailhatch.daemon.metrics import Metrics
 from foxtailhatch.daemon.settings import Limits
 from foxtailhatch.durable.wishes import WishTable
-from foxtailhatch.limits import Admission, AdmissionBounds
+from foxtailhatch.limits import AccountShares, Admission, AdmissionBounds
 from foxtailhatch.membership import EndpointTable, EntryTable, PlannedStop
 from foxtailhatch.recovery import EndpointHealth, ProgressWatch, RetryBudget
 from foxtailhatch.routing import Pool
@@ -21,7 +21,7 @@
     """One entry's knowledge; each part is written by the part that owns it.
 
     ``leaves_seen`` names endpoints that said they leave, for the peers to be
-    told.  ``index`` is the configuration in force with its look-up tables, absent
+    told, and ``listed_peers`` are addresses of the platform's list.  ``index`` is the configuration in force with its look-up tables, absent
     until one is known.  ``random`` is the one source of randomness.
     """
 
@@ -32,6 +32,7 @@
     events: EventLog
     metrics: Metrics
     pool: Pool
+    shares: AccountShares
     entries: EntryTable
     stop: PlannedStop
     wall_time: Callable[[], float]
@@ -43,6 +44,7 @@
     admission: Admission = field(default_factory=Admission)
     fold: ConfigurationFold = field(default_factory=ConfigurationFold)
     wishes: WishTable = field(default_factory=WishTable)
+    listed_peers: frozenset[Address] = frozenset()
     leaves_seen: list[str] = field(default_factory=list)
     index: ConfigurationIndex | None = None
 
@@ -72,6 +74,7 @@
         events=EventLog(timeline),
         metrics=Metrics(clock.instance),
         pool=Pool(zone),
+        shares=AccountShares(clock.instance),
         entries=entries,
         stop=stop,
         wall_time=wall_time,
--- a/foxtailhatch/daemon/entry.py
+++ b/foxtailhatch/daemon/entry.py
@@ -28,7 +28,7 @@
     LogFollower,
 )
 from foxtailhatch.durable.lease_holder import LeaseHolder
-from foxtailhatch.routing import ShortestPathChooser
+from foxtailhatch.routing import ShortestPathChooser, prompt_blocks
 
 FOLLOW_STEP_S = 0.1
 CLAIM_STEP_S = 0.1
@@ -104,7 +104,7 @@
             answers,
             calls,
             ClaimedCalls(board, claims, calls),
-            _no_blocks,
+            prompt_blocks,
             partial(clock.callLater, 0),
         ),
     )
@@ -123,7 +123,8 @@
         care,
         guard,
     )
-    return Answers(board, care, sessions, ShortestPathChooser(), clock)
+    chooser = ShortestPathChooser(source=board.random)
+    return Answers(board, care, sessions, chooser, clock)
 
 
 def _watch(
@@ -198,7 +199,3 @@
     for period_s, step in steps:
         loops.every(period_s, step)
     loops.paced(parts.answers.pace_s, parts.answers.tick)
-
-
-def _no_blocks(prompt: tuple[int, ...]) -> tuple[str, ...]:
-    return ()
--- a/foxtailhatch/daemon/peer_loop.py
+++ b/foxtailhatch/daemon/peer_loop.py
@@ -7,6 +7,7 @@
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
 from foxtailhatch.daemon.endpoint_care import EndpointCare
+from foxtailhatch.daemon.usage import Usage
 from foxtailhatch.membership import (
     AskConfiguration,
     Digest,
@@ -22,6 +23,7 @@
     Message,
     PeerIdentity,
     PeerNode,
+    UsageReport,
 )
 
 
@@ -34,6 +36,7 @@
         care: EndpointCare,
         configuration: ConfigurationLoop,
         gossip: Gossip,
+        usage: Usage,
         node: PeerNode,
         now: Callable[[], float],
     ) -> None:
@@ -43,6 +46,7 @@
         self._care = care
         self._configuration = configuration
         self._gossip = gossip
+        self._usage = usage
         self._now = now
 
     async def step(self) -> None:
@@ -51,7 +55,12 @@
         while self._board.leaves_seen:
             endpoint = self._board.leaves_seen.pop()
             self._gossip.note_endpoint_leaving(endpoint, now)
+        self._gossip.note_addresses(self._board.listed_peers)
         self._carry_out(self._gossip.tick(now))
+        report = self._usage.due(now)
+        if report is not None:
+            for address in self._usage.addressees():
+                self.node.send(address, report)
 
     def take(self, peer: PeerIdentity, message: Message) -> None:
         """Take a message from a proven peer."""
@@ -62,6 +71,8 @@
                 self._push(peer.address, version)
             case ConfigurationPush():
                 self._adopt(message)
+            case UsageReport():
+                self._usage.take(message, self._now())
 
     def unreachable(self, address: Address) -> None:
         """Learn that no connection to a peer could be opened."""
@@ -75,8 +86,8 @@
                     self.node.send(address, digest, fresh_link=fresh_link)
                 case AskConfiguration(address, version):
                     self.node.send(address, ConfigurationAsk(version))
-                case EndpointLeaving(endpoint, _):
-                    self._leaving(endpoint)
+                case EndpointLeaving(endpoint, observed_at):
+                    self._leaving(endpoint, observed_at)
                 case EntryChange(entry, liveness):
                     self._board.record(
                         EventKind.MEMBER_CHANGED,
@@ -84,10 +95,11 @@
                         liveness.value,
                     )
 
-    def _leaving(self, endpoint: str) -> None:
+    def _leaving(self, endpoint: str, observed_at: float) -> None:
         changes = self._board.endpoints.note_leaving_observed(
             endpoint,
             self._now(),
+            observed_at=observed_at,
         )
         self._care.take_changes(changes)
 
--- a/foxtailhatch/daemon/platform_watch.py
+++ b/foxtailhatch/daemon/platform_watch.py
@@ -1,18 +1,21 @@
 """What the platform says of endpoints, read into the blackboard."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
 
 from returns.result import Success
 
-from foxtailhatch.core import EndpointKind, LoadReport
+from foxtailhatch.core import Address, EndpointKind, LoadReport
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.endpoint_care import EndpointCare
 from foxtailhatch.daemon.pause_watch import Source
-from foxtailhatch.platform import Engine, InstanceList
+from foxtailhatch.platform import Engine, InstanceList, LiveInstance
 from foxtailhatch.routing.polling import PollCandidate, PollSchedule
 
+ENTRY_ROLE = 'entry'
+PEER_PORT_LABEL = 'peer_port'
+
 
 class PlatformWatch:
     """Poll the live-instance list and the engines' load reports."""
@@ -44,7 +47,9 @@
             self.list_faults += 1
             return
         now = self._now()
-        changes = self._board.endpoints.note_list(listed.unwrap(), now)
+        shown = listed.unwrap()
+        self._board.listed_peers = frozenset(_peers(shown))
+        changes = self._board.endpoints.note_list(shown, now)
         self._care.take_changes(changes)
 
     async def read_loads(self) -> None:
@@ -96,3 +101,11 @@
         # The engine dates its report by wall time, the pool by the loop's.
         age_s = max(0, self._board.wall_time() - report.measured_at)
         return replace(report, measured_at=self._now() - age_s)
+
+
+def _peers(shown: Iterable[LiveInstance]) -> Iterator[Address]:
+    """Yield where entries listen for peers, as their label tells."""
+    for line in shown:
+        port = (line.labels or {}).get(PEER_PORT_LABEL, '')
+        if line.role == ENTRY_ROLE and port.isdecimal():
+            yield Address(line.address.host, int(port))
--- a/foxtailhatch/pipeline/actions.py
+++ b/foxtailhatch/pipeline/actions.py
@@ -25,9 +25,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StageReady:
-    """An endpoint opened its stage."""
+    """An endpoint opened its stage and holds ``cached`` positions of it."""
 
     endpoint: str
+    cached: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailhatch/pipeline/attempt.py
+++ b/foxtailhatch/pipeline/attempt.py
@@ -112,7 +112,7 @@
         stage.opened = True
         stage.cached = frame.cached
         stage.waiting_since = now
-        yield StageReady(stage.endpoint)
+        yield StageReady(stage.endpoint, frame.cached)
         if not self._fed and all(each.opened for each in self.stages):
             self._fed = True
             yield from self._feed(tokens, now)
--- a/tests/faults/entry.py
+++ b/tests/faults/entry.py
@@ -16,6 +16,7 @@
 from foxtailhatch.daemon.peer_loop import PeerLoop
 from foxtailhatch.daemon.settings import Settings
 from foxtailhatch.daemon.stopping import Stopping
+from foxtailhatch.daemon.usage import Usage
 from foxtailhatch.membership import Entry, EntryTable, Gossip, PlannedStop
 from tests.faults.engines import Engines
 from tests.faults.loop import VirtualClock
@@ -146,6 +147,7 @@
             self.parts.care,
             self.configuration,
             gossip,
+            Usage(board, self.parts.answers.open_by_account),
             node,
             clock.seconds,
         )
