--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -38,6 +38,8 @@
         self.bookings = []
         self.published = []
         self.injected = 0
+        self.marks = {}
+        self.marks_read = 0
 
     @property
     def answers(self):
@@ -141,14 +143,14 @@
         return is_reached and self._is_marked(name)
 
     def _is_marked(self, name):
-        kept = self.world.log.streams[CONFIGURATION_STREAM].records
-        records = [decode_record(each.body).unwrap() for each in kept]
-        marks = {
-            record.instance: record.mark
-            for record in records
-            if isinstance(record, MarkRecord)
-        }
-        return marks.get(name) is Mark.LEAVE
+        stream = self.world.log.streams[CONFIGURATION_STREAM]
+        unread = max(0, self.marks_read - stream.first)
+        for logged in stream.records[unread:]:
+            record = decode_record(logged.body).unwrap()
+            if isinstance(record, MarkRecord):
+                self.marks[record.instance] = record.mark
+        self.marks_read = stream.end
+        return self.marks.get(name) is Mark.LEAVE
 
     async def _rejoin(self, left):
         now = self.world.loop.time()
