--- a/foxtailhatch/daemon/answers.py
+++ b/foxtailhatch/daemon/answers.py
@@ -191,7 +191,10 @@
     def _start_ready(self) -> None:
         if not self._care.pause.is_current():
             return
-        for ticket in self._board.admission.take(self.now()):
+        started = self._board.admission.take(self.now())
+        # While requests wait, the chooser puts throughput before latency.
+        self._board.pool.waiting = len(self._board.admission.waiting)
+        for ticket in started:
             self._start(self._handles[ticket.ticket_id])
 
     def _start(self, handle: AnswerHandle) -> None:
