Survive faulty engines and failed steps of loops

Cause: a review of the proof showed that an output with a wrong count of activations broke an invariant, so that one faulty engine stopped every entry, and that any exception but a broken invariant silently ended a loop. Change: an output that does not answer its step gets its endpoint replaced; a loop logs and counts the exception and goes on. The old test of a short output is replaced by three: the stage is replaced, an output nobody asked for is replaced, and the relay still asserts the count. The test that turns off repeated appends failed by a wrong signature, not by the mechanism; its patch now takes appends for landed.

--- a/foxtailhatch/daemon/claim_loop.py
+++ b/foxtailhatch/daemon/claim_loop.py
@@ -46,9 +46,11 @@
 
     async def step(self) -> None:
         """Start the log calls that are due, and settle what time settles."""
-        # What a call raised ends the loop that started it.
-        if self._failure is not None:
-            raise self._failure
+        # What a call raised is raised in the loop that started it.
+        failure = self._failure
+        self._failure = None
+        if failure is not None:
+            raise failure
         self._start_due()
         now = self._board.wall_time()
         self._settle(self.desk.step(now, self._log_up()))
--- a/foxtailhatch/daemon/loops.py
+++ b/foxtailhatch/daemon/loops.py
@@ -1,21 +1,26 @@
 """Calls repeated for as long as the daemon runs."""
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 
 from foxtailhatch.core import InvariantBroken
 
 Step = Callable[[], Awaitable[None]]
 
+_LOGGER = logging.getLogger('foxtailhatch')
+
 
 class Loops:
     """Run coroutines again and again, each in a task of its own.
 
-    A broken invariant goes to ``on_broken``; it alone ends a loop.
+    A broken invariant goes to ``on_broken``; it alone ends a loop.  Any other
+    exception is logged and counted in ``failures``, and the loop goes on.
     """
 
     def __init__(self, on_broken: Callable[[InvariantBroken], None]) -> None:
         """Start with no loop."""
+        self.failures = 0
         self._on_broken = on_broken
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -39,4 +44,8 @@
             except InvariantBroken as exc:
                 self._on_broken(exc)
                 return
+            except Exception as failure:
+                # One bad step must not silence a part for good.
+                self.failures += 1
+                _LOGGER.error('a loop failed', exc_info=failure)
             await asyncio.sleep(pace())
--- a/foxtailhatch/pipeline/answer.py
+++ b/foxtailhatch/pipeline/answer.py
@@ -186,6 +186,10 @@
             return []
         if isinstance(frame, StageOpened):
             return self._noted(attempt.opened(index, frame, self._tokens, now))
+        if not attempt.fits(index, frame):
+            # What a faulty engine says must not stop this process.
+            self._excluded.add(endpoint)
+            return list(self._recover({endpoint}, now, now))
         self._answered = True
         return list(self._advance(attempt, index, frame, now))
 
--- a/foxtailhatch/pipeline/attempt.py
+++ b/foxtailhatch/pipeline/attempt.py
@@ -100,6 +100,11 @@
                 return index
         return None
 
+    def fits(self, index: int, frame: StageOutput) -> bool:
+        """Tell whether a stage's output answers what it was sent."""
+        is_last = index + 1 == len(self.stages)
+        return self.stages[index].fits(frame, is_last=is_last)
+
     def opened(
         self,
         index: int,
@@ -110,7 +115,7 @@
         """Note an open stage, and feed all once every one is open."""
         stage = self.stages[index]
         stage.opened = True
-        stage.cached = frame.cached
+        stage.cached = max(0, frame.cached)
         stage.waiting_since = now
         yield StageReady(stage.endpoint, frame.cached)
         if not self._fed and all(each.opened for each in self.stages):
--- a/foxtailhatch/pipeline/stage.py
+++ b/foxtailhatch/pipeline/stage.py
@@ -54,10 +54,24 @@
         """Return how many positions the oldest step in flight has."""
         return self.steps[0].count if self.steps else 0
 
+    def fits(self, output: StageOutput, *, is_last: bool) -> bool:
+        """Tell whether an output answers a step as its engine must.
+
+        One of a step that was answered before is no fault of the engine's.
+        """
+        if output.position < self._expected():
+            return True
+        for step in self.steps:
+            if step.position == output.position:
+                if is_last:
+                    return output.token is not None
+                return len(output.activations) == step.count
+        return False
+
     def take(self, output: StageOutput) -> bool:
         """Hold an output; return whether it is new to this attempt."""
-        expected = self.steps[0].position if self.steps else self.next_in
-        if output.position < expected or output.position in self.early:
+        known = output.position in self.early
+        if known or output.position < self._expected():
             return False
         self.early[output.position] = output
         return True
@@ -70,3 +84,6 @@
         output = self.early.pop(step.position)
         self.waiting_since = now
         return step, output
+
+    def _expected(self) -> int:
+        return self.steps[0].position if self.steps else self.next_in
