Claim answers of models that may not repeat

Change: such an answer needs a key, waits until its claim is first in the log's order, and is kept for a second try; one that was cut off is called unknown. Before: the gateway admitted it without a claim. After: tests over separate processes see one chain chosen for two entries asked under one key. Conclusion: at most once holds for answers as for calls.

--- a/foxtailhatch/callers/answers.py
+++ b/foxtailhatch/callers/answers.py
@@ -87,6 +87,7 @@
                 max_tokens=body.max_tokens,
                 received=_tokens(front.tokenizer, body.received),
                 key=headers.key,
+                first_try=headers.first_try,
                 deadline_s=headers.deadline_s or front.limits.first_token_s,
             ),
             body.stream,
--- a/foxtailhatch/callers/gateway.py
+++ b/foxtailhatch/callers/gateway.py
@@ -18,6 +18,7 @@
     ``prompt`` is a sequence of token ids.  ``received`` holds the answer's
     tokens that the caller already has from an entry that died; the answer
     goes on after them.  ``deadline_s`` bounds the wait for the first token.
+    ``first_try`` is the caller's word that it never sent ``key`` before.
     """
 
     request_id: str
@@ -27,6 +28,7 @@
     max_tokens: int
     received: tuple[int, ...] = ()
     key: str | None = None
+    first_try: bool = False
     deadline_s: float | None = None
 
 
--- a/foxtailhatch/daemon/entry.py
+++ b/foxtailhatch/daemon/entry.py
@@ -8,6 +8,7 @@
 from foxtailhatch.daemon.answers import Answers
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.claim_loop import ClaimLoop
+from foxtailhatch.daemon.claimed_answers import ClaimedAnswers
 from foxtailhatch.daemon.claimed_calls import ClaimedCalls
 from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
 from foxtailhatch.daemon.endpoint_care import EndpointCare
@@ -104,6 +105,7 @@
             answers,
             calls,
             ClaimedCalls(board, claims, calls),
+            ClaimedAnswers(board, claims, answers, guard.invariant_broken),
             prompt_blocks,
             partial(clock.callLater, 0),
         ),
--- a/foxtailhatch/daemon/gateway.py
+++ b/foxtailhatch/daemon/gateway.py
@@ -27,6 +27,7 @@
 from foxtailhatch.core import Caller, ErrorCode, Refusal
 from foxtailhatch.daemon.answers import Answers
 from foxtailhatch.daemon.blackboard import Blackboard
+from foxtailhatch.daemon.claimed_answers import ClaimedAnswers
 from foxtailhatch.daemon.claimed_calls import ClaimedCalls
 from foxtailhatch.daemon.grants import NO_CONFIGURATION, grant_answer
 from foxtailhatch.daemon.service_calls import InProgress, ServiceCalls
@@ -60,6 +61,7 @@
         answers: Answers,
         calls: ServiceCalls,
         claimed: ClaimedCalls,
+        claimed_answers: ClaimedAnswers,
         blocks: Callable[[tuple[int, ...]], tuple[str, ...]],
         later: Callable[[Callable[[], None]], object],
     ) -> None:
@@ -68,6 +70,7 @@
         self._answers = answers
         self._calls = calls
         self._claimed = claimed
+        self._claimed_answers = claimed_answers
         self._blocks = blocks
         self._running: Counter[str] = Counter()
         self._later = later
@@ -102,15 +105,23 @@
         sink: AnswerSink,
     ) -> RunningAnswer:
         """Admit and run a request; refusals go to the sink too."""
-        granted = grant_answer(self._board.index, req, self._blocks)
+        found = grant_answer(self._board.index, req, self._blocks)
         refusal = self._stopping()
-        if refusal is None and not isinstance(granted, Success):
-            refusal = granted.failure()
-        if refusal is not None:
-            told = refusal
-            self._later(lambda: sink.failed(told))
-            return EndedAnswer()
-        return self._answers.admit(req, granted.unwrap(), sink)
+        if not isinstance(found, Success):
+            return self._refuse(found.failure(), sink)
+        granted = found.unwrap()
+        if granted.plan.repeatable and refusal is None:
+            return self._answers.admit(req, granted, sink)
+        if refusal is None:
+            return self._claimed_answers.run(req, granted, sink)
+        if not granted.plan.repeatable:
+            refusal = refused_unclaimed(refusal, req.key, req.first_try)
+        return self._refuse(refusal, sink)
+
+    def _refuse(self, refusal: Refusal, sink: AnswerSink) -> RunningAnswer:
+        # The front gets its handle before it hears of the end.
+        self._later(lambda: sink.failed(refusal))
+        return EndedAnswer()
 
     async def call_service(
         self,
@@ -124,8 +135,8 @@
             return await self._call_service(req)
 
     def calls_running(self) -> int:
-        """Return the number of service calls in progress."""
-        return self._running.total()
+        """Return the number of service calls and claims in progress."""
+        return self._running.total() + len(self._claimed_answers)
 
     async def _call_service(
         self,
--- /dev/null
+++ b/tests/whole/test_claimed_answers.py
@@ -0,0 +1,118 @@
+"""Answers of models that run at most once, over separate processes."""
+
+import time
+
+import pytest
+
+from demo.launcher import new_launcher
+from demo.system import (
+    LAYERS,
+    MODEL,
+    TOKEN,
+    call,
+    configuration,
+    environment,
+    open_call,
+    start_engines,
+    start_platform,
+)
+
+ONCE = {'name': 'once', 'callers': {}, 'targets': {}, 'repeatable': False}
+
+
+@pytest.fixture(scope='module')
+def system():
+    with new_launcher(environment()) as launcher:
+        running = start_platform(launcher)
+        start_engines(running, (0, 6, LAYERS))
+        for name in ('entry-1', 'entry-2'):
+            running.start_entry(name, 'thrissur-a')
+        running.publish(configuration(selectors=[ONCE]), 0, 'entry-1')
+        for name in ('entry-1', 'entry-2'):
+            wait_until_reachable(running, name)
+        yield running
+
+
+def wait_until_reachable(system, entry):
+    """Wait until an entry knows the configuration and the engines."""
+    deadline = time.monotonic() + 20
+    while True:
+        status = system.status(entry)
+        known = status['configuration_version'] == 1
+        if known and len(status['endpoints']) == 2:
+            return
+        assert time.monotonic() < deadline
+        time.sleep(0.05)
+
+
+def document(max_tokens=30, **more):
+    return {
+        'model': MODEL,
+        'prompt': 'Reorder diesel for the mine.',
+        'max_tokens': max_tokens,
+        **more,
+    }
+
+
+def ask(system, entry, key=None, **more):
+    headers = {} if key is None else {'Idempotency_Key': key}
+    address = system.entries[entry].address
+    asked = document(**more)
+    return call(address, 'POST', '/v1/completions', asked, TOKEN, **headers)
+
+
+def new_key(name):
+    return f'{int(time.time())}-{name}'
+
+
+def chains_chosen(system):
+    return sum(
+        event['event'] == 'chain_chosen'
+        for entry in system.entries.values()
+        for event in call(entry.address, 'GET', '/timeline').json()
+    )
+
+
+def test_without_a_key_the_answer_is_not_run(system):
+    answer = ask(system, 'entry-1')
+    assert answer.json()['error']['code'] == 'key_required'
+    assert answer.json()['error']['run'] == 'not_run'
+
+
+def test_an_answer_that_may_not_repeat_runs_once_under_its_key(system):
+    key = new_key('once')
+    before = chains_chosen(system)
+    first = ask(system, 'entry-1', key)
+    second = ask(system, 'entry-2', key)
+    text = first.json()['choices'][0]['text']
+    assert len(text) == 30
+    assert second.json()['choices'][0]['text'] == text
+    assert chains_chosen(system) == before + 1
+
+
+def test_another_request_under_the_same_key_is_not_run(system):
+    key = new_key('reused')
+    assert ask(system, 'entry-1', key).status == 200
+    other = ask(system, 'entry-1', key, max_tokens=5)
+    assert other.json()['error']['code'] == 'key_reused'
+
+
+def test_an_answer_cut_off_by_its_caller_is_not_run_again(system):
+    key = new_key('cut')
+    address = system.entries['entry-1'].address
+    for engine in system.engines.values():
+        call(engine.admin, 'POST', '/faults', {'slow_s': 0.02})
+    response = open_call(
+        address,
+        'POST',
+        '/v1/completions',
+        document(max_tokens=60, stream=True),
+        TOKEN,
+        Idempotency_Key=key,
+    )
+    response.readline()
+    response.close()
+    before = chains_chosen(system)
+    again = ask(system, 'entry-2', key, max_tokens=60)
+    assert again.json()['error']['run'] == 'unknown'
+    assert chains_chosen(system) == before
