Bound kept activations, count every log fault and keep entries' marks apart

Change: 128 answers keep 1 MB each at most; the faults are counted; marks on entries stay with the entries; a mark read after the start carries its time.

--- a/foxtailhatch/daemon/configuration_loop.py
+++ b/foxtailhatch/daemon/configuration_loop.py
@@ -49,6 +49,7 @@
     ) -> None:
         """Join the parts; nothing is read yet."""
         self._marks_taken: dict[str, str] = {}
+        self._has_caught_up = False
         self._board = board
         self._log = log
         self._care = care
@@ -73,7 +74,9 @@
         if self._follower.page_read(self._now(), known, fold.wanted):
             self._record(EventKind.LOG_AVAILABLE, CONFIGURATION_STREAM)
         self.take(outcomes)
-        await self._write_snapshot(known.end == fold.wanted)
+        is_at_end = known.end == fold.wanted
+        self._has_caught_up = self._has_caught_up or is_at_end
+        await self._write_snapshot(is_at_end)
 
     async def publish(
         self,
@@ -181,11 +184,20 @@
         now = self._now()
         self._record(EventKind.MARK_CHANGED, f'{instance} {mark.value}')
         self._board.entries.note_mark(instance, mark)
-        self._care.take_changes(
-            self._board.endpoints.note_mark(instance, mark, now),
-        )
-        if instance == self._board.name and mark is Mark.STOP:
+        own = instance == self._board.name
+        if own and mark is Mark.STOP:
             self._board.stop.ask(now)
+        if own or self._board.entries.record(instance) is not None:
+            return
+        # What was read at the start may have been made at any time before.
+        made_at = now if self._has_caught_up else None
+        changes = self._board.endpoints.note_mark(
+            instance,
+            mark,
+            now,
+            made_at=made_at,
+        )
+        self._care.take_changes(changes)
 
     def _record(self, kind: EventKind, subject: str) -> None:
         self._board.record(kind, subject)
--- a/foxtailhatch/daemon/order_loop.py
+++ b/foxtailhatch/daemon/order_loop.py
@@ -125,12 +125,15 @@
         page = await self._log.read(due.stream, due.offset, due.limit)
         known: LogPage | None = page.value_or(None)
         if known is None:
+            self._board.metrics.log_failed(page.failure().fault)
             follower.read_failed(self._board.wall_time())
         return known
 
     async def _append(self, record: AppendRecord | None) -> None:
         if record is not None:
-            await self._log.append(record.stream, record.body)
+            appended = await self._log.append(record.stream, record.body)
+            if not isinstance(appended, Success):
+                self._board.metrics.log_failed(appended.failure().fault)
             wall = self._board.wall_time()
             self._lease_reads.hurry(wall)
             self._wish_reads.hurry(wall)
--- a/foxtailhatch/daemon/settings.py
+++ b/foxtailhatch/daemon/settings.py
@@ -119,11 +119,11 @@
     """Bounds on what the instance takes in."""
 
     body_bytes: Count = 1_048_576
-    running_answers: Count = 256
+    running_answers: Count = 128
     queued_requests: Count = 1000
     timeline_events: Count = 20_000
     claim_streams: Count = 4
-    retained_bytes: Size = 4_194_304
+    retained_bytes: Size = 1_048_576
 
 
 class Placement(Section):
