Give names one bound in settings, configuration and frames

Cause: the border's types stood twice, and a name of 65 to 200 characters that settings accepted was refused by every peer. Change: one module holds the shared types; a name has at most 200 characters everywhere.

--- a/foxtailhatch/config/changes.py
+++ b/foxtailhatch/config/changes.py
@@ -21,12 +21,12 @@
     json_path,
     reference_faults,
 )
-from foxtailhatch.config.sections import Document
+from foxtailhatch.core.border import StrictDocument
 
 _Fields = Mapping[str, Any]
 
 
-class ChangesDocument(Document):
+class ChangesDocument(StrictDocument):
     """Entries to put in place by name, and names to remove, by section."""
 
     put: ConfigurationDocument = ConfigurationDocument()
--- a/foxtailhatch/config/documents.py
+++ b/foxtailhatch/config/documents.py
@@ -32,18 +32,18 @@
     AccountDocument,
     AdapterDocument,
     CallerDocument,
-    Document,
     EndpointDocument,
     ModelDocument,
     SelectorDocument,
     ServiceDocument,
 )
 from foxtailhatch.core import Address, Endpoint
+from foxtailhatch.core.border import StrictDocument
 
 MirrorT = TypeVar('MirrorT')
 
 
-class ConfigurationDocument(Document):
+class ConfigurationDocument(StrictDocument):
     """All that operators publish, in one document."""
 
     accounts: tuple[AccountDocument, ...] = ()
@@ -111,7 +111,7 @@
 
 def _mirror(
     kind: type[MirrorT],
-    documents: Iterable[Document],
+    documents: Iterable[StrictDocument],
 ) -> tuple[MirrorT, ...]:
     return tuple(kind(**dict(document)) for document in documents)
 
--- a/foxtailhatch/config/sections.py
+++ b/foxtailhatch/config/sections.py
@@ -4,50 +4,23 @@
 :mod:`foxtailhatch.config.configuration`.
 """
 
-import ipaddress
 from typing import Annotated
 
-from pydantic import (
-    AfterValidator,
-    BaseModel,
-    ConfigDict,
-    Field,
-    StringConstraints,
-)
+from pydantic import Field, StringConstraints
 
 from foxtailhatch.core import EndpointKind
+from foxtailhatch.core.border import (
+    MAX_PORT,
+    IpNumber,
+    Name,
+    StrictDocument,
+)
 
-MAX_NAME_CHARS = 200
-MAX_PORT = 65535
-
-
-def _ip_number(text: str) -> str:
-    """Return ``text`` if it is an IP number, else raise ``ValueError``."""
-    ipaddress.ip_address(text)
-    return text
-
-
-Name = Annotated[
-    str,
-    StringConstraints(pattern=r'^[^\s/]+$', max_length=MAX_NAME_CHARS),
-]
 Digest = Annotated[str, StringConstraints(pattern='^[0-9a-f]{64}$')]
-IpNumber = Annotated[str, AfterValidator(_ip_number)]
 LabelsDocument = dict[str, str]
 
 
-class Document(BaseModel):
-    """The base of all documents: strict types and no unknown keys."""
-
-    model_config = ConfigDict(
-        strict=True,
-        extra='forbid',
-        frozen=True,
-        allow_inf_nan=False,
-    )
-
-
-class AccountDocument(Document):
+class AccountDocument(StrictDocument):
     """A client account."""
 
     name: Name
@@ -56,7 +29,7 @@
     max_running: int | None = Field(default=None, ge=1)
 
 
-class CallerDocument(Document):
+class CallerDocument(StrictDocument):
     """A caller; the digest is 64 hexadecimal digits in lower case."""
 
     name: Name
@@ -65,7 +38,7 @@
     labels: LabelsDocument = {}
 
 
-class ModelDocument(Document):
+class ModelDocument(StrictDocument):
     """A model in the version that shall serve."""
 
     name: Name
@@ -74,7 +47,7 @@
     labels: LabelsDocument = {}
 
 
-class AdapterDocument(Document):
+class AdapterDocument(StrictDocument):
     """An adapter of a model."""
 
     name: Name
@@ -82,7 +55,7 @@
     labels: LabelsDocument = {}
 
 
-class ServiceDocument(Document):
+class ServiceDocument(StrictDocument):
     """A plain service."""
 
     name: Name
@@ -92,14 +65,14 @@
     labels: LabelsDocument = {}
 
 
-class AddressDocument(Document):
+class AddressDocument(StrictDocument):
     """An IP number and a port."""
 
     host: IpNumber
     port: int = Field(ge=1, le=MAX_PORT)
 
 
-class EndpointDocument(Document):
+class EndpointDocument(StrictDocument):
     """An endpoint that the live-instance list does not show."""
 
     name: Name
@@ -111,7 +84,7 @@
     checks_fencing: bool = False
 
 
-class SelectorDocument(Document):
+class SelectorDocument(StrictDocument):
     """A selector over labels."""
 
     name: Name
--- a/foxtailhatch/daemon/settings.py
+++ b/foxtailhatch/daemon/settings.py
@@ -1,54 +1,26 @@
 """An instance's settings: one JSON file, read once at the start."""
 
-import ipaddress
 from pathlib import Path
 from typing import Annotated
 
-from pydantic import (
-    AfterValidator,
-    BaseModel,
-    ConfigDict,
-    Field,
-    StringConstraints,
-    ValidationError,
-)
+from pydantic import Field, ValidationError
 from returns.result import Failure, Result, Success
 
 from foxtailhatch.core import Address
+from foxtailhatch.core.border import (
+    MAX_PORT,
+    IpNumber,
+    Name,
+    StrictDocument,
+)
 from foxtailhatch.core.json_faults import ROOT_PATH, JsonFault, json_faults
 
-MAX_NAME_CHARACTERS = 200
-MAX_PORT = 65_535
-
-
-def _ip_number(text: str) -> str:
-    """Return ``text`` if it is an IP number, else raise ``ValueError``."""
-    ipaddress.ip_address(text)
-    return text
-
-
-IpNumber = Annotated[str, AfterValidator(_ip_number)]
-Name = Annotated[
-    str,
-    StringConstraints(pattern=r'^[^\s/]+$', max_length=MAX_NAME_CHARACTERS),
-]
 Seconds = Annotated[float, Field(gt=0)]
 Count = Annotated[int, Field(ge=1)]
 Size = Annotated[int, Field(ge=0)]
 
 
-class Section(BaseModel):
-    """The base of all parts: strict types and no unknown fields."""
-
-    model_config = ConfigDict(
-        strict=True,
-        extra='forbid',
-        frozen=True,
-        allow_inf_nan=False,
-    )
-
-
-class AddressSettings(Section):
+class AddressSettings(StrictDocument):
     """An IP number and a port; a listener may leave its port open with 0."""
 
     host: IpNumber
@@ -59,14 +31,14 @@
         return Address(self.host, self.port)
 
 
-class FrontAddresses(Section):
+class FrontAddresses(StrictDocument):
     """One address towards callers and one towards the other entries."""
 
     callers: AddressSettings
     peers: AddressSettings
 
 
-class PlatformAddresses(Section):
+class PlatformAddresses(StrictDocument):
     """Where the platform's services are."""
 
     log: AddressSettings
@@ -74,14 +46,14 @@
     weight_store: AddressSettings
 
 
-class SecretSource(Section):
+class SecretSource(StrictDocument):
     """Where a secret is read from; exactly one of the two is given."""
 
     file: str | None = None
     environment: str | None = None
 
 
-class SecretSources(Section):
+class SecretSources(StrictDocument):
     """The secrets of an instance.
 
     ``peer_key`` is shared by all entries of one user; without an
@@ -92,7 +64,7 @@
     operator_key: SecretSource | None = None
 
 
-class Timeouts(Section):
+class Timeouts(StrictDocument):
     """How long the instance waits for others, in seconds."""
 
     request_body_s: Seconds = 10
@@ -106,7 +78,7 @@
     planned_stop_s: Seconds | None = None
 
 
-class Periods(Section):
+class Periods(StrictDocument):
     """How often the instance looks or tells, in seconds."""
 
     log_poll_s: Seconds = 1
@@ -115,7 +87,7 @@
     entry_advice_keep_s: Seconds = 30
 
 
-class Limits(Section):
+class Limits(StrictDocument):
     """Bounds on what the instance takes in."""
 
     body_bytes: Count = 1_048_576
@@ -126,7 +98,7 @@
     retained_bytes: Size = 1_048_576
 
 
-class Placement(Section):
+class Placement(StrictDocument):
     """How this instance may decide what engines load.
 
     ``load_bytes_per_s`` is the rate that the weight store bears.
@@ -135,7 +107,7 @@
     load_bytes_per_s: Annotated[float, Field(gt=0)]
 
 
-class Settings(Section):
+class Settings(StrictDocument):
     """All settings of one entry instance.
 
     ``advertise`` is what others are told to connect to; without it they are
--- a/foxtailhatch/peers/wire.py
+++ b/foxtailhatch/peers/wire.py
@@ -10,12 +10,12 @@
 
 from pydantic import Field
 
+from foxtailhatch.core.border import MAX_NAME_CHARS, MAX_PORT
+
 PROTOCOL_VERSION = 1
 FRAME_MAX_BYTES = 65_536
 CONFIGURATION_MAX_BYTES = 4 * 1024 * 1024
-NAME_MAX = 64
 HOST_MAX = 45
-PORT_MAX = 65_535
 COUNT_MAX = sys.maxsize
 ENTRIES_MAX = 512
 LINES_MAX = 64
@@ -24,13 +24,15 @@
 AGE_MAX_S = 3600
 LOAD_MAX = 100_000
 
-Name = Annotated[str, Field(strict=True, min_length=1, max_length=NAME_MAX)]
-Zone = Annotated[str, Field(strict=True, max_length=NAME_MAX)]
+Name = Annotated[
+    str, Field(strict=True, min_length=1, max_length=MAX_NAME_CHARS)
+]
+Zone = Annotated[str, Field(strict=True, max_length=MAX_NAME_CHARS)]
 Host = Annotated[
     str,
     Field(strict=True, max_length=HOST_MAX, pattern='^[0-9a-fA-F.:]+$'),
 ]
-Port = Annotated[int, Field(strict=True, ge=0, le=PORT_MAX)]
+Port = Annotated[int, Field(strict=True, ge=0, le=MAX_PORT)]
 Count = Annotated[int, Field(strict=True, ge=0, le=COUNT_MAX)]
 Small = Annotated[int, Field(strict=True, ge=0, le=LOAD_MAX)]
 Number = Annotated[float, Field(ge=0, le=COUNT_MAX, allow_inf_nan=False)]
