--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,7 @@
 BENCHMARKS = (
     ('bench.relay', '--tokens', '60', '--rounds', '1'),
     ('bench.daemon_relay',),
-    ('bench.recovery',),
+    ('bench.recovery', '--length', '50', '--length', '800', '--repeats', '1'),
     ('bench.durable',),
     ('bench.membership',),
     ('bench.limits',),
