--- a/foxtailhatch/daemon/order_loop.py
+++ b/foxtailhatch/daemon/order_loop.py
@@ -27,6 +27,8 @@
     WeightStore,
 )
 
+PLACE_PERIOD_S = 2.0
+
 
 class OrderLoop:
     """Hold the placement lease if nobody else does, and act under it.
@@ -150,10 +152,12 @@
 
     async def _place(self, lease: HeldLease) -> None:
         cfg = self._board.fold.in_force
-        if cfg is None:
+        wall = self._board.wall_time()
+        if cfg is None or wall < self._place_at:
             return
+        self._place_at = wall + PLACE_PERIOD_S
         view = fleet_view(cfg, self._reported(), self._board.wishes.wishes)
-        move = self._placement.step(self._board.wall_time(), view)
+        move = self._placement.step(wall, view)
         if move is not None:
             wish = WishRecord(lease.fence, move.endpoint, (move.holding,))
             await self._append(encode_wish(wish))
