--- a/foxtailhatch/daemon/order_loop.py
+++ b/foxtailhatch/daemon/order_loop.py
@@ -66,6 +66,7 @@
         self._lease_reads = LogFollower('leases', board.random)
         self._wish_reads = LogFollower('wishes', board.random)
         self._acted_under: int | None = None
+        self._place_at = float(0)
 
     async def step(self) -> None:
         """Read what is due, keep the lease, and act if it is held."""
