Give the placement lease back at a planned stop

Cause: nothing called the release, so after a planned stop of its holder the lease had to lapse before another entry could place models.

--- a/foxtailhatch/daemon/app.py
+++ b/foxtailhatch/daemon/app.py
@@ -141,6 +141,7 @@
             parts.running,
             reactor.seconds,
             reactor.stop,
+            parts.orders.release,
         )
         loops = Loops(parts.guard.invariant_broken)
         start_loops(loops, parts, following, stopping, self._cfg.periods)
--- a/foxtailhatch/daemon/stopping.py
+++ b/foxtailhatch/daemon/stopping.py
@@ -1,6 +1,6 @@
 """The planned stop of a running entry."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from foxtailhatch.core import EventKind
 from foxtailhatch.daemon.blackboard import Blackboard
@@ -21,8 +21,13 @@
         running: Callable[[], int],
         now: Callable[[], float],
         leave: Callable[[], object],
+        release: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
-        """Join the parts; ``leave`` ends the loop."""
+        """Join the parts; ``leave`` ends the loop.
+
+        ``release`` gives back what others would else wait for.
+        """
+        self._release = release
         self._board = board
         self._running = running
         self._now = now
@@ -51,4 +56,6 @@
                 self._board.name,
                 f'{step.cut} cut by the bound',
             )
+            if self._release is not None:
+                await self._release()
             self._leave()
