--- a/bench/claim_latency.py
+++ b/bench/claim_latency.py
@@ -17,7 +17,7 @@
     MayRun,
     ReadStream,
 )
-from foxtailhatch.platform import LogPage
+from foxtailhatch.outside import LogPage
 
 Call = Callable[[float], None]
 
--- a/bench/entry_model.py
+++ b/bench/entry_model.py
@@ -10,7 +10,7 @@
 from bench.pools import OTHER_ZONE_ONE_WAY_S, SAME_ZONE_ONE_WAY_S
 from foxtailhatch.core import Caller, Chain, Holding, LoadReport
 from foxtailhatch.limits import Admission, Ticket
-from foxtailhatch.platform import CachePage
+from foxtailhatch.outside import CachePage
 from foxtailhatch.routing import ChainChooser, ChainQuery, Pool
 
 REPORT_EVERY_S = 0.5
--- a/bench/memory_log.py
+++ b/bench/memory_log.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 
-from foxtailhatch.platform import LogPage, LogRecord
+from foxtailhatch.outside import LogPage, LogRecord
 
 
 class MemoryLog:
--- a/bench/pool_model.py
+++ b/bench/pool_model.py
@@ -21,7 +21,7 @@
     LayerRange,
     LoadReport,
 )
-from foxtailhatch.platform import CacheEvent, CachePage
+from foxtailhatch.outside import CacheEvent, CachePage
 
 BLOCK_TOKENS = 16
 
--- a/bench/relay_adapter.py
+++ b/bench/relay_adapter.py
@@ -17,15 +17,15 @@
     stage_layers,
 )
 from foxtailhatch.core import Address, Endpoint, EndpointKind
-from foxtailhatch.platform import (
+from foxtailhatch.outside import (
     DownFrame,
     EngineSession,
     OpenStage,
     StageOutput,
     StepStage,
 )
-from foxtailhatch.platform.engine_http import HttpEngine
-from foxtailhatch.platform.http_client import HttpClient
+from foxtailhatch.outside.engine_http import HttpEngine
+from foxtailhatch.outside.http_client import HttpClient
 
 
 class _Relay:
--- a/bench/relay_requests.py
+++ b/bench/relay_requests.py
@@ -14,15 +14,15 @@
     stage_layers,
 )
 from foxtailhatch.core import Address
-from foxtailhatch.platform import (
+from foxtailhatch.outside import (
     DownFrame,
     OpenStage,
     StageOutput,
     StepStage,
     UpFrame,
 )
-from foxtailhatch.platform.frames_json import decode_down, encode_frame
-from foxtailhatch.platform.http_client import HttpCall, HttpClient
+from foxtailhatch.outside.frames_json import decode_down, encode_frame
+from foxtailhatch.outside.http_client import HttpCall, HttpClient
 
 
 class _Relay:
--- a/bench/sessions.py
+++ b/bench/sessions.py
@@ -17,10 +17,10 @@
 
 from bench.relay import started_engine
 from foxtailhatch.core import Address, Endpoint, EndpointKind
-from foxtailhatch.platform import DownFrame
-from foxtailhatch.platform.engine_http import HttpEngine
-from foxtailhatch.platform.http_client import HttpClient
-from foxtailhatch.platform.session_http import SessionTiming
+from foxtailhatch.outside import DownFrame
+from foxtailhatch.outside.engine_http import HttpEngine
+from foxtailhatch.outside.http_client import HttpClient
+from foxtailhatch.outside.session_http import SessionTiming
 
 NEVER_S = 1e6
 KINDS = {'kept_open': NEVER_S, 'resting': 1.0}
--- a/bench/time_to_force.py
+++ b/bench/time_to_force.py
@@ -15,7 +15,7 @@
     render_configuration,
 )
 from foxtailhatch.durable import LogFollower
-from foxtailhatch.platform import LogPage
+from foxtailhatch.outside import LogPage
 
 TICK_S = 0.05
 PARTNERS = 4
--- a/foxtailhatch/callers/gateway.py
+++ b/foxtailhatch/callers/gateway.py
@@ -8,7 +8,7 @@
 from returns.result import Result
 
 from foxtailhatch.core import Caller, Refusal
-from foxtailhatch.platform.protocols import ServiceAnswer
+from foxtailhatch.outside.protocols import ServiceAnswer
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailhatch/config/fold.py
+++ b/foxtailhatch/config/fold.py
@@ -27,7 +27,7 @@
     state_of,
 )
 from foxtailhatch.core import Invariant, Mark, require
-from foxtailhatch.platform import LogPage, LogRecord
+from foxtailhatch.outside import LogPage, LogRecord
 
 BEFORE_ALL = -1
 VERSIONS_KEPT = 200
--- a/foxtailhatch/config/recent.py
+++ b/foxtailhatch/config/recent.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from foxtailhatch.platform import LogRecord
+from foxtailhatch.outside import LogRecord
 
 RECENT_BYTES = 1_000_000
 
--- a/foxtailhatch/config/state.py
+++ b/foxtailhatch/config/state.py
@@ -31,7 +31,7 @@
 )
 from foxtailhatch.config.references import ConfigFault
 from foxtailhatch.core import Invariant, require
-from foxtailhatch.platform import LogRecord
+from foxtailhatch.outside import LogRecord
 
 MARKS_KEPT = 5000
 MARK_IDS_KEPT = 500
--- a/foxtailhatch/config/updates.py
+++ b/foxtailhatch/config/updates.py
@@ -21,7 +21,7 @@
     encode_record,
 )
 from foxtailhatch.config.state import snapshot_of, state_of
-from foxtailhatch.platform import LogRecord
+from foxtailhatch.outside import LogRecord
 
 RECORDS = 'records'
 STATE = 'state'
--- a/foxtailhatch/daemon/assembly.py
+++ b/foxtailhatch/daemon/assembly.py
@@ -27,13 +27,13 @@
     Gossip,
     PlannedStop,
 )
+from foxtailhatch.outside import LogService
 from foxtailhatch.peers import (
     PeerCounters,
     PeerIdentity,
     PeerNode,
     PeerSettings,
 )
-from foxtailhatch.platform import LogService
 
 MILLISECONDS = 1000
 RANDOM_BITS = 64
--- a/foxtailhatch/daemon/claim_loop.py
+++ b/foxtailhatch/daemon/claim_loop.py
@@ -19,7 +19,7 @@
     Replay,
 )
 from foxtailhatch.durable.claim_refusals import outcome_unknown
-from foxtailhatch.platform import LogService
+from foxtailhatch.outside import LogService
 
 
 class ClaimLoop:
--- a/foxtailhatch/daemon/claimed_calls.py
+++ b/foxtailhatch/daemon/claimed_calls.py
@@ -25,7 +25,7 @@
     Refuse,
     SendRight,
 )
-from foxtailhatch.platform import (
+from foxtailhatch.outside import (
     PlatformError,
     PlatformFault,
     ServiceAnswer,
--- a/foxtailhatch/daemon/configuration_loop.py
+++ b/foxtailhatch/daemon/configuration_loop.py
@@ -30,7 +30,7 @@
 from foxtailhatch.daemon.pause_watch import Source
 from foxtailhatch.durable.appends import AppendRecord
 from foxtailhatch.durable.follower import LogFollower
-from foxtailhatch.platform import LogService, PlatformError, PlatformFault
+from foxtailhatch.outside import LogService, PlatformError, PlatformFault
 
 PUBLISH_STEP_S = 0.05
 
--- a/foxtailhatch/daemon/endpoint_care.py
+++ b/foxtailhatch/daemon/endpoint_care.py
@@ -6,7 +6,7 @@
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.pause_watch import PauseWatch
 from foxtailhatch.membership import EndpointChange, EndpointState
-from foxtailhatch.platform import StageFault
+from foxtailhatch.outside import StageFault
 from foxtailhatch.recovery import Admission, Ejected, HealthOutcome, Restored
 
 
--- a/foxtailhatch/daemon/gateway.py
+++ b/foxtailhatch/daemon/gateway.py
@@ -31,7 +31,7 @@
 from foxtailhatch.daemon.claimed_calls import ClaimedCalls
 from foxtailhatch.daemon.grants import NO_CONFIGURATION, grant_answer
 from foxtailhatch.daemon.service_calls import InProgress, ServiceCalls
-from foxtailhatch.platform import ServiceAnswer, ServiceCall
+from foxtailhatch.outside import ServiceAnswer, ServiceCall
 
 BAD_TOKEN = Refusal(
     ErrorCode.BAD_TOKEN,
--- a/foxtailhatch/daemon/live_answer.py
+++ b/foxtailhatch/daemon/live_answer.py
@@ -4,6 +4,7 @@
 
 from foxtailhatch.callers.gateway import AnswerSink
 from foxtailhatch.daemon.sessions import Sessions
+from foxtailhatch.outside.frames import DownFrame, OpenStage
 from foxtailhatch.pipeline import (
     Action,
     AnswerFailed,
@@ -13,7 +14,6 @@
     Patience,
     SendFrame,
 )
-from foxtailhatch.platform.frames import DownFrame, OpenStage
 
 AnswerOutcome = AnswerFinished | AnswerFailed | None
 
--- a/foxtailhatch/daemon/metrics.py
+++ b/foxtailhatch/daemon/metrics.py
@@ -7,8 +7,8 @@
 
 from foxtailhatch.callers.answer_times import AnswerTimes
 from foxtailhatch.core import ErrorCode, Invariant, checks_made
+from foxtailhatch.outside import PlatformFault
 from foxtailhatch.peers import PeerCounters
-from foxtailhatch.platform import PlatformFault
 
 WHOLE = 'whole'
 KIBIBYTE = 1024
--- a/foxtailhatch/daemon/operations.py
+++ b/foxtailhatch/daemon/operations.py
@@ -23,7 +23,7 @@
 from foxtailhatch.core import ErrorCode, Refusal, RunState
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
-from foxtailhatch.platform import PlatformFault
+from foxtailhatch.outside import PlatformFault
 
 LOG_RETRY_S = 2.0
 
--- a/foxtailhatch/daemon/order_loop.py
+++ b/foxtailhatch/daemon/order_loop.py
@@ -19,7 +19,7 @@
 from foxtailhatch.durable.orders import OrderController, SendOrder
 from foxtailhatch.durable.placement import PlacementController
 from foxtailhatch.durable.wishes import WishRecord, encode_wish, restatement
-from foxtailhatch.platform import (
+from foxtailhatch.outside import (
     Engine,
     LogPage,
     LogService,
--- a/foxtailhatch/daemon/outside.py
+++ b/foxtailhatch/daemon/outside.py
@@ -4,20 +4,20 @@
 from typing import Any
 
 from foxtailhatch.daemon.settings import Settings
-from foxtailhatch.platform import (
+from foxtailhatch.outside import (
     Engine,
     InstanceList,
     LogService,
     PlainService,
     WeightStore,
 )
-from foxtailhatch.platform.engine_http import HttpEngine
-from foxtailhatch.platform.http_client import HttpClient
-from foxtailhatch.platform.instances_http import HttpInstanceList
-from foxtailhatch.platform.log_http import HttpLogService
-from foxtailhatch.platform.service_http import HttpPlainService
-from foxtailhatch.platform.session_http import SessionTiming
-from foxtailhatch.platform.weights_http import HttpWeightStore
+from foxtailhatch.outside.engine_http import HttpEngine
+from foxtailhatch.outside.http_client import HttpClient
+from foxtailhatch.outside.instances_http import HttpInstanceList
+from foxtailhatch.outside.log_http import HttpLogService
+from foxtailhatch.outside.service_http import HttpPlainService
+from foxtailhatch.outside.session_http import SessionTiming
+from foxtailhatch.outside.weights_http import HttpWeightStore
 
 HEARTBEATS_IN_SILENCE = 4
 
--- a/foxtailhatch/daemon/platform_watch.py
+++ b/foxtailhatch/daemon/platform_watch.py
@@ -10,7 +10,7 @@
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.endpoint_care import EndpointCare
 from foxtailhatch.daemon.pause_watch import Source
-from foxtailhatch.platform import Engine, InstanceList, LiveInstance
+from foxtailhatch.outside import Engine, InstanceList, LiveInstance
 from foxtailhatch.routing.polling import PollCandidate, PollSchedule
 
 ENTRY_ROLE = 'entry'
--- a/foxtailhatch/daemon/service_calls.py
+++ b/foxtailhatch/daemon/service_calls.py
@@ -12,7 +12,7 @@
 from foxtailhatch.daemon.blackboard import Blackboard
 from foxtailhatch.daemon.endpoint_care import EndpointCare
 from foxtailhatch.daemon.service_choice import ServiceChoice
-from foxtailhatch.platform import (
+from foxtailhatch.outside import (
     PlainService,
     PlatformError,
     PlatformFault,
--- a/foxtailhatch/daemon/sessions.py
+++ b/foxtailhatch/daemon/sessions.py
@@ -6,8 +6,8 @@
 
 from foxtailhatch.core import Endpoint
 from foxtailhatch.daemon.guard import Guard
-from foxtailhatch.platform.frames import DownFrame, Pong, UpFrame
-from foxtailhatch.platform.protocols import Engine, EngineSession
+from foxtailhatch.outside.frames import DownFrame, Pong, UpFrame
+from foxtailhatch.outside.protocols import Engine, EngineSession
 
 
 class AnswerListener(Protocol):
--- a/foxtailhatch/durable/appends.py
+++ b/foxtailhatch/durable/appends.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from foxtailhatch.platform import PlatformFault
+from foxtailhatch.outside import PlatformFault
 
 RETRY_S = 1.0
 APPEND_TIMEOUT_S = 10.0
--- a/foxtailhatch/durable/claim_desk.py
+++ b/foxtailhatch/durable/claim_desk.py
@@ -26,7 +26,7 @@
 from foxtailhatch.durable.follower import LogFollower, ReadStream
 from foxtailhatch.durable.keys import part_of, part_stream
 from foxtailhatch.durable.sends import Sends
-from foxtailhatch.platform import LogPage, PlatformFault
+from foxtailhatch.outside import LogPage, PlatformFault
 
 IDLE_POLL_S = 10.0
 BUSY_POLL_S = 0.2
--- a/foxtailhatch/durable/claim_table.py
+++ b/foxtailhatch/durable/claim_table.py
@@ -24,7 +24,7 @@
     decode_batch,
 )
 from foxtailhatch.durable.claim_settings import CLOCK_MARGIN_S
-from foxtailhatch.platform import LogPage, LogRecord
+from foxtailhatch.outside import LogPage, LogRecord
 
 NOT_YET = -1
 
--- a/foxtailhatch/durable/claims.py
+++ b/foxtailhatch/durable/claims.py
@@ -29,7 +29,7 @@
 from foxtailhatch.durable.outbox import Outbox
 from foxtailhatch.durable.sends import Sends, run_claimed
 from foxtailhatch.durable.tickets import Ticket, TicketBook, TicketState
-from foxtailhatch.platform import LogPage
+from foxtailhatch.outside import LogPage
 
 HOLDER_SILENT_S = 60.0
 HELD_GRACE_S = 30.0
--- a/foxtailhatch/durable/follower.py
+++ b/foxtailhatch/durable/follower.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from foxtailhatch.platform import LogPage
+from foxtailhatch.outside import LogPage
 
 READ_LIMIT = 500
 POLL_S = 1.0
--- a/foxtailhatch/durable/leases.py
+++ b/foxtailhatch/durable/leases.py
@@ -13,7 +13,7 @@
 from pydantic import TypeAdapter, ValidationError
 
 from foxtailhatch.durable.claim_settings import CLOCK_MARGIN_S
-from foxtailhatch.platform import LogPage, LogRecord
+from foxtailhatch.outside import LogPage, LogRecord
 
 LEASE_STREAM = 'leases'
 TERM_S = 15.0
--- a/foxtailhatch/durable/orders.py
+++ b/foxtailhatch/durable/orders.py
@@ -13,7 +13,7 @@
 from foxtailhatch.durable.lease_holder import HeldLease
 from foxtailhatch.durable.load_rate import LoadRate
 from foxtailhatch.durable.wishes import Wish
-from foxtailhatch.platform import EngineOrder
+from foxtailhatch.outside import EngineOrder
 
 SPREAD_S = 3.0
 IDLE_S = 3.0
--- a/foxtailhatch/durable/outbox.py
+++ b/foxtailhatch/durable/outbox.py
@@ -14,7 +14,7 @@
     Done,
     encode_batch,
 )
-from foxtailhatch.platform import PlatformFault
+from foxtailhatch.outside import PlatformFault
 
 MAX_BATCH_BYTES = 256_000
 RECORD_BYTES = 200
--- a/foxtailhatch/durable/wishes.py
+++ b/foxtailhatch/durable/wishes.py
@@ -13,7 +13,7 @@
 
 from foxtailhatch.core import Holding, LayerRange
 from foxtailhatch.durable.appends import AppendRecord
-from foxtailhatch.platform import LogPage
+from foxtailhatch.outside import LogPage
 
 WISH_STREAM = 'wishes'
 RESTATE_AT = 0.25
--- a/foxtailhatch/membership/endpoint_lines.py
+++ b/foxtailhatch/membership/endpoint_lines.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from foxtailhatch.core import Endpoint, EndpointKind
-from foxtailhatch.platform import LiveInstance
+from foxtailhatch.outside import LiveInstance
 
 
 def endpoint_of(line: LiveInstance) -> Endpoint:
--- a/foxtailhatch/membership/endpoint_record.py
+++ b/foxtailhatch/membership/endpoint_record.py
@@ -5,7 +5,7 @@
 
 from foxtailhatch.core import Endpoint, Mark
 from foxtailhatch.membership.endpoint_lines import endpoint_of, merge_endpoints
-from foxtailhatch.platform import LiveInstance
+from foxtailhatch.outside import LiveInstance
 
 LIST_LAG_S = 30.0
 MISSING_KEEP_S = 60.0
--- a/foxtailhatch/membership/endpoints.py
+++ b/foxtailhatch/membership/endpoints.py
@@ -32,7 +32,7 @@
     EndpointRecord,
     EndpointState,
 )
-from foxtailhatch.platform import LiveInstance
+from foxtailhatch.outside import LiveInstance
 
 _ENDPOINT_ROLES = frozenset(kind.value for kind in EndpointKind)
 
--- a/foxtailhatch/platform/__init__.py
+++ b/foxtailhatch/outside/__init__.py
@@ -1,6 +1,6 @@
 """The outside systems: protocols, frames and one adapter file each."""
 
-from foxtailhatch.platform.frames import (
+from foxtailhatch.outside.frames import (
     Activation,
     CancelStage,
     DownFrame,
@@ -14,7 +14,7 @@
     StepStage,
     UpFrame,
 )
-from foxtailhatch.platform.protocols import (
+from foxtailhatch.outside.protocols import (
     CacheEvent,
     CacheMover,
     CachePage,
--- a/foxtailhatch/platform/cache_http.py
+++ b/foxtailhatch/outside/cache_http.py
@@ -5,7 +5,7 @@
 from returns.result import Failure, Result, Success
 
 from foxtailhatch.core import Endpoint
-from foxtailhatch.platform.http_client import (
+from foxtailhatch.outside.http_client import (
     OK,
     HttpAnswer,
     HttpCall,
@@ -13,7 +13,7 @@
     path_of,
     refused,
 )
-from foxtailhatch.platform.protocols import PlatformError
+from foxtailhatch.outside.protocols import PlatformError
 
 MOVE_TIMEOUT_S: Final = 10.0
 
--- a/foxtailhatch/platform/documents.py
+++ b/foxtailhatch/outside/documents.py
@@ -5,8 +5,8 @@
 from pydantic import TypeAdapter, ValidationError
 from returns.result import Failure, Result, Success
 
-from foxtailhatch.platform.http_client import OK, HttpAnswer, refused
-from foxtailhatch.platform.protocols import PlatformError, PlatformFault
+from foxtailhatch.outside.http_client import OK, HttpAnswer, refused
+from foxtailhatch.outside.protocols import PlatformError, PlatformFault
 
 _Document = TypeVar('_Document')
 
--- a/foxtailhatch/platform/engine_http.py
+++ b/foxtailhatch/outside/engine_http.py
@@ -9,21 +9,21 @@
 from returns.result import Result
 
 from foxtailhatch.core import Address, Endpoint, LoadReport
-from foxtailhatch.platform.documents import read_document
-from foxtailhatch.platform.http_client import (
+from foxtailhatch.outside.documents import read_document
+from foxtailhatch.outside.http_client import (
     ANSWER_TIMEOUT_S,
     HttpCall,
     HttpClient,
 )
-from foxtailhatch.platform.protocols import (
+from foxtailhatch.outside.protocols import (
     CachePage,
     EngineOrder,
     EngineSession,
     PlatformError,
     SessionListener,
 )
-from foxtailhatch.platform.session_http import HttpSession, SessionTiming
-from foxtailhatch.platform.session_link import LinkListener, SessionLink
+from foxtailhatch.outside.session_http import HttpSession, SessionTiming
+from foxtailhatch.outside.session_link import LinkListener, SessionLink
 
 _loads: Final = TypeAdapter(LoadReport)
 _pages: Final = TypeAdapter(CachePage)
--- a/foxtailhatch/platform/frames_json.py
+++ b/foxtailhatch/outside/frames_json.py
@@ -11,7 +11,7 @@
 from pydantic_core import CoreSchema, SchemaSerializer, core_schema
 from returns.result import Failure, Result, Success
 
-from foxtailhatch.platform import frames
+from foxtailhatch.outside import frames
 
 MAX_LINE_BYTES: Final = 16_777_216
 MAX_REASON_CHARS: Final = 200
--- a/foxtailhatch/platform/http_client.py
+++ b/foxtailhatch/outside/http_client.py
@@ -15,14 +15,14 @@
 from zope.interface import implementer
 
 from foxtailhatch.core import Address
-from foxtailhatch.platform.awaiting import completed
-from foxtailhatch.platform.http_bodies import (
+from foxtailhatch.outside.awaiting import completed
+from foxtailhatch.outside.http_bodies import (
     MAX_BODY_BYTES,
     BodyReader,
     BodyTooLarge,
     BytesProducer,
 )
-from foxtailhatch.platform.protocols import PlatformError, PlatformFault
+from foxtailhatch.outside.protocols import PlatformError, PlatformFault
 
 CONNECT_TIMEOUT_S: Final = 2.0
 ANSWER_TIMEOUT_S: Final = 5.0
--- a/foxtailhatch/platform/instances_http.py
+++ b/foxtailhatch/outside/instances_http.py
@@ -7,13 +7,13 @@
 from returns.result import Result
 
 from foxtailhatch.core import Address
-from foxtailhatch.platform.documents import read_document
-from foxtailhatch.platform.http_client import (
+from foxtailhatch.outside.documents import read_document
+from foxtailhatch.outside.http_client import (
     ANSWER_TIMEOUT_S,
     HttpCall,
     HttpClient,
 )
-from foxtailhatch.platform.protocols import LiveInstance, PlatformError
+from foxtailhatch.outside.protocols import LiveInstance, PlatformError
 
 
 class InstancesDocument(BaseModel):
--- a/foxtailhatch/platform/protocols.py
+++ b/foxtailhatch/outside/protocols.py
@@ -13,7 +13,7 @@
 from returns.result import Result
 
 from foxtailhatch.core import Address, Endpoint, Holding, LoadReport
-from foxtailhatch.platform.frames import DownFrame, UpFrame
+from foxtailhatch.outside.frames import DownFrame, UpFrame
 
 
 class PlatformFault(StrEnum):
--- a/foxtailhatch/platform/service_http.py
+++ b/foxtailhatch/outside/service_http.py
@@ -5,8 +5,8 @@
 from returns.result import Result
 
 from foxtailhatch.core import Endpoint
-from foxtailhatch.platform.http_client import HttpAnswer, HttpCall, HttpClient
-from foxtailhatch.platform.protocols import (
+from foxtailhatch.outside.http_client import HttpAnswer, HttpCall, HttpClient
+from foxtailhatch.outside.protocols import (
     PlatformError,
     ServiceAnswer,
     ServiceCall,
--- a/foxtailhatch/platform/session_http.py
+++ b/foxtailhatch/outside/session_http.py
@@ -6,15 +6,15 @@
 
 from foxtailhatch.core import Endpoint
 from foxtailhatch.core.loop_clock import LoopClock
-from foxtailhatch.platform.frames import (
+from foxtailhatch.outside.frames import (
     CancelStage,
     DownFrame,
     Ping,
     StageRefused,
     UpFrame,
 )
-from foxtailhatch.platform.protocols import SessionListener
-from foxtailhatch.platform.session_link import LinkListener, SessionLink
+from foxtailhatch.outside.protocols import SessionListener
+from foxtailhatch.outside.session_link import LinkListener, SessionLink
 
 HEARTBEAT_S: Final = 0.5
 SILENT_S: Final = 2.0
--- a/foxtailhatch/platform/session_link.py
+++ b/foxtailhatch/outside/session_link.py
@@ -12,15 +12,15 @@
 
 from foxtailhatch.core import Address
 from foxtailhatch.core.loop_clock import LoopClock
-from foxtailhatch.platform.frames import DownFrame, Ping, Pong, UpFrame
-from foxtailhatch.platform.frames_json import (
+from foxtailhatch.outside.frames import DownFrame, Ping, Pong, UpFrame
+from foxtailhatch.outside.frames_json import (
     MAX_LINE_BYTES,
     decode_down,
     encode_frame,
 )
-from foxtailhatch.platform.http_client import OK
-from foxtailhatch.platform.lines import LineSplitter, LineTooLong
-from foxtailhatch.platform.link_streams import DownStream, UpStream
+from foxtailhatch.outside.http_client import OK
+from foxtailhatch.outside.lines import LineSplitter, LineTooLong
+from foxtailhatch.outside.link_streams import DownStream, UpStream
 
 
 class LinkListener(Protocol):
--- a/foxtailhatch/platform/weights_http.py
+++ b/foxtailhatch/outside/weights_http.py
@@ -6,14 +6,14 @@
 from returns.result import Result
 
 from foxtailhatch.core import Address
-from foxtailhatch.platform.documents import read_document
-from foxtailhatch.platform.http_client import (
+from foxtailhatch.outside.documents import read_document
+from foxtailhatch.outside.http_client import (
     ANSWER_TIMEOUT_S,
     HttpCall,
     HttpClient,
     path_of,
 )
-from foxtailhatch.platform.protocols import PlatformError
+from foxtailhatch.outside.protocols import PlatformError
 
 
 class LayerDocument(BaseModel):
--- a/foxtailhatch/pipeline/actions.py
+++ b/foxtailhatch/pipeline/actions.py
@@ -4,7 +4,7 @@
 
 from foxtailhatch.callers.gateway import FinishReason
 from foxtailhatch.core import Chain, Refusal
-from foxtailhatch.platform.frames import StageFault, UpFrame
+from foxtailhatch.outside.frames import StageFault, UpFrame
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailhatch/pipeline/answer.py
+++ b/foxtailhatch/pipeline/answer.py
@@ -23,6 +23,15 @@
     RunState,
     require,
 )
+from foxtailhatch.outside.frames import (
+    DownFrame,
+    Pong,
+    StageFault,
+    StageOpened,
+    StageOutput,
+    StageRefused,
+    StepStage,
+)
 from foxtailhatch.pipeline.actions import (
     Action,
     AnswerFailed,
@@ -42,15 +51,6 @@
 )
 from foxtailhatch.pipeline.retained import RETAINED_BYTES, RetainedInputs
 from foxtailhatch.pipeline.stage import StageRun
-from foxtailhatch.platform.frames import (
-    DownFrame,
-    Pong,
-    StageFault,
-    StageOpened,
-    StageOutput,
-    StageRefused,
-    StepStage,
-)
 
 RECOVERY_WINDOW_S = 20.0
 CHAIN_RETRY_S = 0.05
--- a/foxtailhatch/pipeline/attempt.py
+++ b/foxtailhatch/pipeline/attempt.py
@@ -9,6 +9,14 @@
     require,
     tiles,
 )
+from foxtailhatch.outside.frames import (
+    Activation,
+    CancelStage,
+    OpenStage,
+    StageOpened,
+    StageOutput,
+    StepStage,
+)
 from foxtailhatch.pipeline.actions import (
     Action,
     SendFrame,
@@ -19,14 +27,6 @@
 from foxtailhatch.pipeline.plan import AnswerPlan
 from foxtailhatch.pipeline.retained import RetainedInputs
 from foxtailhatch.pipeline.stage import SentStep, StageRun
-from foxtailhatch.platform.frames import (
-    Activation,
-    CancelStage,
-    OpenStage,
-    StageOpened,
-    StageOutput,
-    StepStage,
-)
 
 PREFILL_CHUNK_POSITIONS = 128
 
--- a/foxtailhatch/pipeline/retained.py
+++ b/foxtailhatch/pipeline/retained.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, field
 
-from foxtailhatch.platform.frames import Activation
+from foxtailhatch.outside.frames import Activation
 
 RETAINED_BYTES = 4_194_304
 
--- a/foxtailhatch/pipeline/stage.py
+++ b/foxtailhatch/pipeline/stage.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from foxtailhatch.core import Invariant, LayerRange, require
-from foxtailhatch.platform.frames import StageOutput
+from foxtailhatch.outside.frames import StageOutput
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailhatch/routing/prefix_index.py
+++ b/foxtailhatch/routing/prefix_index.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
-from foxtailhatch.platform import CachePage
+from foxtailhatch.outside import CachePage
 from foxtailhatch.routing.blocks import BLOCK_TOKENS
 
 MAX_BELIEFS = 60_000
--- a/standins/engine_batch.py
+++ b/standins/engine_batch.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from foxtailhatch.core.loop_clock import LoopClock
-from foxtailhatch.platform import StepStage
+from foxtailhatch.outside import StepStage
 
 DEFAULT_MAX_BATCH: Final = 32
 
--- a/standins/engine_calls.py
+++ b/standins/engine_calls.py
@@ -5,8 +5,8 @@
 from pydantic import TypeAdapter
 from returns.result import Failure, Success
 
-from foxtailhatch.platform import OpenStage, StepStage
-from foxtailhatch.platform.frames_json import decode_up, encode_frame
+from foxtailhatch.outside import OpenStage, StepStage
+from foxtailhatch.outside.frames_json import decode_up, encode_frame
 from standins.engine_streams import EngineStreams, StageStream
 from standins.http_app import CONFLICT, NOT_FOUND, OK, Call, Reply, reply
 
--- a/standins/engine_node.py
+++ b/standins/engine_node.py
@@ -7,7 +7,7 @@
 
 from foxtailhatch.core import LoadReport
 from foxtailhatch.core.loop_clock import LoopClock
-from foxtailhatch.platform import (
+from foxtailhatch.outside import (
     CancelStage,
     OpenStage,
     Ping,
--- a/standins/engine_orders.py
+++ b/standins/engine_orders.py
@@ -6,7 +6,7 @@
 from pydantic import TypeAdapter
 
 from foxtailhatch.core.loop_clock import LoopClock
-from foxtailhatch.platform import EngineOrder
+from foxtailhatch.outside import EngineOrder
 from standins.engine_streams import EngineStreams
 from standins.faults import Faults
 from standins.http_app import CONFLICT, NOT_FOUND, Reply, reply
--- a/standins/engine_sessions.py
+++ b/standins/engine_sessions.py
@@ -7,13 +7,13 @@
 from twisted.web.server import Request, Site
 
 from foxtailhatch.core.loop_clock import LoopClock
-from foxtailhatch.platform import DownFrame, StageOutput, UpFrame
-from foxtailhatch.platform.frames_json import (
+from foxtailhatch.outside import DownFrame, StageOutput, UpFrame
+from foxtailhatch.outside.frames_json import (
     MAX_LINE_BYTES,
     decode_up,
     encode_frame,
 )
-from foxtailhatch.platform.lines import LineSplitter, LineTooLong
+from foxtailhatch.outside.lines import LineSplitter, LineTooLong
 from standins.faults import Faults
 
 Receive = Callable[['Session', UpFrame], None]
--- a/standins/engine_streams.py
+++ b/standins/engine_streams.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from foxtailhatch.core import Holding
-from foxtailhatch.platform import (
+from foxtailhatch.outside import (
     CancelStage,
     OpenStage,
     StageFault,
--- a/standins/instance_list.py
+++ b/standins/instance_list.py
@@ -13,8 +13,8 @@
 import click
 from pydantic import TypeAdapter
 
-from foxtailhatch.platform import LiveInstance
-from foxtailhatch.platform.instances_http import InstancesDocument
+from foxtailhatch.outside import LiveInstance
+from foxtailhatch.outside.instances_http import InstancesDocument
 from standins.faults import Faults
 from standins.http_app import NOT_FOUND, Call, Reply, reply
 from standins.process import serve
--- a/standins/log_service.py
+++ b/standins/log_service.py
@@ -13,8 +13,8 @@
 
 import click
 
-from foxtailhatch.platform import LogRecord
-from foxtailhatch.platform.log_http import LogDocument, RecordDocument
+from foxtailhatch.outside import LogRecord
+from foxtailhatch.outside.log_http import LogDocument, RecordDocument
 from standins.faults import Faults
 from standins.http_app import NOT_FOUND, UNAVAILABLE, Call, Reply, reply
 from standins.process import serve
--- a/standins/prefix_cache.py
+++ b/standins/prefix_cache.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from foxtailhatch.core import LayerRange
-from foxtailhatch.platform import CacheEvent, CachePage
+from foxtailhatch.outside import CacheEvent, CachePage
 from standins.toy_model import LayerCache
 
 BLOCK_TOKENS: Final = 16
--- a/standins/weight_store.py
+++ b/standins/weight_store.py
@@ -5,7 +5,7 @@
 
 import click
 
-from foxtailhatch.platform.weights_http import LayerDocument
+from foxtailhatch.outside.weights_http import LayerDocument
 from standins.faults import Faults
 from standins.http_app import NOT_FOUND, Call, Reply, reply
 from standins.process import serve
--- a/tests/callers/http.py
+++ b/tests/callers/http.py
@@ -18,7 +18,7 @@
 )
 from foxtailhatch.core import Caller, ErrorCode, Refusal
 from foxtailhatch.core.timeline_json import events_to_json
-from foxtailhatch.platform import ServiceAnswer
+from foxtailhatch.outside import ServiceAnswer
 
 LIMITS = FrontLimits(body_bytes=2000, body_timeout_s=10, slow_caller_s=30)
 
--- a/tests/config/test_publisher.py
+++ b/tests/config/test_publisher.py
@@ -11,7 +11,7 @@
     begin_publication,
 )
 from foxtailhatch.durable.appends import APPEND_TIMEOUT_S, AppendRecord
-from foxtailhatch.platform import PlatformFault
+from foxtailhatch.outside import PlatformFault
 from tests.config.stream import catch_up, publication, put, read_all
 from tests.durable.fake_log import AppendFate, FakeLog
 
--- a/tests/daemon/test_metrics.py
+++ b/tests/daemon/test_metrics.py
@@ -1,7 +1,7 @@
 from foxtailhatch.callers.answer_times import AnswerTimes
 from foxtailhatch.core import ErrorCode, Invariant, checks_made
 from foxtailhatch.daemon.metrics import Metrics
-from foxtailhatch.platform import PlatformFault
+from foxtailhatch.outside import PlatformFault
 
 
 def rendered(metrics):
--- a/tests/durable/fake_log.py
+++ b/tests/durable/fake_log.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
-from foxtailhatch.platform import (
+from foxtailhatch.outside import (
     LogPage,
     LogRecord,
     PlatformError,
--- a/tests/durable/test_claim_desk.py
+++ b/tests/durable/test_claim_desk.py
@@ -8,7 +8,7 @@
 from foxtailhatch.durable.claim_requests import MayRun
 from foxtailhatch.durable.claim_settings import ClaimSettings
 from foxtailhatch.durable.keys import part_of, part_readers
-from foxtailhatch.platform import PlatformFault
+from foxtailhatch.outside import PlatformFault
 from tests.durable.entries import ANSWER, RETENTION_S, START, request
 from tests.durable.fake_log import FakeLog
 
--- a/tests/durable/test_follower.py
+++ b/tests/durable/test_follower.py
@@ -7,7 +7,7 @@
     LogAvailability,
     LogFollower,
 )
-from foxtailhatch.platform import LogPage
+from foxtailhatch.outside import LogPage
 
 
 def follower():
--- a/tests/durable/test_outbox.py
+++ b/tests/durable/test_outbox.py
@@ -11,7 +11,7 @@
     RETRY_S,
     Outbox,
 )
-from foxtailhatch.platform import PlatformFault
+from foxtailhatch.outside import PlatformFault
 
 OWNER = KeyOwner('ward', '1796356800-a')
 
--- a/tests/faults/engines.py
+++ b/tests/faults/engines.py
@@ -6,7 +6,7 @@
 from returns.result import Success
 
 from foxtailhatch.core import Holding, LayerRange, LoadReport
-from foxtailhatch.platform import (
+from foxtailhatch.outside import (
     CancelStage,
     OpenStage,
     StageOutput,
--- a/tests/faults/platform.py
+++ b/tests/faults/platform.py
@@ -10,7 +10,7 @@
 
 from returns.result import Failure, Result, Success
 
-from foxtailhatch.platform import PlatformError, PlatformFault, ServiceAnswer
+from foxtailhatch.outside import PlatformError, PlatformFault, ServiceAnswer
 from tests.durable.fake_log import FakeLog
 
 START = 1_796_356_800.0
--- a/tests/faults/scenario.py
+++ b/tests/faults/scenario.py
@@ -15,7 +15,7 @@
     decode_record,
     encode_record,
 )
-from foxtailhatch.platform import LogRecord
+from foxtailhatch.outside import LogRecord
 from tests.faults.callers import Answering, Booking, Publishing, wait_until
 from tests.faults.engines import LAYERS, MODEL, VERSION
 from tests.faults.entry import TestEntry
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from foxtailhatch.core import Address
-from foxtailhatch.platform import LiveInstance
+from foxtailhatch.outside import LiveInstance
 from tests.durable.fake_log import FakeLog
 from tests.faults.engines import FakeEngine, stage_layers
 from tests.faults.loop import VirtualLoop
--- a/tests/membership/test_endpoints.py
+++ b/tests/membership/test_endpoints.py
@@ -8,7 +8,7 @@
     Mark,
 )
 from foxtailhatch.membership import EndpointState, EndpointTable
-from foxtailhatch.platform import LiveInstance
+from foxtailhatch.outside import LiveInstance
 
 LIST_LAG_S = 30.0
 
--- a/tests/platform/raw.py
+++ b/tests/outside/raw.py
@@ -6,7 +6,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from foxtailhatch.core import Address
-from tests.platform.loop import reactor
+from tests.outside.loop import reactor
 
 
 @dataclass
--- a/tests/platform/standin.py
+++ b/tests/outside/standin.py
@@ -3,11 +3,11 @@
 from contextlib import contextmanager
 
 from foxtailhatch.core import Endpoint, EndpointKind, Holding, LayerRange
-from foxtailhatch.platform.http_client import HttpClient
+from foxtailhatch.outside.http_client import HttpClient
 from standins.engine_node import Engine, EngineSettings
 from standins.engine_streams import EngineStreams
 from standins.process import listen
-from tests.platform.loop import reactor
+from tests.outside.loop import reactor
 
 LAYERS = 6
 
--- a/tests/platform/test_engine_http.py
+++ b/tests/outside/test_engine_http.py
@@ -3,18 +3,18 @@
 import pytest
 
 from foxtailhatch.core import Holding, LayerRange
-from foxtailhatch.platform import (
+from foxtailhatch.outside import (
     EngineOrder,
     OpenStage,
     PlatformFault,
     StageOpened,
     StepStage,
 )
-from foxtailhatch.platform.cache_http import HttpCacheMover
-from foxtailhatch.platform.engine_http import HttpEngine
+from foxtailhatch.outside.cache_http import HttpCacheMover
+from foxtailhatch.outside.engine_http import HttpEngine
 from standins.toy_model import reference_answer
-from tests.platform.loop import Heard, run
-from tests.platform.standin import LAYERS, client, endpoint, engine, listening
+from tests.outside.loop import Heard, run
+from tests.outside.standin import LAYERS, client, endpoint, engine, listening
 
 PROMPT = tuple(b'the third strand is dark')
 STAGES = (LayerRange(0, 2), LayerRange(2, 4), LayerRange(4, 6))
--- a/tests/platform/test_frames_json.py
+++ b/tests/outside/test_frames_json.py
@@ -5,16 +5,16 @@
 from returns.result import Failure, Success
 
 from foxtailhatch.core import LoadReport
-from foxtailhatch.platform import DownFrame, LogRecord, PlatformFault, UpFrame
-from foxtailhatch.platform.documents import read_document
-from foxtailhatch.platform.frames_json import (
+from foxtailhatch.outside import DownFrame, LogRecord, PlatformFault, UpFrame
+from foxtailhatch.outside.documents import read_document
+from foxtailhatch.outside.frames_json import (
     decode_down,
     decode_up,
     encode_frame,
 )
-from foxtailhatch.platform.http_client import HttpAnswer
-from foxtailhatch.platform.lines import LineSplitter, LineTooLong
-from foxtailhatch.platform.log_http import LogDocument, RecordDocument
+from foxtailhatch.outside.http_client import HttpAnswer
+from foxtailhatch.outside.lines import LineSplitter, LineTooLong
+from foxtailhatch.outside.log_http import LogDocument, RecordDocument
 
 fuzz = settings(derandomize=True, deadline=None, max_examples=200)
 json_values = st.recursive(
--- a/tests/platform/test_http_client.py
+++ b/tests/outside/test_http_client.py
@@ -5,15 +5,15 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from foxtailhatch.core import Address, EndpointKind
-from foxtailhatch.platform import PlatformFault, ServiceCall
-from foxtailhatch.platform.http_client import HttpCall, HttpClient
-from foxtailhatch.platform.log_http import HttpLogService
-from foxtailhatch.platform.service_http import HttpPlainService
+from foxtailhatch.outside import PlatformFault, ServiceCall
+from foxtailhatch.outside.http_client import HttpCall, HttpClient
+from foxtailhatch.outside.log_http import HttpLogService
+from foxtailhatch.outside.service_http import HttpPlainService
 from standins.log_service import LogStandIn
 from standins.plain_service import PlainStandIn
-from tests.platform.loop import reactor, run
-from tests.platform.raw import raw_server
-from tests.platform.standin import client, endpoint, listening
+from tests.outside.loop import reactor, run
+from tests.outside.raw import raw_server
+from tests.outside.standin import client, endpoint, listening
 
 GET = HttpCall('GET', '/thing')
 SHORT_S = 0.3
--- a/tests/platform/test_services.py
+++ b/tests/outside/test_services.py
@@ -1,17 +1,17 @@
 import pytest
 
 from foxtailhatch.core import Address, EndpointKind
-from foxtailhatch.platform import LiveInstance, PlatformFault, ServiceCall
-from foxtailhatch.platform.instances_http import HttpInstanceList
-from foxtailhatch.platform.log_http import HttpLogService
-from foxtailhatch.platform.service_http import HttpPlainService
-from foxtailhatch.platform.weights_http import HttpWeightStore
+from foxtailhatch.outside import LiveInstance, PlatformFault, ServiceCall
+from foxtailhatch.outside.instances_http import HttpInstanceList
+from foxtailhatch.outside.log_http import HttpLogService
+from foxtailhatch.outside.service_http import HttpPlainService
+from foxtailhatch.outside.weights_http import HttpWeightStore
 from standins.instance_list import InstanceStandIn
 from standins.log_service import LogStandIn
 from standins.plain_service import PlainStandIn
 from standins.weight_store import WeightStandIn
-from tests.platform.loop import run
-from tests.platform.standin import client, endpoint, listening
+from tests.outside.loop import run
+from tests.outside.standin import client, endpoint, listening
 
 BOOKING = ServiceCall('POST', '/bookings', b'{}', 'application/json', 'k1')
 SHORT_S = 0.3
--- a/tests/platform/test_session_http.py
+++ b/tests/outside/test_session_http.py
@@ -13,7 +13,7 @@
     InvariantBroken,
     LayerRange,
 )
-from foxtailhatch.platform import (
+from foxtailhatch.outside import (
     CancelStage,
     OpenStage,
     StageFault,
@@ -21,12 +21,12 @@
     StageRefused,
     StepStage,
 )
-from foxtailhatch.platform.engine_http import HttpEngine
-from foxtailhatch.platform.frames_json import encode_frame
-from foxtailhatch.platform.session_http import HttpSession, SessionTiming
-from tests.platform.loop import Heard, run
-from tests.platform.raw import raw_server
-from tests.platform.standin import client, endpoint, engine, listening
+from foxtailhatch.outside.engine_http import HttpEngine
+from foxtailhatch.outside.frames_json import encode_frame
+from foxtailhatch.outside.session_http import HttpSession, SessionTiming
+from tests.outside.loop import Heard, run
+from tests.outside.raw import raw_server
+from tests.outside.standin import client, endpoint, engine, listening
 
 ENGINE = Endpoint('ep', Address('127.0.0.1', 1), EndpointKind.ENGINE, 'whk-a')
 IDLE_S = 10
--- a/tests/platform/test_session_link.py
+++ b/tests/outside/test_session_link.py
@@ -3,9 +3,9 @@
 from twisted.internet.task import Clock
 
 from foxtailhatch.core import Address, LayerRange
-from foxtailhatch.platform import Ping, StageOutput
-from foxtailhatch.platform.frames_json import MAX_LINE_BYTES, encode_frame
-from foxtailhatch.platform.session_link import SessionLink
+from foxtailhatch.outside import Ping, StageOutput
+from foxtailhatch.outside.frames_json import MAX_LINE_BYTES, encode_frame
+from foxtailhatch.outside.session_link import SessionLink
 
 ENGINE = Address('127.0.0.1', 1)
 OUTPUT = StageOutput('s', 1, LayerRange(0, 2), 0, ('a',))
--- a/tests/pipeline/fakes.py
+++ b/tests/pipeline/fakes.py
@@ -13,6 +13,15 @@
     LayerRange,
     Refusal,
 )
+from foxtailhatch.outside.frames import (
+    CancelStage,
+    OpenStage,
+    StageFault,
+    StageOpened,
+    StageOutput,
+    StageRefused,
+    StepStage,
+)
 from foxtailhatch.pipeline import (
     AnswerFailed,
     AnswerFinished,
@@ -22,15 +31,6 @@
     DeliverToken,
     SendFrame,
 )
-from foxtailhatch.platform.frames import (
-    CancelStage,
-    OpenStage,
-    StageFault,
-    StageOpened,
-    StageOutput,
-    StageRefused,
-    StepStage,
-)
 
 LAYERS = 6
 PROMPT = (10, 20, 30, 40, 50)
--- a/tests/pipeline/test_answer.py
+++ b/tests/pipeline/test_answer.py
@@ -8,10 +8,10 @@
     LayerRange,
     RunState,
 )
+from foxtailhatch.outside.frames import CancelStage, StageOutput, StepStage
 from foxtailhatch.pipeline import AnswerFinished, AnswerRun
 from foxtailhatch.pipeline.attempt import Attempt
 from foxtailhatch.pipeline.retained import RetainedInputs
-from foxtailhatch.platform.frames import CancelStage, StageOutput, StepStage
 from tests.pipeline.fakes import (
     Driver,
     FixedChains,
--- a/tests/routing/test_prefix_index.py
+++ b/tests/routing/test_prefix_index.py
@@ -1,4 +1,4 @@
-from foxtailhatch.platform import CacheEvent, CachePage
+from foxtailhatch.outside import CacheEvent, CachePage
 from foxtailhatch.routing import ChainQuery, PrefixIndex, ShortestPathChooser
 from foxtailhatch.routing.prefix_index import HALF_LIFE_S
 from tests.routing.worlds import pool_of, report
--- a/tests/standins/test_engine_batch.py
+++ b/tests/standins/test_engine_batch.py
@@ -1,7 +1,7 @@
 import pytest
 from twisted.internet.task import Clock
 
-from foxtailhatch.platform import StepStage
+from foxtailhatch.outside import StepStage
 from standins.engine_batch import Batcher, ServiceTime
 
 
--- a/tests/standins/test_engine_node.py
+++ b/tests/standins/test_engine_node.py
@@ -2,8 +2,8 @@
 from twisted.internet.task import Clock
 
 from foxtailhatch.core import Holding, LayerRange
-from foxtailhatch.platform import EngineOrder, OpenStage, Ping, StepStage
-from foxtailhatch.platform.frames_json import decode_down, encode_frame
+from foxtailhatch.outside import EngineOrder, OpenStage, Ping, StepStage
+from foxtailhatch.outside.frames_json import decode_down, encode_frame
 from standins.engine_node import Engine, EngineSettings
 from standins.engine_streams import EngineStreams
 from standins.http_app import Call, reply
--- a/tests/standins/test_engine_streams.py
+++ b/tests/standins/test_engine_streams.py
@@ -3,7 +3,7 @@
 import pytest
 
 from foxtailhatch.core import Holding, LayerRange
-from foxtailhatch.platform import (
+from foxtailhatch.outside import (
     CacheEvent,
     CancelStage,
     OpenStage,
--- a/tests/standins/test_faults.py
+++ b/tests/standins/test_faults.py
@@ -5,13 +5,13 @@
 import pytest
 
 from foxtailhatch.core import Address, LayerRange
-from foxtailhatch.platform import OpenStage, StageFault, StepStage
-from foxtailhatch.platform.engine_http import HttpEngine
-from foxtailhatch.platform.http_client import HttpCall
-from foxtailhatch.platform.log_http import HttpLogService
+from foxtailhatch.outside import OpenStage, StageFault, StepStage
+from foxtailhatch.outside.engine_http import HttpEngine
+from foxtailhatch.outside.http_client import HttpCall
+from foxtailhatch.outside.log_http import HttpLogService
 from standins.log_service import LogStandIn
-from tests.platform.loop import Heard, run
-from tests.platform.standin import client, endpoint, engine, listening
+from tests.outside.loop import Heard, run
+from tests.outside.standin import client, endpoint, engine, listening
 
 LAYERS = LayerRange(0, 2)
 STREAMS = ('s', 't', 'u')
