--- a/foxtailhatch/cli/route.py
+++ b/foxtailhatch/cli/route.py
@@ -4,12 +4,14 @@
 
 import click
 
+from foxtailhatch.core.border import MAX_PORT
+
 
 @click.command()
 @click.option(
     '--metrics-port',
     default=0,
-    type=click.IntRange(0, 65_535),
+    type=click.IntRange(0, MAX_PORT),
     help='Where to serve metrics; 0 for nowhere.',
 )
 def route(metrics_port: int) -> None:
--- a/foxtailhatch/fleet/__init__.py
+++ b/foxtailhatch/fleet/__init__.py
@@ -1,6 +1,6 @@
 """The endpoints that requests may be relayed to, as this entry knows them."""
 
-from foxtailhatch.fleet.endpoint import LiveEndpoint, EndpointState
+from foxtailhatch.fleet.endpoint import EndpointState, LiveEndpoint
 from foxtailhatch.fleet.loads import EndpointLoads, Work
 from foxtailhatch.fleet.table import EndpointTable
 
--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from foxtailhatch.core import LayerRange
-from foxtailhatch.fleet.endpoint import LiveEndpoint, EndpointState
+from foxtailhatch.fleet.endpoint import EndpointState, LiveEndpoint
 
 # An endpoint that failed is tried again after this time; it doubles with
 # each failure in a row.  Source: the shortest crash of the stated faults.
--- a/foxtailhatch/placement/plan.py
+++ b/foxtailhatch/placement/plan.py
@@ -111,18 +111,11 @@
     engine: Engine,
 ) -> bool:
     return all(
-        _room(card.memory_mb, len(layers), engine) >= KV_TOKENS_MIN
+        engine.kv_tokens(card.memory_mb, len(layers)) >= KV_TOKENS_MIN
         for card, layers in placed
     )
 
 
-def _room(memory_mb: float, layers: int, engine: Engine) -> float:
-    """Return the tokens that fit beside so many layers."""
-    free_mb = memory_mb - layers * engine.layer_mb
-    each_mb = engine.kv_bytes / 1e6 * layers / engine.layer_count
-    return free_mb / each_mb if each_mb else 0
-
-
 def _extend(
     gap: LayerRange,
     holding: Sequence[Card],
@@ -130,10 +123,18 @@
 ) -> list[LayerOrder]:
     """Share a gap among the cards that hold the layers beside it."""
     below = _best(
-        [card for card in holding if card.layers and card.layers.end == gap.first],
+        [
+            card
+            for card in holding
+            if card.layers and card.layers.end == gap.first
+        ],
     )
     above = _best(
-        [card for card in holding if card.layers and card.layers.first == gap.end],
+        [
+            card
+            for card in holding
+            if card.layers and card.layers.first == gap.end
+        ],
     )
     orders = []
     split = _split(gap, below, above, engine)
@@ -143,11 +144,7 @@
     if above and above.layers and split < gap.end:
         layers = LayerRange(split, above.layers.end)
         orders.append(LayerOrder(above.endpoint, layers, 'lost layers below'))
-    return [
-        order
-        for order in orders
-        if _can_hold(order, holding, engine)
-    ]
+    return [order for order in orders if _can_hold(order, holding, engine)]
 
 
 def _best(cards: Sequence[Card]) -> Card | None:
@@ -170,17 +167,16 @@
         return gap.first
     if above is None:
         return gap.end
-    taken = [len(below.layers or ()), len(above.layers or ())]
-    memories = [below.memory_mb, above.memory_mb]
+    below_count = len(below.layers or ())
+    above_count = len(above.layers or ())
     split = gap.first
-    for _ in range(len(gap)):
-        rooms = [
-            memory / (count + 1)
-            for memory, count in zip(memories, taken, strict=True)
-        ]
-        winner = 0 if rooms[0] >= rooms[1] else 1
-        taken[winner] += 1
-        split += 1 - winner
+    while split + above_count - len(above.layers or ()) < gap.end:
+        below_room = below.memory_mb / (below_count + 1)
+        if below_room >= above.memory_mb / (above_count + 1):
+            below_count += 1
+            split += 1
+        else:
+            above_count += 1
     return split
 
 
@@ -192,7 +188,7 @@
     memory_mb = next(
         card.memory_mb for card in holding if card.endpoint == order.endpoint
     )
-    return _room(memory_mb, len(order.layers), engine) >= KV_TOKENS_MIN
+    return engine.kv_tokens(memory_mb, len(order.layers)) >= KV_TOKENS_MIN
 
 
 def _use(
@@ -221,11 +217,11 @@
     if layers is None:
         return 0
     return sum(
-        _room(other.memory_mb, len(other.layers), engine)
+        engine.kv_tokens(other.memory_mb, len(other.layers))
         for other in holding
         if other.layers and other.layers.covers(layers)
     )
 
 
 def _fits(card: Card, layers: LayerRange, engine: Engine) -> bool:
-    return _room(card.memory_mb, len(layers), engine) >= KV_TOKENS_MIN
+    return engine.kv_tokens(card.memory_mb, len(layers)) >= KV_TOKENS_MIN
--- a/foxtailhatch/placement/tiling.py
+++ b/foxtailhatch/placement/tiling.py
@@ -34,22 +34,18 @@
     """Hand out one layer after another to the card with most memory each."""
     counts = [0 for _ in cards]
     for _ in range(total):
-        best = max(
-            range(len(cards)),
-            key=lambda place: _worth(cards[place], counts[place], engine),
-            default=None,
-        )
-        if best is None or not _has_room(cards[best], counts[best], engine):
+        worths = [
+            _worth(card, count, engine)
+            for card, count in zip(cards, counts, strict=True)
+        ]
+        best = max(worths, default=-1)
+        if best < 0:
             return counts
-        counts[best] += 1
+        counts[worths.index(best)] += 1
     return counts
 
 
 def _worth(card: Card, count: int, engine: Engine) -> float:
-    if not _has_room(card, count, engine):
-        return -1
-    return card.memory_mb / (count + 1)
-
-
-def _has_room(card: Card, count: int, engine: Engine) -> bool:
-    return (count + 1) * engine.layer_mb < card.memory_mb
+    """Return the memory for each layer with one more; -1 if none fits."""
+    needed_mb = (count + 1) * engine.layer_mb
+    return card.memory_mb / (count + 1) if needed_mb < card.memory_mb else -1
--- a/foxtailhatch/platform/configuration.py
+++ b/foxtailhatch/platform/configuration.py
@@ -78,10 +78,10 @@
     slots: int
     kv_bytes: float
     layers: int = 0
-    layer_mb: float = 0.0
-    activation_bytes: float = 0.0
+    layer_mb: float = 0
+    activation_bytes: float = 0
     step_ms: float
-    per_seq_ms: float = 0.0
+    per_seq_ms: float = 0
     read_per_s: float = 1e5
     loads_at_once: int = 1
     models: tuple[_Model, ...] = ()
--- a/foxtailhatch/platform/process.py
+++ b/foxtailhatch/platform/process.py
@@ -1,10 +1,11 @@
 """Run the router on the platform."""
 
 import os
+from functools import partial
 from pathlib import Path
 from typing import Any
 
-from returns.result import Success
+from returns.result import Result, Success
 
 from foxtailhatch.platform import names
 from foxtailhatch.platform.configuration import decode_configuration
@@ -18,7 +19,8 @@
 )
 from foxtailhatch.platform.store import LogStore
 from foxtailhatch.relay.http_call import HttpCaller
-from foxtailhatch.router.app import Adapter, run_router
+from foxtailhatch.router.adapter import Adapter
+from foxtailhatch.router.app import run_router
 
 EXIT_SETTINGS = 2
 
@@ -31,24 +33,27 @@
         os.write(2, f'{settings.failure()}\n'.encode())
         return EXIT_SETTINGS
     cfg = settings.unwrap()
-
-    def make_adapter(reactor: Any) -> Adapter:
-        store = LogStore(HttpCaller(reactor, cfg.store_address))
-        return Adapter(
-            store=store,
-            prepare_store=store.create_decider_topic,
-            engines=EngineCalls(reactor),
-            wire=PlatformWire(),
-            decode_request=decode_request,
-            decode_configuration=decode_configuration,
-            decode_endpoint=decode_endpoint,
-            configuration_key=names.CONFIGURATION_KEY,
-            ready_path=names.READY_PATH,
-            advice_path=names.ADVICE_PATH,
-        )
-
     return run_router(
         cfg,
-        make_adapter,
-        lambda: read_settings(path, metrics_port).map(lambda _: 'unchanged'),
+        partial(_adapter, cfg.store_address),
+        partial(_reload, path, metrics_port),
+    )
+
+
+def _reload(path: Path, metrics_port: int) -> Result[str, str]:
+    """Check the settings file again; addresses are fixed at the start."""
+    return read_settings(path, metrics_port).map(lambda _: 'checked')
+
+
+def _adapter(store_address: str, reactor: Any) -> Adapter:
+    return Adapter(
+        store=LogStore(HttpCaller(reactor, store_address)),
+        engines=EngineCalls(reactor),
+        wire=PlatformWire(),
+        decode_request=decode_request,
+        decode_configuration=decode_configuration,
+        decode_endpoint=decode_endpoint,
+        configuration_key=names.CONFIGURATION_KEY,
+        ready_path=names.READY_PATH,
+        advice_path=names.ADVICE_PATH,
     )
--- a/foxtailhatch/platform/requests.py
+++ b/foxtailhatch/platform/requests.py
@@ -16,6 +16,8 @@
 )
 
 MS_IN_S = 1000.0
+# Header fields are bytes; this maps each to one character.
+LATIN = 'latin-1'
 MISDIRECTED = 421
 FIRST_REDIRECT = 300
 FIRST_SUCCESS = 200
@@ -63,8 +65,8 @@
     def encode(self, req: RelayRequest, dispatch: Dispatch) -> bytes:
         """Return the bytes of a request to an endpoint."""
         lines = [
-            f'{req.method} {req.target} HTTP/1.1'.encode('latin-1'),
-            b'Host: ' + req.host.encode('latin-1'),
+            f'{req.method} {req.target} HTTP/1.1'.encode(LATIN),
+            b': '.join((b'Host', req.host.encode(LATIN))),
         ]
         lines.extend(b': '.join(pair) for pair in req.headers)
         lines.extend(b': '.join(pair) for pair in _own_headers(req, dispatch))
@@ -80,7 +82,7 @@
             kind=_kind(head, req),
             status=head.status,
             headers=_end_to_end(head.headers),
-            faulty_address=at_fault.decode('latin-1') if at_fault else None,
+            faulty_address=at_fault.decode(LATIN) if at_fault else None,
             is_event_stream=content_type.startswith(b'text/event-stream'),
         )
 
@@ -125,9 +127,9 @@
 ) -> Iterable[tuple[bytes, bytes]]:
     left_ms = max(1, int(dispatch.time_left_s * MS_IN_S))
     yield names.DEADLINE_MS, b'%d' % left_ms
-    yield names.EXPECTED_ENDPOINT, dispatch.endpoint.encode('latin-1')
+    yield names.EXPECTED_ENDPOINT, dispatch.endpoint.encode(LATIN)
     if dispatch.account is not None:
-        yield names.ACCOUNT, dispatch.account.encode('latin-1')
+        yield names.ACCOUNT, dispatch.account.encode(LATIN)
     if req.tokens is not None:
         urgency = min(MAX_URGENCY, max(0, dispatch.urgency))
         yield names.URGENCY, b'%d' % urgency
@@ -135,7 +137,7 @@
         parts = (
             f'{address}={first}-{end}' for address, first, end in dispatch.chain
         )
-        yield names.CHAIN, ','.join(parts).encode('latin-1')
+        yield names.CHAIN, ','.join(parts).encode(LATIN)
     resume_after = dispatch.resume_after
     if resume_after is None:
         resume_after = req.resumes_after
@@ -145,14 +147,8 @@
 
 def _kind(head: Head, req: RelayRequest) -> AnswerKind:
     if FIRST_SUCCESS <= head.status < FIRST_REDIRECT:
-        echoed = head.get(names.REQUEST_ID)
-        if echoed is None or echoed.decode('latin-1') != req.request_id:
-            return AnswerKind.AMBIGUOUS
-        if head.get(names.PROOF) is None:
-            return AnswerKind.AMBIGUOUS
-        if head.get(b'content-encoding') is not None:
-            return AnswerKind.AMBIGUOUS
-        return AnswerKind.SUCCESS
+        is_own = _is_proven(head, req)
+        return AnswerKind.SUCCESS if is_own else AnswerKind.AMBIGUOUS
     if head.get(names.NOT_RUN) is not None or head.status == MISDIRECTED:
         return AnswerKind.NOT_RUN
     if head.status in PROMISES:
@@ -161,6 +157,15 @@
     return AnswerKind.FAILURE
 
 
+def _is_proven(head: Head, req: RelayRequest) -> bool:
+    """Tell whether a success is the endpoint's own answer to the request."""
+    echoed = head.get(names.REQUEST_ID) or b''
+    if echoed.decode(LATIN) != req.request_id:
+        return False
+    has_proof = head.get(names.PROOF) is not None
+    return has_proof and head.get(b'content-encoding') is None
+
+
 def _end_to_end(pairs: RawHeaders) -> tuple[tuple[bytes, bytes], ...]:
     listed = list(pairs)
     named = {
@@ -176,7 +181,7 @@
 def _key(found: bytes | None) -> str | None:
     if found is None or not found.lower().startswith(names.KEY_SCHEME):
         return None
-    return found[len(names.KEY_SCHEME) :].strip().decode('latin-1')
+    return found[len(names.KEY_SCHEME) :].strip().decode(LATIN)
 
 
 def _tokens(first: dict[bytes, bytes]) -> TokenCounts | None:
@@ -197,4 +202,4 @@
 
 
 def _text(found: bytes | None) -> str:
-    return '' if found is None else found.decode('latin-1').strip()
+    return '' if found is None else found.decode(LATIN).strip()
--- a/foxtailhatch/platform/settings.py
+++ b/foxtailhatch/platform/settings.py
@@ -37,7 +37,8 @@
     fields = _fields(text)
     missing = [name for name in REQUIRED if not fields.get(name)]
     if missing:
-        return Failure(f'missing: {", ".join(missing)}')
+        listed = ', '.join(missing)
+        return Failure(f'missing: {listed}')
     try:
         return Success(_settings(fields, metrics_port))
     except ValueError as exc:
--- a/foxtailhatch/platform/store.py
+++ b/foxtailhatch/platform/store.py
@@ -89,9 +89,9 @@
     ) -> Result[None, StoreFault]:
         """Append the newest value of a key."""
         name = key.encode()
-        record = bytes((len(name),)) + name + (value or b'')
+        record = b''.join((bytes((len(name),)), name, value or b''))
         query = urlencode({'topic': _TOPICS[topic], 'part': 0})
-        body = _LENGTH.pack(len(record)) + record
+        body = b''.join((_LENGTH.pack(len(record)), record))
         called = await self._call(
             Call('POST', f'/log-append?{query}', body, CALL_TIMEOUT_S)
         )
@@ -120,18 +120,6 @@
         called = await self._post('/log-leave', wish)
         return called.map(lambda _: None)
 
-    async def create_decider_topic(self) -> Result[None, StoreFault]:
-        """Make the topic whose single partition the decider holds.
-
-        An empty append creates a topic and adds nothing.
-        """
-        query = urlencode({'topic': names.DECIDER_TOPIC, 'part': 0})
-        record = _LENGTH.pack(1) + b'-'
-        called = await self._call(
-            Call('POST', f'/log-append?{query}', record, CALL_TIMEOUT_S)
-        )
-        return called.map(lambda _: None)
-
     async def _post(self, path: str, wish: Any) -> Result[Answer, StoreFault]:
         body = orjson.dumps(wish)
         return await self._call(Call('POST', path, body, CALL_TIMEOUT_S))
@@ -194,7 +182,7 @@
 def _records(body: bytes) -> Iterator[KeyedRecord]:
     place = 0
     while place + _LENGTH.size <= len(body):
-        (length,) = _LENGTH.unpack_from(body, place)
+        length = _LENGTH.unpack_from(body, place)[0]
         place += _LENGTH.size
         if place + length > len(body):
             return
--- a/foxtailhatch/relay/http_stream.py
+++ b/foxtailhatch/relay/http_stream.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Any, Protocol as Interface
+from typing import Any
+from typing import Protocol as Interface
 
 import httptools
 from twisted.internet.error import ConnectionDone
@@ -84,14 +85,14 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send the first request."""
-        self.transport.setTcpNoDelay(True)
-        self.transport.write(self._request)
+        self._out.setTcpNoDelay(True)
+        self._out.write(self._request)
 
     def send(self, request: bytes, listener: Listener) -> None:
         """Send another request on a connection that is free."""
         self._listener = listener
         self.is_reusable = False
-        self.transport.write(request)
+        self._out.write(request)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
         """Feed the parser."""
@@ -156,13 +157,19 @@
         if self._skipping or not self._in_answer:
             return
         self._in_answer = False
-        listener, self._listener = self._listener, None
+        listener = self._listener
+        self._listener = None
         self.is_reusable = self._framed and self._parser.should_keep_alive()
         if listener is not None:
             listener.answer_ended()
 
+    @property
+    def _out(self) -> Any:
+        return self.transport
+
     def _lose(self, loss: Loss) -> None:
-        listener, self._listener = self._listener, None
+        listener = self._listener
+        self._listener = None
         if listener is not None:
             listener.answer_lost(loss)
 
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -7,7 +7,11 @@
 from foxtailhatch.relay.http_stream import Head, Loss
 from foxtailhatch.relay.next_step import Failure, Next, Situation, next_step
 from foxtailhatch.relay.parts import Choice, Chosen, RelayParts
-from foxtailhatch.relay.refusals import Reason, RelayRefusal
+from foxtailhatch.relay.refusals import (
+    UNAVAILABLE,
+    Reason,
+    RelayRefusal,
+)
 from foxtailhatch.relay.request import (
     AnswerKind,
     CallerSide,
@@ -23,6 +27,9 @@
 # model that is lost is loaded again within a second or so.
 RETRY_NO_ENDPOINT_S = 1.0
 RETRY_REFUSED_S = 0.5
+FIRST_ERROR = 400
+FIRST_SERVER_ERROR = 500
+_ANY_HEAD: frozenset[str] = frozenset()
 
 
 class Admitted:
@@ -165,7 +172,7 @@
             self._parts.endpoints.absolve(stage.endpoint.name)
         self._caller.finish()
         status = attempt.answer.status
-        self._end('answered' if status < 400 else f'status_{status}')
+        self._end(_outcome(status))
 
     def attempt_lost(self, attempt: Attempt, loss: Loss) -> None:
         """Decide what follows a broken connection."""
@@ -182,16 +189,14 @@
 
     def _send(self, chosen: Chosen, now: float) -> None:
         admitted = self.admitted
-        may_send = (
-            not self._may_have_run or admitted.route.may_repeat
-        )
+        may_send = not self._may_have_run or admitted.route.may_repeat
         require(Invariant.AT_MOST_ONCE, may_send, self.request_id)
-        for stage in chosen:
-            require(
-                Invariant.LEAVING_GETS_NO_WORK,
-                self._parts.endpoints.takes_work(stage.endpoint),
-                stage.endpoint.name,
-            )
+        endpoints = [stage.endpoint for stage in chosen]
+        require(
+            Invariant.LEAVING_GETS_NO_WORK,
+            all(map(self._parts.endpoints.takes_work, endpoints)),
+            str([endpoint.name for endpoint in endpoints]),
+        )
         self._heads.add(chosen[0].endpoint.name)
         self._sends += 1
         self.progress_at = now
@@ -220,7 +225,7 @@
             now,
         )
 
-    def _choice(self, heads: frozenset[str] = frozenset()) -> Choice:
+    def _choice(self, heads: frozenset[str] = _ANY_HEAD) -> Choice:
         route = self.admitted.route
         if not heads and len(self._heads) >= route.attempts:
             heads = frozenset(self._heads)
@@ -235,9 +240,14 @@
         answer = attempt.answer
         faulty = answer.faulty_address if answer else None
         blamed = attempt.head_name
-        for stage in attempt.chosen:
-            if stage.endpoint.address == faulty:
-                blamed = stage.endpoint.name
+        blamed = next(
+            (
+                stage.endpoint.name
+                for stage in attempt.chosen
+                if stage.endpoint.address == faulty
+            ),
+            blamed,
+        )
         attempt.cancel()
         self._avoid.add(blamed)
         if faulty is not None:
@@ -325,7 +335,7 @@
     def _repeats_failure(self, attempt: Attempt) -> bool:
         """Tell whether an endpoint's failure is worth another attempt."""
         answer = attempt.answer
-        if answer is None or answer.status < 500:
+        if answer is None or answer.status < FIRST_SERVER_ERROR:
             return False
         now = self._parts.clock()
         situation = self._situation(Failure.FAILED, now)
@@ -403,7 +413,7 @@
         retry_after_s: float | None = None,
     ) -> None:
         refusal = RelayRefusal(reason, retry_after_s)
-        if refusal.status == 503:
+        if refusal.status == UNAVAILABLE:
             require(
                 Invariant.NOT_RUN_IS_TRUE,
                 not self._may_have_run,
@@ -459,6 +469,10 @@
     )
 
 
+def _outcome(status: int) -> str:
+    return 'answered' if status < FIRST_ERROR else f'status_{status}'
+
+
 def answer_refusal(caller: CallerSide, refusal: RelayRefusal) -> None:
     """Give a caller a final answer of our own."""
     body = b'{"error":"%s"}' % refusal.reason.value.encode()
--- /dev/null
+++ b/foxtailhatch/router/adapter.py
@@ -0,0 +1,44 @@
+"""All that speaks to the outside, as the router uses it."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Result
+
+from foxtailhatch.fleet import LiveEndpoint
+from foxtailhatch.placement.protocols import Engines
+from foxtailhatch.relay.refusals import RelayRefusal
+from foxtailhatch.relay.request import RelayRequest, RelayWire
+from foxtailhatch.router.keyed_log import KeyedLog
+from foxtailhatch.routes import RoutingConfiguration
+
+DecodeRequest = Callable[
+    [str, str, Iterable[tuple[bytes, bytes]], bytes],
+    Result[RelayRequest, RelayRefusal],
+]
+DecodeConfiguration = Callable[[bytes], Result[RoutingConfiguration, str]]
+DecodeEndpoint = Callable[[str, bytes], Result[LiveEndpoint, str]]
+
+
+@dataclass(frozen=True, slots=True)
+class Adapter:
+    """The platform behind the router's own types.
+
+    ``configuration_key`` is the key of the operators' record; the paths are
+    those that the platform and callers ask for.
+    """
+
+    store: KeyedLog
+    engines: Engines
+    wire: RelayWire
+    decode_request: DecodeRequest
+    decode_configuration: DecodeConfiguration
+    decode_endpoint: DecodeEndpoint
+    configuration_key: str
+    ready_path: bytes
+    advice_path: bytes
+
+
+MakeAdapter = Callable[[Any], Adapter]
+Reload = Callable[[], object]
--- a/foxtailhatch/router/blackboard.py
+++ b/foxtailhatch/router/blackboard.py
@@ -26,6 +26,13 @@
     entries: EntryTable = field(default_factory=EntryTable)
     loads: EndpointLoads = field(default_factory=EndpointLoads)
 
+    def is_ready(self) -> bool:
+        """Tell whether this entry can serve callers now."""
+        if self.stop_asked_at is not None or self.table is None:
+            return False
+        age_s = self.configuration_age(self.clock())
+        return age_s <= self.cfg.bounds.revocation_s
+
     def configuration_age(self, now: float) -> float:
         """Return for how long the configuration may have been outdated."""
         if self.configured_at is None:
--- a/foxtailhatch/router/decider.py
+++ b/foxtailhatch/router/decider.py
@@ -95,8 +95,12 @@
             return
         now = self._board.clock()
         await self._look(now)
-        for service in self._model_services():
-            await self._plan(service, self._board.clock())
+        await asyncio.gather(
+            *(
+                self._plan(service, self._board.clock())
+                for service in self._model_services()
+            )
+        )
 
     def _joined(self, membership: Membership) -> None:
         self.generation = max(self.generation, membership.generation)
@@ -149,9 +153,7 @@
         cards = []
         for one in endpoints.of_service(service):
             card = engine.cards.get(one.card)
-            if card is None or not endpoints.takes_work(one):
-                continue
-            if endpoints.is_dead(one.name):
+            if card is None or not self._is_sound(one):
                 continue
             pending = self._pending.get(one.name)
             cards.append(
@@ -166,6 +168,12 @@
             )
         return cards
 
+    def _is_sound(self, endpoint: LiveEndpoint) -> bool:
+        endpoints = self._board.endpoints
+        if endpoints.is_dead(endpoint.name):
+            return False
+        return endpoints.takes_work(endpoint)
+
     async def _order(self, order: LayerOrder) -> None:
         endpoint = self._board.endpoints.get(order.endpoint)
         if endpoint is None:
--- a/foxtailhatch/router/door.py
+++ b/foxtailhatch/router/door.py
@@ -8,8 +8,8 @@
 from foxtailhatch.relay.refusals import RelayRefusal
 from foxtailhatch.relay.relay import Relay, answer_refusal
 from foxtailhatch.relay.request import CallerSide, RelayRequest
+from foxtailhatch.router.adapter import DecodeRequest
 from foxtailhatch.router.blackboard import Blackboard
-from foxtailhatch.router.front import Decode
 from foxtailhatch.router.gatekeeper import admit
 
 # Until a configuration is known: the usual bound on bodies.
@@ -23,7 +23,7 @@
         self,
         board: Blackboard,
         parts: RelayParts,
-        decode: Decode,
+        decode: DecodeRequest,
         random: Random,
     ) -> None:
         """Relay with ``parts`` what the configuration admits."""
@@ -71,5 +71,5 @@
             status=refusal.status,
             retry_after_s=refusal.retry_after_s,
             version=None if table is None else table.version,
-            age_s=round(age_s, 2) if table is not None else None,
+            age_s=None if table is None else round(age_s, 2),
         )
--- a/foxtailhatch/router/entry_table.py
+++ b/foxtailhatch/router/entry_table.py
@@ -10,6 +10,7 @@
 ENTRY_TIMEOUT_S = 4.5
 # Fewer entries than this in a caller's zone: others are advised as well.
 ADVISED_MIN = 2
+_FIELDS = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,19 +34,15 @@
     """Return the entry that a record describes.
 
     >>> decode_entry(b'[]').failure()
-    'an entry has 5 fields, not 0'
+    'not an entry'
     """
     try:
         fields = orjson.loads(raw)
     except ValueError as exc:
         return Failure(str(exc))
-    if not isinstance(fields, list) or len(fields) != 5:
-        count = len(fields) if isinstance(fields, list) else 'none'
-        return Failure(f'an entry has 5 fields, not {count}')
-    name, zone, region, address, is_ready = fields
-    return Success(
-        EntryRecord(str(name), str(zone), str(region), str(address), is_ready),
-    )
+    if not isinstance(fields, list) or len(fields) != _FIELDS:
+        return Failure('not an entry')
+    return Success(EntryRecord(*fields))
 
 
 class EntryTable:
--- a/foxtailhatch/router/errors.py
+++ b/foxtailhatch/router/errors.py
@@ -8,6 +8,9 @@
 from foxtailhatch.core import InvariantBroken
 from foxtailhatch.relay.decision_log import DecisionLog
 
+# What is kept of an error's text and of its trace.
+WHAT_CHARS = 200
+TRACE_CHARS = 2000
 OnBroken = Callable[[InvariantBroken], None]
 
 
@@ -23,12 +26,14 @@
             return
         log.write(
             'error',
-            what=str(event.get('log_format', ''))[:200],
-            trace=None if failure is None else failure.getTraceback()[-2000:],
+            what=str(event.get('log_format', ''))[:WHAT_CHARS],
+            trace=None
+            if failure is None
+            else failure.getTraceback()[-TRACE_CHARS:],
         )
 
     globalLogBeginner.beginLoggingTo(
-        [observe],
+        [observe],  # type: ignore[list-item]
         discardBuffer=True,
         redirectStandardIO=False,
     )
--- /dev/null
+++ b/foxtailhatch/router/finding_desk.py
@@ -0,0 +1,69 @@
+"""Tell the other entries what was found at endpoints."""
+
+import asyncio
+from collections.abc import Coroutine
+
+from returns.result import Success
+
+from foxtailhatch.fleet import LiveEndpoint
+from foxtailhatch.relay.decision_log import DecisionLog
+from foxtailhatch.router.adapter import Adapter
+from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.findings import Finding
+from foxtailhatch.router.keyed_log import Topic
+
+
+class FindingDesk:
+    """Check suspects once more, and publish what is certain."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        adapter: Adapter,
+        log: DecisionLog,
+    ) -> None:
+        """Start with nothing in progress."""
+        self._board = board
+        self._adapter = adapter
+        self._log = log
+        self._tasks: set[asyncio.Future[None]] = set()
+
+    def suspect(self, endpoint: LiveEndpoint, why: str) -> None:
+        """Ask a suspected engine itself; publish it if it is dead."""
+        if endpoint.layers is not None:
+            self._start(self._confirm(endpoint, why))
+
+    def publish(self, finding: Finding) -> None:
+        """Put a finding on the blackboard and into the log."""
+        finding.apply(self._board.endpoints, self._board.clock())
+        self._start(self._write(finding))
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _confirm(self, endpoint: LiveEndpoint, why: str) -> None:
+        found = await self._adapter.engines.report(endpoint)
+        is_alive = isinstance(found, Success)
+        self._log.write(
+            'suspect_asked',
+            endpoint=endpoint.name,
+            why=why,
+            alive=is_alive,
+        )
+        if not is_alive:
+            self.publish(Finding(endpoint.name, endpoint.born, is_dead=True))
+
+    async def _write(self, finding: Finding) -> None:
+        written = await self._adapter.store.put(
+            Topic.FINDINGS,
+            finding.endpoint,
+            finding.encode(),
+        )
+        if not isinstance(written, Success):
+            self._log.write(
+                'finding_not_written',
+                endpoint=finding.endpoint,
+                fault=written.failure().value,
+            )
--- a/foxtailhatch/router/findings.py
+++ b/foxtailhatch/router/findings.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from foxtailhatch.core import LayerRange
+from foxtailhatch.fleet import EndpointTable
 
 _FIELDS = 5
 
@@ -23,6 +24,14 @@
     is_dead: bool
     layers: LayerRange | None = None
 
+    def apply(self, table: EndpointTable, now: float) -> bool:
+        """Put the finding on the table; return whether it changed it."""
+        if self.is_dead:
+            return table.mark_dead(self.endpoint, self.born, now)
+        if self.layers is None:
+            return False
+        return table.hold_layers(self.endpoint, self.born, self.layers)
+
     def encode(self) -> bytes:
         """Return the finding as the log keeps it."""
         held = self.layers
@@ -38,6 +47,6 @@
         return Failure(str(exc))
     if not isinstance(fields, list) or len(fields) != _FIELDS:
         return Failure('not a finding')
-    endpoint, born, is_dead, first, end = fields
+    first, end = fields[3:]
     layers = LayerRange(first, end) if end > first else None
-    return Success(Finding(str(endpoint), int(born), bool(is_dead), layers))
+    return Success(Finding(fields[0], fields[1], fields[2], layers))
--- a/foxtailhatch/router/front.py
+++ b/foxtailhatch/router/front.py
@@ -1,20 +1,16 @@
 """The HTTP front: callers' requests over ``twisted.web``."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from io import BytesIO
 from typing import Any, Protocol
 
-from returns.result import Result, Success
+from returns.result import Success
 from twisted.web import http
 
 from foxtailhatch.relay.refusals import Reason, RelayRefusal
 from foxtailhatch.relay.relay import Relay, answer_refusal
 from foxtailhatch.relay.request import CallerSide, RelayRequest
-
-Decode = Callable[
-    [str, str, Iterable[tuple[bytes, bytes]], bytes],
-    Result[RelayRequest, RelayRefusal],
-]
+from foxtailhatch.router.adapter import DecodeRequest
 
 
 class FrontDoor(Protocol):
@@ -29,7 +25,7 @@
         """Tell whether connections are to be closed after an answer."""
 
     @property
-    def decode(self) -> Decode:
+    def decode(self) -> DecodeRequest:
         """Return the decoder of requests."""
 
     def accept(
@@ -51,21 +47,22 @@
     def __init__(self, channel: Any, _: object = None) -> None:
         """Start without a relay."""
         super().__init__(channel, parsePOSTFormSubmission=False)
+        self._body = BytesIO()
         self._relay: Relay | None = None
         self._too_large = False
         self._flows = False
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Keep the body in memory, unless it is longer than allowed."""
-        self.content = BytesIO()
+        self.content = self._body
         self._too_large = length is not None and length > self.door.body_limit
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802, WPS110
         """Take a part of the body."""
-        size = self.content.tell() + len(data)
+        size = self._body.tell() + len(data)
         self._too_large = self._too_large or size > self.door.body_limit
         if not self._too_large:
-            self.content.write(data)
+            self._body.write(data)
 
     def process(self) -> None:
         """Relay the request, or refuse it."""
@@ -77,7 +74,7 @@
             self.method.decode('latin-1'),
             self.uri.decode('latin-1'),
             _raw_headers(self),
-            self.content.getvalue(),
+            self._body.getvalue(),
         )
         if isinstance(decoded, Success):
             self._relay = self.door.accept(decoded.unwrap(), self)
@@ -100,7 +97,7 @@
     def finish(self) -> None:
         """End the answer as complete."""
         self.flow_from(None)
-        super().finish()
+        super().finish()  # type: ignore[no-untyped-call]
 
     def abort(self) -> None:
         """Close the connection with the answer incomplete."""
@@ -111,10 +108,10 @@
         """Let the caller's reading pace slow ``transport`` down."""
         if self._flows:
             self._flows = False
-            self.unregisterProducer()
+            self.unregisterProducer()  # type: ignore[no-untyped-call]
         if transport is not None:
             self._flows = True
-            self.registerProducer(transport, True)
+            self.registerProducer(transport, True)  # type: ignore[no-untyped-call]
 
     def _refuse(self, refusal: RelayRefusal) -> None:
         self.door.refused(refusal, '')
@@ -134,11 +131,13 @@
     def __init__(self, door: FrontDoor, idle_timeout_s: float) -> None:
         """Close connections that are idle for longer than the timeout."""
         super().__init__(timeout=idle_timeout_s)
-        self._request_type = type('DoorRequest', (FrontRequest,), {'door': door})
+        self._request_type = type(
+            'DoorRequest', (FrontRequest,), {'door': door}
+        )
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Return the protocol of one connection."""
-        channel = super().buildProtocol(addr)
+        channel: Any = super().buildProtocol(addr)
         channel.requestFactory = self._request_type
         return channel
 
--- a/foxtailhatch/router/gatekeeper.py
+++ b/foxtailhatch/router/gatekeeper.py
@@ -30,26 +30,48 @@
     random: Random,
 ) -> Result[Admitted, RelayRefusal]:
     """Return the request with its route, service and account, or why not."""
+    closed = _closed(board, now)
+    if closed is not None:
+        return Failure(closed)
     table = board.table
-    if table is None:
-        return _refuse(Reason.NO_CONFIGURATION, RETRY_UNCONFIGURED_S)
-    stopping_s = 0 if board.stop_asked_at is None else now - board.stop_asked_at
-    if stopping_s > STOPPING_ACCEPTS_S:
-        return _refuse(Reason.STOPPING, RETRY_ELSEWHERE_S)
+    route = None if table is None else table.route(req.host, req.target)
     age_s = board.configuration_age(now)
-    route = table.route(req.host, req.target)
-    if route is None:
-        return _deny(Reason.NO_ROUTE, age_s)
+    if table is None or route is None:
+        return Failure(_denial(Reason.NO_ROUTE, age_s))
     if route.is_public or not table.cfg.checks_keys:
         return _admitted(table, req, route, None, random)
-    if age_s > board.cfg.bounds.revocation_s - REVOCATION_MARGIN_S:
-        return _refuse(Reason.STALE_CONFIGURATION, RETRY_ELSEWHERE_S)
     account = None if req.key is None else table.account(req.key)
-    if account is None:
-        return _deny(Reason.UNKNOWN_KEY, age_s)
+    refusal = _key_refusal(board, account, age_s)
+    if refusal is not None:
+        return Failure(refusal)
     return _admitted(table, req, route, account, random)
 
 
+def _closed(board: Blackboard, now: float) -> RelayRefusal | None:
+    if board.table is None:
+        return RelayRefusal(Reason.NO_CONFIGURATION, RETRY_UNCONFIGURED_S)
+    asked_at = board.stop_asked_at
+    if asked_at is not None and now - asked_at > STOPPING_ACCEPTS_S:
+        return RelayRefusal(Reason.STOPPING, RETRY_ELSEWHERE_S)
+    return None
+
+
+def _key_refusal(
+    board: Blackboard,
+    account: Account | None,
+    age_s: float,
+) -> RelayRefusal | None:
+    if age_s > board.cfg.bounds.revocation_s - REVOCATION_MARGIN_S:
+        return RelayRefusal(Reason.STALE_CONFIGURATION, RETRY_ELSEWHERE_S)
+    return _denial(Reason.UNKNOWN_KEY, age_s) if account is None else None
+
+
+def _denial(reason: Reason, age_s: float) -> RelayRefusal:
+    if age_s > DENIAL_AGE_S:
+        return RelayRefusal(Reason.STALE_CONFIGURATION, RETRY_ELSEWHERE_S)
+    return RelayRefusal(reason)
+
+
 def _admitted(
     table: RoutingTable,
     req: RelayRequest,
@@ -57,31 +79,16 @@
     account: Account | None,
     random: Random,
 ) -> Result[Admitted, RelayRefusal]:
+    unserved = RelayRefusal(Reason.NO_ENDPOINT, RETRY_UNCONFIGURED_S)
     weights = [max(0, share.weight) for share in route.shares]
     if not sum(weights):
-        return _refuse(Reason.NO_ENDPOINT, RETRY_UNCONFIGURED_S)
+        return Failure(unserved)
     share = random.choices(route.shares, weights)[0]
     service = table.service(share.service)
     if service is None:
-        return _refuse(Reason.NO_ENDPOINT, RETRY_UNCONFIGURED_S)
+        return Failure(unserved)
     urgency = route.priority
     if account is not None and account.priority is not None:
         urgency = account.priority
     name = None if account is None else account.name
     return Success(Admitted(req, route, service, name, urgency))
-
-
-def _deny(
-    reason: Reason,
-    age_s: float,
-) -> Result[Admitted, RelayRefusal]:
-    if age_s > DENIAL_AGE_S:
-        return _refuse(Reason.STALE_CONFIGURATION, RETRY_ELSEWHERE_S)
-    return Failure(RelayRefusal(reason))
-
-
-def _refuse(
-    reason: Reason,
-    retry_after_s: float,
-) -> Result[Admitted, RelayRefusal]:
-    return Failure(RelayRefusal(reason, retry_after_s))
--- a/foxtailhatch/router/knowledge.py
+++ b/foxtailhatch/router/knowledge.py
@@ -1,23 +1,24 @@
 """Bring what the log says onto the blackboard."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
-from returns.result import Result, Success
+from returns.result import Success
 
 from foxtailhatch.core import Invariant, require
 from foxtailhatch.fleet import LiveEndpoint
 from foxtailhatch.relay.decision_log import DecisionLog
+from foxtailhatch.router.adapter import Adapter
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.entry_table import decode_entry
 from foxtailhatch.router.findings import decode_finding
 from foxtailhatch.router.keyed_log import KeyedRecord
-from foxtailhatch.routes import RoutingConfiguration, RoutingTable
+from foxtailhatch.routes import RoutingTable
 
-DecodeConfiguration = Callable[[bytes], Result[RoutingConfiguration, str]]
-DecodeEndpoint = Callable[[str, bytes], Result[LiveEndpoint, str]]
 # An endpoint that falls from the list so soon after an outage may only have
 # lapsed during it.
 OUTAGE_RECENT_S = 3.0
+# Heartbeats found at the start count as this old: two periods.
+UNKNOWN_AGE_S = 3.0
 
 
 class Knowledge:
@@ -27,16 +28,12 @@
         self,
         board: Blackboard,
         log: DecisionLog,
-        configuration_key: str,
-        decode_configuration: DecodeConfiguration,
-        decode_endpoint: DecodeEndpoint,
+        adapter: Adapter,
     ) -> None:
-        """Decode operators' and endpoints' records as told."""
+        """Decode operators' and endpoints' records as ``adapter`` does."""
         self._board = board
         self._log = log
-        self._configuration_key = configuration_key
-        self._decode_configuration = decode_configuration
-        self._decode_endpoint = decode_endpoint
+        self._adapter = adapter
         self._unreadable: set[str] = set()
 
     def configuration(
@@ -46,7 +43,7 @@
     ) -> None:
         """Put the newest configuration in force; never an older one."""
         for record in records:
-            if record.key == self._configuration_key and record.value:
+            if record.key == self._adapter.configuration_key and record.value:
                 self._configure(record.value)
 
     def endpoints(
@@ -85,7 +82,7 @@
             entry = decode_entry(record.value)
             if isinstance(entry, Success):
                 # A record found at the start may be of any age.
-                heard_at = now - 3 if newest else now
+                heard_at = now - UNKNOWN_AGE_S if newest else now
                 self._board.entries.hear(entry.unwrap(), heard_at)
             else:
                 self._log.write(
@@ -106,24 +103,12 @@
         now = self._board.clock()
         table = self._board.endpoints
         for record in records:
-            if record.value is None:
-                continue
-            found = decode_finding(record.value)
+            found = decode_finding(record.value or b'')
             if not isinstance(found, Success):
                 self._log.write('finding_unreadable', key=record.key)
                 continue
             finding = found.unwrap()
-            if finding.is_dead:
-                changed = table.mark_dead(finding.endpoint, finding.born, now)
-            elif finding.layers is not None:
-                changed = table.hold_layers(
-                    finding.endpoint,
-                    finding.born,
-                    finding.layers,
-                )
-            else:
-                changed = False
-            if changed:
+            if finding.apply(table, now):
                 self._log.write(
                     'finding',
                     endpoint=finding.endpoint,
@@ -132,7 +117,7 @@
                 )
 
     def _configure(self, raw: bytes) -> None:
-        decoded = self._decode_configuration(raw)
+        decoded = self._adapter.decode_configuration(raw)
         if not isinstance(decoded, Success):
             self._log.write('configuration_unreadable', why=decoded.failure())
             return
@@ -155,7 +140,7 @@
         )
 
     def _listed(self, name: str, raw: bytes, now: float) -> None:
-        decoded = self._decode_endpoint(name, raw)
+        decoded = self._adapter.decode_endpoint(name, raw)
         if not isinstance(decoded, Success):
             if name not in self._unreadable:
                 self._unreadable.add(name)
--- a/foxtailhatch/router/output.py
+++ b/foxtailhatch/router/output.py
@@ -25,7 +25,7 @@
         if len(self._waiting) >= WAITING_LINES:
             self.dropped += 1
             return
-        self._waiting.append(line.encode() + b'\n')
+        self._waiting.append(f'{line}\n'.encode())
         self.flush()
 
     def flush(self) -> None:
--- a/foxtailhatch/router/sites.py
+++ b/foxtailhatch/router/sites.py
@@ -22,7 +22,7 @@
 
     def __init__(self, answerer: Answerer, content_type: bytes) -> None:
         """Answer with the content type given."""
-        super().__init__()
+        super().__init__()  # type: ignore[no-untyped-call]
         self._answerer = answerer
         self._content_type = content_type
 
@@ -41,8 +41,8 @@
 
     def __init__(self, path: bytes, page: Page) -> None:
         """Serve the page at ``path``."""
-        super().__init__()
-        self.putChild(path.strip(b'/'), page)
+        super().__init__()  # type: ignore[no-untyped-call]
+        self.putChild(path.strip(b'/'), page)  # type: ignore[arg-type]
 
 
 def page_site(path: bytes, answerer: Answerer, content_type: bytes) -> Site:
@@ -58,6 +58,6 @@
     return found[0].decode('utf-8', 'replace') if found else ''
 
 
-def to_json(document: object) -> bytes:
+def json_bytes(document: object) -> bytes:
     """Return a document as JSON."""
     return orjson.dumps(document)
--- a/foxtailhatch/router/stall_watch.py
+++ b/foxtailhatch/router/stall_watch.py
@@ -17,7 +17,6 @@
 from foxtailhatch.placement.reports import EngineReport
 from foxtailhatch.relay.parts import Chosen, RelayParts
 from foxtailhatch.relay.relay import Relay, chain_of
-from foxtailhatch.router.findings import Finding
 
 # Longer than this between two events is no batch's work.  Source: twice the
 # longest pause that is still on time.
@@ -100,7 +99,8 @@
         self._blame_stalled(found.unwrap())
 
     def _blame_stalled(self, report: EngineReport) -> None:
-        for address in {one.address for one in report.stalled}:
+        addresses = {one.address for one in report.stalled}
+        for address in addresses:
             found = self._parts.endpoints.at(address)
             if found is not None:
                 self._lost(found, 'stalled work')
--- a/foxtailhatch/routes/configuration.py
+++ b/foxtailhatch/routes/configuration.py
@@ -86,13 +86,9 @@
     usual_answer: float
     cards: Mapping[str, CardKind]
 
-    def fits(self, card: CardKind, layers: int) -> bool:
-        """Tell whether a card's memory holds so many layers."""
-        return layers * self.layer_mb <= card.memory_mb
-
-    def kv_tokens(self, card: CardKind, layers: int) -> float:
-        """Return how many tokens fit beside so many layers on a card."""
-        free_mb = card.memory_mb - layers * self.layer_mb
+    def kv_tokens(self, memory_mb: float, layers: int) -> float:
+        """Return how many tokens fit beside so many layers in a memory."""
+        free_mb = memory_mb - layers * self.layer_mb
         share = layers / self.layer_count
         return max(0, free_mb) * BYTES_IN_MB / (self.kv_bytes * share)
 
--- a/foxtailhatch/routing/chain_costs.py
+++ b/foxtailhatch/routing/chain_costs.py
@@ -32,17 +32,10 @@
     def of(self, endpoint: str, layers: int, *, is_first: bool) -> float:
         """Return the seconds of an answer of usual length at a stage."""
         known = self.endpoints[endpoint]
-        card = self.engine.cards[known.card]
-        share = layers / self.engine.layer_count
-        work = self.loads.of(endpoint)
-        running = work.requests * self.sharers
-        step_s = self.engine.step_s + self.engine.request_step_s * running
-        steps = self.engine.usual_answer * (1 + STEPS_WAITED)
-        answer_s = steps * step_s * card.step_factor * share
-        cost = answer_s + self._crowding(known, work.tokens)
+        cost = self._answer_s(known, layers) + _penalty(self.fill(known))
         if is_first and known.slots:
-            fill = work.received * self.sharers / known.slots
-            cost += _penalty(fill)
+            received = self.loads.of(endpoint).received
+            cost += _penalty(received * self.sharers / known.slots)
         return cost
 
     def crossing(self, zone: str, to_zone: str) -> float:
@@ -55,14 +48,19 @@
         if held is None:
             return 1
         room = self.engine.kv_tokens(
-            self.engine.cards[endpoint.card],
+            self.engine.cards[endpoint.card].memory_mb,
             len(held),
         )
         tokens = self.loads.of(endpoint.name).tokens * self.sharers
         return (tokens + self.tokens) / room if room else 1
 
-    def _crowding(self, endpoint: LiveEndpoint, tokens: int) -> float:
-        return _penalty(self.fill(endpoint))
+    def _answer_s(self, endpoint: LiveEndpoint, layers: int) -> float:
+        engine = self.engine
+        running = self.loads.of(endpoint.name).requests * self.sharers
+        step_s = engine.step_s + engine.request_step_s * running
+        steps = engine.usual_answer * (1 + STEPS_WAITED)
+        factor = engine.cards[endpoint.card].step_factor
+        return steps * step_s * factor * layers / engine.layer_count
 
 
 def _penalty(fill: float) -> float:
--- a/foxtailhatch/routing/zone_paths.py
+++ b/foxtailhatch/routing/zone_paths.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from operator import attrgetter
 from typing import Protocol
 
 from foxtailhatch.core import Invariant, LayerRange, require, tiles
@@ -73,11 +74,8 @@
             for holder in holders:
                 if _may_follow(path, holder, reached, head):
                     _extend(best, path, holder, reached, bounds, costs)
-    found = min(
-        best.get(layer_count, {}).values(),
-        key=lambda path: path.cost,
-        default=None,
-    )
+    ends = best.get(layer_count, {}).values()
+    found = min(ends, key=attrgetter('cost'), default=None)
     if found is not None:
         require(
             Invariant.LAYERS_ONCE_IN_ORDER,
