--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -15,6 +15,9 @@
 # A record that is read this long after a death was written after it: the
 # list lags by less.
 ALIVE_PROOF_S = 2.0
+# For so long the list may still say what an endpoint held before.  Source:
+# two heartbeats of endpoints.
+LIST_LAG_S = 2.5
 
 
 class EndpointTable:
@@ -33,6 +36,7 @@
         self._suspects: dict[str, tuple[float, float]] = {}
         self._leaving: set[tuple[str, int]] = set()
         self._dead: dict[str, float] = {}
+        self._held: dict[str, tuple[LayerRange | None, float]] = {}
         self.revision = 0
 
     def put(self, endpoint: LiveEndpoint, now: float) -> LiveEndpoint | None:
@@ -40,6 +44,7 @@
         before = self._known.get(endpoint.name)
         self._lapsed.pop(endpoint.name, None)
         self._revive(endpoint, before, now)
+        endpoint = self._as_found(endpoint, before, now)
         if before == endpoint:
             return before
         if before is not None and before.born != endpoint.born:
@@ -50,10 +55,19 @@
         self.revision += 1
         return before
 
-    def hold_layers(self, name: str, born: int, layers: LayerRange) -> bool:
+    def hold_layers(
+        self,
+        name: str,
+        born: int,
+        layers: LayerRange | None,
+        now: float,
+    ) -> bool:
         """Take what an incarnation holds before the list says so."""
         known = self._known.get(name)
-        if known is None or known.born != born or known.layers == layers:
+        if known is None or known.born != born:
+            return False
+        self._held[name] = (layers, now + LIST_LAG_S)
+        if known.layers == layers:
             return False
         self._known[name] = replace(known, layers=layers)
         self.revision += 1
@@ -76,6 +90,7 @@
         """Drop an endpoint that has left."""
         self._lapsed.pop(name, None)
         self._dead.pop(name, None)
+        self._held.pop(name, None)
         self._suspects.pop(name, None)
         if self._known.pop(name, None) is not None:
             self.revision += 1
@@ -151,6 +166,19 @@
         until, _ = self._suspects.get(endpoint.name, (0, 0))
         return now < until
 
+    def _as_found(
+        self,
+        endpoint: LiveEndpoint,
+        before: LiveEndpoint | None,
+        now: float,
+    ) -> LiveEndpoint:
+        """Return the endpoint with layers that are newer than the list's."""
+        layers, until = self._held.get(endpoint.name, (None, 0))
+        if before is None or before.born != endpoint.born or now >= until:
+            self._held.pop(endpoint.name, None)
+            return endpoint
+        return replace(endpoint, layers=layers)
+
     def _revive(
         self,
         endpoint: LiveEndpoint,
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -180,6 +180,7 @@
             return
         if loss is Loss.NOT_CONNECTED:
             self._unreached += 1
+            self._heads.discard(attempt.head_name)
             self._blame(attempt.head_name, loss.value)
             self._failed(attempt, Failure.UNREACHED, loss.value)
             return
--- a/foxtailhatch/router/decider.py
+++ b/foxtailhatch/router/decider.py
@@ -204,6 +204,8 @@
             expected=expected,
             list_revision=self._board.endpoints.revision,
         )
+        if outcome is OrderOutcome.BEGUN:
+            self._publish(_kept(endpoint, order.layers))
         if outcome is OrderOutcome.FENCED:
             self._fenced_at = self.generation
             self._pending.pop(endpoint.name, None)
@@ -240,10 +242,9 @@
             orders=report.orders,
             took_s=round(self._board.clock() - pending.given_at, 2),
         )
-        if report.layers is not None:
-            self._publish(
-                Finding(endpoint.name, endpoint.born, False, report.layers),
-            )
+        self._publish(
+            Finding(endpoint.name, endpoint.born, False, report.layers),
+        )
 
     def _silent(self, endpoint: LiveEndpoint, fault: str) -> None:
         self._log.write('engine_silent', endpoint=endpoint.name, fault=fault)
@@ -251,5 +252,16 @@
         self._publish(Finding(endpoint.name, endpoint.born, True))
 
 
+def _kept(endpoint: LiveEndpoint, ordered: LayerRange) -> Finding:
+    """Return what an endpoint can run while it carries out an order."""
+    held = endpoint.layers
+    kept = None
+    if held is not None:
+        first = max(held.first, ordered.first)
+        end = min(held.end, ordered.end)
+        kept = LayerRange(first, end) if end > first else None
+    return Finding(endpoint.name, endpoint.born, is_dead=False, layers=kept)
+
+
 def _bounds(layers: LayerRange | None) -> list[int] | None:
     return None if layers is None else [layers.first, layers.end]
--- a/foxtailhatch/router/findings.py
+++ b/foxtailhatch/router/findings.py
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Finding:
-    """An endpoint that seems dead, or the layers that it now holds."""
+    """An endpoint that seems dead, or the layers that it can now run."""
 
     endpoint: str
     born: int
@@ -28,9 +28,7 @@
         """Put the finding on the table; return whether it changed it."""
         if self.is_dead:
             return table.mark_dead(self.endpoint, self.born, now)
-        if self.layers is None:
-            return False
-        return table.hold_layers(self.endpoint, self.born, self.layers)
+        return table.hold_layers(self.endpoint, self.born, self.layers, now)
 
     def encode(self) -> bytes:
         """Return the finding as the log keeps it."""
--- a/foxtailhatch/routing/chain_costs.py
+++ b/foxtailhatch/routing/chain_costs.py
@@ -13,6 +13,8 @@
 FULL_PENALTY_S = 5.0
 # A crossing costs the activations of prompt and answer on a shared link.
 CROSSING_S = 1.0
+# A request and its events that cross zones cost little, but are not free.
+REQUEST_CROSSING_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,9 +40,11 @@
             cost += _penalty(received * self.sharers / known.slots)
         return cost
 
-    def crossing(self, zone: str, to_zone: str) -> float:
+    def crossing(self, zone: str, to_zone: str, *, is_first: bool) -> float:
         """Return what the way between two zones costs."""
-        return 0 if zone == to_zone else CROSSING_S
+        if zone == to_zone:
+            return 0
+        return REQUEST_CROSSING_S if is_first else CROSSING_S
 
     def fill(self, endpoint: LiveEndpoint) -> float:
         """Return the estimated share of an engine's KV cache in use."""
--- a/foxtailhatch/routing/zone_paths.py
+++ b/foxtailhatch/routing/zone_paths.py
@@ -5,6 +5,7 @@
 the best path for each zone that the path has reached.
 """
 
+from bisect import bisect_right
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from operator import attrgetter
@@ -19,8 +20,11 @@
     def of(self, endpoint: str, layers: int, *, is_first: bool) -> float:
         """Return the time that an endpoint takes for so many layers."""
 
-    def crossing(self, zone: str, to_zone: str) -> float:
-        """Return what the way from one zone to another costs."""
+    def crossing(self, zone: str, to_zone: str, *, is_first: bool) -> float:
+        """Return what the way from one zone to another costs.
+
+        The first way is that of the request itself, not of activations.
+        """
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,16 +70,15 @@
     With ``head`` the first stage is asked of that endpoint.
     """
     bounds = _boundaries(holders, layer_count)
-    best: dict[int, dict[str, ZonePath]] = {
-        0: {from_zone: ZonePath(from_zone)},
-    }
-    for reached in bounds:
-        for path in tuple(best.get(reached, {}).values()):
-            for holder in holders:
-                if _may_follow(path, holder, reached, head):
-                    _extend(best, path, holder, reached, bounds, costs)
-    ends = best.get(layer_count, {}).values()
-    found = min(ends, key=attrgetter('cost'), default=None)
+    search = _Search(bounds, costs, from_zone)
+    for holder in holders:
+        if holder.layers.first == 0 and head in {'', holder.endpoint}:
+            search.extend(holder, 0)
+    for reached in bounds[1:-1]:
+        for holder in holders:
+            if holder.layers.first <= reached < holder.layers.end:
+                search.extend(holder, reached)
+    found = search.best_at(layer_count)
     if found is not None:
         require(
             Invariant.LAYERS_ONCE_IN_ORDER,
@@ -85,41 +88,72 @@
     return found
 
 
-def _may_follow(
-    path: ZonePath,
-    holder: Holder,
-    reached: int,
-    head: str,
-) -> bool:
-    if not holder.layers.first <= reached < holder.layers.end:
-        return False
-    if reached == 0 and head and holder.endpoint != head:
-        return False
-    return not path.uses(holder.endpoint)
-
-
-def _extend(
-    best: dict[int, dict[str, ZonePath]],
-    path: ZonePath,
-    holder: Holder,
-    reached: int,
-    bounds: Iterable[int],
-    costs: StageCost,
-) -> None:
-    way = costs.crossing(path.zone, holder.zone)
-    for end in bounds:
-        if not reached < end <= holder.layers.end:
-            continue
-        work = costs.of(holder.endpoint, end - reached, is_first=not reached)
-        cost = path.cost + way + work
-        known = best.setdefault(end, {}).get(holder.zone)
-        if known is None or cost < known.cost:
-            stage = Stage(holder.endpoint, LayerRange(reached, end))
-            best[end][holder.zone] = ZonePath(
-                holder.zone,
-                cost,
-                (*path.stages, stage),
+class _Search:
+    """The best path to each boundary, for each zone of its last stage."""
+
+    def __init__(
+        self,
+        bounds: Sequence[int],
+        costs: StageCost,
+        from_zone: str,
+    ) -> None:
+        self._bounds = bounds
+        self._costs = costs
+        self._best: dict[int, dict[str, ZonePath]] = {
+            0: {from_zone: ZonePath(from_zone)},
+        }
+
+    def best_at(self, boundary: int) -> ZonePath | None:
+        """Return the cheapest path to a boundary."""
+        paths = self._best.get(boundary, {}).values()
+        return min(paths, key=attrgetter('cost'), default=None)
+
+    def extend(self, holder: Holder, reached: int) -> None:
+        """Let a holder take on layers after all paths to a boundary."""
+        paths = self._best.get(reached)
+        if not paths:
+            return
+        work = self._work(holder, reached)
+        for path in tuple(paths.values()):
+            if not path.uses(holder.endpoint):
+                self._follow(path, holder, work)
+
+    def _work(
+        self,
+        holder: Holder,
+        reached: int,
+    ) -> list[tuple[Stage, float]]:
+        """Return the stages that a holder may take on, and their costs."""
+        begin = bisect_right(self._bounds, reached)
+        stop = bisect_right(self._bounds, holder.layers.end)
+        is_first = reached == 0
+        return [
+            (
+                Stage(holder.endpoint, LayerRange(reached, end)),
+                self._costs.of(
+                    holder.endpoint,
+                    end - reached,
+                    is_first=is_first,
+                ),
             )
+            for end in self._bounds[begin:stop]
+        ]
+
+    def _follow(
+        self,
+        path: ZonePath,
+        holder: Holder,
+        work: Iterable[tuple[Stage, float]],
+    ) -> None:
+        zone = holder.zone
+        is_first = not path.stages
+        way = self._costs.crossing(path.zone, zone, is_first=is_first)
+        for stage, stage_cost in work:
+            cost = path.cost + way + stage_cost
+            ends = self._best.setdefault(stage.layers.end, {})
+            known = ends.get(zone)
+            if known is None or cost < known.cost:
+                ends[zone] = ZonePath(zone, cost, (*path.stages, stage))
 
 
 def _boundaries(holders: Iterable[Holder], layer_count: int) -> list[int]:
--- /dev/null
+++ b/tests/fleet/endpoints.py
@@ -0,0 +1,28 @@
+"""Endpoints for tests."""
+
+from foxtailhatch.core import LayerRange
+from foxtailhatch.fleet import EndpointState, LiveEndpoint
+
+
+def endpoint(
+    name='e1',
+    service='plain',
+    zone='z1',
+    layers=None,
+    card='',
+    state=EndpointState.READY,
+    born=1,
+    slots=6,
+    address='',
+):
+    return LiveEndpoint(
+        name=name,
+        service=service,
+        address=address or f'10.0.0.1:{8000 + sum(map(ord, name))}',
+        zone=zone,
+        slots=slots,
+        state=state,
+        layers=None if layers is None else LayerRange(*layers),
+        card=card,
+        born=born,
+    )
--- /dev/null
+++ b/tests/fleet/test_table.py
@@ -0,0 +1,123 @@
+from foxtailhatch.core import LayerRange
+from foxtailhatch.fleet import EndpointState, EndpointTable
+from foxtailhatch.fleet.table import (
+    ALIVE_PROOF_S,
+    LAPSE_GRACE_S,
+    LIST_LAG_S,
+    SUSPECT_FIRST_S,
+)
+from tests.fleet.endpoints import endpoint
+
+
+def names(table, now=0.0):
+    return [one.name for one in table.usable('plain', now)]
+
+
+def table_of(*endpoints):
+    table = EndpointTable()
+    for one in endpoints:
+        table.put(one, 0)
+    return table
+
+
+def test_ready_endpoint_is_usable():
+    assert names(table_of(endpoint('e1'))) == ['e1']
+
+
+def test_leaving_endpoint_gets_no_new_work():
+    leaving = endpoint('e1', state=EndpointState.LEAVING)
+    table = table_of(endpoint('e1'), leaving)
+    assert names(table) == []
+    assert not table.takes_work(leaving)
+
+
+def test_leaving_stays_binding_when_an_older_record_is_read_again():
+    table = table_of(
+        endpoint('e1', state=EndpointState.LEAVING),
+        endpoint('e1'),
+    )
+    assert names(table) == []
+
+
+def test_next_incarnation_under_the_name_gets_work():
+    table = table_of(
+        endpoint('e1', state=EndpointState.LEAVING),
+        endpoint('e1', born=2),
+    )
+    assert names(table) == ['e1']
+
+
+def test_suspect_comes_back_after_a_time():
+    table = table_of(endpoint('e1'))
+    table.suspect('e1', 5)
+    assert names(table, 5 + SUSPECT_FIRST_S / 2) == []
+    assert names(table, 5 + SUSPECT_FIRST_S) == ['e1']
+
+
+def test_suspicion_grows_with_failures_in_a_row_and_ends_with_success():
+    table = table_of(endpoint('e1'))
+    first = table.suspect('e1', 0)
+    second = table.suspect('e1', first)
+    assert second - first > first
+    table.absolve('e1')
+    assert names(table, first) == ['e1']
+
+
+def test_dead_until_a_record_that_was_written_after_the_death():
+    table = table_of(endpoint('e1'))
+    table.mark_dead('e1', 1, 10)
+    table.put(endpoint('e1'), 10 + ALIVE_PROOF_S / 2)
+    assert names(table, 11) == []
+    table.put(endpoint('e1'), 10 + ALIVE_PROOF_S + 0.1)
+    assert names(table, 13) == ['e1']
+
+
+def test_death_of_an_earlier_incarnation_does_not_count():
+    table = table_of(endpoint('e1', born=2))
+    assert not table.mark_dead('e1', 1, 10)
+    assert names(table, 10) == ['e1']
+
+
+def test_lapsed_endpoint_stays_usable_for_the_grace():
+    table = table_of(endpoint('e1'))
+    table.lapse('e1', 10)
+    assert table.expire(10 + LAPSE_GRACE_S / 2) == []
+    assert names(table, 11) == ['e1']
+    assert table.expire(10 + LAPSE_GRACE_S) == ['e1']
+    assert names(table, 12) == []
+
+
+def test_lapsed_endpoint_that_is_back_stays():
+    table = table_of(endpoint('e1'))
+    table.lapse('e1', 10)
+    table.put(endpoint('e1'), 11)
+    assert table.expire(20) == []
+
+
+def test_layers_found_by_another_entry_count_before_the_list_says_so():
+    table = table_of(endpoint('e1'))
+    assert table.hold_layers('e1', 1, LayerRange(0, 4), 10)
+    assert table.get('e1').layers == LayerRange(0, 4)
+    assert not table.hold_layers('e1', 2, LayerRange(0, 5), 10)
+
+
+def test_list_that_lags_does_not_undo_what_was_found():
+    table = table_of(endpoint('e1'))
+    table.hold_layers('e1', 1, LayerRange(0, 4), 10)
+    table.put(endpoint('e1', layers=(0, 2)), 10 + LIST_LAG_S / 2)
+    assert table.get('e1').layers == LayerRange(0, 4)
+    table.put(endpoint('e1', layers=(0, 2)), 10 + LIST_LAG_S)
+    assert table.get('e1').layers == LayerRange(0, 2)
+
+
+def test_next_incarnation_holds_what_it_says():
+    table = table_of(endpoint('e1'))
+    table.hold_layers('e1', 1, LayerRange(0, 4), 10)
+    table.put(endpoint('e1', born=2), 11)
+    assert table.get('e1').layers is None
+
+
+def test_newest_incarnation_at_a_reused_address():
+    old = endpoint('e1', address='10.0.0.1:80', born=1)
+    new = endpoint('e2', address='10.0.0.1:80', born=2)
+    assert table_of(new, old).at('10.0.0.1:80').name == 'e2'
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,177 @@
+"""Settings, configuration, endpoints and reports as the platform writes."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from foxtailhatch.core import LayerRange
+from foxtailhatch.fleet import EndpointState
+from foxtailhatch.platform.configuration import decode_configuration
+from foxtailhatch.platform.endpoints import decode_endpoint, decode_report
+from foxtailhatch.platform.settings import decode_settings
+from foxtailhatch.routes import RouteKind
+
+ROUTE = {
+    'name': 'r',
+    'host': 'h',
+    'path_prefix': '/a/',
+    'route_kind': 'streaming',
+    'timeout_ms': 20_000,
+    'target_latency_ms': 500,
+    'priority': 1,
+    'split': [{'service': 's', 'weight': 90}, {'service': 't', 'weight': 10}],
+    'max_attempts': 2,
+    'public': False,
+    'resumable': True,
+    'target_gap_ms': 200,
+    'new_field': [1],
+}
+ENGINE = {
+    'slots': 96,
+    'kv_bytes': 852_000,
+    'step_ms': 0.85,
+    'layers': 80,
+    'layer_mb': 1750.0,
+    'models': [{'name': 'm', 'load_s': 14.0}],
+    'kinds': [
+        {'name': 'l4', 'size_mb': 21_600, 'pace': 16, 'read_factor': 8.2},
+    ],
+}
+DOCUMENT = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [{'name': 's', 'engine': ENGINE}, {'name': 't'}],
+    'tenants': [{'name': 'crew', 'api_keys': ['k'], 'priority': 3}],
+}
+LISTED = {
+    'service': 's',
+    'address': '10.0.0.1:80',
+    'zone': 'z',
+    'slots': 96,
+    'state': 'ready',
+    'seq': 4,
+    'born': 17,
+    'layers': {'from': 3, 'to': 9, 'version': 1},
+    'route_kind': 'l4',
+}
+
+
+def decoded(**changes):
+    raw = json.dumps(DOCUMENT | changes).encode()
+    return decode_configuration(raw).unwrap()
+
+
+def test_route_in_the_words_of_the_project():
+    route = decoded().routes[0]
+    assert route.kind is RouteKind.STREAM
+    assert (route.timeout_s, route.max_gap_s) == (20, 0.2)
+    assert [share.weight for share in route.shares] == [90, 10]
+
+
+def test_engine_and_its_cards():
+    engine = decoded().services[0].engine
+    assert engine.layer_count == 80
+    assert engine.cards['l4'].memory_mb == 21_600
+    assert engine.load_s == 14
+
+
+def test_unknown_kind_of_route_is_not_repeated():
+    found = decoded(routes=[ROUTE | {'route_kind': 'new', 'resumable': False}])
+    assert not found.routes[0].may_repeat
+
+
+def test_without_client_accounts_no_keys_are_checked():
+    document = {key: DOCUMENT[key] for key in ('version', 'routes', 'services')}
+    found = decode_configuration(json.dumps(document).encode()).unwrap()
+    assert not found.checks_keys
+    assert decoded().checks_keys
+
+
+def test_unreadable_configuration_is_an_outcome():
+    assert decode_configuration(b'{').failure()
+
+
+def endpoint(**changes):
+    return decode_endpoint('i-1', json.dumps(LISTED | changes).encode())
+
+
+def test_listed_endpoint():
+    found = endpoint().unwrap()
+    assert found.layers == LayerRange(3, 9)
+    assert (found.card, found.born) == ('l4', 17)
+
+
+def test_draining_endpoint_is_leaving():
+    assert endpoint(state='draining').unwrap().state is EndpointState.LEAVING
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'address': 17},
+        {'address': 'nowhere'},
+        {'state': 'dreaming'},
+        {'service': None},
+        {'zone': []},
+        {'slots': 'many'},
+    ],
+)
+def test_record_of_another_writer_names_no_endpoint(changes):
+    assert endpoint(**changes).failure()
+
+
+@given(st.binary())
+def test_bytes_never_raise(raw):
+    decode_endpoint('i-1', raw)
+    decode_report(raw)
+    decode_configuration(raw)
+
+
+def test_report():
+    raw = json.dumps(
+        {
+            'phase': 'both',
+            'busy': True,
+            'seq': 2,
+            'active': 12,
+            'queued': 1,
+            'kv_used': 10,
+            'kv_total': 20,
+            'layers': {'from': 0, 'to': 4, 'version': 1},
+            'stalled': [{'id': 'q', 'address': '10.0.0.2:80'}],
+        },
+    ).encode()
+    found = decode_report(raw).unwrap()
+    assert found.is_busy
+    assert (found.orders, found.running) == (2, 12)
+    assert found.stalled[0].address == '10.0.0.2:80'
+
+
+SETTINGS = """
+node_name=edge-1
+ip=10.1.0.40
+zone=z1
+region=here
+zones.z1=here
+zones.z2=there
+listen.front=10.1.0.40:8227
+platform.address=10.200.1.7:8223
+bounds.revoke_ms=5000
+bounds.ttl_max_s=5
+new.field=1
+"""
+
+
+def test_settings():
+    cfg = decode_settings(SETTINGS, 7355).unwrap()
+    assert cfg.zones == {'z1': 'here', 'z2': 'there'}
+    assert cfg.bounds.revocation_s == 5
+    assert cfg.metrics_address == '10.1.0.40:7355'
+    assert cfg.advice_address == ''
+
+
+def test_faulty_number_is_named():
+    text = SETTINGS.replace('revoke_ms=5000', 'revoke_ms=soon')
+    assert 'bounds.revoke_ms' in decode_settings(text, 0).failure()
--- /dev/null
+++ b/tests/platform/test_requests.py
@@ -0,0 +1,148 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from foxtailhatch.platform.requests import PlatformWire, decode_request
+from foxtailhatch.relay.http_stream import Head
+from foxtailhatch.relay.request import AnswerKind, Dispatch
+
+HEADERS = (
+    (b'Host', b'host.example'),
+    (b'Foxtailhatch-Request-Id', b'id-1'),
+    (b'Foxtailhatch-Deadline-Ms', b'1500'),
+    (b'Authorization', b'Bearer secret'),
+    (b'Foxtailhatch-Tenant', b'forged'),
+    (b'Foxtailhatch-Model', b'm'),
+    (b'Foxtailhatch-Token-Usage', b'760,140'),
+    (b'Foxtailhatch-Length-Hint', b'60'),
+    (b'Foxtailhatch-Prefix-Hash', b'5c:40,91:720'),
+    (b'X-Own', b'kept'),
+    (b'Connection', b'keep-alive, X-Hop'),
+    (b'X-Hop', b'dropped'),
+)
+
+
+def request(headers=HEADERS, method='POST', body=b'body'):
+    return decode_request(method, '/a/b?c=d', headers, body).unwrap()
+
+
+def sent(req=None, **kwargs):
+    usual = {
+        'endpoint': 'i-1',
+        'address': '10.0.0.1:80',
+        'account': 'crew',
+        'urgency': 1,
+        'time_left_s': 1.2,
+    }
+    raw = PlatformWire().encode(req or request(), Dispatch(**usual | kwargs))
+    head, _, body = raw.partition(b'\r\n\r\n')
+    lines = head.split(b'\r\n')
+    fields = dict(line.split(b': ', 1) for line in lines[1:])
+    return lines[0], fields, body
+
+
+def test_method_path_and_body_are_unchanged():
+    first, fields, body = sent()
+    assert first == b'POST /a/b?c=d HTTP/1.1'
+    assert body == b'body'
+    assert fields[b'Content-Length'] == b'4'
+
+
+def test_key_is_not_passed_on_and_the_account_is_ours():
+    _, fields, _ = sent()
+    assert b'authorization' not in fields
+    assert fields[b'foxtailhatch-tenant'] == b'crew'
+
+
+def test_public_request_carries_no_account():
+    assert b'foxtailhatch-tenant' not in sent(account=None)[1]
+
+
+def test_headers_of_one_connection_are_not_passed_on():
+    _, fields, _ = sent()
+    assert b'connection' not in fields
+    assert b'x-hop' not in fields
+    assert fields[b'x-own'] == b'kept'
+
+
+def test_what_describes_the_prompt_is_unchanged():
+    _, fields, _ = sent()
+    assert fields[b'foxtailhatch-token-usage'] == b'760,140'
+    assert fields[b'foxtailhatch-prefix-hash'] == b'5c:40,91:720'
+
+
+def test_time_left_goes_out_in_milliseconds():
+    assert sent()[1][b'foxtailhatch-deadline-ms'] == b'1200'
+    assert sent(time_left_s=0)[1][b'foxtailhatch-deadline-ms'] == b'1'
+
+
+def test_chain_names_address_and_layers_of_each_stage():
+    chain = (('10.0.0.1:80', 0, 20), ('10.0.0.2:80', 20, 80))
+    _, fields, _ = sent(chain=chain)
+    assert fields[b'foxtailhatch-hops'] == (
+        b'10.0.0.1:80=0-20,10.0.0.2:80=20-80'
+    )
+
+
+def test_resuming_names_the_last_event_that_was_passed_on():
+    headers = (*HEADERS, (b'Last-Event-Id', b'3'))
+    req = request(headers)
+    assert sent(req)[1][b'last-event-id'] == b'3'
+    assert sent(req, resume_after=9)[1][b'last-event-id'] == b'9'
+
+
+def test_expected_output_is_the_guess_within_the_most():
+    assert request().tokens.expected == 820
+    over = tuple(
+        pair for pair in HEADERS if pair[0] != b'Foxtailhatch-Length-Hint'
+    )
+    assert request(over).tokens.expected == 900
+
+
+def test_request_without_an_identifier_is_refused():
+    found = decode_request('GET', '/', (HEADERS[0],), b'')
+    assert found.failure().status == 400
+
+
+def answer(status, *headers):
+    pairs = ((b'foxtailhatch-request-id', b'id-1'), *headers)
+    return PlatformWire().understand(Head(status, pairs), request())
+
+
+SEAL = (b'foxtailhatch-response-seal', b'x')
+NOT_RUN = (b'foxtailhatch-not-executed', b'1')
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'kind'),
+    [
+        (200, (SEAL,), AnswerKind.SUCCESS),
+        (200, (), AnswerKind.AMBIGUOUS),
+        (200, (SEAL, (b'content-encoding', b'gzip')), AnswerKind.AMBIGUOUS),
+        (503, (NOT_RUN,), AnswerKind.NOT_RUN),
+        (503, (SEAL,), AnswerKind.AMBIGUOUS),
+        (429, (), AnswerKind.AMBIGUOUS),
+        (421, (), AnswerKind.NOT_RUN),
+        (500, (SEAL,), AnswerKind.FAILURE),
+        (504, (SEAL,), AnswerKind.FAILURE),
+        (400, (NOT_RUN,), AnswerKind.NOT_RUN),
+    ],
+)
+def test_kinds_of_answers(status, headers, kind):
+    assert answer(status, *headers).kind is kind
+
+
+def test_success_to_another_request_is_not_ours():
+    head = Head(200, ((b'foxtailhatch-request-id', b'id-2'), SEAL))
+    found = PlatformWire().understand(head, request())
+    assert found.kind is AnswerKind.AMBIGUOUS
+
+
+def test_endpoint_at_fault_is_named():
+    found = answer(503, NOT_RUN, (b'at-server', b'10.0.0.7:80'))
+    assert found.faulty_address == '10.0.0.7:80'
+
+
+@given(st.lists(st.tuples(st.binary(max_size=20), st.binary(max_size=20))))
+def test_strange_headers_never_raise(headers):
+    decode_request('GET', '/', headers, b'')
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,118 @@
+"""The store's wire, against a caller that answers from memory."""
+
+import asyncio
+import base64
+import json
+import struct
+from urllib.parse import parse_qs, urlsplit
+
+import pytest
+from returns.result import Failure, Success
+
+from foxtailhatch.platform.store import LogStore
+from foxtailhatch.relay.http_call import Answer
+from foxtailhatch.relay.http_stream import Head, Loss
+from foxtailhatch.router.keyed_log import KeyedRecord, StoreFault, Topic
+
+
+class ScriptedCaller:
+    """Give the answers of a script and keep the calls."""
+
+    def __init__(self, *answers):
+        self.calls = []
+        self._answers = list(answers)
+
+    async def call(self, call):
+        self.calls.append(call)
+        answer = self._answers.pop(0)
+        if isinstance(answer, Loss):
+            return Failure(answer)
+        status, body = answer
+        return Success(Answer(Head(status, ()), body))
+
+    def query(self, place=0):
+        return parse_qs(urlsplit(self.calls[place].target).query)
+
+
+def run(coroutine):
+    return asyncio.run(coroutine)
+
+
+def record(key, value=b''):
+    content = bytes((len(key),)) + key + value
+    return struct.pack('>I', len(content)) + content
+
+
+def page(*records):
+    return struct.pack('>QQ', 9, 0) + b''.join(records)
+
+
+def test_read_returns_values_and_dropped_keys():
+    body = page(record(b'a', b'1'), record(b'b'))
+    caller = ScriptedCaller((200, body))
+    found = run(LogStore(caller).read(Topic.ENDPOINTS, 4, 0)).unwrap()
+    assert found.records == (KeyedRecord('a', b'1'), KeyedRecord('b', None))
+    assert found.next_offset == 6
+    assert caller.query()['topic'] == ['keyed.servers']
+
+
+def test_read_that_is_cut_in_a_record_leaves_it_for_the_next():
+    body = page(record(b'a', b'1'), record(b'b', b'2')[:-1])
+    caller = ScriptedCaller((200, body))
+    found = run(LogStore(caller).read(Topic.ENDPOINTS, 4, 0)).unwrap()
+    assert found.next_offset == 5
+
+
+def test_newest_goes_over_all_pages_and_on_from_the_first_end():
+    def listed(key, end, more):
+        value = base64.b64encode(b'v').decode()
+        item = {'key': key, 'value': value, 'offset': 1}
+        return json.dumps(
+            {'items': [item], 'has_more': more, 'end_offset': end},
+        ).encode()
+
+    caller = ScriptedCaller(
+        (200, listed('a', 5, True)),
+        (200, listed('b', 8, False)),
+    )
+    found = run(LogStore(caller).newest(Topic.CONFIGURATION)).unwrap()
+    assert [one.key for one in found.records] == ['a', 'b']
+    assert found.next_offset == 5
+    assert caller.query(1)['after'] == ['a']
+
+
+@pytest.mark.parametrize(
+    ('answer', 'fault'),
+    [
+        (Loss.TIMEOUT, StoreFault.UNREACHABLE),
+        ((503, b''), StoreFault.BUSY),
+        ((429, b''), StoreFault.BUSY),
+        ((410, b'{}'), StoreFault.HISTORY_GONE),
+        ((403, b''), StoreFault.REFUSED),
+        ((200, b'short'), StoreFault.MALFORMED),
+    ],
+)
+def test_faults_of_a_read(answer, fault):
+    store = LogStore(ScriptedCaller(answer))
+    assert run(store.read(Topic.ENTRIES, 0, 0)).failure() is fault
+
+
+def test_put_frames_key_and_value():
+    caller = ScriptedCaller((200, b'{}'))
+    run(LogStore(caller).put(Topic.ENTRIES, 'e1', b'v'))
+    assert caller.calls[0].body == record(b'e1', b'v')
+
+
+@pytest.mark.parametrize(
+    ('rows', 'holder'),
+    [
+        ([['placement', 0, 0]], True),
+        ([['placement', 3, 0]], False),
+        ([], False),
+    ],
+)
+def test_turn_is_the_first_partition(rows, holder):
+    body = json.dumps({'generation': 4, 'parts': rows}).encode()
+    store = LogStore(ScriptedCaller((200, body)))
+    found = run(store.join('e1', 0, 3)).unwrap()
+    assert (found.generation, found.is_holder) == (4, holder)
--- /dev/null
+++ b/tests/relay/test_relay.py
@@ -0,0 +1,280 @@
+"""One request under each failure of its endpoints."""
+
+import pytest
+
+from foxtailhatch.routes import RouteKind
+from tests.relay.fakes import bench
+
+AT_MOST_ONCE = {'kind': RouteKind.AT_MOST_ONCE, 'attempts': 1}
+STREAM = {'kind': RouteKind.STREAM, 'resumable': True, 'layered': True}
+
+
+def test_whole_answer_is_passed_on():
+    world = bench()
+    world.connect().answer(b'hello')
+    assert world.caller.status == 200
+    assert world.caller.body == b'hello'
+    assert world.caller.finished
+    assert world.metrics.outcomes == ['answered']
+
+
+def test_load_is_counted_while_the_request_runs():
+    world = bench()
+    assert world.parts.loads.of('e1').requests == 1
+    world.connect().answer()
+    assert world.parts.loads.of('e1').requests == 0
+
+
+def test_unreachable_endpoint_is_replaced_even_for_at_most_once():
+    world = bench(**AT_MOST_ONCE)
+    world.refuse()
+    side = world.connect()
+    assert b'X-To: e2' in side.request
+    side.answer()
+    assert world.caller.status == 200
+
+
+def test_cut_before_an_answer_is_tried_elsewhere_if_repeatable():
+    world = bench()
+    world.connect().close()
+    side = world.connect()
+    assert b'X-To: e2' in side.request
+    side.answer()
+    assert world.caller.finished
+
+
+def test_cut_before_an_answer_is_unknown_for_at_most_once():
+    world = bench(**AT_MOST_ONCE)
+    world.connect().close()
+    assert world.reactor.tcpClients == []
+    assert world.caller.status == 502
+
+
+def test_refusal_is_passed_on_as_a_promise_for_at_most_once():
+    world = bench(**AT_MOST_ONCE)
+    world.connect().answer(status=503, headers='X-Not-Run: 1\r\n')
+    assert world.caller.status == 503
+    assert b'retry-after' in world.caller.headers
+
+
+def test_refusal_goes_to_another_endpoint_if_attempts_are_left():
+    world = bench()
+    world.connect().answer(status=503, headers='X-Not-Run: 1\r\n')
+    world.connect().answer()
+    assert world.caller.status == 200
+
+
+def test_two_unknown_outcomes_are_no_promise():
+    world = bench()
+    world.connect().close()
+    world.connect().answer(status=503, headers='X-Not-Run: 1\r\n')
+    assert world.caller.status == 502
+
+
+def test_failure_of_an_endpoint_is_repeated_where_allowed():
+    world = bench()
+    world.connect().answer(status=500)
+    world.connect().answer(b'fine')
+    assert world.caller.body == b'fine'
+
+
+def test_failure_of_the_last_endpoint_is_passed_on_as_it_is():
+    world = bench()
+    world.connect().answer(status=500)
+    world.connect().answer(b'broken', status=500)
+    assert (world.caller.status, world.caller.body) == (500, b'broken')
+
+
+def test_failure_is_not_repeated_for_at_most_once():
+    world = bench(**AT_MOST_ONCE)
+    world.connect().answer(b'broken', status=500)
+    assert world.caller.status == 500
+
+
+def test_late_answer_to_another_request_is_skipped():
+    world = bench()
+    side = world.connect()
+    side.answer(b'theirs', request_id='other')
+    assert world.caller.status is None
+    side.answer(b'ours')
+    assert world.caller.body == b'ours'
+
+
+def test_surplus_answer_reaches_nobody():
+    world = bench()
+    side = world.connect()
+    side.answer(b'ours')
+    side.answer(b'again')
+    assert world.caller.body == b'ours'
+
+
+def test_bytes_that_are_no_answer_are_an_unknown_outcome():
+    world = bench(**AT_MOST_ONCE)
+    world.connect().say(b'\x00\x01nonsense\r\n\r\n')
+    assert world.caller.status == 502
+
+
+def test_body_without_length_ends_with_a_clean_close():
+    world = bench()
+    side = world.connect()
+    side.say(b'HTTP/1.1 200 OK\r\nX-Id: request-1\r\n\r\nabc')
+    side.close()
+    assert world.caller.body == b'abc'
+    assert world.caller.finished
+
+
+def test_body_without_length_that_is_reset_is_not_complete():
+    world = bench(**AT_MOST_ONCE)
+    side = world.connect()
+    side.say(b'HTTP/1.1 200 OK\r\nX-Id: request-1\r\n\r\nabc')
+    side.close(clean=False)
+    assert world.caller.status == 502
+
+
+def test_cut_body_is_replaced_if_repeatable():
+    world = bench()
+    side = world.connect()
+    side.say(
+        b'HTTP/1.1 200 OK\r\nX-Id: request-1\r\nContent-Length: 9\r\n\r\nabc',
+    )
+    side.close()
+    world.connect().answer(b'whole')
+    assert world.caller.body == b'whole'
+
+
+def test_caller_that_leaves_stops_the_work():
+    world = bench()
+    side = world.connect()
+    world.relay.caller_left()
+    assert side.is_aborted
+    assert world.parts.running == set()
+    assert world.parts.loads.of('e1').requests == 0
+
+
+def test_timeout_after_a_send_is_no_promise():
+    world = bench(timeout_s=2.0)
+    world.connect()
+    world.reactor.advance(2.1)
+    assert world.caller.status == 504
+
+
+def test_no_endpoint_is_refused_at_once_and_may_come_back():
+    world = bench(names=())
+    assert world.caller.status == 503
+    assert b'retry-after' in world.caller.headers
+
+
+def test_no_retry_without_budget():
+    world = bench(slack=0.0)
+    world.connect().close()
+    assert world.caller.status == 502
+    assert world.reactor.tcpClients == []
+
+
+def test_events_are_passed_on_as_they_come():
+    world = bench(**STREAM)
+    side = world.connect()
+    side.stream()
+    assert world.caller.status is None
+    side.event(1)
+    assert world.caller.body == b'id: 1\ndata: t1\n\n'
+    side.event(2)
+    side.end()
+    assert world.caller.finished
+
+
+def test_half_an_event_is_held_back():
+    world = bench(**STREAM)
+    side = world.connect()
+    side.stream()
+    side.event(1)
+    side.chunk(b'id: 2\nda')
+    assert world.caller.body == b'id: 1\ndata: t1\n\n'
+
+
+def test_broken_stream_goes_on_after_its_last_event():
+    world = bench(**STREAM)
+    side = world.connect()
+    side.stream()
+    side.event(1)
+    side.chunk(b'id: 2\nda')
+    side.close()
+    other = world.connect()
+    assert b'X-After: 1' in other.request
+    other.stream()
+    other.event(2)
+    other.end()
+    assert world.caller.body == b'id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n'
+    assert world.caller.finished
+
+
+def test_event_that_comes_twice_is_dropped():
+    world = bench(**STREAM)
+    side = world.connect()
+    side.stream()
+    side.event(1)
+    side.event(1)
+    side.event(2)
+    side.end()
+    assert world.caller.body.count(b'id: 1') == 1
+
+
+def test_missing_event_ends_the_attempt():
+    world = bench(**STREAM)
+    side = world.connect()
+    side.stream()
+    side.event(1)
+    side.event(3)
+    assert side.is_aborted
+    assert b'id: 3' not in world.caller.body
+
+
+def test_stream_that_cannot_go_on_is_seen_as_incomplete():
+    world = bench(names=('e1',), **STREAM)
+    side = world.connect()
+    side.stream()
+    side.event(1)
+    side.close()
+    assert world.caller.aborted
+    assert not world.caller.finished
+
+
+def test_stream_that_may_not_resume_is_not_run_again():
+    world = bench(kind=RouteKind.STREAM, attempts=2)
+    side = world.connect()
+    side.stream()
+    side.event(1)
+    side.close()
+    assert world.caller.aborted
+    assert world.reactor.tcpClients == []
+
+
+def test_chain_part_at_fault_is_blamed_not_the_receiver():
+    world = bench(layered=True)
+    address = world.parts.endpoints.get('e1').address
+    side = world.connect()
+    side.answer(status=503, headers=f'X-Not-Run: 1\r\nX-At: {address}\r\n')
+    assert world.suspects == [('e1', 'refused')]
+
+
+@pytest.mark.parametrize('failure', ['close', 'nonsense', 'timeout'])
+def test_at_most_once_is_sent_once_whatever_fails(failure):
+    world = bench(timeout_s=1.0, **AT_MOST_ONCE)
+    side = world.connect()
+    if failure == 'close':
+        side.close()
+    elif failure == 'nonsense':
+        side.say(b'\xff\xff\r\n\r\n')
+    world.reactor.advance(1.5)
+    assert world.reactor.tcpClients == []
+    assert world.caller.status in {502, 504}
+    assert world.relay.is_over
+
+
+def test_each_decision_has_a_line_with_the_request_id():
+    world = bench()
+    world.connect().close()
+    world.connect().answer()
+    events = [event for event, _ in world.log.lines]
+    assert events == ['sent', 'suspect', 'attempt_failed', 'sent', 'ended']
+    assert all(fields['id'] == 'request-1' for _, fields in world.log.lines)
--- /dev/null
+++ b/tests/router/fakes.py
@@ -0,0 +1,136 @@
+"""A store and engines that tests play, and a blackboard before them."""
+
+from returns.result import Failure, Success
+
+from foxtailhatch.placement.protocols import (
+    EngineFault,
+    MoveAnswer,
+    OrderOutcome,
+)
+from foxtailhatch.placement.reports import EngineReport
+from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.keyed_log import KeyedPage, Membership, StoreFault
+from foxtailhatch.router.settings import Bounds, RouterSettings
+from foxtailhatch.routes import RoutingTable
+from tests.fleet.endpoints import endpoint
+from tests.relay.fakes import ListLog
+from tests.routes.configurations import configuration
+
+SETTINGS = RouterSettings(
+    instance='entry-1',
+    zone='z1',
+    region='here',
+    zones={'z1': 'here', 'z2': 'here'},
+    callers_address='10.0.0.1:80',
+    ready_address='',
+    advice_address='',
+    metrics_address='',
+    store_address='10.0.0.9:80',
+    heartbeat_s=1.2,
+    bounds=Bounds(),
+)
+
+
+class Clock:
+    """A time that tests set."""
+
+    def __init__(self, now=100.0):
+        self.now = now
+
+    def __call__(self):
+        return self.now
+
+
+def board(clock=None, cfg=None, known=True):
+    """Return a blackboard, with a configuration unless told otherwise."""
+    clock = clock or Clock()
+    made = Blackboard(SETTINGS, clock)
+    if known:
+        made.table = RoutingTable(cfg or configuration())
+        made.configured_at = clock.now
+    return made
+
+
+class MemoryStore:
+    """A log in memory that can be away."""
+
+    def __init__(self):
+        self.topics = {}
+        self.first = {}
+        self.fault = None
+        self.membership = Membership(1, is_holder=True)
+
+    def add(self, topic, *records):
+        self.topics.setdefault(topic, []).extend(records)
+
+    async def newest(self, topic):
+        if self.fault:
+            return Failure(self.fault)
+        records = self.topics.get(topic, [])
+        newest = {record.key: record for record in records}
+        kept = tuple(one for one in newest.values() if one.value is not None)
+        return Success(KeyedPage(kept, len(records)))
+
+    async def read(self, topic, offset, wait_s):
+        if self.fault:
+            return Failure(self.fault)
+        if offset < self.first.get(topic, 0):
+            return Failure(StoreFault.HISTORY_GONE)
+        records = self.topics.get(topic, [])
+        return Success(KeyedPage(tuple(records[offset:]), len(records)))
+
+    async def put(self, topic, key, value):
+        return Failure(self.fault) if self.fault else Success(None)
+
+    async def join(self, member, generation, lease_s):
+        if self.fault:
+            return Failure(self.fault)
+        return Success(self.membership)
+
+    async def leave(self, member):
+        return Success(None)
+
+
+class MemoryEngines:
+    """Engines that hold what they are ordered to, at once."""
+
+    def __init__(self):
+        self.reports = {}
+        self.outcomes = {}
+        self.fences = {}
+        self.orders = []
+        self.moves = []
+        self.move_answer = MoveAnswer(OrderOutcome.BEGUN)
+
+    async def report(self, one):
+        if one.name in self.outcomes:
+            return Failure(EngineFault.SILENT)
+        return Success(self.reports.get(one.name, EngineReport()))
+
+    async def place(self, one, layers, fence, expected_orders):
+        if one.name in self.outcomes:
+            return self.outcomes[one.name]
+        if fence < self.fences.get(one.name, 0):
+            return OrderOutcome.FENCED
+        report = self.reports.get(one.name, EngineReport())
+        if report.orders != expected_orders:
+            return OrderOutcome.CONFLICT
+        self.fences[one.name] = fence
+        self.orders.append((one.name, layers))
+        self.reports[one.name] = EngineReport(
+            orders=report.orders + 1,
+            layers=layers,
+        )
+        return OrderOutcome.BEGUN
+
+    async def move(self, receiver, move):
+        self.moves.append((receiver.name, move))
+        return self.move_answer
+
+
+def engine(name, card='middle', layers=None, zone='z1'):
+    """Return an endpoint that runs the model."""
+    return endpoint(name, 'model', zone, layers, card, slots=96)
+
+
+__all__ = ['ListLog', 'MemoryEngines', 'MemoryStore', 'board', 'engine']
--- /dev/null
+++ b/tests/router/test_follower.py
@@ -0,0 +1,67 @@
+import asyncio
+
+from foxtailhatch.router.follower import Follower
+from foxtailhatch.router.keyed_log import KeyedRecord, StoreFault, Topic
+from tests.relay.fakes import ListLog
+from tests.router.fakes import Clock, MemoryStore
+
+
+def follower(store, clock=None):
+    seen = []
+    log = ListLog()
+
+    def take(records, newest):
+        seen.append(([one.key for one in records], newest))
+
+    made = Follower(store, Topic.ENDPOINTS, take, log, clock or Clock())
+    return made, seen, log
+
+
+def step(made, times=1):
+    for _ in range(times):
+        asyncio.run(made.step())
+
+
+def test_newest_first_then_what_comes():
+    store = MemoryStore()
+    store.add(Topic.ENDPOINTS, KeyedRecord('a', b'1'), KeyedRecord('b', b'1'))
+    made, seen, _ = follower(store)
+    step(made)
+    store.add(Topic.ENDPOINTS, KeyedRecord('a', b'2'))
+    step(made, 2)
+    assert seen == [(['a', 'b'], True), (['a'], False)]
+
+
+def test_lost_history_starts_again_with_the_newest():
+    store = MemoryStore()
+    store.add(Topic.ENDPOINTS, KeyedRecord('a', b'1'))
+    made, seen, _ = follower(store)
+    step(made)
+    store.add(Topic.ENDPOINTS, KeyedRecord('a', None))
+    store.first[Topic.ENDPOINTS] = 5
+    step(made, 2)
+    assert seen[-1] == ([], True)
+
+
+def test_outage_gives_one_line_and_its_end_another():
+    store = MemoryStore()
+    made, _, log = follower(store)
+    step(made)
+    store.fault = StoreFault.UNREACHABLE
+    step(made, 3)
+    store.fault = None
+    step(made, 2)
+    assert len(log.of('store_lost')) == 1
+    assert len(log.of('store_regained')) == 1
+
+
+def test_knowledge_counts_from_before_the_read():
+    clock = Clock(10)
+    store = MemoryStore()
+    made, _, _ = follower(store, clock)
+    step(made)
+    store.fault = StoreFault.BUSY
+    clock.now = 20
+    step(made)
+    assert made.confirmed_at == 10
+    assert made.failed_at == 20
--- /dev/null
+++ b/tests/router/test_knowledge.py
@@ -0,0 +1,133 @@
+"""What the log says, in its order, with gaps and strange records."""
+
+from types import SimpleNamespace
+
+from returns.result import Failure, Success
+
+from foxtailhatch.core import LayerRange
+from foxtailhatch.router.entry_table import EntryRecord
+from foxtailhatch.router.findings import Finding
+from foxtailhatch.router.keyed_log import KeyedRecord
+from foxtailhatch.router.knowledge import Knowledge
+from tests.fleet.endpoints import endpoint
+from tests.relay.fakes import ListLog
+from tests.router.fakes import Clock, board
+from tests.routes.configurations import configuration
+
+
+def decode_endpoint(name, raw):
+    if raw == b'junk':
+        return Failure('junk')
+    return Success(endpoint(name, born=int(raw)))
+
+
+def knowledge(made):
+    adapter = SimpleNamespace(
+        configuration_key='config',
+        decode_configuration=lambda raw: (
+            Failure('junk')
+            if raw == b'junk'
+            else Success(configuration(version=int(raw)))
+        ),
+        decode_endpoint=decode_endpoint,
+    )
+    log = ListLog()
+    return Knowledge(made, log, adapter), log
+
+
+def listed(know, *pairs, failed_at=None, newest=False):
+    records = [KeyedRecord(*pair) for pair in pairs]
+    know.endpoints(records, failed_at, newest=newest)
+
+
+def test_older_configuration_never_comes_back():
+    made = board(known=False)
+    know, _ = knowledge(made)
+    know.configuration(
+        [KeyedRecord('config', b'7'), KeyedRecord('config', b'5')],
+        newest=False,
+    )
+    assert made.table.version == 7
+
+
+def test_unreadable_configuration_keeps_the_one_in_force():
+    made = board(known=False)
+    know, log = knowledge(made)
+    know.configuration([KeyedRecord('config', b'7')], newest=False)
+    know.configuration([KeyedRecord('config', b'junk')], newest=False)
+    assert made.table.version == 7
+    assert log.of('configuration_unreadable')
+
+
+def test_unreadable_endpoint_is_not_used_and_said_once():
+    made = board()
+    know, log = knowledge(made)
+    listed(know, ('e1', b'1'), ('e2', b'1'))
+    listed(know, ('e1', b'junk'), ('e1', b'junk'))
+    assert set(made.endpoints.names()) == {'e2'}
+    assert len(log.of('endpoint_unreadable')) == 1
+
+
+def test_dropped_endpoint_is_gone():
+    made = board()
+    know, _ = knowledge(made)
+    listed(know, ('e1', b'1'))
+    listed(know, ('e1', None))
+    assert made.endpoints.get('e1') is None
+
+
+def test_endpoint_that_lapsed_in_an_outage_stays_for_the_grace():
+    clock = Clock()
+    made = board(clock)
+    know, _ = knowledge(made)
+    listed(know, ('e1', b'1'))
+    listed(know, ('e1', None), failed_at=clock.now - 1)
+    assert made.endpoints.get('e1') is not None
+    assert made.endpoints.expire(clock.now + 2) == ['e1']
+
+
+def test_endpoint_missing_from_all_newest_records_is_gone():
+    made = board()
+    know, _ = knowledge(made)
+    listed(know, ('e1', b'1'), ('e2', b'1'))
+    listed(know, ('e2', b'1'), newest=True)
+    assert set(made.endpoints.names()) == {'e2'}
+
+
+def test_findings_of_the_past_do_not_count():
+    made = board()
+    know, _ = knowledge(made)
+    listed(know, ('e1', b'1'))
+    dead = KeyedRecord('e1', Finding('e1', 1, is_dead=True).encode())
+    know.findings([dead], newest=True)
+    assert not made.endpoints.is_dead('e1')
+    know.findings([dead], newest=False)
+    assert made.endpoints.is_dead('e1')
+
+
+def test_finding_of_layers_reaches_the_table():
+    made = board()
+    know, _ = knowledge(made)
+    listed(know, ('e1', b'1'))
+    found = Finding('e1', 1, is_dead=False, layers=LayerRange(3, 9))
+    know.findings([KeyedRecord('e1', found.encode())], newest=False)
+    assert made.endpoints.get('e1').layers == LayerRange(3, 9)
+
+
+def test_unreadable_finding_and_entry_are_said():
+    made = board()
+    know, log = knowledge(made)
+    know.findings([KeyedRecord('e1', b'{}')], newest=False)
+    know.entries([KeyedRecord('n1', b'{}')], newest=False)
+    assert log.of('finding_unreadable')
+    assert log.of('entry_unreadable')
+
+
+def test_heartbeats_make_entries_ready():
+    made = board()
+    know, _ = knowledge(made)
+    entry = EntryRecord('n1', 'z1', 'here', '10.0.0.1:80', is_ready=True)
+    know.entries([KeyedRecord('n1', entry.encode())], newest=False)
+    assert made.entries.ready(100) == [entry]
+    know.entries([KeyedRecord('n1', None)], newest=False)
+    assert made.entries.ready(100) == []
--- /dev/null
+++ b/tests/router/test_stall_watch.py
@@ -0,0 +1,90 @@
+"""Streams that stand still, and the way around what they wait for."""
+
+import asyncio
+
+from foxtailhatch.placement.protocols import MoveAnswer, OrderOutcome
+from foxtailhatch.placement.reports import EngineReport, StalledRequest
+from foxtailhatch.router.stall_watch import STALL_AFTER_S, StallWatch
+from foxtailhatch.routes import RouteKind
+from tests.relay.fakes import bench
+from tests.router.fakes import MemoryEngines
+
+
+def world(names=('e1', 'e2')):
+    made = bench(
+        names=names,
+        kind=RouteKind.STREAM,
+        resumable=True,
+        layered=True,
+    )
+    made.side = made.connect()
+    made.side.stream()
+    made.side.event(1)
+    made.engines = MemoryEngines()
+    made.watch = StallWatch(made.parts, made.engines)
+    return made
+
+
+def step(made):
+    async def once():
+        await made.watch.step()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+    asyncio.run(once())
+
+
+def test_stream_with_progress_is_left_alone():
+    made = world()
+    made.reactor.advance(STALL_AFTER_S / 2)
+    step(made)
+    assert made.log.of('stalled') == []
+
+
+def test_receiver_names_whom_its_work_waits_for():
+    made = world()
+    address = made.parts.endpoints.get('e2').address
+    made.engines.reports['e1'] = EngineReport(
+        stalled=(StalledRequest('request-1', address),),
+    )
+    made.reactor.advance(STALL_AFTER_S + 0.1)
+    step(made)
+    assert made.parts.endpoints.is_dead('e2')
+    assert ('e2', 'stalled work') in made.suspects
+
+
+def test_stream_of_a_silent_receiver_goes_on_elsewhere():
+    made = world()
+    made.engines.outcomes['e1'] = OrderOutcome.NO_ANSWER
+    made.reactor.advance(STALL_AFTER_S + 0.1)
+    step(made)
+    other = made.connect()
+    assert b'X-To: e2' in other.request
+    assert b'X-After: 1' in other.request
+
+
+def test_receiver_is_not_asked_again_at_once():
+    made = world()
+    made.reactor.advance(STALL_AFTER_S + 0.1)
+    step(made)
+    step(made)
+    assert len(made.log.of('stalled')) == 1
+
+
+def test_stream_that_crosses_a_leaving_endpoint_is_moved():
+    made = world()
+    one = made.parts.endpoints.get('e1')
+    made.parts.endpoints._leaving.add((one.name, one.born))
+    made.parts.chooser.choose = lambda choice, now: None
+    step(made)
+    assert made.engines.moves == []
+
+
+def test_refused_move_leaves_the_endpoint_in_the_way_out():
+    made = world()
+    address = made.parts.endpoints.get('e2').address
+    made.engines.move_answer = MoveAnswer(OrderOutcome.CONFLICT, address)
+    chosen = made.relay.attempt.chosen
+    asyncio.run(made.watch._repath(made.relay, chosen[0].endpoint, chosen))
+    assert made.relay.choose_moved(0) is not None
+    assert 'e2' in made.relay._avoid
--- /dev/null
+++ b/tests/routing/test_zone_paths.py
@@ -0,0 +1,86 @@
+import pytest
+
+from foxtailhatch.core import LayerRange
+from foxtailhatch.routing.zone_paths import Holder, cheapest_chain
+
+
+class FlatCosts:
+    """Each layer costs the same; a crossing costs as much as told."""
+
+    def __init__(self, crossing=10, dear=()):
+        self._crossing = crossing
+        self._dear = dear
+
+    def of(self, endpoint, layers, *, is_first):
+        return layers * (100 if endpoint in self._dear else 1)
+
+    def crossing(self, zone, to_zone, *, is_first):
+        return 0 if zone == to_zone else self._crossing
+
+
+def holder(name, first, end, zone='z1'):
+    return Holder(name, zone, LayerRange(first, end))
+
+
+def chain(holders, costs=None, **kwargs):
+    found = cheapest_chain(holders, 8, costs or FlatCosts(), 'z1', **kwargs)
+    if found is None:
+        return None
+    return [
+        (stage.endpoint, stage.layers.first, stage.layers.end)
+        for stage in found.stages
+    ]
+
+
+def test_ranges_that_tile_make_a_chain():
+    assert chain([holder('a', 0, 5), holder('b', 5, 8)]) == [
+        ('a', 0, 5),
+        ('b', 5, 8),
+    ]
+
+
+def test_gap_leaves_no_chain():
+    assert chain([holder('a', 0, 4), holder('b', 5, 8)]) is None
+
+
+def test_overlap_is_cut_where_it_is_cheapest():
+    found = chain(
+        [holder('a', 0, 6), holder('b', 4, 8)],
+        FlatCosts(dear=('a',)),
+    )
+    assert found == [('a', 0, 4), ('b', 4, 8)]
+
+
+def test_chain_stays_in_the_zone():
+    found = chain(
+        [holder('far', 0, 8, 'z2'), holder('a', 0, 4), holder('b', 4, 8)],
+    )
+    assert found == [('a', 0, 4), ('b', 4, 8)]
+
+
+def test_missing_layers_come_from_another_zone():
+    found = chain(
+        [holder('a', 0, 4), holder('b', 6, 8), holder('far', 4, 6, 'z2')],
+    )
+    assert found == [('a', 0, 4), ('far', 4, 6), ('b', 6, 8)]
+
+
+def test_receiver_can_be_given():
+    holders = [holder('a', 0, 4), holder('c', 0, 4), holder('b', 4, 8)]
+    assert chain(holders, head='c')[0][0] == 'c'
+    assert chain(holders, head='gone') is None
+
+
+def test_no_endpoint_stands_twice():
+    holders = [holder('a', 0, 8), holder('b', 2, 4)]
+    costs = FlatCosts(dear=('a',))
+    assert chain(holders, costs) == [('a', 0, 8)]
+
+
+@pytest.mark.parametrize('crossing', [0, 1000])
+def test_dear_crossings_are_avoided_only_while_dear(crossing):
+    found = chain(
+        [holder('a', 0, 8), holder('far', 0, 8, 'z2')],
+        FlatCosts(crossing, dear=('a',)),
+    )
+    assert found[0][0] == ('far' if not crossing else 'a')
