--- a/foxtailhatch/placement/plan.py
+++ b/foxtailhatch/placement/plan.py
@@ -3,9 +3,8 @@
 A group's first plan gives each card its part of the layers.  The endpoint
 that receives a request bounds how many it receives, so the first layers
 stand on two cards.  Later plans change as little as they can: lost layers go
-to an empty card, else to the cards that hold the layers beside them.  Where
-that leaves much less room for requests than the cards could give, all ranges
-of the group are laid out anew, which takes about as long as one load.
+to an empty card, else to the cards that hold the layers beside them.  Only
+where these lack the memory are all ranges of the group laid out anew.
 """
 
 from collections.abc import Sequence
@@ -23,12 +22,9 @@
 from foxtailhatch.placement.tiling import tile
 from foxtailhatch.routes import Engine
 
-# Lost layers are placed on cards that end up with at least this share of the
-# room that a new layout would give each of them.
-ROOM_SHARE_MIN = 0.6
-# Nothing is loaded onto a card that is left with less room than this: two
+# Nothing is loaded onto a card that is left with less room than this: ten
 # requests of usual size would fill it.
-KV_TOKENS_MIN = 2000.0
+KV_TOKENS_MIN = 8000.0
 
 
 def plan_orders(group: Sequence[Card], engine: Engine) -> list[LayerOrder]:
@@ -54,11 +50,10 @@
 ) -> list[LayerOrder]:
     is_settling = any(card.is_settling for card in holding)
     anew = [] if is_settling else laid_out([*holding, *spares], engine)
-    wanted = max(KV_TOKENS_MIN, ROOM_SHARE_MIN * room_of(anew, engine))
     orders: list[LayerOrder] = []
     left = list(spares)
     for gap in lost:
-        placed = _place(gap, holding, left, engine, wanted)
+        placed = _place(gap, holding, left, engine)
         if anew and not placed:
             return _orders(anew, [*holding, *spares], 'laid out anew')
         left = [card for card in left if card not in _cards(placed)]
@@ -71,15 +66,14 @@
     holding: Sequence[Card],
     spares: Sequence[Card],
     engine: Engine,
-    wanted: float,
 ) -> list[Placed]:
-    """Return where lost layers go, if that leaves the room wanted."""
+    """Return where lost layers go, if the cards there have the room."""
     for count in range(1, len(spares) + 1):
         placed = tile(spares[:count], gap, engine)
-        if placed and room_of(placed, engine) >= wanted:
+        if placed and room_of(placed, engine) >= KV_TOKENS_MIN:
             return placed
     placed = extended(gap, holding)
-    if placed and room_of(placed, engine) >= wanted:
+    if placed and room_of(placed, engine) >= KV_TOKENS_MIN:
         return placed
     return []
 
