--- a/foxtailhatch/platform/settings.py
+++ b/foxtailhatch/platform/settings.py
@@ -67,12 +67,25 @@
         ready_address=fields.get('listen.ready', ''),
         advice_address=fields.get('listen.directory', ''),
         metrics_address=f'{host}:{metrics_port}' if metrics_port else '',
+        peer_address=_peer_address(fields),
+        strength=_strength(fields),
         store_address=fields['platform.address'],
         heartbeat_s=_number(fields, 'heartbeat_ms', MS_IN_S) / MS_IN_S,
         bounds=_bounds(fields),
     )
 
 
+def _peer_address(fields: Mapping[str, str]) -> str:
+    """Return the first port that is free for traffic between entries."""
+    first_port = fields.get('port_range', '').partition(',')[0]
+    return f'{fields["ip"]}:{first_port}' if first_port else ''
+
+
+def _strength(fields: Mapping[str, str]) -> float:
+    share = _number(fields, 'limits.cpu_share', 1)
+    return share * _number(fields, 'limits.cores', 1)
+
+
 def _bounds(fields: Mapping[str, str]) -> Bounds:
     usual = Bounds()
 
--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -19,6 +19,7 @@
 from foxtailhatch.router.adapter import MakeAdapter, Reload
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.errors import observe_errors
+from foxtailhatch.router.feed_site import feed_site
 from foxtailhatch.router.front import FrontFactory
 from foxtailhatch.router.output import LineOutput
 from foxtailhatch.router.parts import RouterParts, join_parts
@@ -28,9 +29,9 @@
 EXIT_OK = 0
 EXIT_INVARIANT = 3
 # Pauses between steps.
-HEARTBEAT_PERIOD_S = 1.5
+HEARTBEAT_LOOK_S = 0.25
 TURN_PERIOD_S = 0.8
-PLAN_PERIOD_S = 0.2
+PLAN_PERIOD_S = 0.1
 STALL_PERIOD_S = 0.1
 STOP_PERIOD_S = 0.1
 # Callers reuse connections for most of the time they are told of; the
@@ -115,12 +116,16 @@
             cfg.metrics_address,
             page_site(b'metrics', pages.metrics, TEXT),
         )
+        self._listen(
+            cfg.peer_address,
+            feed_site(parts.board, parts.following.mirror, parts.heartbeats),
+        )
 
     def _start_loops(self, parts: RouterParts) -> None:
         parts.following.start(self._loops)
         every = self._loops.every
-        every(HEARTBEAT_PERIOD_S, parts.heartbeat)
-        every(TURN_PERIOD_S, parts.decider.join)
+        every(HEARTBEAT_LOOK_S, parts.heartbeat)
+        every(TURN_PERIOD_S, parts.keep_turn)
         every(PLAN_PERIOD_S, parts.decider.step)
         every(STALL_PERIOD_S, parts.stalls.step)
         every(STOP_PERIOD_S, self._look)
--- a/foxtailhatch/router/entry_table.py
+++ b/foxtailhatch/router/entry_table.py
@@ -1,79 +1,129 @@
-"""The entries of the system, as they tell each other of themselves."""
+"""The entries of the system, as they tell each other of themselves.
+
+Some entries read the store; they write a heartbeat there that lists
+themselves and the entries that they feed.  An entry that is on no current
+list serves no callers.
+"""
 
 from dataclasses import dataclass
+from itertools import chain
 
-import orjson
+import cbor2
 from returns.result import Failure, Result, Success
 
-# An entry that has not been heard of for this time gets no new callers.
-# Source: three heartbeats.
-ENTRY_TIMEOUT_S = 4.5
+# A list that has not been renewed for this time does not count.  Source:
+# two heartbeats, and the lag of reading them.
+ENTRY_TIMEOUT_S = 4.0
 # Fewer entries than this in a caller's zone: others are advised as well.
 ADVISED_MIN = 2
-_FIELDS = 5
+_FIELDS = 7
 
 
 @dataclass(frozen=True, slots=True)
 class EntryRecord:
-    """What an entry writes of itself with each heartbeat."""
+    """What an entry says of itself.
+
+    ``peer_address`` is where other entries reach it.  ``strength`` is its
+    processor share in cores; the strongest entries of a zone read the store.
+    """
 
     name: str
     zone: str
     region: str
     address: str
+    peer_address: str
+    strength: float
     is_ready: bool
 
-    def encode(self) -> bytes:
-        """Return the record as the log keeps it."""
-        return orjson.dumps(
-            [self.name, self.zone, self.region, self.address, self.is_ready],
-        )
+    def fields(self) -> list[object]:
+        """Return the record as a list of plain values."""
+        return [
+            self.name,
+            self.zone,
+            self.region,
+            self.address,
+            self.peer_address,
+            self.strength,
+            self.is_ready,
+        ]
 
 
-def decode_entry(raw: bytes) -> Result[EntryRecord, str]:
-    """Return the entry that a record describes.
+def decode_entry(fields: object) -> Result[EntryRecord, str]:
+    """Return the entry that a list of plain values describes.
 
-    >>> decode_entry(b'[]').failure()
+    >>> decode_entry([]).failure()
     'not an entry'
     """
-    try:
-        fields = orjson.loads(raw)
-    except ValueError as exc:
-        return Failure(str(exc))
     if not isinstance(fields, list) or len(fields) != _FIELDS:
         return Failure('not an entry')
     return Success(EntryRecord(*fields))
 
 
+def encode_entries(entries: list[EntryRecord]) -> bytes:
+    """Return a heartbeat's list as the log keeps it."""
+    return bytes(cbor2.dumps([entry.fields() for entry in entries]))
+
+
+def decode_entries(raw: bytes) -> Result[list[EntryRecord], str]:
+    """Return the entries of a heartbeat."""
+    try:
+        found = cbor2.loads(raw)
+    except cbor2.CBORDecodeError as exc:
+        return Failure(str(exc))
+    if not isinstance(found, list):
+        return Failure('not a list of entries')
+    return Success(
+        [
+            entry.unwrap()
+            for entry in map(decode_entry, found)
+            if isinstance(entry, Success)
+        ],
+    )
+
+
+HeardList = tuple[list[EntryRecord], float]
+
+
 class EntryTable:
-    """Entries by name, with the time at which each was last heard of."""
+    """The newest list of each reader, with the time at which it was heard."""
 
     def __init__(self) -> None:
-        """Start with no entry."""
-        self._known: dict[str, tuple[EntryRecord, float]] = {}
+        """Start with no list."""
+        self._lists: dict[str, HeardList] = {}
 
-    def hear(self, entry: EntryRecord, now: float) -> None:
+    def hear(
+        self,
+        reader: str,
+        entries: list[EntryRecord],
+        now: float,
+    ) -> None:
         """Take a heartbeat."""
-        self._known[entry.name] = (entry, now)
+        self._lists[reader] = (entries, now)
 
-    def forget(self, name: str) -> None:
-        """Drop an entry."""
-        self._known.pop(name, None)
-
-    def extend(self, seconds: float) -> None:
-        """Count a time in which no heartbeat could be read as not passed."""
-        self._known = {
-            name: (entry, heard_at + seconds)
-            for name, (entry, heard_at) in self._known.items()
-        }
+    def forget(self, reader: str) -> None:
+        """Drop a reader's list."""
+        self._lists.pop(reader, None)
 
     def ready(self, now: float) -> list[EntryRecord]:
         """Return the entries that serve callers."""
-        return [
+        current = chain.from_iterable(
+            entries
+            for entries, heard_at in self._lists.values()
+            if now - heard_at <= ENTRY_TIMEOUT_S
+        )
+        found = {entry.name: entry for entry in current if entry.is_ready}
+        return list(found.values())
+
+    def readers(self, zone: str, now: float) -> list[EntryRecord]:
+        """Return the entries of a zone that read the store, best first."""
+        found = [
             entry
-            for entry, heard_at in self._known.values()
-            if entry.is_ready and now - heard_at <= ENTRY_TIMEOUT_S
+            for reader, (entries, heard_at) in self._lists.items()
+            if now - heard_at <= ENTRY_TIMEOUT_S
+            for entry in entries
+            if entry.name == reader and entry.zone == zone and entry.is_ready
         ]
+        return sorted(found, key=rank)
 
     def advised(
         self,
@@ -96,3 +146,8 @@
             if len(circle) >= ADVISED_MIN:
                 return sorted(entry.address for entry in circle)[:most]
         return sorted(entry.address for entry in ready)[:most]
+
+
+def rank(entry: EntryRecord) -> tuple[float, str]:
+    """Return the order in which entries become readers."""
+    return -entry.strength, entry.name
--- a/foxtailhatch/router/following.py
+++ b/foxtailhatch/router/following.py
@@ -1,106 +1,186 @@
-"""Keep the blackboard up to date from the topics of the log."""
+"""Keep the blackboard up to date from the store or from another entry."""
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
 
-from foxtailhatch.daemon.loops import Loops
+from returns.result import Success
+
+from foxtailhatch.daemon.loops import Loops, Step
 from foxtailhatch.relay.decision_log import DecisionLog
 from foxtailhatch.router.adapter import Adapter
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.entry_table import EntryRecord
+from foxtailhatch.router.feed import FeedCall, FeedClient, FeedNews
 from foxtailhatch.router.follower import Follower, OnRecords
 from foxtailhatch.router.keyed_log import KeyedRecord, Topic
 from foxtailhatch.router.knowledge import Knowledge
+from foxtailhatch.router.mirror import Mirror
+from foxtailhatch.router.sources import PEER_AGE_MAX_S, Sources
 
-# How long a read of the configuration waits for a change.  The age of keys
+# How long a read of the store waits for something new.  The age of keys
 # grows as long, and has to stay below the revocation bound.
-CONFIGURATION_WAIT_S = 1.5
-FINDINGS_WAIT_S = 5.0
-# Pauses between reads that do not wait.  Endpoints must be known to leave
-# well within the two seconds after which they may get no new work.
-ENDPOINTS_PERIOD_S = 0.5
-ENTRIES_PERIOD_S = 1.5
-# After a failed read.
+WAITS_S = {
+    Topic.CONFIGURATION: 1.0,
+    Topic.FINDINGS: 4.0,
+    Topic.ENDPOINTS: 0,
+    Topic.ENTRIES: 0,
+}
+# Pauses between reads.  Endpoints must be known to leave well within the two
+# seconds after which they may get no new work.
+PERIODS_S = {
+    Topic.CONFIGURATION: 0,
+    Topic.FINDINGS: 0,
+    Topic.ENDPOINTS: 0.6,
+    Topic.ENTRIES: 1.5,
+}
+# After a failed read, and while another entry is the source.
 RETRY_PERIOD_S = 0.3
+IDLE_PERIOD_S = 0.15
+URGENT = frozenset((Topic.CONFIGURATION, Topic.FINDINGS))
 
 
 class Following:
-    """The followers of all topics and their loops."""
+    """The followers of all topics, and where they learn from."""
 
     def __init__(
         self,
         board: Blackboard,
         adapter: Adapter,
         log: DecisionLog,
+        own: Callable[[], EntryRecord],
+        make_client: Callable[[str], FeedClient],
     ) -> None:
         """Prepare the followers; nothing is read yet."""
+        self.mirror = Mirror()
+        self.is_reader = True
         self._board = board
         self._adapter = adapter
         self._log = log
-        self._knowledge = Knowledge(board, log, adapter)
-        know = self._knowledge
-        self._configuration = self._follower(
-            Topic.CONFIGURATION,
-            know.configuration,
-            CONFIGURATION_WAIT_S,
-        )
-        self._endpoints = self._follower(Topic.ENDPOINTS, self._listed)
-        self._entries = self._follower(Topic.ENTRIES, know.entries)
-        self._findings = self._follower(
-            Topic.FINDINGS,
-            know.findings,
-            FINDINGS_WAIT_S,
-        )
+        self._own = own
+        self._make_client = make_client
+        self._clients: dict[str, FeedClient] = {}
+        self._sources = Sources(own())
+        self._source = ''
+        know = Knowledge(board, log, adapter)
+        self._know = know
+        self._followers = {
+            topic: self._follower(topic, on_records)
+            for topic, on_records in (
+                (Topic.CONFIGURATION, know.configuration),
+                (Topic.FINDINGS, know.findings),
+                (Topic.ENDPOINTS, self._listed),
+                (Topic.ENTRIES, know.entries),
+            )
+        }
 
     def start(self, loops: Loops) -> None:
         """Start to read."""
-        loops.paced(
-            _pace_of(self._configuration, 0),
-            self._read_configuration,
-        )
-        loops.paced(
-            _pace_of(self._endpoints, ENDPOINTS_PERIOD_S),
-            self._read_endpoints,
-        )
-        loops.paced(_pace_of(self._findings, 0), _step_of(self._findings))
-        loops.paced(
-            _pace_of(self._entries, ENTRIES_PERIOD_S),
-            _step_of(self._entries),
-        )
-
-    def _follower(
-        self,
-        topic: Topic,
-        on_records: OnRecords,
-        wait_s: float = 0,
-    ) -> Follower:
+        for loop in map(self._loop, self._followers):
+            loops.paced(*loop)
+        loops.paced(lambda: self._feed_pause_s(), self._feed_step)
+
+    def refresh(self) -> None:
+        """Note what the followers know on the blackboard."""
+        follower = self._followers[Topic.CONFIGURATION]
+        self._board.configured_at = follower.confirmed_at
+        now = self._board.clock()
+        for name in self._board.endpoints.expire(now):
+            self._log.write('endpoint_gone', name=name, why='lapsed')
+
+    def _follower(self, topic: Topic, on_records: OnRecords) -> Follower:
         return Follower(
             self._adapter.store,
             topic,
+            self.mirror.topics[topic],
             on_records,
             self._log,
             self._board.clock,
-            wait_s,
         )
 
     def _listed(self, records: Iterable[KeyedRecord], newest: bool) -> None:
-        failed_at = self._endpoints.failed_at
-        self._knowledge.endpoints(records, failed_at, newest=newest)
-
-    async def _read_configuration(self) -> None:
-        if await self._configuration.step():
-            self._board.configured_at = self._configuration.confirmed_at
+        failed_at = self._followers[Topic.ENDPOINTS].failed_at
+        self._know.endpoints(records, failed_at, newest=newest)
 
-    async def _read_endpoints(self) -> None:
-        if await self._endpoints.step():
-            for name in self._board.endpoints.expire(self._board.clock()):
-                self._log.write('endpoint_gone', name=name, why='lapsed')
-
-
-def _pace_of(follower: Follower, period_s: float) -> Callable[[], float]:
-    return lambda: RETRY_PERIOD_S if follower.is_lost else period_s
-
-
-def _step_of(follower: Follower) -> Callable[[], Awaitable[None]]:
-    async def step() -> None:  # noqa: WPS430
-        await follower.step()
-
-    return step
+    def _loop(
+        self,
+        topic: Topic,
+    ) -> tuple[Callable[[], float], Step]:
+        follower = self._followers[topic]
+
+        def pause_s() -> float:  # noqa: WPS430
+            if self._peer() is not None:
+                return IDLE_PERIOD_S
+            return RETRY_PERIOD_S if follower.is_lost else PERIODS_S[topic]
+
+        async def step() -> None:  # noqa: WPS430
+            if self._peer() is None:
+                await self._read(topic)
+
+        return pause_s, step
+
+    async def _read(self, topic: Topic) -> None:
+        follower = self._followers[topic]
+        has_news = await follower.step(WAITS_S[topic])
+        if follower.is_lost:
+            self._sources.store_failed(self._board.clock())
+        self.refresh()
+        if has_news and topic in URGENT:
+            self.mirror.signal()
+
+    def _peer(self) -> EntryRecord | None:
+        board = self._board
+        peer = self._sources.peer(board.entries, board.clock())
+        name = '' if peer is None else peer.name
+        if name != self._source:
+            self._source = name
+            self.is_reader = peer is None
+            self._log.write('source', peer=name or 'store')
+        return peer
+
+    def _feed_pause_s(self) -> float:
+        return IDLE_PERIOD_S if self._peer() is None else 0
+
+    async def _feed_step(self) -> None:
+        peer = self._peer()
+        if peer is None:
+            return
+        sent_at = self._board.clock()
+        offsets = {
+            topic: follower.offset
+            for topic, follower in self._followers.items()
+        }
+        client = self._client(peer.peer_address)
+        answer = await client.ask(FeedCall(self._own(), offsets))
+        now = self._board.clock()
+        if not isinstance(answer, Success):
+            self._sources.peer_failed(peer.name, now)
+            self._log.write(
+                'peer_failed',
+                peer=peer.name,
+                why=answer.failure(),
+            )
+            return
+        self._take(peer, answer.unwrap(), sent_at)
+
+    def _take(
+        self,
+        peer: EntryRecord,
+        news: FeedNews,
+        sent_at: float,
+    ) -> None:
+        for topic, one in news.items():
+            self._followers[topic].take(one, sent_at)
+        self.refresh()
+        urgent = map(news.get, URGENT)
+        if any(one is not None and one.records for one in urgent):
+            self.mirror.signal()
+        age_s = news[Topic.CONFIGURATION].age_s
+        if age_s is None or age_s > PEER_AGE_MAX_S:
+            self._sources.peer_failed(peer.name, self._board.clock())
+            self._log.write('peer_outdated', peer=peer.name, age_s=age_s)
+
+    def _client(self, address: str) -> FeedClient:
+        client = self._clients.get(address)
+        if client is None:
+            client = self._make_client(address)
+            self._clients[address] = client
+        return client
--- /dev/null
+++ b/foxtailhatch/router/heartbeats.py
@@ -0,0 +1,75 @@
+"""Heartbeats of the entries that read the store, for those they feed."""
+
+from collections.abc import Callable
+
+from returns.result import Success
+
+from foxtailhatch.relay.decision_log import DecisionLog
+from foxtailhatch.router.adapter import Adapter
+from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.entry_table import EntryRecord, encode_entries
+from foxtailhatch.router.keyed_log import Topic
+
+# Who has not asked for this time is listed no more.  Source: two waits of a
+# feed, and one call.
+FED_TIMEOUT_S = 1.6
+# A list is written at least this often, and at once when it has changed.
+HEARTBEAT_S = 1.5
+
+
+class Heartbeats:
+    """Know who is fed, and write the list while this entry reads."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        adapter: Adapter,
+        log: DecisionLog,
+        own: Callable[[], EntryRecord],
+    ) -> None:
+        """Start with nobody fed and nothing written."""
+        self._board = board
+        self._adapter = adapter
+        self._log = log
+        self._own = own
+        self._fed: dict[str, tuple[EntryRecord, float]] = {}
+        self._written: list[EntryRecord] = []
+        self._written_at = float('-inf')
+
+    def asked(self, entry: EntryRecord, now: float) -> None:
+        """Note that an entry has asked for news."""
+        self._fed[entry.name] = (entry, now)
+
+    def listed(self, now: float) -> list[EntryRecord]:
+        """Return this entry and those that it feeds."""
+        self._fed = {
+            name: (entry, asked_at)
+            for name, (entry, asked_at) in self._fed.items()
+            if now - asked_at <= FED_TIMEOUT_S
+        }
+        fed = [entry for entry, _ in self._fed.values()]
+        return [self._own(), *sorted(fed, key=lambda entry: entry.name)]
+
+    async def step(self, *, is_reader: bool) -> None:
+        """Write the list if it has changed or is due."""
+        now = self._board.clock()
+        entries = self.listed(now)
+        is_due = now - self._written_at >= HEARTBEAT_S
+        if not is_reader and len(entries) == 1:
+            return
+        if is_due or entries != self._written:
+            await self.write(entries, now)
+
+    async def write(self, entries: list[EntryRecord], now: float) -> None:
+        """Write a list to the log, and take it as heard."""
+        self._written = entries
+        self._written_at = now
+        name = self._board.cfg.instance
+        self._board.entries.hear(name, entries, now)
+        written = await self._adapter.store.put(
+            Topic.ENTRIES,
+            name,
+            encode_entries(entries),
+        )
+        if not isinstance(written, Success):
+            self._log.write('heartbeat_failed', fault=written.failure().value)
--- a/foxtailhatch/router/knowledge.py
+++ b/foxtailhatch/router/knowledge.py
@@ -9,7 +9,7 @@
 from foxtailhatch.relay.decision_log import DecisionLog
 from foxtailhatch.router.adapter import Adapter
 from foxtailhatch.router.blackboard import Blackboard
-from foxtailhatch.router.entry_table import decode_entry
+from foxtailhatch.router.entry_table import decode_entries
 from foxtailhatch.router.findings import decode_finding
 from foxtailhatch.router.keyed_log import KeyedRecord
 from foxtailhatch.routes import RoutingTable
@@ -17,8 +17,8 @@
 # An endpoint that falls from the list so soon after an outage may only have
 # lapsed during it.
 OUTAGE_RECENT_S = 3.0
-# Heartbeats found at the start count as this old: two periods.
-UNKNOWN_AGE_S = 3.0
+# Heartbeats found at the start count as this old: one period and a half.
+UNKNOWN_AGE_S = 2.2
 
 
 class Knowledge:
@@ -79,16 +79,17 @@
             if record.value is None:
                 self._board.entries.forget(record.key)
                 continue
-            entry = decode_entry(record.value)
-            if isinstance(entry, Success):
+            found = decode_entries(record.value)
+            if isinstance(found, Success):
                 # A record found at the start may be of any age.
                 heard_at = now - UNKNOWN_AGE_S if newest else now
-                self._board.entries.hear(entry.unwrap(), heard_at)
+                entries = found.unwrap()
+                self._board.entries.hear(record.key, entries, heard_at)
             else:
                 self._log.write(
-                    'entry_unreadable',
+                    'entries_unreadable',
                     key=record.key,
-                    why=entry.failure(),
+                    why=found.failure(),
                 )
 
     def findings(
--- a/foxtailhatch/router/parts.py
+++ b/foxtailhatch/router/parts.py
@@ -2,11 +2,10 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Any
 
-from returns.result import Success
-
 from foxtailhatch.relay.decision_log import BoundedLog, DecisionLog
 from foxtailhatch.relay.parts import RelayParts
 from foxtailhatch.relay.retry_budget import WindowBudget
@@ -16,9 +15,10 @@
 from foxtailhatch.router.decider import Decider
 from foxtailhatch.router.door import Door
 from foxtailhatch.router.entry_table import EntryRecord
+from foxtailhatch.router.feed import FeedClient
 from foxtailhatch.router.finding_desk import FindingDesk
 from foxtailhatch.router.following import Following
-from foxtailhatch.router.keyed_log import Topic
+from foxtailhatch.router.heartbeats import Heartbeats
 from foxtailhatch.router.metrics import RouterMetrics
 from foxtailhatch.router.pages import Pages
 from foxtailhatch.router.planned_stop import PlannedStop
@@ -35,27 +35,19 @@
     door: Door
     pages: Pages
     following: Following
+    heartbeats: Heartbeats
     decider: Decider
     stalls: StallWatch
     stop: PlannedStop
 
     async def heartbeat(self) -> None:
-        """Tell the other entries of this one."""
-        cfg = self.board.cfg
-        record = EntryRecord(
-            cfg.instance,
-            cfg.zone,
-            cfg.region,
-            cfg.callers_address,
-            self.board.is_ready(),
-        )
-        written = await self.adapter.store.put(
-            Topic.ENTRIES,
-            cfg.instance,
-            record.encode(),
-        )
-        if not isinstance(written, Success):
-            self.log.write('heartbeat_failed', fault=written.failure().value)
+        """Tell the other entries of this one, if it reads the store."""
+        await self.heartbeats.step(is_reader=self.following.is_reader)
+
+    async def keep_turn(self) -> None:
+        """Take part in deciding, if this entry reads the store."""
+        if self.following.is_reader or self.decider.has_turn:
+            await self.decider.join()
 
 
 def join_parts(
@@ -87,13 +79,21 @@
         entries=lambda: len(board.entries.ready(board.clock())),
         on_suspect=desk.suspect,
     )
+    own = partial(_own_entry, board)
     return RouterParts(
         board=board,
         adapter=adapter,
         log=log,
         door=Door(board, relay, adapter.decode_request, random),
         pages=Pages(board, relay, metrics),
-        following=Following(board, adapter, log),
+        following=Following(
+            board,
+            adapter,
+            log,
+            own,
+            partial(FeedClient, reactor),
+        ),
+        heartbeats=Heartbeats(board, adapter, log, own),
         decider=Decider(
             board,
             adapter.store,
@@ -104,3 +104,16 @@
         stalls=StallWatch(relay, adapter.engines),
         stop=PlannedStop(board, relay, log),
     )
+
+
+def _own_entry(board: Blackboard) -> EntryRecord:
+    cfg = board.cfg
+    return EntryRecord(
+        name=cfg.instance,
+        zone=cfg.zone,
+        region=cfg.region,
+        address=cfg.callers_address,
+        peer_address=cfg.peer_address,
+        strength=cfg.strength,
+        is_ready=board.is_ready(),
+    )
--- a/foxtailhatch/router/settings.py
+++ b/foxtailhatch/router/settings.py
@@ -29,6 +29,9 @@
 class RouterSettings:
     """Who this entry is, where it listens and whom it asks.
 
+    ``peer_address`` is for other entries, and ``strength`` the processor
+    share in cores.
+
     Addresses are ``host:port``; an empty one is not served.  ``zones`` maps
     each availability zone to its region.
     """
@@ -41,6 +44,8 @@
     ready_address: str
     advice_address: str
     metrics_address: str
+    peer_address: str
+    strength: float
     store_address: str
     heartbeat_s: float
     bounds: Bounds
--- a/tests/router/test_entry_table.py
+++ b/tests/router/test_entry_table.py
@@ -2,18 +2,27 @@
     ENTRY_TIMEOUT_S,
     EntryRecord,
     EntryTable,
-    decode_entry,
+    decode_entries,
+    encode_entries,
 )
 
 
-def entry(name, zone='z1', ready=True, region='here'):
-    return EntryRecord(name, zone, region, f'{name}:80', ready)
+def entry(name, zone='z1', ready=True, region='here', strength=1.0):
+    return EntryRecord(
+        name,
+        zone,
+        region,
+        f'{name}:80',
+        f'{name}:90',
+        strength,
+        ready,
+    )
 
 
 def table(*entries, now=0.0):
     made = EntryTable()
     for one in entries:
-        made.hear(one, now)
+        made.hear(one.name, [one], now)
     return made
 
 
@@ -33,14 +42,34 @@
 
 def test_stopping_and_silent_entries_are_not_advised():
     made = table(entry('a'), entry('b', ready=False))
-    made.hear(entry('c'), ENTRY_TIMEOUT_S)
+    made.hear('c', [entry('c')], ENTRY_TIMEOUT_S)
     assert advised(made, now=ENTRY_TIMEOUT_S + 1) == ['c:80']
 
 
+def test_entry_that_is_no_longer_fed_is_gone_at_once():
+    made = EntryTable()
+    made.hear('a', [entry('a'), entry('b')], 0)
+    made.hear('a', [entry('a')], 1)
+    assert advised(made) == ['a:80']
+
+
+def test_readers_are_those_that_write_a_list():
+    made = EntryTable()
+    made.hear('a', [entry('a'), entry('b')], 0)
+    made.hear('c', [entry('c', strength=2.0)], 0)
+    assert [one.name for one in made.readers('z1', 1)] == ['c', 'a']
+
+
 def test_advice_is_bounded():
     made = table(*(entry(f'e{place:02}') for place in range(80)))
     assert len(advised(made, most=64)) == 64
 
 
-def test_record_survives_the_log():
-    assert decode_entry(entry('a').encode()).unwrap() == entry('a')
+def test_list_survives_the_log():
+    entries = [entry('a'), entry('b', ready=False)]
+    assert decode_entries(encode_entries(entries)).unwrap() == entries
+
+
+def test_bytes_that_are_no_list_are_an_outcome():
+    assert decode_entries(b'').failure()
+    assert decode_entries(b'\x01').failure()
--- a/tests/router/test_follower.py
+++ b/tests/router/test_follower.py
@@ -1,7 +1,9 @@
 import asyncio
 
+from foxtailhatch.router.feed import TopicNews
 from foxtailhatch.router.follower import Follower
 from foxtailhatch.router.keyed_log import KeyedRecord, StoreFault, Topic
+from foxtailhatch.router.mirror import TopicMirror
 from tests.relay.fakes import ListLog
 from tests.router.fakes import Clock, MemoryStore
 
@@ -13,7 +15,14 @@
     def take(records, newest):
         seen.append(([one.key for one in records], newest))
 
-    made = Follower(store, Topic.ENDPOINTS, take, log, clock or Clock())
+    made = Follower(
+        store,
+        Topic.ENDPOINTS,
+        TopicMirror(),
+        take,
+        log,
+        clock or Clock(),
+    )
     return made, seen, log
 
 
@@ -65,3 +74,39 @@
     step(made)
     assert made.confirmed_at == 10
     assert made.failed_at == 20
+
+
+def news(*keys, end, newest=False, age_s=0.5):
+    records = tuple(KeyedRecord(key, b'1') for key in keys)
+    return TopicNews(records, end, newest, age_s)
+
+
+def test_knowledge_of_a_peer_is_as_old_as_the_peer_says():
+    made, seen, _ = follower(MemoryStore())
+    made.take(news('a', end=3, newest=True, age_s=1.5), sent_at=50)
+    assert made.confirmed_at == 48.5
+    assert seen == [(['a'], True)]
+
+
+def test_peer_that_is_behind_takes_nothing_back():
+    made, seen, _ = follower(MemoryStore())
+    made.take(news('a', end=9, newest=True), sent_at=50)
+    made.take(news('b', end=5, newest=True), sent_at=60)
+    assert len(seen) == 1
+    assert made.offset == 9
+
+
+def test_peer_without_knowledge_brings_none():
+    made, seen, _ = follower(MemoryStore())
+    made.take(TopicNews((), None, False, None), sent_at=50)
+    assert made.confirmed_at is None
+    assert seen == []
+
+
+def test_source_may_change_at_any_offset():
+    store = MemoryStore()
+    store.add(Topic.ENDPOINTS, KeyedRecord('a', b'1'), KeyedRecord('b', b'1'))
+    made, seen, _ = follower(store)
+    made.take(news('a', end=1, newest=True), sent_at=50)
+    step(made)
+    assert seen == [(['a'], True), (['b'], False)]
--- /dev/null
+++ b/tests/router/test_heartbeats.py
@@ -0,0 +1,78 @@
+import asyncio
+from types import SimpleNamespace
+
+from returns.result import Success
+
+from foxtailhatch.router.entry_table import decode_entries
+from foxtailhatch.router.heartbeats import (
+    FED_TIMEOUT_S,
+    HEARTBEAT_S,
+    Heartbeats,
+)
+from tests.relay.fakes import ListLog
+from tests.router.fakes import Clock, board
+from tests.router.test_entry_table import entry
+
+
+class PutStore:
+    """Keep what is written."""
+
+    def __init__(self):
+        self.lists = []
+
+    async def put(self, topic, key, value):
+        found = decode_entries(value).unwrap()
+        self.lists.append([one.name for one in found])
+        return Success(None)
+
+
+def heartbeats():
+    clock = Clock()
+    store = PutStore()
+    made = Heartbeats(
+        board(clock),
+        SimpleNamespace(store=store),
+        ListLog(),
+        lambda: entry('entry-1'),
+    )
+    return made, store, clock
+
+
+def step(made, reader=True):
+    asyncio.run(made.step(is_reader=reader))
+
+
+def test_reader_lists_itself_and_those_it_feeds():
+    made, store, clock = heartbeats()
+    made.asked(entry('b'), clock.now)
+    step(made)
+    assert store.lists == [['entry-1', 'b']]
+
+
+def test_list_is_written_when_due_or_changed_only():
+    made, store, clock = heartbeats()
+    step(made)
+    clock.now += HEARTBEAT_S / 2
+    step(made)
+    assert len(store.lists) == 1
+    made.asked(entry('b'), clock.now)
+    step(made)
+    assert len(store.lists) == 2
+    clock.now += HEARTBEAT_S
+    step(made)
+    assert len(store.lists) == 3
+
+
+def test_entry_that_asks_no_more_is_dropped():
+    made, store, clock = heartbeats()
+    made.asked(entry('b'), clock.now)
+    step(made)
+    clock.now += FED_TIMEOUT_S + 0.1
+    step(made)
+    assert store.lists[-1] == ['entry-1']
+
+
+def test_fed_entry_writes_nothing():
+    made, store, _ = heartbeats()
+    step(made, reader=False)
+    assert store.lists == []
--- a/tests/router/test_knowledge.py
+++ b/tests/router/test_knowledge.py
@@ -5,13 +5,14 @@
 from returns.result import Failure, Success
 
 from foxtailhatch.core import LayerRange
-from foxtailhatch.router.entry_table import EntryRecord
+from foxtailhatch.router.entry_table import encode_entries
 from foxtailhatch.router.findings import Finding
 from foxtailhatch.router.keyed_log import KeyedRecord
 from foxtailhatch.router.knowledge import Knowledge
 from tests.fleet.endpoints import endpoint
 from tests.relay.fakes import ListLog
 from tests.router.fakes import Clock, board
+from tests.router.test_entry_table import entry
 from tests.routes.configurations import configuration
 
 
@@ -120,14 +121,15 @@
     know.findings([KeyedRecord('e1', b'{}')], newest=False)
     know.entries([KeyedRecord('n1', b'{}')], newest=False)
     assert log.of('finding_unreadable')
-    assert log.of('entry_unreadable')
+    assert log.of('entries_unreadable')
 
 
 def test_heartbeats_make_entries_ready():
     made = board()
     know, _ = knowledge(made)
-    entry = EntryRecord('n1', 'z1', 'here', '10.0.0.1:80', is_ready=True)
-    know.entries([KeyedRecord('n1', entry.encode())], newest=False)
-    assert made.entries.ready(100) == [entry]
+    listed_entries = [entry('n1'), entry('n2')]
+    raw = encode_entries(listed_entries)
+    know.entries([KeyedRecord('n1', raw)], newest=False)
+    assert made.entries.ready(100) == listed_entries
     know.entries([KeyedRecord('n1', None)], newest=False)
     assert made.entries.ready(100) == []
--- /dev/null
+++ b/tests/router/test_mirror.py
@@ -0,0 +1,77 @@
+"""A feed never skips or repeats a record, however far behind a reader is."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from foxtailhatch.router.feed import (
+    FeedCall,
+    decode_call,
+    decode_news,
+    encode_news,
+)
+from foxtailhatch.router.keyed_log import KeyedRecord, Topic
+from foxtailhatch.router.mirror import RECORDS_KEPT, Mirror, TopicMirror
+from tests.router.test_entry_table import entry
+
+
+def records(first, end):
+    return [KeyedRecord(f'k{place}', b'v') for place in range(first, end)]
+
+
+def test_reader_gets_what_it_lacks():
+    mirror = TopicMirror()
+    mirror.reset(records(0, 3), 3)
+    mirror.append(records(3, 6), 6)
+    found, is_newest = mirror.since(4)
+    assert [one.key for one in found] == ['k4', 'k5']
+    assert not is_newest
+
+
+def test_reader_that_is_too_far_behind_gets_the_newest():
+    mirror = TopicMirror()
+    mirror.reset(records(0, 3), 3)
+    mirror.append([KeyedRecord('k1', None)], 4)
+    for offset in (None, 1, 99):
+        found, is_newest = mirror.since(offset)
+        assert is_newest
+        assert {one.key for one in found} == {'k0', 'k2'}
+
+
+def test_what_is_kept_is_bounded():
+    mirror = TopicMirror()
+    mirror.reset([], 0)
+    mirror.append(records(0, 3 * RECORDS_KEPT), 3 * RECORDS_KEPT)
+    assert len(mirror.recent) == RECORDS_KEPT
+
+
+@given(st.lists(st.integers(1, 5), max_size=20), st.data())
+def test_replay_from_any_offset_gives_the_same_keys(steps, source):
+    mirror = TopicMirror()
+    mirror.reset([], 0)
+    end = 0
+    for step in steps:
+        mirror.append(records(end, end + step), end + step)
+        end += step
+    offset = source.draw(st.integers(0, end))
+    found, is_newest = mirror.since(offset)
+    assert not is_newest
+    assert [one.key for one in found] == [f'k{n}' for n in range(offset, end)]
+
+
+def test_call_and_news_survive_the_wire():
+    call = FeedCall(entry('a'), {Topic.FINDINGS: None, Topic.ENTRIES: 4})
+    assert decode_call(call.encode()).unwrap() == call
+    mirror = Mirror()
+    topic = mirror.topics[Topic.FINDINGS]
+    topic.reset(records(0, 2), 2)
+    topic.confirmed_at = 10.0
+    found = decode_news(encode_news(mirror, call, 12.5)).unwrap()
+    assert found[Topic.FINDINGS].age_s == 2.5
+    assert found[Topic.FINDINGS].is_newest
+    assert found[Topic.ENTRIES].age_s is None
+
+
+@given(st.binary())
+def test_foreign_bytes_are_outcomes(raw):
+    decode_call(raw)
+    decode_news(raw)
