--- a/foxtailhatch/peers/cbor.py
+++ b/foxtailhatch/core/cbor.py
@@ -1,4 +1,4 @@
-"""Read CBOR from a peer, whatever stands in it."""
+"""Read CBOR from another process, whatever stands in it."""
 
 from typing import Any
 
--- a/foxtailhatch/peers/codec.py
+++ b/foxtailhatch/peers/codec.py
@@ -10,9 +10,9 @@
 from returns.result import Failure, Result, Success
 
 from foxtailhatch.core import Stamp
+from foxtailhatch.core.cbor import read_cbor
 from foxtailhatch.membership import Digest
 from foxtailhatch.peers import digest_lines, wire
-from foxtailhatch.peers.cbor import read_cbor
 from foxtailhatch.peers.messages import (
     AccountUsage,
     ConfigurationAsk,
--- a/foxtailhatch/peers/handshake.py
+++ b/foxtailhatch/peers/handshake.py
@@ -17,8 +17,8 @@
 from pydantic import Field, TypeAdapter, ValidationError
 
 from foxtailhatch.core import Address
+from foxtailhatch.core.cbor import read_cbor
 from foxtailhatch.peers import wire
-from foxtailhatch.peers.cbor import read_cbor
 
 HANDSHAKE_MAX_BYTES = 512
 NONCE_BYTES = 32
--- a/foxtailhatch/router/entry_table.py
+++ b/foxtailhatch/router/entry_table.py
@@ -11,6 +11,8 @@
 import cbor2
 from returns.result import Failure, Result, Success
 
+from foxtailhatch.core.cbor import read_cbor
+
 # A list that has not been renewed for this time does not count.  Source:
 # two heartbeats, and the lag of reading them.
 ENTRY_TIMEOUT_S = 4.0
@@ -66,10 +68,7 @@
 
 def decode_entries(raw: bytes) -> Result[list[EntryRecord], str]:
     """Return the entries of a heartbeat."""
-    try:
-        found = cbor2.loads(raw)
-    except cbor2.CBORDecodeError as exc:
-        return Failure(str(exc))
+    found = read_cbor(raw)
     if not isinstance(found, list):
         return Failure('not a list of entries')
     return Success(
--- a/foxtailhatch/router/feed.py
+++ b/foxtailhatch/router/feed.py
@@ -12,6 +12,7 @@
 import cbor2
 from returns.result import Failure, Result, Success
 
+from foxtailhatch.core.cbor import read_cbor
 from foxtailhatch.relay.http_call import Answer, Call, HttpCaller
 from foxtailhatch.router.entry_table import EntryRecord, decode_entry
 from foxtailhatch.router.keyed_log import KeyedRecord, Topic
@@ -25,7 +26,7 @@
 STATUS_OK = 200
 
 # What foreign bytes raise while they are taken apart.
-_UNREADABLE = (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError)
+_UNREADABLE = (ValueError, TypeError, AttributeError)
 
 Offsets = dict[Topic, int | None]
 
@@ -118,12 +119,12 @@
 
 
 def _read_call(raw: bytes) -> tuple[object, Offsets]:
-    fields, offsets = cbor2.loads(raw)
+    fields, offsets = read_cbor(raw)
     return fields, {Topic(name): end for name, end in offsets.items()}
 
 
 def _read_news(raw: bytes) -> FeedNews:
-    found = cbor2.loads(raw)
+    found = read_cbor(raw)
     return {Topic(name): _read(one) for name, one in found.items()}
 
 
--- a/foxtailhatch/router/following.py
+++ b/foxtailhatch/router/following.py
@@ -170,8 +170,7 @@
         for topic, one in news.items():
             self._followers[topic].take(one, sent_at)
         self.refresh()
-        urgent = map(news.get, URGENT)
-        if any(one is not None and one.records for one in urgent):
+        if news[Topic.CONFIGURATION].records or news[Topic.FINDINGS].records:
             self.mirror.signal()
         age_s = news[Topic.CONFIGURATION].age_s
         if age_s is None or age_s > PEER_AGE_MAX_S:
