Even out room after a loss, wait a moment for room, find stalls sooner

An event before a missing one was dropped with it; test_event_before_a_missing_one_reaches_the_caller failed first.

--- a/foxtailhatch/placement/plan.py
+++ b/foxtailhatch/placement/plan.py
@@ -5,7 +5,8 @@
 stand on two cards.  Later plans change as little as they can: lost layers go
 to cards that are empty or hold only what others hold as well, and to the
 cards that hold the layers beside the gap.  Only where these lack the memory
-is the whole group laid out anew: it cannot serve in any case.
+is the whole group laid out anew: it cannot serve in any case.  While nothing
+is lost, empty cards and neighbours with more room take over from tight cards.
 """
 
 from collections.abc import Sequence
@@ -19,6 +20,7 @@
     laid_out,
     shared_room,
 )
+from foxtailhatch.placement.relaxing import relaxed, split_range
 from foxtailhatch.routes import Engine
 
 # Nothing is loaded onto a card that is left with less room than this: ten
@@ -38,7 +40,8 @@
     lost = gaps(holding, engine.layer_count)
     if lost:
         return _repair(lost, holding, spares, engine)
-    return _use(spares, holding, engine)
+    orders = _use(spares, holding, engine)
+    return orders or _orders(relaxed(holding, engine), holding, 'evened out')
 
 
 def _repair(
@@ -76,7 +79,7 @@
         return []
     spare = spares[0]
     tightest = min(free, key=lambda card: shared_room(card, free, engine))
-    layers = tightest.layers
+    layers = split_range(spare, tightest)
     if layers is None:
         return []
     if engine.kv_tokens(spare.memory_mb, len(layers)) < KV_TOKENS_MIN:
--- a/foxtailhatch/relay/events.py
+++ b/foxtailhatch/relay/events.py
@@ -54,6 +54,44 @@
         return events
 
 
+class EventOrder:
+    """Pass each numbered event on once, and none after a missing one.
+
+    >>> order = EventOrder(last=1)
+    >>> order.take([StreamEvent(b'1', 1), StreamEvent(b'2', 2)])
+    b'2'
+    >>> order.take([StreamEvent(b'4', 4)]), order.misses_event
+    (b'', True)
+    """
+
+    def __init__(self, last: int | None) -> None:
+        """Begin after the event ``last``; with ``None`` at any event."""
+        self.last = last
+        self.misses_event = False
+
+    def begin_run(self) -> None:
+        """Begin to take the events of another run."""
+        self.misses_event = False
+
+    def take(self, events: list[StreamEvent]) -> bytes:
+        """Return what is to be passed on of the events that have come."""
+        return b''.join(event.raw for event in events if self._passes(event))
+
+    def _passes(self, event: StreamEvent) -> bool:
+        number = event.number
+        if self.misses_event:
+            return False
+        if number is None:
+            return True
+        if self.last is not None and number > self.last + 1:
+            self.misses_event = True
+            return False
+        is_new = self.last is None or number > self.last
+        if is_new:
+            self.last = number
+        return is_new
+
+
 def _event_end(buffered: bytes, begin: int) -> int:
     plain = buffered.find(b'\n\n', begin)
     if b'\r' not in buffered:
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -6,6 +6,7 @@
 from foxtailhatch.core import Invariant, require
 from foxtailhatch.fleet import LiveEndpoint
 from foxtailhatch.relay.attempt import Attempt, Sending
+from foxtailhatch.relay.events import EventOrder
 from foxtailhatch.relay.http_stream import Head, Loss
 from foxtailhatch.relay.next_step import Failure, Next, Situation, next_step
 from foxtailhatch.relay.parts import Choice, Chosen, RelayParts
@@ -29,6 +30,11 @@
 # model that is lost is loaded again within a second or so.
 RETRY_NO_ENDPOINT_S = 1.0
 RETRY_REFUSED_S = 0.5
+# A request that finds no room waits for it this long, looking again after
+# each step.  Source: half of the usual goal for the first event, so that it
+# can still be met.
+HOLD_MAX_S = 0.25
+HOLD_STEP_S = 0.06
 FIRST_ERROR = 400
 FIRST_SERVER_ERROR = 500
 
@@ -77,6 +83,7 @@
             timeout_s = min(timeout_s, patience_s)
         self._ends_at = now + timeout_s
         self._timer: Any = None
+        self._timer_hold: Any = None
         self._heads: dict[str, LiveEndpoint] = {}
         self._avoid: set[str] = set()
         self._unreached = 0
@@ -84,7 +91,9 @@
         self._may_have_run = False
         self._held: list[bytes] = []
         self._held_bytes = 0
-        self._last_event = admitted.req.resumes_after
+        self._first_s: float | None = None
+        self._longest_pause_s = float(0)
+        self._order = EventOrder(admitted.req.resumes_after)
 
     @property
     def request_id(self) -> str:
@@ -99,11 +108,7 @@
         left_s = max(0, self._ends_at - now)
         self._timer = parts.reactor.callLater(left_s, self._timed_out)
         parts.budget.note_request(self.admitted.service.name, now)
-        chosen = parts.chooser.choose(self._choice(), now)
-        if chosen is None:
-            self._refuse(Reason.NO_ENDPOINT, RETRY_NO_ENDPOINT_S)
-            return
-        self._send(chosen, now)
+        self._look_for_room(Reason.NO_ENDPOINT, RETRY_NO_ENDPOINT_S)
 
     def caller_left(self) -> None:
         """Stop all work: nobody waits for the answer any more."""
@@ -158,7 +163,7 @@
         if attempt.answer.is_event_stream:
             self._pass_events(attempt, piece)
         else:
-            self._hold(attempt, piece)
+            self._keep(attempt, piece)
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """Finish the caller's answer."""
@@ -199,6 +204,7 @@
             all(map(self._parts.endpoints.takes_work, endpoints)),
             str([endpoint.name for endpoint in endpoints]),
         )
+        self._order.begin_run()
         self._heads[chosen[0].endpoint.name] = chosen[0].endpoint
         self._sends += 1
         self.progress_at = now
@@ -209,7 +215,7 @@
             urgency=admitted.urgency,
             time_left_s=self._ends_at - now,
             chain=chain_of(chosen),
-            resume_after=self._last_event if self.is_started else None,
+            resume_after=self._order.last if self.is_started else None,
         )
         self._parts.log.write(
             'sent',
@@ -334,13 +340,44 @@
             self._held_bytes = 0
             self._send(chosen, now)
         elif step is Next.REFUSE:
-            self._refuse(Reason.ENDPOINT_REFUSED, RETRY_REFUSED_S)
+            self._hold(Reason.ENDPOINT_REFUSED, RETRY_REFUSED_S)
         elif self.is_started:
             self._caller.abort()
             self._end('broken_off')
         else:
             self._refuse(Reason.OUTCOME_UNKNOWN)
 
+    def _look_for_room(self, reason: Reason, retry_after_s: float) -> None:
+        """Send if there is room; else wait a little, or refuse."""
+        self._timer_hold = None
+        now = self._parts.clock()
+        chosen = self._parts.chooser.choose(self._choice(), now)
+        if chosen is None:
+            self._hold(reason, retry_after_s)
+            return
+        if self._sends:
+            service = self.admitted.service.name
+            self._parts.budget.spend(service, now, self._parts.entries())
+        self._send(chosen, now)
+
+    def _hold(self, reason: Reason, retry_after_s: float) -> None:
+        """Look for room again in a moment, unless it has been too long."""
+        parts = self._parts
+        now = parts.clock()
+        waits_s = now + HOLD_STEP_S - self._arrived_at
+        service = self.admitted.service
+        has_budget = parts.budget.left(service.name, now, parts.entries()) >= 1
+        if service.engine is None or waits_s > HOLD_MAX_S or not has_budget:
+            self._refuse(reason, retry_after_s)
+            return
+        parts.log.write('held', id=self.request_id, why=reason.value)
+        self._timer_hold = parts.reactor.callLater(
+            HOLD_STEP_S,
+            self._look_for_room,
+            reason,
+            retry_after_s,
+        )
+
     def _situation(self, failure: Failure, now: float) -> Situation:
         service = self.admitted.service.name
         entries = self._parts.entries()
@@ -378,34 +415,22 @@
             self._failed(attempt, Failure.MAY_HAVE_RUN, 'overlong event')
             return
         if events:
-            self.progress_at = now
-        passed = []
-        for event in events:
-            if not self._follows(event.number):
-                continue
-            if self._skips(event.number):
-                attempt.cancel()
-                self._failed(attempt, Failure.MAY_HAVE_RUN, 'event missing')
-                return
-            if event.number is not None:
-                self._last_event = event.number
-            passed.append(event.raw)
+            self._note_progress(now)
+        passed = self._order.take(events)
         if passed:
             self._start(attempt)
-            self._caller.write(b''.join(passed))
-
-    def _follows(self, number: int | None) -> bool:
-        """Tell whether an event is not one that was passed on before."""
-        if number is None or self._last_event is None:
-            return True
-        return number > self._last_event
+            self._caller.write(passed)
+        if self._order.misses_event:
+            attempt.cancel()
+            self._failed(attempt, Failure.MAY_HAVE_RUN, 'event missing')
 
-    def _skips(self, number: int | None) -> bool:
-        if number is None or self._last_event is None:
-            return False
-        return number != self._last_event + 1
+    def _note_progress(self, now: float) -> None:
+        if self.is_started:
+            pause_s = now - self.progress_at
+            self._longest_pause_s = max(self._longest_pause_s, pause_s)
+        self.progress_at = now
 
-    def _hold(self, attempt: Attempt, piece: bytes) -> None:
+    def _keep(self, attempt: Attempt, piece: bytes) -> None:
         self._held.append(piece)
         self._held_bytes += len(piece)
         if self._held_bytes > HELD_BODY_BYTES or self.is_started:
@@ -429,7 +454,8 @@
                 pair for pair in headers if pair[0] != b'content-length'
             )
         now = self._parts.clock()
-        self._parts.metrics.first_byte(now - self._arrived_at)
+        self._first_s = now - self._arrived_at
+        self._parts.metrics.first_byte(self._first_s)
         self._caller.start(answer.status, headers)
         self._caller.flow_from(attempt.transport)
 
@@ -470,6 +496,9 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        if self._timer_hold is not None:
+            self._timer_hold.cancel()
+            self._timer_hold = None
         self._parts.running.discard(self)
         now = self._parts.clock()
         took_s = now - self._arrived_at
@@ -481,7 +510,9 @@
             account=self.admitted.account,
             outcome=outcome,
             sends=self._sends,
-            last_event=self._last_event,
+            last_event=self._order.last,
+            first_s=self._first_s and round(self._first_s, 3),
+            longest_pause_s=round(self._longest_pause_s, 3),
             took_s=round(took_s, 3),
         )
 
--- a/foxtailhatch/router/choosing.py
+++ b/foxtailhatch/router/choosing.py
@@ -3,17 +3,17 @@
 from collections.abc import Sequence
 from random import Random
 
-from foxtailhatch.fleet import LiveEndpoint
-from foxtailhatch.relay.parts import Choice, Chosen, ChosenStage
-from foxtailhatch.router.blackboard import Blackboard
-from foxtailhatch.routes import Engine
-from foxtailhatch.routing.chain_costs import ChainCosts
-from foxtailhatch.routing.zone_paths import (
+from foxtailhatch.chains.costs import ChainCosts
+from foxtailhatch.chains.zone_paths import (
     Holder,
     Stage,
     ZonePath,
     cheapest_chain,
 )
+from foxtailhatch.fleet import LiveEndpoint
+from foxtailhatch.relay.parts import Choice, Chosen, ChosenStage
+from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.routes import Engine
 
 # An endpoint in another zone is taken when it has this many requests fewer.
 ZONE_PREFERENCE = 1.0
--- a/foxtailhatch/router/decider.py
+++ b/foxtailhatch/router/decider.py
@@ -107,7 +107,6 @@
         if membership.is_holder != self.has_turn:
             self.has_turn = membership.is_holder
             self._pending.clear()
-            self._counts.clear()
             self._log.write(
                 'turn_taken' if self.has_turn else 'turn_lost',
                 generation=membership.generation,
@@ -200,14 +199,38 @@
         if endpoint is None:
             return
         now = self._board.clock()
-        key = (endpoint.name, endpoint.born)
-        expected = self._counts.get(key, 0)
         self._pending[endpoint.name] = PendingOrder(
             endpoint,
             order.layers,
             now,
             now + LOOK_AGAIN_S,
         )
+        outcome = await self._place(endpoint, order)
+        if outcome is OrderOutcome.CONFLICT and await self._learn(endpoint):
+            outcome = await self._place(endpoint, order)
+        if outcome is OrderOutcome.BEGUN:
+            self._publish(_kept(endpoint, order.layers))
+        if outcome is OrderOutcome.FENCED:
+            self._fenced_at = self.generation
+            self._pending.pop(endpoint.name, None)
+
+    async def _learn(self, endpoint: LiveEndpoint) -> bool:
+        """Ask how many orders an engine has accepted; tell if it was news."""
+        key = (endpoint.name, endpoint.born)
+        found = await self._engines.report(endpoint)
+        if not isinstance(found, Success):
+            return False
+        orders: int = found.unwrap().orders
+        is_news = orders != self._counts.get(key, 0)
+        self._counts[key] = orders
+        return is_news
+
+    async def _place(
+        self,
+        endpoint: LiveEndpoint,
+        order: LayerOrder,
+    ) -> OrderOutcome:
+        expected = self._counts.get((endpoint.name, endpoint.born), 0)
         outcome = await self._engines.place(
             endpoint,
             order.layers,
@@ -225,11 +248,7 @@
             expected=expected,
             list_revision=self._board.endpoints.revision,
         )
-        if outcome is OrderOutcome.BEGUN:
-            self._publish(_kept(endpoint, order.layers))
-        if outcome is OrderOutcome.FENCED:
-            self._fenced_at = self.generation
-            self._pending.pop(endpoint.name, None)
+        return outcome
 
     async def _look(self, now: float) -> None:
         due = [one for one in self._pending.values() if one.look_at <= now]
--- a/foxtailhatch/router/finding_desk.py
+++ b/foxtailhatch/router/finding_desk.py
@@ -29,8 +29,12 @@
         self._tasks: set[asyncio.Future[None]] = set()
 
     def suspect(self, endpoint: LiveEndpoint, why: str) -> None:
-        """Ask a suspected engine itself; publish it if it is dead."""
-        if endpoint.layers is not None:
+        """Publish a dead engine; ask one that is only suspected itself."""
+        if endpoint.layers is None:
+            return
+        if self._board.endpoints.is_dead(endpoint.name):
+            self.publish(Finding(endpoint.name, endpoint.born, is_dead=True))
+        else:
             self._start(self._confirm(endpoint, why))
 
     def publish(self, finding: Finding) -> None:
--- a/foxtailhatch/router/stall_watch.py
+++ b/foxtailhatch/router/stall_watch.py
@@ -18,13 +18,13 @@
 from foxtailhatch.relay.parts import Chosen, RelayParts
 from foxtailhatch.relay.relay import Relay, chain_of
 
-# Longer than this between two events is no batch's work.  Source: twice the
-# longest pause that is still on time.
-STALL_AFTER_S = 0.35
+# Longer than this between two events is no batch's work.  Source: the longest
+# pause that is on time, and half of it more.
+STALL_AFTER_S = 0.3
 # Before the first event a request may wait behind long prompts.
 FIRST_STALL_AFTER_S = 0.6
-# A receiver is asked again after this time.
-ASK_AGAIN_S = 0.3
+# A receiver is asked again after this time, as its report lags by more.
+ASK_AGAIN_S = 0.12
 # A stream that cannot be moved by then runs again elsewhere: callers leave
 # after a gap of two seconds.
 GIVE_UP_AFTER_S = 1.1
@@ -47,12 +47,9 @@
         """Look at all streams once."""
         now = self._parts.clock()
         stalled: dict[str, list[Relay]] = defaultdict(list)
-        for relay in tuple(self._parts.running):
-            if relay.is_over or not _is_chain(relay):
-                continue
-            if self._crosses_lost(relay):
-                self._start_move(relay)
-            elif _is_stalled(relay, now):
+        self._move_lost()
+        for relay in filter(_is_chain, tuple(self._parts.running)):
+            if not self._crosses_lost(relay) and _is_stalled(relay, now):
                 stalled[relay.attempt.head_name].append(relay)
         asked = [
             self._ask(head, relays)
@@ -60,6 +57,14 @@
             if now - self._asked_at.get(head, 0) >= ASK_AGAIN_S
         ]
         await asyncio.gather(*asked)
+        if asked:
+            self._move_lost()
+
+    def _move_lost(self) -> None:
+        """Move all streams that cross an endpoint just found dead."""
+        for relay in filter(_is_chain, tuple(self._parts.running)):
+            if self._crosses_lost(relay):
+                self._start_move(relay)
 
     def _crosses_lost(self, relay: Relay) -> bool:
         endpoints = self._parts.endpoints
@@ -173,7 +178,7 @@
 
 def _is_chain(relay: Relay) -> bool:
     attempt = relay.attempt
-    if attempt is None or attempt.is_over:
+    if attempt is None or attempt.is_over or relay.is_over:
         return False
     return attempt.chosen[0].layers is not None
 
--- a/tests/routing/test_chain_costs.py
+++ b/tests/chains/test_costs.py
@@ -1,7 +1,7 @@
 """Patterns of load that decide between endpoints of one range."""
 
+from foxtailhatch.chains.costs import ChainCosts
 from foxtailhatch.fleet import EndpointLoads
-from foxtailhatch.routing.chain_costs import ChainCosts
 from tests.fleet.endpoints import endpoint
 from tests.routes.configurations import ENGINE
 
--- a/tests/routing/test_zone_paths.py
+++ b/tests/chains/test_zone_paths.py
@@ -1,12 +1,12 @@
 import pytest
 
-from foxtailhatch.core import LayerRange
-from foxtailhatch.routing.zone_paths import (
+from foxtailhatch.chains.zone_paths import (
     Holder,
     Stage,
     ZonePath,
     cheapest_chain,
 )
+from foxtailhatch.core import LayerRange
 
 
 class FlatCosts:
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -3,8 +3,11 @@
 import pytest
 
 from foxtailhatch.fleet.table import REFUSED_S
+from foxtailhatch.relay.relay import HOLD_MAX_S, HOLD_STEP_S
 from foxtailhatch.routes import RouteKind
+from tests.fleet.endpoints import endpoint
 from tests.relay.fakes import bench
+from tests.routes.configurations import MODEL
 
 AT_MOST_ONCE = {'kind': RouteKind.AT_MOST_ONCE, 'attempts': 1}
 STREAM = {'kind': RouteKind.STREAM, 'resumable': True, 'layered': True}
@@ -230,6 +233,41 @@
     assert b'id: 3' not in world.caller.body
 
 
+def test_event_before_a_missing_one_reaches_the_caller():
+    world = bench(**STREAM)
+    side = world.connect()
+    side.stream()
+    side.event(1)
+    side.chunk(b'id: 2\ndata: t2\n\nid: 4\ndata: t4\n\n')
+    assert world.caller.body.endswith(b'id: 2\ndata: t2\n\n')
+    assert b'X-After: 2' in world.connect().request
+
+
+def test_model_request_waits_a_moment_for_room():
+    world = bench(names=(), service=MODEL, **STREAM)
+    assert world.caller.status is None
+    world.parts.endpoints.put(endpoint('e1', 'model'), 0)
+    world.reactor.advance(HOLD_STEP_S)
+    assert b'X-To: e1' in world.connect().request
+
+
+def test_model_request_that_finds_no_room_is_refused_soon():
+    world = bench(names=(), service=MODEL, **STREAM)
+    for _ in range(10):
+        world.reactor.advance(HOLD_STEP_S)
+    assert world.reactor.seconds() > HOLD_MAX_S
+    assert world.caller.status == 503
+    assert world.parts.running == set()
+
+
+def test_caller_that_leaves_while_it_waits_is_forgotten():
+    world = bench(names=(), service=MODEL, **STREAM)
+    world.relay.caller_left()
+    world.reactor.advance(1)
+    assert world.caller.status is None
+    assert not world.reactor.getDelayedCalls()
+
+
 def test_stream_that_cannot_go_on_is_seen_as_incomplete():
     world = bench(names=('e1',), **STREAM)
     side = world.connect()
