--- a/foxtailhatch/router/stall_watch.py
+++ b/foxtailhatch/router/stall_watch.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import defaultdict
+from weakref import WeakKeyDictionary
 
 from returns.result import Success
 
@@ -31,6 +32,9 @@
 # A leaving endpoint goes on with what it has for about two seconds.  So long
 # a stream waits for a way inside its zone, since others share one link.
 LEAVING_WAIT_S = 1.6
+# A move that was refused for want of room is tried again after this time,
+# since each order has its price.
+MOVE_AGAIN_S = 0.3
 
 
 class StallWatch:
@@ -42,6 +46,7 @@
         self._engines = engines
         self._asked_at: dict[str, float] = {}
         self._moving: set[str] = set()
+        self._refused_at: WeakKeyDictionary[Relay, float] = WeakKeyDictionary()
 
     async def step(self) -> None:
         """Look at all streams once."""
@@ -78,7 +83,10 @@
         )
 
     def _start_move(self, relay: Relay) -> None:
-        if relay.request_id in self._moving:
+        now = self._parts.clock()
+        refused_at = self._refused_at.get(relay)
+        is_early = refused_at is not None and now - refused_at < MOVE_AGAIN_S
+        if relay.request_id in self._moving or is_early:
             return
         self._moving.add(relay.request_id)
         moving = asyncio.ensure_future(self._move(relay))
@@ -170,6 +178,7 @@
             if relay.attempt is not None:
                 relay.attempt.move_to(chosen)
             return
+        self._refused_at[relay] = self._parts.clock()
         if answer.outcome is OrderOutcome.CONFLICT and answer.address:
             against = self._parts.endpoints.at(answer.address)
             if against is not None:
--- a/tests/router/test_stall_watch.py
+++ b/tests/router/test_stall_watch.py
@@ -80,6 +80,15 @@
     assert made.engines.moves == []
 
 
+def test_refused_move_is_not_repeated_at_once():
+    made = world()
+    made.engines.move_answer = MoveAnswer(OrderOutcome.CONFLICT)
+    chosen = made.relay.attempt.chosen
+    asyncio.run(made.watch._repath(made.relay, chosen[0].endpoint, chosen))
+    made.watch._start_move(made.relay)
+    assert made.watch._moving == set()
+
+
 def test_refused_move_leaves_the_endpoint_in_the_way_out():
     made = world()
     address = made.parts.endpoints.get('e2').address
