--- /dev/null
+++ b/tests/soak_router/client.py
@@ -0,0 +1,78 @@
+"""A caller that sees only its own socket."""
+
+import asyncio
+from dataclasses import dataclass
+
+HOST = 'host.example'
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """What a caller got; ``status`` is ``None`` without an answer."""
+
+    status: int | None
+    body: bytes = b''
+    is_whole: bool = False
+
+
+async def ask(address, request_id, path, method='GET', key='key', wait_s=12.0):
+    """Send one request on a connection of its own and read to its end."""
+    try:
+        return await asyncio.wait_for(
+            _exchange(address, request_id, path, method, key),
+            wait_s,
+        )
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return Seen(None)
+
+
+async def _exchange(address, request_id, path, method, key):
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    lines = [
+        f'{method} {path} HTTP/1.1',
+        f'Host: {HOST}',
+        f'Foxtailhatch-Request-Id: {request_id}',
+        'Foxtailhatch-Deadline-Ms: 10000',
+        'Foxtailhatch-Model: m',
+        'Foxtailhatch-Token-Usage: 100,60',
+        f'Authorization: Bearer {key}',
+        'Connection: close',
+    ]
+    if method == 'POST':
+        lines.append('Content-Length: 0')
+    writer.write('\r\n'.join([*lines, '', '']).encode())
+    try:
+        return await _answer(reader)
+    finally:
+        writer.close()
+
+
+async def _answer(reader):
+    try:
+        head = await reader.readuntil(b'\r\n\r\n')
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Seen(None)
+    status = int(head.split(b' ', 2)[1])
+    lowered = head.lower()
+    if b'transfer-encoding: chunked' in lowered:
+        return await _chunked(reader, status)
+    length = int(lowered.partition(b'content-length: ')[2].split(b'\r\n')[0])
+    try:
+        body = await reader.readexactly(length)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Seen(status)
+    return Seen(status, body, is_whole=True)
+
+
+async def _chunked(reader, status):
+    body = b''
+    try:
+        while True:
+            size = int(await reader.readuntil(b'\r\n'), 16)
+            piece = await reader.readexactly(size + 2)
+            if not size:
+                return Seen(status, body, is_whole=True)
+            body += piece[:-2]
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Seen(status, body)
--- /dev/null
+++ b/tests/soak_router/world.py
@@ -0,0 +1,187 @@
+"""Routers as separate processes, before stand-ins of the platform."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+from standins.platform_engine import Node, Pool
+from standins.platform_log import PlatformLog
+from tests.soak_router.client import HOST
+from tests.soak_router.proxy import Proxy
+
+ZONES = ('z1', 'z2')
+CARDS = {'large': 36_000.0, 'middle': 21_600.0}
+# Engines of a zone: each zone holds a whole model and some more.
+ENGINES = ('large', 'large', 'large', 'middle', 'middle', 'middle')
+ROUTE = {
+    'host': HOST,
+    'timeout_ms': 10_000,
+    'target_latency_ms': 500,
+    'priority': 1,
+    'max_attempts': 2,
+}
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+def configuration(version):
+    routes = [
+        {'name': 'm', 'path_prefix': '/m/', 'route_kind': 'streaming'},
+        {'name': 'o', 'path_prefix': '/once/', 'route_kind': 'non_idempotent'},
+        {'name': 'r', 'path_prefix': '/read/', 'route_kind': 'idempotent'},
+    ]
+    routes[0] |= {'service': 'llm', 'resumable': True, 'target_gap_ms': 200}
+    routes[1] |= {'service': 'desk', 'max_attempts': 1}
+    routes[2] |= {'service': 'desk'}
+    engine = {
+        'slots': 96,
+        'kv_bytes': 852_000,
+        'layers': 80,
+        'layer_mb': 1750,
+        'step_ms': 0.85,
+        'models': [{'name': 'm', 'load_s': 1.0}],
+        'kinds': [
+            {'name': name, 'size_mb': size} for name, size in CARDS.items()
+        ],
+        'usual': {'prompt': 100, 'answer': 60},
+    }
+    return {
+        'version': version,
+        'routes': [ROUTE | route for route in routes],
+        'services': [{'name': 'llm', 'engine': engine}, {'name': 'desk'}],
+        'tenants': [{'name': 'crew', 'api_keys': ['key']}],
+    }
+
+
+class Router:
+    """One router process, its settings and its way to the store."""
+
+    def __init__(self, world, name, zone, folder):
+        self.name = name
+        self.zone = zone
+        self.ports = {part: free_port() for part in ('front', 'ready', 'peer')}
+        self.proxy = Proxy(world.log.server.address)
+        self.process = None
+        self._folder = Path(folder)
+
+    @property
+    def address(self):
+        return f'127.0.0.1:{self.ports["front"]}'
+
+    @property
+    def ready_address(self):
+        return f'127.0.0.1:{self.ports["ready"]}'
+
+    def start(self):
+        """Start the process; its log goes to a file."""
+        settings = self._folder / f'{self.name}.conf'
+        settings.write_text(self._settings())
+        log = (self._folder / f'{self.name}.log').open('ab')
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'foxtailhatch.platform'],
+            env=os.environ | {'FOXTAILHATCH_SETTINGS': str(settings)},
+            stdout=log,
+            stderr=log,
+        )
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def _settings(self):
+        fields = {
+            'node_name': self.name,
+            'ip': '127.0.0.1',
+            'zone': self.zone,
+            'region': 'here',
+            'listen.front': self.address,
+            'listen.ready': self.ready_address,
+            'port_range': f'{self.ports["peer"]},{self.ports["peer"]}',
+            'platform.address': self.proxy.address,
+        }
+        return ''.join(f'{key}={text}\n' for key, text in fields.items())
+
+
+class World:
+    """The stand-ins and routers of one run."""
+
+    def __init__(self, folder):
+        self.log = PlatformLog()
+        self.pool = Pool(self.log)
+        self.version = 0
+        self.routers = []
+        self._folder = folder
+        self._named = 0
+
+    async def start(self, routers=3):
+        await self.log.server.start()
+        self.configure()
+        for zone in ZONES:
+            for card in ENGINES:
+                await self.add_engine(zone, card)
+            await self.add_desk(zone)
+        for place in range(routers):
+            zone = ZONES[place % len(ZONES)]
+            router = Router(self, f'r{place}', zone, self._folder)
+            await router.proxy.start()
+            router.start()
+            self.routers.append(router)
+
+    def configure(self):
+        self.version += 1
+        raw = json.dumps(configuration(self.version)).encode()
+        self.log.put('keyed.op', 'config', raw)
+
+    async def add_engine(self, zone, card):
+        node = self._node('llm', zone)
+        node.card = card
+        await node.start()
+        return node
+
+    async def add_desk(self, zone):
+        node = self._node('desk', zone)
+        await node.start()
+        return node
+
+    def of(self, service):
+        """Return the endpoints of a service that neither left nor died."""
+        return [
+            node
+            for node in self.pool.nodes.values()
+            if node.service == service
+            and not node.is_dead
+            and not node.is_leaving
+        ]
+
+    def stop(self):
+        """End the processes that this run started, and nothing else."""
+        for router in self.routers:
+            router.signal(signal.SIGCONT)
+            router.signal(signal.SIGKILL)
+            router.process.wait()
+            router.proxy.stop()
+        for node in self.pool.nodes.values():
+            node.server.stop()
+        self.log.server.stop()
+
+    def _node(self, service, zone):
+        self._named += 1
+        return Node(self.pool, f'i-{self._named}', service, zone)
+
+
+async def until(holds, what, wait_s=30.0):
+    """Wait until a coroutine function returns true; fail otherwise."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + wait_s
+    while not await holds():
+        assert loop.time() < deadline, what
+        await asyncio.sleep(0.1)
