Find dead parts by groups of streams that pause; run again in another zone

Streams that pause together now have their parts asked at once; a stream runs again in another zone rather than across zones; an answer that has begun waits for a way to go on.

--- a/foxtailhatch/placement/layout.py
+++ b/foxtailhatch/placement/layout.py
@@ -14,18 +14,24 @@
 
 
 def laid_out(cards: Sequence[Card], engine: Engine) -> list[Placed]:
-    """Lay the whole model over cards, the first layers on two of them.
+    """Lay the whole model over cards, the first layers on two if need be.
 
-    Cards keep the order of what they hold, so that little has to be loaded.
-    The result is empty if the cards cannot hold the model.
+    A receiver takes a bounded number of requests.  Where memory holds more
+    of usual size, a second receiver pays for the room that it costs.  Cards
+    keep the order of what they hold, so that little has to be loaded.  The
+    result is empty if the cards cannot hold the model.
     """
     ordered = sorted(cards, key=_order)
     whole = LayerRange(0, engine.layer_count)
+    single = tile(ordered, whole, engine)
+    usual = engine.usual_prompt + engine.usual_answer
+    if room_of(single, engine) <= engine.slots * usual:
+        return single
     doubled = _doubled(ordered)
     rest = [card for card in ordered if card is not doubled]
     placed = tile(rest, whole, engine)
     if doubled is None or not placed:
-        return placed or tile(ordered, whole, engine)
+        return single
     head = placed[0][1]
     if len(head) * engine.layer_mb >= doubled.memory_mb:
         return placed
--- a/foxtailhatch/placement/protocols.py
+++ b/foxtailhatch/placement/protocols.py
@@ -10,6 +10,9 @@
 from foxtailhatch.fleet import LiveEndpoint
 from foxtailhatch.placement.reports import EngineReport
 
+# A sound engine answers within milliseconds; a dark one never does.
+REPORT_TIMEOUT_S = 0.4
+
 
 class OrderOutcome(StrEnum):
     """What an engine said to an order."""
@@ -52,6 +55,7 @@
     async def report(
         self,
         endpoint: LiveEndpoint,
+        timeout_s: float = REPORT_TIMEOUT_S,
     ) -> Result[EngineReport, EngineFault]:
         """Ask an engine for its state."""
 
--- a/foxtailhatch/platform/engines.py
+++ b/foxtailhatch/platform/engines.py
@@ -9,6 +9,7 @@
 from foxtailhatch.fleet import LiveEndpoint
 from foxtailhatch.placement import EngineReport
 from foxtailhatch.placement.protocols import (
+    REPORT_TIMEOUT_S,
     EngineFault,
     Move,
     MoveAnswer,
@@ -19,8 +20,6 @@
 from foxtailhatch.relay.http_call import Answer, Call, HttpCaller
 from foxtailhatch.relay.http_stream import Loss
 
-# A sound engine answers within milliseconds; a dark one never does.
-REPORT_TIMEOUT_S = 0.4
 ORDER_TIMEOUT_S = 0.5
 STATUS_OK = 200
 _OUTCOMES = {
@@ -41,9 +40,10 @@
     async def report(
         self,
         endpoint: LiveEndpoint,
+        timeout_s: float = REPORT_TIMEOUT_S,
     ) -> Result[EngineReport, EngineFault]:
         """Ask an engine for its state."""
-        call = Call('GET', names.REPORT_PATH, timeout_s=REPORT_TIMEOUT_S)
+        call = Call('GET', names.REPORT_PATH, timeout_s=timeout_s)
         outcome = await self._call(endpoint, call)
         if not isinstance(outcome, Success):
             lost = outcome.failure()
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -35,6 +35,9 @@
 # can still be met.
 HOLD_MAX_S = 0.25
 HOLD_STEP_S = 0.06
+# An answer that has begun waits this long for a way to go on.  Source: its
+# caller leaves after a pause of two seconds.
+RESUME_WITHIN_S = 1.6
 FIRST_ERROR = 400
 FIRST_SERVER_ERROR = 500
 
@@ -86,6 +89,7 @@
         self._timer_hold: Any = None
         self._heads: dict[str, LiveEndpoint] = {}
         self._avoid: set[str] = set()
+        self._refused_by: set[str] = set()
         self._unreached = 0
         self._sends = 0
         self._may_have_run = False
@@ -129,6 +133,11 @@
         choice = replace(self._choice(), first=self.attempt.chosen[0])
         return self._parts.chooser.choose(choice, now)
 
+    def may_run_elsewhere(self) -> bool:
+        """Tell whether the answer may go on at another receiver."""
+        route = self.admitted.route
+        return route.is_resumable and len(self._used_heads()) < route.attempts
+
     def give_up_attempt(self, cause: str) -> None:
         """Cancel an attempt that makes no progress, and go on elsewhere."""
         if self.attempt is None or self.is_over:
@@ -240,12 +249,12 @@
             return Choice(
                 admitted.service,
                 admitted.req,
-                frozenset(self._avoid),
+                frozenset(self._avoid | self._refused_by),
             )
         return Choice(
             admitted.service,
             admitted.req,
-            frozenset(self._avoid - heads),
+            frozenset(self._avoid - heads | self._refused_by),
             frozenset(heads),
         )
 
@@ -275,7 +284,7 @@
             blamed,
         )
         attempt.cancel()
-        self._avoid.add(blamed)
+        self._refused_by.add(blamed)
         now = self._parts.clock()
         until = self._parts.endpoints.rest(blamed, now)
         self._parts.log.write(
@@ -342,14 +351,46 @@
         elif step is Next.REFUSE:
             self._hold(Reason.ENDPOINT_REFUSED, RETRY_REFUSED_S)
         elif self.is_started:
+            self._hold_started(now)
+        else:
+            self._refuse(Reason.OUTCOME_UNKNOWN)
+
+    def _hold_started(self, now: float) -> None:
+        """Wait for a way to go on with an answer, or break it off."""
+        pause_s = now - self.progress_at
+        if not self.admitted.route.is_resumable or pause_s > RESUME_WITHIN_S:
             self._caller.abort()
             self._end('broken_off')
+            return
+        self._timer_hold = self._parts.reactor.callLater(
+            HOLD_STEP_S,
+            self._go_on,
+        )
+
+    def _go_on(self) -> None:
+        """Run again from the last event, if there is a way by now."""
+        self._timer_hold = None
+        self._refused_by.clear()
+        now = self._parts.clock()
+        entries = self._parts.entries()
+        service = self.admitted.service.name
+        chosen = self._parts.chooser.choose(self._choice(), now)
+        if chosen and self._parts.budget.spend(service, now, entries):
+            self._resend(chosen, now)
         else:
-            self._refuse(Reason.OUTCOME_UNKNOWN)
+            self._hold_started(now)
+
+    def _resend(self, chosen: Chosen, now: float) -> None:
+        """Send again; the pause of the caller's answer goes on."""
+        progress_at = self.progress_at
+        self._send(chosen, now)
+        if self.is_started:
+            self.progress_at = progress_at
 
     def _look_for_room(self, reason: Reason, retry_after_s: float) -> None:
         """Send if there is room; else wait a little, or refuse."""
         self._timer_hold = None
+        self._refused_by.clear()
         now = self._parts.clock()
         chosen = self._parts.chooser.choose(self._choice(), now)
         if chosen is None:
--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -32,7 +32,7 @@
 HEARTBEAT_LOOK_S = 0.25
 TURN_PERIOD_S = 0.8
 PLAN_PERIOD_S = 0.1
-STALL_PERIOD_S = 0.1
+STALL_PERIOD_S = 0.05
 STOP_PERIOD_S = 0.1
 # Callers reuse connections for most of the time they are told of; the
 # configuration may name a longer one than this later.
--- a/foxtailhatch/router/stall_watch.py
+++ b/foxtailhatch/router/stall_watch.py
@@ -18,6 +18,7 @@
 from foxtailhatch.placement.reports import EngineReport
 from foxtailhatch.relay.parts import Chosen, RelayParts
 from foxtailhatch.relay.relay import Relay, chain_of
+from foxtailhatch.router.group_pause import GroupPause
 
 # Longer than this between two events is no batch's work.  Source: the longest
 # pause that is on time, and half of it more.
@@ -45,11 +46,14 @@
         self._parts = parts
         self._engines = engines
         self._asked_at: dict[str, float] = {}
+        self._groups = GroupPause(engines, self._lost)
         self._moving: set[str] = set()
         self._refused_at: WeakKeyDictionary[Relay, float] = WeakKeyDictionary()
 
     async def step(self) -> None:
         """Look at all streams once."""
+        chains = filter(_is_chain, tuple(self._parts.running))
+        await self._groups.look(chains, self._parts.clock())
         now = self._parts.clock()
         stalled: dict[str, list[Relay]] = defaultdict(list)
         self._move_lost()
@@ -139,14 +143,37 @@
         chosen = relay.choose_moved(now)
         if chosen is not None and self._is_early(relay, chosen, now):
             return
+        if self._runs_sooner_elsewhere(relay, chosen):
+            relay.give_up_attempt('dead in its zone')
+            return
         if chosen is not None:
             await self._repath(relay, receiver, chosen)
         elif now - relay.progress_at > GIVE_UP_AFTER_S:
             relay.give_up_attempt('no way around')
 
+    def _runs_sooner_elsewhere(
+        self,
+        relay: Relay,
+        chosen: Chosen | None,
+    ) -> bool:
+        """Tell whether to run again in another zone.
+
+        That reads all tokens again, but over links inside a zone; a chain
+        that crosses zones sends the activations of all tokens over the one
+        link that they share.
+        """
+        attempt = relay.attempt
+        if attempt is None or not relay.may_run_elsewhere():
+            return False
+        endpoints = self._parts.endpoints
+        names = [stage.endpoint.name for stage in attempt.chosen]
+        if not any(map(endpoints.is_dead, names)):
+            return False
+        return chosen is None or len(_zones(chosen)) > 1
+
     def _is_early(self, relay: Relay, chosen: Chosen, now: float) -> bool:
         """Tell whether a way inside the zone may still come up in time."""
-        if len({stage.endpoint.zone for stage in chosen}) == 1:
+        if len(_zones(chosen)) == 1:
             return False
         endpoints = self._parts.endpoints
         used = () if relay.attempt is None else relay.attempt.chosen
@@ -185,6 +212,10 @@
                 relay.avoid(against.name)
 
 
+def _zones(chosen: Chosen) -> set[str]:
+    return {stage.endpoint.zone for stage in chosen}
+
+
 def _is_chain(relay: Relay) -> bool:
     attempt = relay.attempt
     if attempt is None or attempt.is_over or relay.is_over:
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -3,7 +3,11 @@
 import pytest
 
 from foxtailhatch.fleet.table import REFUSED_S
-from foxtailhatch.relay.relay import HOLD_MAX_S, HOLD_STEP_S
+from foxtailhatch.relay.relay import (
+    HOLD_MAX_S,
+    HOLD_STEP_S,
+    RESUME_WITHIN_S,
+)
 from foxtailhatch.routes import RouteKind
 from tests.fleet.endpoints import endpoint
 from tests.relay.fakes import bench
@@ -274,10 +278,25 @@
     side.stream()
     side.event(1)
     side.close()
+    world.reactor.advance(RESUME_WITHIN_S + 2 * HOLD_STEP_S)
+    world.reactor.advance(2 * HOLD_STEP_S)
     assert world.caller.aborted
     assert not world.caller.finished
 
 
+def test_stream_waits_for_a_way_to_go_on():
+    world = bench(names=('e1',), **STREAM)
+    side = world.connect()
+    side.stream()
+    side.event(1)
+    world.parts.endpoints.mark_dead('e1', 1, 0)
+    side.close()
+    assert not world.caller.aborted
+    world.parts.endpoints.put(endpoint('e2'), 0)
+    world.reactor.advance(HOLD_STEP_S)
+    assert b'X-After: 1' in world.connect().request
+
+
 def test_stream_that_may_not_resume_is_not_run_again():
     world = bench(kind=RouteKind.STREAM, attempts=2)
     side = world.connect()
