--- /dev/null
+++ b/tests/router/test_operations_page.py
@@ -0,0 +1,44 @@
+"""The page for operators names each event that the router writes."""
+
+import re
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent.parent
+FOLDERS = ('relay', 'router', 'platform')
+WRITTEN = re.compile(r"log\.write\(\s*'(\w+)'")
+
+
+def written_events():
+    sources = (
+        path.read_text()
+        for folder in FOLDERS
+        for path in (ROOT / 'foxtailhatch' / folder).glob('*.py')
+    )
+    found = {event for text in sources for event in WRITTEN.findall(text)}
+    # A doctest of the log itself.
+    return found - {'first', 'second'}
+
+
+def test_each_event_is_on_the_page():
+    page = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
+    assert {one for one in written_events() if f'`{one}`' not in page} == set()
+
+
+def test_only_the_adapter_knows_the_platform():
+    names = re.compile('foxtailhatch-[a-z]+-|log-read|keyed\\.', re.IGNORECASE)
+    adapter = ROOT / 'foxtailhatch' / 'platform'
+    found = [
+        path.name
+        for path in (ROOT / 'foxtailhatch').rglob('*.py')
+        if adapter not in path.parents and names.search(path.read_text())
+    ]
+    assert found == []
+
+
+def test_only_the_command_line_imports_the_adapter():
+    importers = {
+        path.relative_to(ROOT / 'foxtailhatch').parts[0]
+        for path in (ROOT / 'foxtailhatch').rglob('*.py')
+        if 'foxtailhatch.platform' in path.read_text()
+    }
+    assert importers <= {'platform', 'cli'}
