--- a/foxtailhatch/fleet/endpoint.py
+++ b/foxtailhatch/fleet/endpoint.py
@@ -30,4 +30,3 @@
     layers: LayerRange | None = None
     card: str = ''
     born: int = 0
-    weights_version: int = 0
--- a/foxtailhatch/placement/reports.py
+++ b/foxtailhatch/placement/reports.py
@@ -18,8 +18,7 @@
     """An engine's state some tenths of a second ago.
 
     ``orders`` counts the orders accepted since the engine's start.  Tokens
-    are counted once for each layer held.  ``slowness`` is above 1 while the
-    engine is slower than it should be.
+    are counted once for each layer held.
     """
 
     is_busy: bool = False
@@ -29,5 +28,4 @@
     running: int = 0
     kv_used: float = 0
     kv_total: float = 0
-    slowness: float = 1
     stalled: tuple[StalledRequest, ...] = ()
--- a/foxtailhatch/platform/endpoints.py
+++ b/foxtailhatch/platform/endpoints.py
@@ -48,7 +48,6 @@
     # Tokens times layers, as is the total.
     kv_used: float = 0
     kv_total: float = 0
-    pace: float = 1.0
     layers: Any = None
     stalled: tuple[_Stalled, ...] = ()
 
@@ -64,7 +63,6 @@
         return Failure(f'state {listed.state!r} is not known')
     if not _is_address(listed.address):
         return Failure(f'address {listed.address!r} is not host:port')
-    layers, version = _layers(listed.layers)
     return Success(
         LiveEndpoint(
             name=name,
@@ -73,10 +71,9 @@
             zone=listed.zone,
             slots=listed.slots,
             state=state,
-            layers=layers,
+            layers=_layers(listed.layers),
             card=listed.route_kind,
             born=listed.born,
-            weights_version=version,
         )
     )
 
@@ -87,17 +84,15 @@
         report = _Report.model_validate_json(raw, strict=False)
     except ValidationError as exc:
         return Failure(_first_fault(exc))
-    layers, _ = _layers(report.layers)
     return Success(
         EngineReport(
             is_busy=report.busy,
             orders=report.seq,
-            layers=layers,
+            layers=_layers(report.layers),
             waiting=report.queued,
             running=report.active,
             kv_used=report.kv_used,
             kv_total=report.kv_total,
-            slowness=report.pace,
             stalled=tuple(
                 StalledRequest(one.id, one.address) for one in report.stalled
             ),
@@ -105,14 +100,14 @@
     )
 
 
-def _layers(found: Any) -> tuple[LayerRange | None, int]:
+def _layers(found: Any) -> LayerRange | None:
+    """Return the range of ``from`` (included) to ``to`` (not included)."""
     if not isinstance(found, dict):
-        return None, 0
+        return None
     first, end = found.get('from'), found.get('to')
-    version = found.get('version')
-    if not isinstance(first, int) or not isinstance(end, int) or end <= first:
-        return None, 0
-    return LayerRange(first, end), version if isinstance(version, int) else 0
+    if not isinstance(first, int) or not isinstance(end, int):
+        return None
+    return LayerRange(first, end) if end > first else None
 
 
 def _is_address(text: str) -> bool:
--- a/foxtailhatch/platform/names.py
+++ b/foxtailhatch/platform/names.py
@@ -2,14 +2,12 @@
 
 REQUEST_ID = b'foxtailhatch-request-id'
 DEADLINE_MS = b'foxtailhatch-deadline-ms'
-PROMPT_PARTS = b'foxtailhatch-prefix-hash'
 LAST_EVENT_ID = b'last-event-id'
 # Proves to the bench that an answer is the endpoint's own.
 PROOF = b'foxtailhatch-response-seal'
 ACCOUNT = b'foxtailhatch-tenant'
 EXPECTED_ENDPOINT = b'foxtailhatch-expect-instance'
 NOT_RUN = b'foxtailhatch-not-executed'
-MODEL = b'foxtailhatch-model'
 # Prompt tokens and the most output tokens, with a comma between.
 TOKEN_COUNTS = b'foxtailhatch-token-usage'
 URGENCY = b'foxtailhatch-request-urgency'
@@ -20,7 +18,6 @@
 FAULTY_ENDPOINT = b'at-server'
 AUTHORIZATION = b'authorization'
 KEY_SCHEME = b'bearer '
-RETRY_AFTER = b'retry-after'
 
 CONFIGURATION_TOPIC = 'keyed.op'
 CONFIGURATION_KEY = 'config'
--- a/foxtailhatch/platform/settings.py
+++ b/foxtailhatch/platform/settings.py
@@ -70,7 +70,6 @@
         peer_address=_peer_address(fields),
         strength=_strength(fields),
         store_address=fields['platform.address'],
-        heartbeat_s=_number(fields, 'heartbeat_ms', MS_IN_S) / MS_IN_S,
         bounds=_bounds(fields),
     )
 
--- a/foxtailhatch/relay/refusals.py
+++ b/foxtailhatch/relay/refusals.py
@@ -22,7 +22,6 @@
     BODY_TOO_LARGE = 'body_too_large'
     STOPPING = 'stopping'
     NO_ENDPOINT = 'no_endpoint'
-    NO_ROOM = 'no_room'
     ENDPOINT_REFUSED = 'endpoint_refused'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     TIMEOUT_BEFORE_RUN = 'timeout_before_run'
--- /dev/null
+++ b/foxtailhatch/relay/replies.py
@@ -0,0 +1,19 @@
+"""Final answers of our own."""
+
+from foxtailhatch.relay.refusals import RelayRefusal
+from foxtailhatch.relay.request import CallerSide
+
+
+def answer_refusal(caller: CallerSide, refusal: RelayRefusal) -> None:
+    """Give a caller a final answer that no endpoint gave."""
+    body = b'{"error":"%s"}' % refusal.reason.value.encode()
+    headers = [
+        (b'content-type', b'application/json'),
+        (b'content-length', b'%d' % len(body)),
+    ]
+    if refusal.retry_after_s is not None:
+        wait = f'{refusal.retry_after_s:.2f}'.encode()
+        headers.append((b'retry-after', wait))
+    caller.start(refusal.status, tuple(headers))
+    caller.write(body)
+    caller.finish()
--- a/foxtailhatch/router/door.py
+++ b/foxtailhatch/router/door.py
@@ -6,7 +6,8 @@
 
 from foxtailhatch.relay.parts import RelayParts
 from foxtailhatch.relay.refusals import RelayRefusal
-from foxtailhatch.relay.relay import Relay, answer_refusal
+from foxtailhatch.relay.relay import Relay
+from foxtailhatch.relay.replies import answer_refusal
 from foxtailhatch.relay.request import CallerSide, RelayRequest
 from foxtailhatch.router.adapter import DecodeRequest
 from foxtailhatch.router.blackboard import Blackboard
--- a/foxtailhatch/router/front.py
+++ b/foxtailhatch/router/front.py
@@ -8,7 +8,8 @@
 from twisted.web import http
 
 from foxtailhatch.relay.refusals import Reason, RelayRefusal
-from foxtailhatch.relay.relay import Relay, answer_refusal
+from foxtailhatch.relay.relay import Relay
+from foxtailhatch.relay.replies import answer_refusal
 from foxtailhatch.relay.request import CallerSide, RelayRequest
 from foxtailhatch.router.adapter import DecodeRequest
 
--- a/foxtailhatch/router/gatekeeper.py
+++ b/foxtailhatch/router/gatekeeper.py
@@ -4,8 +4,8 @@
 
 from returns.result import Failure, Result, Success
 
+from foxtailhatch.relay.admitted import Admitted
 from foxtailhatch.relay.refusals import Reason, RelayRefusal
-from foxtailhatch.relay.relay import Admitted
 from foxtailhatch.relay.request import RelayRequest
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.routes import Account, Route, RoutingTable
--- a/foxtailhatch/router/metrics.py
+++ b/foxtailhatch/router/metrics.py
@@ -39,12 +39,6 @@
             const_labels=labels,
             registry=registry,
         )
-        self._store = Counter(
-            'store_calls',
-            'Calls to the store by topic and outcome',
-            const_labels=labels,
-            registry=registry,
-        )
         self._checks = Counter(
             'invariant_checks',
             'Checks that held',
@@ -85,10 +79,6 @@
         """Count one more send of a request."""
         self._retries.inc({'cause': cause})
 
-    def store_called(self, topic: str, *, ok: bool) -> None:
-        """Count one call to the store."""
-        self._store.inc({'topic': topic, 'ok': str(ok).lower()})
-
     def render(self, version: int, running: int) -> bytes:
         """Return all counts as text."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
--- a/foxtailhatch/router/settings.py
+++ b/foxtailhatch/router/settings.py
@@ -47,5 +47,4 @@
     peer_address: str
     strength: float
     store_address: str
-    heartbeat_s: float
     bounds: Bounds
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -8,8 +8,9 @@
 
 from foxtailhatch.core import LayerRange
 from foxtailhatch.fleet import EndpointLoads, EndpointTable
+from foxtailhatch.relay.admitted import Admitted
 from foxtailhatch.relay.parts import ChosenStage, RelayParts
-from foxtailhatch.relay.relay import Admitted, Relay
+from foxtailhatch.relay.relay import Relay
 from foxtailhatch.relay.request import (
     AnswerKind,
     EndpointAnswer,
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -28,7 +28,6 @@
     peer_address='10.0.0.1:90',
     strength=1,
     store_address='10.0.0.9:80',
-    heartbeat_s=1.2,
     bounds=Bounds(),
 )
 
--- a/tests/router/test_stall_watch.py
+++ b/tests/router/test_stall_watch.py
@@ -96,4 +96,4 @@
     chosen = made.relay.attempt.chosen
     asyncio.run(made.watch._repath(made.relay, chosen[0].endpoint, chosen))
     assert made.relay.choose_moved(0) is not None
-    assert 'e2' in made.relay._avoid
+    assert 'e2' in made.relay._receivers.choice().avoid
