--- a/foxtailhatch/relay/receivers.py
+++ b/foxtailhatch/relay/receivers.py
@@ -26,6 +26,11 @@
         """Tell whether no further receiver may be tried."""
         return len(self._used()) >= self._admitted.route.attempts
 
+    @property
+    def was_refused(self) -> bool:
+        """Tell whether an endpoint refused since the last look for room."""
+        return bool(self._refused_by)
+
     def sent_to(self, endpoint: LiveEndpoint) -> None:
         """Note a receiver."""
         self._sent_to[endpoint.name] = endpoint
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -27,10 +27,13 @@
 # each step.  Source: half of the usual goal for the first event, so that it
 # can still be met.
 HOLD_MAX_S = 0.25
-HOLD_STEP_S = 0.06
+HOLD_STEP_S = 0.1
 # An answer that has begun waits this long for a way to go on.  Source: its
 # caller leaves after a pause of two seconds.
 RESUME_WITHIN_S = 1.6
+# A way that was refused is tried again after this time: each try counts
+# against the bound on retries.
+REFUSED_STEP_S = 0.4
 FIRST_ERROR = 400
 FIRST_SERVER_ERROR = 500
 
@@ -61,6 +64,7 @@
         self._receivers = Receivers(admitted, parts.endpoints)
         self._delivery = Delivery(caller, admitted.req.resumes_after, now)
         self._sends = 0
+        self._is_held = False
         self._may_have_run = False
 
     @property
@@ -264,6 +268,9 @@
         if failure in {Failure.FAILED, Failure.MAY_HAVE_RUN}:
             self._receivers.avoid(attempt.head_name)
         step = next_step(self._situation(failure, now))
+        if failure is Failure.NOT_RUN and self._is_held:
+            # It has been refused at its first choices: look again later.
+            step = Next.FAIL if self._may_have_run else Next.REFUSE
         chosen = None
         if step is Next.TRY_AGAIN:
             chosen = self._choose(now)
@@ -305,7 +312,9 @@
             self._caller.abort()
             self._end('broken_off')
             return
-        self._later('hold', HOLD_STEP_S, self._go_on)
+        was_refused = self._receivers.was_refused
+        step_s = REFUSED_STEP_S if was_refused else HOLD_STEP_S
+        self._later('hold', step_s, self._go_on)
 
     def _go_on(self) -> None:
         """Run again from the last event, if there is a way by now."""
@@ -336,6 +345,7 @@
         if not is_model or waits_s > HOLD_MAX_S or not self._has_budget():
             self._refuse(reason, retry_after_s)
             return
+        self._is_held = True
         self._parts.log.write('held', id=self.request_id, why=reason.value)
         self._later(
             'hold',
--- a/foxtailhatch/router/parts.py
+++ b/foxtailhatch/router/parts.py
@@ -72,6 +72,7 @@
             bounds.retry_ratio,
             bounds.retry_slack,
             bounds.retry_window_s,
+            board.clock(),
         ),
         chooser=EndpointChooser(board, random),
         log=log,
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -208,7 +208,7 @@
         wire=PlainWire(),
         endpoints=endpoints,
         loads=EndpointLoads(),
-        budget=WindowBudget(0.2, slack, 10),
+        budget=WindowBudget(0.2, slack, 10, started_at=-10),
         chooser=FirstChooser(endpoints, layered),
         log=log,
         metrics=metrics,
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -368,3 +368,19 @@
     events = [event for event, _ in world.log.lines]
     assert events == ['sent', 'suspect', 'attempt_failed', 'sent', 'ended']
     assert all(fields['id'] == 'request-1' for _, fields in world.log.lines)
+
+
+def test_held_request_is_sent_sparingly_while_it_is_refused():
+    """A full model: each look for room costs one send, not a chain of them."""
+    world = bench(names=('e1', 'e2'), service=MODEL, **STREAM)
+    for name in ('e1', 'e2'):
+        world.parts.endpoints.put(endpoint(name, 'model'), 0)
+    sends = 0
+    while world.caller.status is None and sends < 20:
+        while world.reactor.tcpClients:
+            side = world.connect()
+            sends += 1
+            side.answer(status=503, headers='X-Not-Run: 1\r\n')
+        world.reactor.advance(HOLD_STEP_S)
+    assert world.caller.status == 503
+    assert sends <= 4
--- a/tests/relay/test_retry_budget.py
+++ b/tests/relay/test_retry_budget.py
@@ -8,22 +8,43 @@
     spent = 0
     for _ in range(200):
         for budget in budgets:
-            budget.note_request('s', 1)
-            spent += budget.spend('s', 1, entries=7)
+            budget.note_request('s', 20)
+            spent += budget.spend('s', 20, entries=7)
     assert spent <= 0.2 * 1400 + 198
 
 
 def test_old_retries_make_room():
     budget = WindowBudget(0, 2, 10)
-    assert budget.spend('s', 0, 1)
-    assert not budget.spend('s', 5, 1)
-    assert budget.spend('s', 10.1, 1)
+    assert budget.spend('s', 20, 1)
+    assert not budget.spend('s', 25, 1)
+    assert budget.spend('s', 30.1, 1)
 
 
 def test_services_do_not_share():
     budget = WindowBudget(0, 2, 10)
-    assert budget.spend('a', 0, 1)
-    assert budget.spend('b', 0, 1)
+    assert budget.spend('a', 20, 1)
+    assert budget.spend('b', 20, 1)
+
+
+def test_entries_that_all_restart_together_stay_below_the_bound():
+    """A kill of all entries: nobody remembers what was spent before."""
+    before = [WindowBudget(0, 198, 10) for _ in range(7)]
+    spent = sum(spent_by(one, 30.0, entries=7) for one in before)
+    after = [WindowBudget(0, 198, 10, started_at=31) for _ in range(7)]
+    # Each knows only itself at first.
+    spent += sum(spent_by(one, 32.0, entries=1) for one in after)
+    spent += sum(spent_by(one, 35.0, entries=7) for one in after)
+    assert spent <= 198 + 7
+
+
+def test_entries_that_seem_gone_still_count_for_a_window():
+    budget = WindowBudget(0, 70, 10)
+    budget.spend('s', 20, entries=7)
+    assert spent_by(budget, 21.0, entries=1) <= 10
+
+
+def spent_by(budget, now, entries):
+    return sum(budget.spend('s', now, entries) for _ in range(300))
 
 
 def test_counts_are_bounded_by_the_window():
