--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,10 @@
 CODE := foxtailhatch standins bench demo tools tests
 SEED ?= 1
 STEPS ?= 200
+SEEDS ?= 1
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: demo test lint format faults soak bench binary
+.PHONY: demo test lint format faults soak soak-router bench binary
 
 $(VENV)/.ready:
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -35,6 +36,9 @@
 soak: $(VENV)/.ready
 	PYTHONHASHSEED=0 $(PY) -m tests.soak --seed $(SEED) --steps $(STEPS)
 
+soak-router: $(VENV)/.ready
+	$(PY) -m tests.soak_router --seed $(SEED) --seeds $(SEEDS)
+
 bench: $(VENV)/.ready
 	$(PY) -m bench
 
--- a/foxtailhatch/cli/main.py
+++ b/foxtailhatch/cli/main.py
@@ -7,12 +7,23 @@
 from foxtailhatch.cli.check import check
 from foxtailhatch.cli.mark import mark
 from foxtailhatch.cli.publish import publish
+from foxtailhatch.cli.route import route
 from foxtailhatch.cli.serve import serve
 from foxtailhatch.cli.show import show
 from foxtailhatch.cli.status import status
 from foxtailhatch.cli.timeline import timeline
 
-SUBCOMMANDS = (ask, check, mark, publish, serve, show, status, timeline)
+SUBCOMMANDS = (
+    ask,
+    check,
+    mark,
+    publish,
+    route,
+    serve,
+    show,
+    status,
+    timeline,
+)
 
 
 @click.group(commands=SUBCOMMANDS)
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -295,8 +295,8 @@
         now: float,
     ) -> None:
         if step is Next.TRY_AGAIN and chosen is not None:
-            self._parts.metrics.retried(cause.split(' ')[0])
             self._spend(now)
+            self._parts.metrics.retried(cause.split(' ')[0])
             self._send(chosen, now)
         elif step is Next.REFUSE:
             self._hold(Reason.ENDPOINT_REFUSED, RETRY_REFUSED_S)
@@ -333,10 +333,11 @@
         chosen = self._choose(now)
         if chosen is None:
             self._hold(reason, retry_after_s)
-            return
-        if self._sends:
-            self._spend(now)
-        self._send(chosen, now)
+        elif self._sends and not self._spend(now):
+            # Others that waited have spent what was left meanwhile.
+            self._refuse(reason, retry_after_s)
+        else:
+            self._send(chosen, now)
 
     def _hold(self, reason: Reason, retry_after_s: float) -> None:
         """Look for room again in a moment, unless it has been too long."""
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -193,6 +193,7 @@
     timeout_s=10.0,
     layered=False,
     service=PLAIN,
+    budget=None,
 ):
     """Return a relay that has begun, and all that is around it."""
     reactor = MemoryReactorClock()
@@ -208,7 +209,7 @@
         wire=PlainWire(),
         endpoints=endpoints,
         loads=EndpointLoads(),
-        budget=WindowBudget(0.2, slack, 10, started_at=-10),
+        budget=budget or WindowBudget(0.2, slack, 10, started_at=-10),
         chooser=FirstChooser(endpoints, layered),
         log=log,
         metrics=metrics,
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -8,6 +8,7 @@
     HOLD_STEP_S,
     RESUME_WITHIN_S,
 )
+from foxtailhatch.relay.retry_budget import WindowBudget
 from foxtailhatch.routes import RouteKind
 from tests.fleet.endpoints import endpoint
 from tests.relay.fakes import bench
@@ -384,3 +385,28 @@
         world.reactor.advance(HOLD_STEP_S)
     assert world.caller.status == 503
     assert sends <= 4
+
+
+def test_requests_that_wait_together_do_not_spend_more_than_is_left():
+    """Many requests that are refused at once look for room at once."""
+    budget = WindowBudget(0, 8, 10, started_at=-10)
+    worlds = [
+        bench(names=('e1',), service=MODEL, budget=budget, **STREAM)
+        for _ in range(30)
+    ]
+    sends = 0
+    for world in worlds:
+        world.parts.endpoints.put(endpoint('e1', 'model'), 0)
+        # Nothing else can serve, so a resting endpoint is chosen again.
+        world.parts.endpoints.rest = lambda name, now: now
+    for _ in range(10):
+        for world in worlds:
+            while world.reactor.tcpClients:
+                sends += 1
+                world.connect().answer(
+                    status=503,
+                    headers='X-Not-Run: 1\r\n',
+                )
+        for world in worlds:
+            world.reactor.advance(HOLD_STEP_S)
+    assert sends - len(worlds) <= 8
