Move boundaries to the layout of the same cards

Ruled out: letting layers travel past equal neighbours, which does not come to rest.

Change: the target is the layout of the same cards in their order; only the boundaries that lead layers away from the tightest card move, and none of them moves away from its target, so the steps end. Cards with one first layer move together; before, two receivers of unequal length blocked all steps.

The case that was red passes, and the share asked by the test goes from 0.5 to 0.85.

--- a/foxtailhatch/placement/relaxing.py
+++ b/foxtailhatch/placement/relaxing.py
@@ -1,59 +1,94 @@
 """Even out the room for requests, one boundary at a time.
 
 A gap that neighbours have closed leaves these with many layers and little
-room for requests, which bounds the whole group.  So layers move on to cards
-with more room: first the roomier of two neighbours loads them as well, then
-the tighter one gives them up.  Nothing is without a holder at any time.
+room for requests, which bounds the whole group.  So the boundaries between
+cards move to where a layout of the same cards in the same order has them.
+First a card loads the layers beyond its boundary as well, then its neighbour
+gives them up.  Nothing is without a holder at any time, and no card is left
+with less room than the tightest one had before.
+
+Only boundaries that lead layers away from the tightest card move.  The layout
+depends on the order and the memory of the cards alone, and no step moves a
+boundary away from it, so the steps come to rest.
 """
 
-from collections.abc import Sequence
-from itertools import pairwise
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from itertools import chain, pairwise, takewhile, zip_longest
+from operator import attrgetter
 
 from foxtailhatch.core import LayerRange
 from foxtailhatch.placement.cards import Card
+from foxtailhatch.placement.columns import Column, columns_of
 from foxtailhatch.placement.layout import Placed
+from foxtailhatch.placement.tiling import tile
 from foxtailhatch.routes import Engine
 
-# Layers move only if the tighter of two cards gains this much room: a load
+# Layers move only if the tightest card ends with this much more room: a load
 # costs more than a small imbalance.
 GAIN_MIN = 1.1
 # Loads of one plan; more at once would make each take longer.
 LOADS_AT_ONCE = 2
 
 
-def relaxed(holding: Sequence[Card], engine: Engine) -> list[Placed]:
-    """Return the next steps towards equal room."""
-    ordered = sorted(
-        (card for card in holding if card.layers is not None),
-        key=lambda card: (card.layers or LayerRange(0, 0), card.endpoint),
-    )
-    pairs = [
-        pair
-        for pair in pairwise(ordered)
-        if not any(card.is_settling for card in pair)
-    ]
-    given_up = [_overlap_given_up(*pair, engine) for pair in pairs]
-    taken = [_taken_over(*pair, engine) for pair in pairs]
-    steps = _apart([], pairs, given_up, len(pairs))
-    return _apart(steps, pairs, taken, LOADS_AT_ONCE)
+@dataclass(frozen=True, slots=True)
+class Border:
+    """Two columns next to each other, and where one should begin."""
 
+    below: Column
+    above: Column
+    target: int
 
-def _apart(
-    steps: list[Placed],
-    pairs: Sequence[tuple[Card, Card]],
-    wishes: Sequence[Placed | None],
-    most: int,
+    @property
+    def cards(self) -> tuple[Card, ...]:
+        """Return the cards of both columns."""
+        return self.below.cards + self.above.cards
+
+    @property
+    def is_settling(self) -> bool:
+        """Tell whether a card on either side carries out an order."""
+        return any(card.is_settling for card in self.cards)
+
+    @property
+    def moves_up(self) -> bool:
+        """Tell whether the lower column should have more layers."""
+        return self.target > self.below.layers.end
+
+    @property
+    def moves_down(self) -> bool:
+        """Tell whether the upper column should have more layers."""
+        return self.target < self.below.layers.end
+
+    @property
+    def gainer_and_giver(self) -> tuple[Column, Column]:
+        """Return who should have more layers, and who fewer."""
+        if self.moves_up:
+            return self.below, self.above
+        return self.above, self.below
+
+
+def relaxed(
+    holding: Sequence[Card],
+    engine: Engine,
+    loads_at_once: int = LOADS_AT_ONCE,
 ) -> list[Placed]:
-    """Add steps that touch no card of another step, up to a number."""
-    busy = {card.endpoint for card, _ in steps}
-    added = 0
-    for pair, wish in zip(pairs, wishes, strict=True):
-        names = {card.endpoint for card in pair}
-        if wish is not None and added < most and not names & busy:
-            steps = [*steps, wish]
-            busy |= names
-            added += 1
-    return steps
+    """Return the next steps towards equal room."""
+    columns = columns_of(holding)
+    targets = _targets(columns, engine)
+    if not targets:
+        return []
+    borders = [
+        Border(*pair, target)
+        for pair, target in zip(pairwise(columns), targets, strict=True)
+    ]
+    given_up = map(_overlap_given_up, borders)
+    steps = _apart([], borders, given_up, len(borders))
+    rooms = [column.room(engine) for column in columns]
+    if min(rooms) * GAIN_MIN > _room_at(targets, columns, engine):
+        return steps
+    near = _relieving(rooms.index(min(rooms)), borders)
+    taken = [_taken_over(border, min(rooms), engine) for border in near]
+    return _apart(steps, near, taken, loads_at_once)
 
 
 def split_range(spare: Card, tight: Card) -> LayerRange | None:
@@ -70,60 +105,109 @@
     return LayerRange(layers.end - taken, layers.end)
 
 
-def _overlap_given_up(
-    below: Card,
-    above: Card,
-    engine: Engine,
-) -> Placed | None:
-    """Let the tighter of two overlapping cards give the overlap up."""
-    lower, upper = below.layers, above.layers
-    if lower is None or upper is None or upper.first >= lower.end:
-        return None
-    if lower.first == upper.first or upper.end < lower.end:
-        return None
-    if _room(below, len(lower), engine) <= _room(above, len(upper), engine):
-        return below, LayerRange(lower.first, upper.first)
-    if upper.end == lower.end:
-        return None
-    return above, LayerRange(lower.end, upper.end)
+def _targets(columns: Sequence[Column], engine: Engine) -> list[int]:
+    """Return where the boundaries between columns should be.
+
+    The result is empty if the columns have no order or are too many.
+    """
+    if len(columns) < 2 or not _is_ordered(columns):
+        return []
+    whole = LayerRange(columns[0].layers.first, columns[-1].layers.end)
+    tightest = [column.tightest for column in columns]
+    placed = tile(tightest, whole, engine)
+    if len(placed) < len(columns):
+        return []
+    return [layers.end for _, layers in placed[:-1]]
+
+
+def _is_ordered(columns: Sequence[Column]) -> bool:
+    """Tell whether no column lies within another, and no layer is missing."""
+    return all(
+        below.layers.end <= above.layers.end
+        and above.layers.first <= below.layers.end
+        for below, above in pairwise(columns)
+    )
 
 
-def _taken_over(
-    below: Card,
-    above: Card,
+def _room_at(
+    targets: Sequence[int],
+    columns: Sequence[Column],
     engine: Engine,
-) -> Placed | None:
-    """Let the roomier of two neighbours load layers of the tighter one."""
-    lower, upper = below.layers, above.layers
-    if lower is None or upper is None or lower.end != upper.first:
-        return None
-    is_lower_tight = _room(below, len(lower), engine) <= _room(
-        above,
-        len(upper),
-        engine,
+) -> float:
+    """Return the room of the tightest card once all boundaries are there."""
+    bounds = [columns[0].layers.first, *targets, columns[-1].layers.end]
+    counts = [end - first for first, end in pairwise(bounds)]
+    return min(
+        column.room(engine, count)
+        for column, count in zip(columns, counts, strict=True)
     )
-    if is_lower_tight:
-        count = _count(below, above, engine)
-        layers = LayerRange(upper.first - count, upper.end)
-        return (above, layers) if count else None
-    count = _count(above, below, engine)
-    layers = LayerRange(lower.first, lower.end + count)
-    return (below, layers) if count else None
 
 
-def _count(tight: Card, roomy: Card, engine: Engine) -> int:
-    """Return how many layers should move from a tight card; 0 for none."""
-    held, other = len(tight.layers or ()), len(roomy.layers or ())
+def _relieving(tightest: int, borders: Sequence[Border]) -> list[Border]:
+    """Return the borders that lead layers away from a column, near first.
+
+    These are the ones above it that have to move down, and those below it
+    that have to move up, as far as they are next to one another.
+    """
+    above = takewhile(attrgetter('moves_down'), borders[tightest:])
+    below = takewhile(attrgetter('moves_up'), reversed(borders[:tightest]))
+    by_turns = zip_longest(above, below)
+    return [border for border in chain.from_iterable(by_turns) if border]
+
+
+def _overlap_given_up(border: Border) -> list[Placed]:
+    """Let one of two overlapping columns give up layers of the overlap.
 
-    def least(count: int) -> float:  # noqa: WPS430
-        return min(
-            _room(tight, held - count, engine),
-            _room(roomy, other + count, engine),
-        )
+    The upper column gives up what lies below the target, and the lower one
+    what lies above it.
+    """
+    lower, upper = border.below.layers, border.above.layers
+    if upper.first >= lower.end:
+        return []
+    first = min(border.target, lower.end, upper.end - 1)
+    if first > upper.first:
+        return border.above.holding(LayerRange(first, upper.end))
+    return border.below.holding(LayerRange(lower.first, upper.first))
+
+
+def _taken_over(border: Border, least: float, engine: Engine) -> list[Placed]:
+    """Let a column load layers of its neighbour, as far as its room allows."""
+    lower, upper = border.below.layers, border.above.layers
+    if lower.end != upper.first or border.target == lower.end:
+        return []
+    gainer, giver = border.gainer_and_giver
+    most = min(abs(border.target - lower.end), len(giver.layers) - 1)
+    counts = (
+        count
+        for count in range(1, most + 1)
+        if gainer.room(engine, len(gainer.layers) + count) > least
+    )
+    count = max(counts, default=0)
+    if not count:
+        return []
+    if border.moves_up:
+        return gainer.holding(LayerRange(lower.first, lower.end + count))
+    return gainer.holding(LayerRange(upper.first - count, upper.end))
 
-    best = max(range(held), key=least)
-    return best if least(best) >= GAIN_MIN * least(0) else 0
 
+def _apart(
+    steps: Sequence[Placed],
+    borders: Sequence[Border],
+    wishes: Iterable[Sequence[Placed]],
+    most: int,
+) -> list[Placed]:
+    """Add wishes that touch no card of another step, up to a number.
 
-def _room(card: Card, layers: int, engine: Engine) -> float:
-    return engine.kv_tokens(card.memory_mb, layers)
+    Cards that carry out an order take part in no step.
+    """
+    chosen = list(steps)
+    busy = {card.endpoint for card, _ in steps}
+    added = 0
+    for border, wish in zip(borders, wishes, strict=True):
+        names = {card.endpoint for card in border.cards}
+        is_free = not border.is_settling and not names & busy
+        if wish and is_free and added < most:
+            chosen.extend(wish)
+            busy |= names
+            added += 1
+    return chosen
--- a/tests/placement/test_relaxing.py
+++ b/tests/placement/test_relaxing.py
@@ -1,6 +1,8 @@
 """Rooms that a loss left uneven: they even out, with a holder throughout."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from foxtailhatch.placement import plan_orders
 from foxtailhatch.placement.layout import gaps, laid_out, room_of
@@ -9,8 +11,8 @@
 
 # Steps until a group is even; more would keep its cards loading for long.
 STEPS_MAX = 40
-# Steps are taken between neighbours alone, so a layout ends below the best.
-ROOM_SHARE = 0.5
+# The rest is a gain too small to load layers for, or another order of cards.
+ROOM_SHARE = 0.85
 
 
 def placed(cards):
@@ -28,22 +30,8 @@
     raise AssertionError('the plan never comes to rest')
 
 
-# Steps between neighbours alone come to rest too early here.
-RESTS_EARLY = pytest.mark.xfail(
-    strict=True, reason='KNOWN-RED.txt: rests early'
-)
-LOSSES = [
-    (shape, lost)
-    for shape in ((1, 7, 5), (2, 5, 8), (2, 3, 5))
-    for lost in (1, 3, 5, 7, 9)
-    if (shape, lost) != ((2, 3, 5), 9)
-]
-
-
-@pytest.mark.parametrize(
-    ('shape', 'lost'),
-    [*LOSSES, pytest.param((2, 3, 5), 9, marks=RESTS_EARLY)],
-)
+@pytest.mark.parametrize('lost', (1, 3, 5, 7, 9))
+@pytest.mark.parametrize('shape', ((1, 7, 5), (2, 5, 8), (2, 3, 5)))
 def test_room_evens_out_after_a_loss(shape, lost):
     cards = placed(zone_cards(*shape))
     rest = [one for place, one in enumerate(cards) if place != lost]
@@ -79,3 +67,43 @@
         for one in state:
             if one.layers:
                 assert len(one.layers) * ENGINE.layer_mb < one.memory_mb
+
+
+def test_uneven_heads_do_not_keep_the_rest_tight():
+    """One of two receivers has taken a gap beside it, the other has not."""
+    ranges = [
+        ('small', (0, 6)),
+        ('small', (0, 4)),
+        ('small', (6, 12)),
+        *(('small', (first, first + 4)) for first in range(12, 28, 4)),
+        ('middle', (28, 35)),
+        ('middle', (35, 42)),
+        ('middle', (42, 53)),
+        ('middle', (53, 63)),
+        ('middle', (63, 69)),
+        ('large', (69, 80)),
+    ]
+    cards = [
+        card(f'c{place}', kind, layers)
+        for place, (kind, layers) in enumerate(ranges)
+    ]
+    last = evened(cards)[-1]
+    assert min(map(room, last)) > 4 * min(map(room, cards))
+
+
+@given(
+    st.tuples(st.integers(0, 3), st.integers(2, 8), st.integers(2, 9)),
+    st.lists(st.integers(0, 19), min_size=1, max_size=3),
+)
+@settings(max_examples=60, derandomize=True, deadline=None)
+def test_series_of_losses_comes_to_rest_without_a_gap(shape, lost):
+    cards = placed(zone_cards(*shape))
+    for place in lost:
+        if not any(one.layers for one in cards):
+            return
+        if gaps([one for one in cards if one.layers], 80):
+            return
+        left = [one for one in cards if one is not cards[place % len(cards)]]
+        for state in evened(left)[1:]:
+            assert gaps([one for one in state if one.layers], 80) == []
+        cards = evened(left)[-1]
