Ask an endpoint that work waits for before it counts as dead

Cause: an endpoint named in a receiver's report as the one that work waits for was taken for dead without being asked; reports lag, so live endpoints were out for two to three seconds. Numbers in headers that cannot be read, and refusals of moves that are no JSON, counted as absent without a trace; `nan` in a header with a whole number raised an error.

Change: such an endpoint is asked. If it is silent it is dead; if it answers, the streams that wait for it are led around it. Unreadable headers are named in a log line, unreadable refusals in the line of the move.

--- a/foxtailhatch/placement/protocols.py
+++ b/foxtailhatch/placement/protocols.py
@@ -43,10 +43,14 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveAnswer:
-    """What the receiver said to a move, and which endpoint stood against it."""
+    """What the receiver said to a move, and which endpoint stood against it.
+
+    ``why`` tells what is wrong with an answer that names no endpoint.
+    """
 
     outcome: OrderOutcome
     address: str | None = None
+    why: str | None = None
 
 
 class Engines(Protocol):
--- a/foxtailhatch/platform/engines.py
+++ b/foxtailhatch/platform/engines.py
@@ -88,8 +88,15 @@
             'path': ','.join(parts),
         }
         outcome = await self._order(receiver, order)
-        address = outcome.map(_faulty_address).value_or(None)
-        return MoveAnswer(_outcome(outcome), address)
+        if not isinstance(outcome, Success):
+            why = outcome.failure().value
+            return MoveAnswer(OrderOutcome.NO_ANSWER, why=why)
+        address = _faulty_address(outcome.unwrap())
+        return MoveAnswer(
+            _outcome(outcome),
+            address.unwrap() if isinstance(address, Success) else None,
+            why=address.swap().value_or(None),
+        )
 
     async def _order(
         self,
@@ -120,10 +127,15 @@
     return _OUTCOMES.get(status, OrderOutcome.REFUSED)
 
 
-def _faulty_address(answer: Answer) -> str | None:
+def _faulty_address(answer: Answer) -> Result[str | None, str]:
+    """Return the endpoint that an answer names; many name none."""
+    if not answer.body:
+        return Success(None)
     try:
         found = orjson.loads(answer.body)
-    except ValueError:
-        return None
+    except ValueError as exc:
+        return Failure(f'unreadable answer: {exc}')
     address = found.get('address') if isinstance(found, dict) else None
-    return address if isinstance(address, str) else None
+    if address is None or isinstance(address, str):
+        return Success(address)
+    return Failure('the address is no text')
--- a/foxtailhatch/platform/requests.py
+++ b/foxtailhatch/platform/requests.py
@@ -1,6 +1,7 @@
 """Translate requests and answers between the wire and the relay's types."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from math import isfinite
 
 from returns.result import Failure, Result, Success
 
@@ -52,6 +53,7 @@
         names.LAST_EVENT_ID,
     )
 )
+_NUMBER_HEADERS = (names.DEADLINE_MS, names.LAST_EVENT_ID, names.LENGTH_GUESS)
 _BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
 
 RawHeaders = Iterable[tuple[bytes, bytes]]
@@ -117,6 +119,7 @@
             patience_s=None if patience_ms is None else patience_ms / MS_IN_S,
             tokens=_tokens(first),
             resumes_after=None if last_event is None else int(last_event),
+            unreadable=_unreadable(first),
         )
     )
 
@@ -195,10 +198,28 @@
 
 
 def _number(found: bytes | None) -> float | None:
+    """Return a count or a time, which is finite and not below zero."""
     try:
-        return float(found) if found else None
+        number = float(found) if found else None
     except ValueError:
         return None
+    if number is None or not isfinite(number) or number < 0:
+        return None
+    return number
+
+
+def _unreadable(first: Mapping[bytes, bytes]) -> tuple[str, ...]:
+    """Return the headers whose numbers cannot be read."""
+    counts = first.get(names.TOKEN_COUNTS)
+    parts = [] if counts is None else counts.split(b',')
+    is_whole = len(parts) in {0, 2} and None not in map(_number, parts)
+    found = [] if is_whole else [names.TOKEN_COUNTS]
+    found.extend(
+        name
+        for name in _NUMBER_HEADERS
+        if first.get(name) and _number(first[name]) is None
+    )
+    return tuple(name.decode(LATIN) for name in found)
 
 
 def _text(found: bytes | None) -> str:
--- a/foxtailhatch/relay/request.py
+++ b/foxtailhatch/relay/request.py
@@ -26,7 +26,8 @@
     """One request as a caller sent it.
 
     ``headers`` are those to pass on; ``patience_s`` is how long the caller
-    will wait, counted from the arrival.
+    will wait, counted from the arrival.  ``unreadable`` names the headers
+    that hold no number where one belongs; they count as absent.
     """
 
     request_id: str
@@ -39,6 +40,7 @@
     patience_s: float | None
     tokens: TokenCounts | None
     resumes_after: int | None
+    unreadable: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailhatch/router/door.py
+++ b/foxtailhatch/router/door.py
@@ -49,6 +49,12 @@
     def accept(self, req: RelayRequest, caller: CallerSide) -> Relay | None:
         """Begin to relay a request, or refuse it."""
         now = self._parts.clock()
+        if req.unreadable:
+            self._parts.log.write(
+                'header_unreadable',
+                id=req.request_id,
+                headers=req.unreadable,
+            )
         verdict = admit(self._board, req, now, self._random)
         if not isinstance(verdict, Success):
             refusal = verdict.failure()
--- a/foxtailhatch/router/stall_watch.py
+++ b/foxtailhatch/router/stall_watch.py
@@ -18,7 +18,7 @@
 from foxtailhatch.placement.reports import EngineReport
 from foxtailhatch.relay.parts import Chosen, RelayParts
 from foxtailhatch.relay.relay import Relay, chain_of
-from foxtailhatch.router.group_pause import GroupPause
+from foxtailhatch.router.group_pause import PROBE_TIMEOUT_S, GroupPause
 
 # Longer than this between two events is no batch's work.  Source: the longest
 # pause that is on time, and half of it more.
@@ -116,14 +116,50 @@
             for relay in relays:
                 relay.give_up_attempt('silent receiver')
             return
-        self._blame_stalled(found.unwrap())
+        await self._ask_stalled(found.unwrap(), relays)
 
-    def _blame_stalled(self, report: EngineReport) -> None:
-        addresses = {one.address for one in report.stalled}
-        for address in addresses:
-            found = self._parts.endpoints.at(address)
-            if found is not None:
-                self._lost(found, 'stalled work')
+    async def _ask_stalled(
+        self,
+        report: EngineReport,
+        relays: list[Relay],
+    ) -> None:
+        """Ask the endpoints that a receiver waits for whether they live."""
+        table = self._parts.endpoints
+        named = [table.at(one.address) for one in report.stalled]
+        waited_for = {
+            one.name: one
+            for one in named
+            if one and not table.is_dead(one.name)
+        }
+        endpoints = list(waited_for.values())
+        found = await asyncio.gather(
+            *(
+                self._engines.report(endpoint, PROBE_TIMEOUT_S)
+                for endpoint in endpoints
+            )
+        )
+        for endpoint, answer in zip(endpoints, found, strict=True):
+            if isinstance(answer, Success):
+                self._lead_around(endpoint, relays)
+            else:
+                self._lost(endpoint, 'stalled work')
+
+    def _lead_around(self, endpoint: LiveEndpoint, relays: list[Relay]) -> None:
+        """Move streams off an endpoint that answers but does no work."""
+        crossing = [
+            relay
+            for relay in relays
+            if relay.attempt and relay.attempt.uses(endpoint.name)
+        ]
+        self._parts.log.write(
+            'alive_but_stalled',
+            endpoint=endpoint.name,
+            ids=[relay.request_id for relay in crossing[:4]],
+            count=len(crossing),
+        )
+        for relay in crossing:
+            relay.avoid(endpoint.name)
+            self._start_move(relay)
 
     def _lost(self, endpoint: LiveEndpoint, why: str) -> None:
         now = self._parts.clock()
@@ -200,6 +236,7 @@
             to=[stage.endpoint.name for stage in chosen],
             outcome=answer.outcome.value,
             against=answer.address,
+            why=answer.why,
         )
         if answer.outcome in {OrderOutcome.BEGUN, OrderOutcome.HOLDS}:
             if relay.attempt is not None:
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -146,3 +146,32 @@
 @given(st.lists(st.tuples(st.binary(max_size=20), st.binary(max_size=20))))
 def test_strange_headers_never_raise(headers):
     decode_request('GET', '/', headers, b'')
+
+
+@pytest.mark.parametrize('found', [b'many', b'nan', b'inf', b'-3', b'1e999'])
+@pytest.mark.parametrize(
+    'name',
+    [
+        b'foxtailhatch-deadline-ms',
+        b'last-event-id',
+        b'foxtailhatch-length-hint',
+    ],
+)
+def test_header_without_a_number_is_named_and_counts_as_absent(name, found):
+    others = [pair for pair in HEADERS if pair[0].lower() != name]
+    req = request((*others, (name, found)))
+    assert req.unreadable == (name.decode(),)
+    assert req.resumes_after is None
+
+
+@pytest.mark.parametrize('found', [b'760', b'760,x', b'1,2,3', b'', b'nan,1'])
+def test_token_counts_that_are_no_pair_are_named(found):
+    name = b'foxtailhatch-token-usage'
+    others = [pair for pair in HEADERS if pair[0].lower() != name]
+    req = request((*others, (name, found)))
+    assert req.unreadable == (name.decode(),)
+    assert req.tokens is None
+
+
+def test_readable_headers_are_not_named():
+    assert request().unreadable == ()
