Split timers and blame from the life of a request

Timers, and what a failed attempt says of endpoints, are modules of their own now; nothing else changes. Tests of the relay and the router pass unchanged.

--- /dev/null
+++ b/foxtailhatch/relay/blame.py
@@ -0,0 +1,62 @@
+"""What a failed attempt says of the endpoints that it used."""
+
+from foxtailhatch.relay.attempt import Attempt
+from foxtailhatch.relay.parts import RelayParts
+from foxtailhatch.relay.receivers import Receivers
+
+
+class Blame:
+    """Keep work away from endpoints that failed or refused a request."""
+
+    def __init__(
+        self,
+        parts: RelayParts,
+        receivers: Receivers,
+        request_id: str,
+    ) -> None:
+        """Note failures of one request."""
+        self._parts = parts
+        self._receivers = receivers
+        self._request_id = request_id
+
+    def failed(self, name: str, why: str) -> None:
+        """Suspect an endpoint, for all requests of this entry."""
+        self._receivers.avoid(name)
+        endpoint = self._parts.endpoints.get(name)
+        if endpoint is None:
+            return
+        now = self._parts.clock()
+        until = self._parts.endpoints.suspect(name, now)
+        self._parts.log.write(
+            'suspect',
+            id=self._request_id,
+            endpoint=name,
+            why=why,
+            for_s=round(until - now, 2),
+        )
+        self._parts.on_suspect(endpoint, why)
+
+    def refused(self, attempt: Attempt) -> str:
+        """Let the endpoint rest that refused, and return its name."""
+        faulty = attempt.answer.faulty_address if attempt.answer else None
+        named = (
+            stage.endpoint.name
+            for stage in attempt.chosen
+            if stage.endpoint.address == faulty
+        )
+        name = next(named, attempt.head_name)
+        self._receivers.refused_by(name)
+        now = self._parts.clock()
+        until = self._parts.endpoints.rest(name, now)
+        self._parts.log.write(
+            'resting',
+            id=self._request_id,
+            endpoint=name,
+            for_s=round(until - now, 2),
+        )
+        return name
+
+    def absolve(self, attempt: Attempt) -> None:
+        """Forget the failures of endpoints that have answered well."""
+        for stage in attempt.chosen:
+            self._parts.endpoints.absolve(stage.endpoint.name)
--- a/foxtailhatch/relay/parts.py
+++ b/foxtailhatch/relay/parts.py
@@ -23,6 +23,15 @@
 Chosen = tuple[ChosenStage, ...]
 
 
+def chain_of(chosen: Chosen) -> tuple[tuple[str, int, int], ...]:
+    """Return address, first and end layer of each stage of a chain."""
+    return tuple(
+        (stage.endpoint.address, stage.layers.first, stage.layers.end)
+        for stage in chosen
+        if stage.layers is not None
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Choice:
     """What to choose endpoints for.
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -1,15 +1,15 @@
 """The life of one request, from its arrival to the end of its answer."""
 
 from dataclasses import replace
-from typing import Any
 
 from foxtailhatch.core import Invariant, require
 from foxtailhatch.relay.admitted import Admitted
 from foxtailhatch.relay.attempt import Attempt, Sending
+from foxtailhatch.relay.blame import Blame
 from foxtailhatch.relay.delivery import Delivery
 from foxtailhatch.relay.http_stream import Head, Loss
 from foxtailhatch.relay.next_step import Failure, Next, Situation, next_step
-from foxtailhatch.relay.parts import Chosen, RelayParts
+from foxtailhatch.relay.parts import Chosen, RelayParts, chain_of
 from foxtailhatch.relay.receivers import Receivers
 from foxtailhatch.relay.refusals import (
     UNAVAILABLE,
@@ -18,6 +18,7 @@
 )
 from foxtailhatch.relay.replies import answer_refusal
 from foxtailhatch.relay.request import AnswerKind, CallerSide, Dispatch
+from foxtailhatch.relay.timers import Timers
 
 # A caller that comes back finds what was missing repaired: a part of the
 # model that is lost is loaded again within a second or so.
@@ -60,8 +61,9 @@
         if patience_s is not None:
             timeout_s = min(timeout_s, patience_s)
         self._ends_at = now + timeout_s
-        self._timers: dict[str, Any] = {}
+        self._timers = Timers(parts.reactor)
         self._receivers = Receivers(admitted, parts.endpoints)
+        self._blame = Blame(parts, self._receivers, self.request_id)
         self._delivery = Delivery(caller, admitted.req.resumes_after, now)
         self._sends = 0
         self._is_held = False
@@ -89,7 +91,7 @@
         now = parts.clock()
         parts.running.add(self)
         left_s = max(0, self._ends_at - now)
-        self._later('end', left_s, self._timed_out)
+        self._timers.later('end', left_s, self._timed_out)
         parts.budget.note_request(self.admitted.service.name, now)
         self._look_for_room(Reason.NO_ENDPOINT, RETRY_NO_ENDPOINT_S)
 
@@ -167,8 +169,7 @@
         if answer.is_event_stream and attempt.splitter.has_rest:
             self._failed(attempt, Failure.MAY_HAVE_RUN, 'half an event')
             return
-        for stage in attempt.chosen:
-            self._parts.endpoints.absolve(stage.endpoint.name)
+        self._blame.absolve(attempt)
         was_started = self.is_started
         self._delivery.finish(answer, self._parts.clock())
         if not was_started:
@@ -182,11 +183,11 @@
             return
         if loss is Loss.NOT_CONNECTED:
             self._receivers.not_reached(attempt.head_name)
-            self._blame(attempt.head_name, loss.value)
+            self._blame.failed(attempt.head_name, loss.value)
             self._failed(attempt, Failure.UNREACHED, loss.value)
             return
         if loss is Loss.CLOSED and attempt.answer is None:
-            self._blame(attempt.head_name, loss.value)
+            self._blame.failed(attempt.head_name, loss.value)
         self._failed(attempt, Failure.MAY_HAVE_RUN, loss.value)
 
     def _send(self, chosen: Chosen, now: float) -> None:
@@ -226,41 +227,10 @@
         self.attempt = Attempt(self._parts, sending, self, now)
 
     def _not_run(self, attempt: Attempt) -> None:
-        faulty = attempt.answer.faulty_address if attempt.answer else None
-        named = (
-            stage.endpoint.name
-            for stage in attempt.chosen
-            if stage.endpoint.address == faulty
-        )
-        blamed = next(named, attempt.head_name)
+        blamed = self._blame.refused(attempt)
         attempt.cancel()
-        self._receivers.refused_by(blamed)
-        now = self._parts.clock()
-        until = self._parts.endpoints.rest(blamed, now)
-        self._parts.log.write(
-            'resting',
-            id=self.request_id,
-            endpoint=blamed,
-            for_s=round(until - now, 2),
-        )
         self._failed(attempt, Failure.NOT_RUN, f'refused by {blamed}')
 
-    def _blame(self, name: str, why: str) -> None:
-        self._receivers.avoid(name)
-        endpoint = self._parts.endpoints.get(name)
-        if endpoint is None:
-            return
-        now = self._parts.clock()
-        until = self._parts.endpoints.suspect(name, now)
-        self._parts.log.write(
-            'suspect',
-            id=self.request_id,
-            endpoint=name,
-            why=why,
-            for_s=round(until - now, 2),
-        )
-        self._parts.on_suspect(endpoint, why)
-
     def _failed(self, attempt: Attempt, failure: Failure, cause: str) -> None:
         now = self._parts.clock()
         if failure is Failure.MAY_HAVE_RUN:
@@ -314,7 +284,7 @@
             return
         was_refused = self._receivers.was_refused
         step_s = REFUSED_STEP_S if was_refused else HOLD_STEP_S
-        self._later('hold', step_s, self._go_on)
+        self._timers.later('hold', step_s, self._go_on)
 
     def _go_on(self) -> None:
         """Run again from the last event, if there is a way by now."""
@@ -348,7 +318,7 @@
             return
         self._is_held = True
         self._parts.log.write('held', id=self.request_id, why=reason.value)
-        self._later(
+        self._timers.later(
             'hold',
             HOLD_STEP_S,
             self._look_for_room,
@@ -427,15 +397,6 @@
         else:
             self._refuse(Reason.TIMEOUT_BEFORE_RUN)
 
-    def _later(self, name: str, delay_s: float, act: Any, *args: Any) -> None:
-        """Call ``act`` later; one call of each name waits at a time."""
-
-        def fire() -> None:  # noqa: WPS430
-            self._timers.pop(name, None)
-            act(*args)
-
-        self._timers[name] = self._parts.reactor.callLater(delay_s, fire)
-
     def _end(self, outcome: str) -> None:
         if self.is_over:
             return
@@ -443,9 +404,7 @@
         self._caller.flow_from(None)
         if self.attempt is not None:
             self.attempt.cancel()
-        for timer in self._timers.values():
-            timer.cancel()
-        self._timers.clear()
+        self._timers.cancel_all()
         self._parts.running.discard(self)
         took_s = self._parts.clock() - self._arrived_at
         self._parts.metrics.ended(outcome, took_s)
@@ -466,12 +425,3 @@
             longest_pause_s=round(delivery.longest_pause_s, 3),
             took_s=round(took_s, 3),
         )
-
-
-def chain_of(chosen: Chosen) -> tuple[tuple[str, int, int], ...]:
-    """Return address, first and end layer of each stage of a chain."""
-    return tuple(
-        (stage.endpoint.address, stage.layers.first, stage.layers.end)
-        for stage in chosen
-        if stage.layers is not None
-    )
--- a/foxtailhatch/router/stall_watch.py
+++ b/foxtailhatch/router/stall_watch.py
@@ -16,8 +16,8 @@
 from foxtailhatch.fleet import LiveEndpoint
 from foxtailhatch.placement.protocols import Engines, Move, OrderOutcome
 from foxtailhatch.placement.reports import EngineReport
-from foxtailhatch.relay.parts import Chosen, RelayParts
-from foxtailhatch.relay.relay import Relay, chain_of
+from foxtailhatch.relay.parts import Chosen, RelayParts, chain_of
+from foxtailhatch.relay.relay import Relay
 from foxtailhatch.router.group_pause import PROBE_TIMEOUT_S, GroupPause
 
 # Longer than this between two events is no batch's work.  Source: the longest
