Hold several copies of the model in a zone with many cards

Where it was shorter, a chain over all cards stopped with any of them.

Ruled out: too little memory; the refusing receivers had no other work.

Change: cards of a zone are split into copies that each have room for what a receiver takes; a card stays in its copy, and a decider that takes over finds the copies from the layers held. A layout uses no more cards than a chain may have, and the search for chains keeps to the bound.

--- a/foxtailhatch/chains/zone_paths.py
+++ b/foxtailhatch/chains/zone_paths.py
@@ -13,6 +13,12 @@
 
 from foxtailhatch.core import Invariant, LayerRange, require, tiles
 
+# Without a bound of the engines: more stages than any sensible chain has.
+STAGES_MAX = 64
+# Where the cheapest chains are too long, stages cost this much more, so that
+# the shortest chain is found: more than any chain costs, in seconds.
+STAGE_COST = 1000.0
+
 
 class StageCost(Protocol):
     """What a stage and the way to it cost, in seconds for each request."""
@@ -69,19 +75,24 @@
     start: ZonePath,
     *,
     heads: Collection[str] = (),
+    stages_max: int = STAGES_MAX,
 ) -> ZonePath | None:
     """Return the cheapest chain over all layers, or ``None``.
 
     The chain goes on from ``start``.  With ``heads`` the first stage is
-    asked of one of these endpoints.
+    asked of one of these endpoints.  No path has more than ``stages_max``
+    stages.
     """
     begun = start.end
     bounds = [begun, *_boundaries(holders, begun, layer_count)]
-    search = _Search(bounds, costs, start)
-    for reached in bounds[:-1]:
-        for holder in _holding(holders, reached, heads):
-            search.extend(holder, reached)
-    found = search.best_at(layer_count)
+    for stage_cost in (0, STAGE_COST):
+        search = _Search(bounds, costs, start, stages_max, stage_cost)
+        for reached in bounds[:-1]:
+            for holder in _holding(holders, reached, heads):
+                search.extend(holder, reached)
+        found = search.best_at(layer_count)
+        if found is not None:
+            break
     if found is not None:
         require(
             Invariant.LAYERS_ONCE_IN_ORDER,
@@ -115,8 +126,12 @@
         bounds: Sequence[int],
         costs: StageCost,
         start: ZonePath,
+        stages_max: int,
+        stage_cost: float,
     ) -> None:
         self._bounds = bounds
+        self._stages_max = stages_max
+        self._stage_cost = stage_cost
         self._costs = costs
         self._best: dict[int, dict[str, ZonePath]] = {
             start.end: {start.zone: start},
@@ -134,7 +149,8 @@
             return
         work = self._work(holder, reached)
         for path in tuple(paths.values()):
-            if not path.uses(holder.endpoint):
+            is_full = len(path.stages) >= self._stages_max
+            if not is_full and not path.uses(holder.endpoint):
                 self._follow(path, holder, work)
 
     def _work(
@@ -168,7 +184,7 @@
         is_first = not path.stages
         way = self._costs.crossing(path.zone, zone, is_first=is_first)
         for stage, stage_cost in work:
-            cost = path.cost + way + stage_cost
+            cost = path.cost + way + stage_cost + self._stage_cost
             ends = self._best.setdefault(stage.layers.end, {})
             known = ends.get(zone)
             if known is None or cost < known.cost:
--- a/foxtailhatch/placement/__init__.py
+++ b/foxtailhatch/placement/__init__.py
@@ -1,6 +1,7 @@
 """Which engine holds which layers of the model."""
 
 from foxtailhatch.placement.cards import Card, LayerOrder
+from foxtailhatch.placement.copies import ModelCopies
 from foxtailhatch.placement.groups import zone_groups
 from foxtailhatch.placement.plan import plan_orders
 from foxtailhatch.placement.reports import EngineReport, StalledRequest
@@ -10,6 +11,7 @@
     'Card',
     'EngineReport',
     'LayerOrder',
+    'ModelCopies',
     'StalledRequest',
     'plan_orders',
     'tile',
--- a/foxtailhatch/placement/layout.py
+++ b/foxtailhatch/placement/layout.py
@@ -21,7 +21,7 @@
     keep the order of what they hold, so that little has to be loaded.  The
     result is empty if the cards cannot hold the model.
     """
-    ordered = sorted(cards, key=_order)
+    ordered = sorted(_largest(cards, engine.stages_max), key=_order)
     whole = LayerRange(0, engine.layer_count)
     single = tile(ordered, whole, engine)
     usual = engine.usual_prompt + engine.usual_answer
@@ -79,6 +79,12 @@
     )
 
 
+def _largest(cards: Sequence[Card], most: int) -> list[Card]:
+    """Return the cards with most memory, as many as a chain may have."""
+    by_memory = sorted(cards, key=lambda one: (-one.memory_mb, one.endpoint))
+    return by_memory[:most]
+
+
 def _order(card: Card) -> tuple[int, int, float, str]:
     layers = card.layers
     if layers is None:
--- a/foxtailhatch/placement/plan.py
+++ b/foxtailhatch/placement/plan.py
@@ -14,6 +14,7 @@
 from foxtailhatch.core import LayerRange
 from foxtailhatch.placement.cards import Card, LayerOrder
 from foxtailhatch.placement.closing import closed, duplicates
+from foxtailhatch.placement.columns import columns_of
 from foxtailhatch.placement.layout import (
     Placed,
     gaps,
@@ -52,7 +53,8 @@
 ) -> list[LayerOrder]:
     cards = [*holding, *spares]
     orders: list[LayerOrder] = []
-    left = [*spares, *duplicates(holding)]
+    places_left = engine.stages_max - len(columns_of(holding))
+    left = [*spares[:places_left], *duplicates(holding)]
     for gap in lost:
         placed = closed(gap, holding, left, engine, KV_TOKENS_MIN)
         if not placed:
@@ -77,6 +79,8 @@
     free = [card for card in holding if not card.is_settling]
     if not spares or not free:
         return []
+    if len(columns_of(holding)) >= engine.stages_max:
+        return []
     spare = spares[0]
     tightest = min(free, key=lambda card: shared_room(card, free, engine))
     layers = split_range(spare, tightest)
--- a/foxtailhatch/placement/relaxing.py
+++ b/foxtailhatch/placement/relaxing.py
@@ -67,11 +67,7 @@
         return self.above, self.below
 
 
-def relaxed(
-    holding: Sequence[Card],
-    engine: Engine,
-    loads_at_once: int = LOADS_AT_ONCE,
-) -> list[Placed]:
+def relaxed(holding: Sequence[Card], engine: Engine) -> list[Placed]:
     """Return the next steps towards equal room."""
     columns = columns_of(holding)
     targets = _targets(columns, engine)
@@ -87,8 +83,7 @@
     if min(rooms) * GAIN_MIN > _room_at(targets, columns, engine):
         return steps
     near = _relieving(rooms.index(min(rooms)), borders)
-    taken = [_taken_over(border, min(rooms), engine) for border in near]
-    return _apart(steps, near, taken, loads_at_once)
+    return _apart(steps, near, _all_taken(near, min(rooms), engine))
 
 
 def split_range(spare: Card, tight: Card) -> LayerRange | None:
@@ -170,6 +165,14 @@
     return border.below.holding(LayerRange(lower.first, upper.first))
 
 
+def _all_taken(
+    borders: Sequence[Border],
+    least: float,
+    engine: Engine,
+) -> list[list[Placed]]:
+    return [_taken_over(border, least, engine) for border in borders]
+
+
 def _taken_over(border: Border, least: float, engine: Engine) -> list[Placed]:
     """Let a column load layers of its neighbour, as far as its room allows."""
     lower, upper = border.below.layers, border.above.layers
@@ -194,7 +197,7 @@
     steps: Sequence[Placed],
     borders: Sequence[Border],
     wishes: Iterable[Sequence[Placed]],
-    most: int,
+    most: int = LOADS_AT_ONCE,
 ) -> list[Placed]:
     """Add wishes that touch no card of another step, up to a number.
 
--- a/foxtailhatch/platform/configuration.py
+++ b/foxtailhatch/platform/configuration.py
@@ -5,6 +5,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from returns.result import Failure, Result, Success
 
+from foxtailhatch.platform import names
 from foxtailhatch.routes import (
     Account,
     CardKind,
@@ -178,6 +179,7 @@
     return Engine(
         slots=engine.slots,
         layer_count=engine.layers,
+        stages_max=names.CHAIN_PARTS_MAX,
         layer_mb=engine.layer_mb,
         kv_bytes=engine.kv_bytes,
         activation_bytes=engine.activation_bytes,
--- a/foxtailhatch/platform/names.py
+++ b/foxtailhatch/platform/names.py
@@ -13,6 +13,8 @@
 URGENCY = b'foxtailhatch-request-urgency'
 # The chain of endpoints that a request passes through.
 CHAIN = b'foxtailhatch-hops'
+# A request that names more endpoints than this is refused.
+CHAIN_PARTS_MAX = 32
 # The caller's guess of the number of output tokens.
 LENGTH_GUESS = b'foxtailhatch-length-hint'
 FAULTY_ENDPOINT = b'at-server'
--- a/foxtailhatch/router/choosing.py
+++ b/foxtailhatch/router/choosing.py
@@ -10,7 +10,7 @@
     ZonePath,
     cheapest_chain,
 )
-from foxtailhatch.fleet import LiveEndpoint
+from foxtailhatch.fleet import LiveEndpoint, WorkEstimate
 from foxtailhatch.relay.parts import Choice, Chosen, ChosenStage
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.routes import Engine
@@ -92,9 +92,8 @@
         costs = ChainCosts(
             engine,
             known,
-            self._board.loads,
+            self._work(),
             tokens.expected if tokens else int(engine.usual_prompt),
-            self._sharers(),
         )
         found = cheapest_chain(
             holders,
@@ -102,6 +101,7 @@
             costs,
             _start(choice, self._board.cfg.zone),
             heads=choice.heads,
+            stages_max=engine.stages_max,
         )
         if found is None:
             return None
@@ -111,12 +111,13 @@
             ChosenStage(known[stage.endpoint], stage.layers) for stage in rest
         )
 
-    def _sharers(self) -> float:
-        """Estimate how many entries use the endpoints of this zone."""
-        zone = self._board.cfg.zone
-        now = self._board.clock()
-        ready = self._board.entries.ready(now)
-        return max(1, sum(entry.zone == zone for entry in ready))
+    def _work(self) -> WorkEstimate:
+        """Estimate the work of the entries that use this zone's endpoints."""
+        board = self._board
+        now = board.clock()
+        ready = board.entries.ready(now)
+        in_zone = sum(entry.zone == board.cfg.zone for entry in ready)
+        return WorkEstimate(board.loads, board.others, max(1, in_zone), now)
 
 
 def _start(choice: Choice, zone: str) -> ZonePath:
--- a/foxtailhatch/router/decider.py
+++ b/foxtailhatch/router/decider.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -16,7 +17,12 @@
 
 from foxtailhatch.core import LayerRange
 from foxtailhatch.fleet import LiveEndpoint
-from foxtailhatch.placement import Card, LayerOrder, plan_orders, zone_groups
+from foxtailhatch.placement import (
+    Card,
+    LayerOrder,
+    ModelCopies,
+    plan_orders,
+)
 from foxtailhatch.placement.protocols import Engines, OrderOutcome
 from foxtailhatch.placement.reports import EngineReport
 from foxtailhatch.relay.decision_log import DecisionLog
@@ -59,17 +65,32 @@
         """Start without the turn."""
         self.generation = 0
         self.has_turn = False
+        self._has_joined = False
         self._board = board
         self._store = store
         self._engines = engines
         self._log = log
         self._publish = publish
         self._fenced_at = -1
+        self._copies: dict[str, ModelCopies] = defaultdict(ModelCopies)
         self._pending: dict[str, PendingOrder] = {}
         self._counts: dict[tuple[str, int], int] = {}
         self._revision = -1
         self._changed_at = float('-inf')
 
+    async def take_part(self, *, wants: bool) -> None:
+        """Join those who take the turn, or leave them.
+
+        Who holds the turn keeps it: it can still give orders while it is cut
+        off from the store.
+        """
+        if wants or self.has_turn:
+            self._has_joined = True
+            await self.join()
+        elif self._has_joined:
+            self._has_joined = False
+            await self.leave()
+
     async def join(self) -> None:
         """Take the turn if it is free, or keep it."""
         board = self._board
@@ -106,6 +127,7 @@
         self.generation = max(self.generation, membership.generation)
         if membership.is_holder != self.has_turn:
             self.has_turn = membership.is_holder
+            self._copies.clear()
             self._pending.clear()
             self._log.write(
                 'turn_taken' if self.has_turn else 'turn_lost',
@@ -129,7 +151,7 @@
         cards = self._cards(service.name, engine)
         orders = [
             order
-            for group in zone_groups(cards, engine)
+            for group in self._copies[service.name].groups(cards, engine)
             for order in plan_orders(group, engine)
             if order.endpoint not in self._pending
             and self._fits(order, cards, engine)
--- a/foxtailhatch/routes/configuration.py
+++ b/foxtailhatch/routes/configuration.py
@@ -69,11 +69,13 @@
     """How the engines of a model service work.
 
     ``kv_bytes`` is the memory of one token over all layers, and ``step_s``
-    the time of an empty batch over all layers on a card of factor 1.
+    the time of an empty batch over all layers on a card of factor 1.  A
+    chain has ``stages_max`` endpoints at most.
     """
 
     slots: int
     layer_count: int
+    stages_max: int
     layer_mb: float
     kv_bytes: float
     activation_bytes: float
--- a/tests/chains/test_zone_paths.py
+++ b/tests/chains/test_zone_paths.py
@@ -105,3 +105,14 @@
         FlatCosts(crossing, dear=('a',)),
     )
     assert found[0][0] == ('far' if not crossing else 'a')
+
+
+def test_chain_has_no_more_stages_than_it_may():
+    """Many small holders are cheap, but a chain of them is too long."""
+    small = [holder(f's{place}', place, place + 1) for place in range(8)]
+    large = [holder('a', 0, 4), holder('b', 4, 8)]
+    costs = FlatCosts(dear=('a', 'b'))
+    assert len(chain(small + large, costs)) == 8
+    assert len(chain(small + large, costs, stages_max=7)) <= 7
+    assert len(chain(small + large, costs, stages_max=2)) == 2
+    assert chain(small, costs, stages_max=7) is None
--- /dev/null
+++ b/tests/placement/test_copies.py
@@ -0,0 +1,118 @@
+"""Zones with many cards: several copies that stay as they are."""
+
+from dataclasses import replace
+
+import pytest
+
+from foxtailhatch.placement import ModelCopies, plan_orders
+from foxtailhatch.placement.copies import copy_count, copy_mb
+from foxtailhatch.placement.groups import memory_of
+from foxtailhatch.placement.layout import gaps
+from tests.placement.test_plan import after, card, zone_cards
+from tests.routes.configurations import ENGINE
+
+# Zones like those of deployments with a hundred engines.
+LARGE = [(2, 13, 22), (1, 22, 12), (4, 9, 14), (1, 10, 15), (1, 17, 8)]
+SMALL = [(2, 5, 8), (1, 7, 5), (2, 3, 5)]
+
+
+def planned(keeper, cards):
+    """Return the cards after one plan of each copy."""
+    orders = [
+        order
+        for copy in keeper.groups(cards, ENGINE)
+        for order in plan_orders(copy, ENGINE)
+    ]
+    return after(cards, orders)
+
+
+def names(copies):
+    return [{one.endpoint for one in copy} for copy in copies]
+
+
+@pytest.mark.parametrize('shape', SMALL)
+def test_small_zone_is_one_copy(shape):
+    cards = zone_cards(*shape)
+    assert names(ModelCopies().groups(cards, ENGINE)) == [
+        {one.endpoint for one in cards},
+    ]
+
+
+@pytest.mark.parametrize('shape', LARGE)
+def test_large_zone_is_several_copies_of_like_memory(shape):
+    copies = ModelCopies().groups(zone_cards(*shape), ENGINE)
+    assert len(copies) > 1
+    sizes = [memory_of(copy) for copy in copies]
+    assert max(sizes) - min(sizes) <= 36_000
+    assert min(sizes) >= 0.95 * copy_mb(ENGINE)
+
+
+@pytest.mark.parametrize('shape', LARGE)
+def test_each_copy_holds_each_layer_in_a_chain_of_bounded_length(shape):
+    keeper = ModelCopies()
+    cards = planned(keeper, zone_cards(*shape))
+    for copy in keeper.groups(cards, ENGINE):
+        assert gaps(copy, 80) == []
+        assert len(copy) <= ENGINE.stages_max
+
+
+@pytest.mark.parametrize('shape', LARGE)
+def test_new_decider_finds_copies_without_new_orders(shape):
+    cards = planned(ModelCopies(), zone_cards(*shape))
+    assert planned(ModelCopies(), cards) == cards
+
+
+@pytest.mark.parametrize('lost', range(0, 35, 5))
+def test_loss_changes_one_copy_alone(lost):
+    keeper = ModelCopies()
+    cards = planned(keeper, zone_cards(1, 22, 12))
+    copies = keeper.groups(cards, ENGINE)
+    hit = next(copy for copy in copies if cards[lost] in copy)
+    left = [one for one in cards if one is not cards[lost]]
+    repaired = planned(keeper, left)
+    changed = {
+        before.endpoint
+        for before, now in zip(left, repaired, strict=True)
+        if before.layers != now.layers
+    }
+    for copy in keeper.groups(repaired, ENGINE):
+        assert gaps(copy, 80) == []
+    assert changed <= {one.endpoint for one in hit}
+
+
+def test_empty_card_joins_the_copy_with_least_memory():
+    keeper = ModelCopies()
+    cards = planned(keeper, zone_cards(1, 22, 12))
+    hit = keeper.groups(cards, ENGINE)[1]
+    left = [one for one in cards if one is not hit[0]]
+    keeper.groups(left, ENGINE)
+    groups = keeper.groups([*left, card('new', 'middle')], ENGINE)
+    joined = next(group for group in names(groups) if 'new' in group)
+    assert joined & {one.endpoint for one in hit}
+
+
+def test_card_that_comes_back_with_its_layers_joins_its_copy():
+    keeper = ModelCopies()
+    cards = planned(keeper, zone_cards(1, 22, 12))
+    hit = keeper.groups(cards, ENGINE)[1]
+    keeper.groups([one for one in cards if one is not hit[4]], ENGINE)
+    assert names(keeper.groups(cards, ENGINE))[1] == {
+        one.endpoint for one in hit
+    }
+
+
+def test_more_cards_than_a_chain_may_have_are_not_all_used():
+    engine = replace(ENGINE, stages_max=8)
+    cards = zone_cards(4, 0, 14)
+    orders = plan_orders(cards, engine)
+    assert len(orders) <= 8
+    placed = after(cards, orders)
+    assert plan_orders(placed, engine) == []
+
+
+def test_copies_are_counted_by_what_is_held():
+    cards = planned(ModelCopies(), zone_cards(2, 13, 22))
+    assert copy_count(cards, ENGINE) == copy_count(
+        zone_cards(2, 13, 22),
+        ENGINE,
+    )
--- a/tests/router/test_decider.py
+++ b/tests/router/test_decider.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from returns.result import Success
+
 from foxtailhatch.core import LayerRange
 from foxtailhatch.placement.layout import gaps
 from foxtailhatch.placement.protocols import OrderOutcome
@@ -195,3 +197,26 @@
     assert told == {name: one for name, one in world.held().items() if one}
     assert all(isinstance(one, LayerRange) for one in told.values())
     assert gaps([], 80) == [LayerRange(0, 80)]
+
+
+def test_entry_that_reads_for_a_moment_gives_its_place_back():
+    """Trouble at the store: many entries try in turn whether it is back."""
+    world = World(*zone())
+    world.store.membership = Membership(1, is_holder=False)
+    left = []
+
+    async def leave(member):
+        left.append(member)
+        return Success(None)
+
+    world.store.leave = leave
+    asyncio.run(world.decider.take_part(wants=True))
+    asyncio.run(world.decider.take_part(wants=False))
+    asyncio.run(world.decider.take_part(wants=False))
+    assert left == ['entry-1']
+
+
+def test_holder_that_is_cut_off_keeps_the_turn():
+    world = placed_world()
+    asyncio.run(world.decider.take_part(wants=False))
+    assert world.decider.has_turn
--- a/tests/routes/configurations.py
+++ b/tests/routes/configurations.py
@@ -15,6 +15,7 @@
 ENGINE = Engine(
     slots=96,
     layer_count=80,
+    stages_max=32,
     layer_mb=1750,
     kv_bytes=852_000,
     activation_bytes=42_600,
