Keep the time short in which nobody decides

Ruled out: engines that take long to load; the first order after the gap came within a tenth of a second of turn_taken.

Change: the turn is a module of its own.

--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -30,7 +30,7 @@
 EXIT_INVARIANT = 3
 # Pauses between steps.
 HEARTBEAT_LOOK_S = 0.25
-TURN_PERIOD_S = 0.8
+TURN_PERIOD_S = 0.4
 PLAN_PERIOD_S = 0.1
 STALL_PERIOD_S = 0.05
 STOP_PERIOD_S = 0.1
@@ -156,8 +156,8 @@
 
     async def _leave(self) -> None:
         await self._parts.heartbeat()
-        if self._parts.decider.has_turn:
-            await self._parts.decider.leave()
+        if self._parts.turn.is_held:
+            await self._parts.turn.leave()
 
     def _broken(self, exc: InvariantBroken) -> None:
         self._log.write(
--- a/foxtailhatch/router/decider.py
+++ b/foxtailhatch/router/decider.py
@@ -1,7 +1,6 @@
 """One entry at a time orders engines to hold layers.
 
-The store's group gives the turn and a generation that serves as fencing
-token.  An engine that has seen a higher token refuses an order, and each
+The turn comes with a fencing token (``turn.py``).  An engine that has seen a higher token refuses an order, and each
 order names how many the engine has accepted before, so that a decider that
 was paused, or an order that is carried out late, changes nothing that
 happened since.  While the store is away the holder goes on: its orders are
@@ -29,11 +28,9 @@
 from foxtailhatch.relay.decision_log import DecisionLog
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.findings import Finding
-from foxtailhatch.router.keyed_log import KeyedLog, Membership
+from foxtailhatch.router.turn import Turn
 from foxtailhatch.routes import Engine, Service
 
-# The turn lapses this long after the holder's last call.
-TURN_S = 3.0
 # The list of endpoints must be unchanged this long before the first plan.
 SETTLED_S = 0.8
 # An order in progress is looked at again after this time.
@@ -65,64 +62,31 @@
     def __init__(
         self,
         board: Blackboard,
-        store: KeyedLog,
+        turn: Turn,
         engines: Engines,
         log: DecisionLog,
         publish: Callable[[Finding], None],
     ) -> None:
         """Start without the turn."""
-        self.generation = 0
-        self.has_turn = False
-        self._has_joined = False
         self._board = board
-        self._store = store
+        self._turn = turn
         self._engines = engines
         self._log = log
         self._publish = publish
-        self._fenced_at = -1
+        self._times_taken = 0
         self._copies: dict[str, ModelCopies] = defaultdict(ModelCopies)
         self._pending: dict[str, PendingOrder] = {}
         self._counts: dict[tuple[str, int], int] = {}
         self._revision = -1
         self._changed_at = float('-inf')
 
-    async def take_part(self, *, wants: bool) -> None:
-        """Join those who take the turn, or leave them.
-
-        Who holds the turn keeps it: it can still give orders while it is cut
-        off from the store.
-        """
-        if wants or self.has_turn:
-            self._has_joined = True
-            await self.join()
-        elif self._has_joined:
-            self._has_joined = False
-            await self.leave()
-
-    async def join(self) -> None:
-        """Take the turn if it is free, or keep it."""
-        board = self._board
-        if board.stop_asked_at is not None:
-            return
-        joined = await self._store.join(
-            board.cfg.instance,
-            self.generation,
-            TURN_S,
-        )
-        if isinstance(joined, Success):
-            self._joined(joined.unwrap())
-
-    async def leave(self) -> None:
-        """Give the turn back, so that another entry can take it at once."""
-        self.has_turn = False
-        left = await self._store.leave(self._board.cfg.instance)
-        self._log.write('turn_left', outcome=str(left))
-
     async def step(self) -> None:
         """Look at orders in progress, and plan."""
-        if not self.has_turn or self._fenced_at >= self.generation:
-            return
         now = self._board.clock()
+        if not self._turn.may_decide(now):
+            return
+        if self._times_taken != self._turn.times_taken:
+            self._begin()
         await self._look(now)
         await asyncio.gather(
             *(
@@ -131,16 +95,11 @@
             )
         )
 
-    def _joined(self, membership: Membership) -> None:
-        self.generation = max(self.generation, membership.generation)
-        if membership.is_holder != self.has_turn:
-            self.has_turn = membership.is_holder
-            self._copies.clear()
-            self._pending.clear()
-            self._log.write(
-                'turn_taken' if self.has_turn else 'turn_lost',
-                generation=membership.generation,
-            )
+    def _begin(self) -> None:
+        """Begin a turn; others may have given orders meanwhile."""
+        self._times_taken = self._turn.times_taken
+        self._copies.clear()
+        self._pending.clear()
 
     def _model_services(self) -> list[Service]:
         table = self._board.table
@@ -245,7 +204,7 @@
         if outcome is OrderOutcome.BEGUN:
             self._publish(_kept(endpoint, order.layers))
         if outcome is OrderOutcome.FENCED:
-            self._fenced_at = self.generation
+            self._turn.fenced()
             self._pending.pop(endpoint.name, None)
 
     async def _learn(self, endpoint: LiveEndpoint) -> bool:
@@ -268,7 +227,7 @@
         outcome = await self._engines.place(
             endpoint,
             order.layers,
-            self.generation,
+            self._turn.token,
             expected,
         )
         self._log.write(
@@ -278,7 +237,7 @@
             held=_bounds(endpoint.layers),
             why=order.reason,
             outcome=outcome.value,
-            generation=self.generation,
+            generation=self._turn.token,
             expected=expected,
             list_revision=self._board.endpoints.revision,
         )
--- a/foxtailhatch/router/parts.py
+++ b/foxtailhatch/router/parts.py
@@ -23,6 +23,7 @@
 from foxtailhatch.router.pages import Pages
 from foxtailhatch.router.planned_stop import PlannedStop
 from foxtailhatch.router.stall_watch import StallWatch
+from foxtailhatch.router.turn import Turn
 
 # Who has read the store for this long goes on to do so.  Source: entries that
 # try whether the store is back find out within one read.
@@ -40,6 +41,7 @@
     pages: Pages
     following: Following
     heartbeats: Heartbeats
+    turn: Turn
     decider: Decider
     stalls: StallWatch
     stop: PlannedStop
@@ -59,7 +61,7 @@
         since = self.following.reader_since
         now = self.board.clock()
         is_settled = since is not None and now - since >= READER_SETTLED_S
-        await self.decider.take_part(wants=is_settled)
+        await self.turn.take_part(wants=is_settled)
 
     def _note_others(self) -> None:
         """Take the work that the fed entries told this reader."""
@@ -100,6 +102,7 @@
         on_suspect=desk.suspect,
     )
     own = partial(_own_entry, board)
+    turn = Turn(board, adapter.store, log)
     return RouterParts(
         board=board,
         adapter=adapter,
@@ -114,9 +117,10 @@
             partial(FeedClient, reactor),
         ),
         heartbeats=Heartbeats(board, adapter, log, own),
+        turn=turn,
         decider=Decider(
             board,
-            adapter.store,
+            turn,
             adapter.engines,
             log,
             desk.publish,
