Ask the first of a zone while nobody reads the store

Change: they ask the first entries of their zone meanwhile; an outdated peer rests for 0.6 s instead of 2. A new holder of the turn plans at once if any engine holds layers: it had waited for 0.8 s without a change of the list.

--- a/foxtailhatch/router/decider.py
+++ b/foxtailhatch/router/decider.py
@@ -77,8 +77,8 @@
         self._copies: dict[str, ModelCopies] = defaultdict(ModelCopies)
         self._pending: dict[str, PendingOrder] = {}
         self._counts: dict[tuple[str, int], int] = {}
-        self._revision = -1
-        self._changed_at = float('-inf')
+        self._listed = -1
+        self._listed_at = float('-inf')
 
     async def step(self) -> None:
         """Look at orders in progress, and plan."""
@@ -113,9 +113,11 @@
 
     async def _plan(self, service: Service, now: float) -> None:
         engine = service.engine
-        if engine is None or not self._is_settled(now):
+        if engine is None:
             return
         cards = self._cards(service.name, engine)
+        if not self._is_settled(cards, now):
+            return
         orders = [
             order
             for group in self._copies[service.name].groups(cards, engine)
@@ -145,17 +147,17 @@
             )
         return fits
 
-    def _is_settled(self, now: float) -> bool:
-        """Tell whether the list is whole enough for a first plan."""
-        endpoints = self._board.endpoints
-        count = len(tuple(endpoints.names()))
-        if count != self._revision:
-            self._revision = count
-            if self._changed_at == float('-inf'):
-                self._changed_at = now
-            if not self._counts:
-                self._changed_at = now
-        return now - self._changed_at >= SETTLED_S
+    def _is_settled(self, cards: list[Card], now: float) -> bool:
+        """Tell whether the list is whole enough for a plan.
+
+        Only a first plan has to wait for it: later ones change little.
+        """
+        if any(card.layers for card in cards):
+            return True
+        if len(cards) != self._listed:
+            self._listed = len(cards)
+            self._listed_at = now
+        return now - self._listed_at >= SETTLED_S
 
     def _cards(self, service: str, engine: Engine) -> list[Card]:
         endpoints = self._board.endpoints
--- a/foxtailhatch/router/entry_table.py
+++ b/foxtailhatch/router/entry_table.py
@@ -19,9 +19,9 @@
 # A list that has not been renewed for this time does not count.  Source:
 # two heartbeats, and the lag of reading them.
 ENTRY_TIMEOUT_S = 4.0
-# Who was listed within this time counts in the order of readers.  Source: the
-# longest stated outage of the store.
-KNOWN_S = 15.0
+# Who was listed within this time counts in the order of readers.  Source: some
+# outages of the store on end.
+KNOWN_S = 60.0
 # Fewer entries than this in a caller's zone: others are advised as well.
 ADVISED_MIN = 2
 _FIELDS = 7
--- a/foxtailhatch/router/following.py
+++ b/foxtailhatch/router/following.py
@@ -211,7 +211,11 @@
         is_far = peer.zone != self._board.cfg.zone
         is_outdated = age_s is None or age_s > PEER_AGE_MAX_S
         if is_outdated or (is_far and not news.reads_store):
-            self._sources.peer_failed(peer.name, self._board.clock())
+            self._sources.peer_outdated(
+                peer.name,
+                self._board.clock(),
+                is_reader=news.reads_store,
+            )
             self._log.write(
                 'peer_outdated',
                 peer=peer.name,
--- a/foxtailhatch/router/sources.py
+++ b/foxtailhatch/router/sources.py
@@ -1,9 +1,9 @@
 """From whom an entry learns: the store, or an entry that reads it.
 
 The best entry of a zone reads the store, and the others are fed by it.  When
-it fails, the entries of its zone ask readers of other zones, and try the store
-themselves one after the other, the best first: all at once they would bury a
-store that has trouble already.
+it fails, the entries of its zone ask readers of other zones, else each other,
+and try the store themselves one after the other, the best first: all at once
+they would bury a store that has trouble already.
 """
 
 from collections.abc import Sequence
@@ -12,8 +12,12 @@
 
 from foxtailhatch.router.entry_table import EntryRecord, EntryTable, rank
 
-# A source that failed or was outdated is left alone for this time.
+# A source that failed is left alone for this time.
 SOURCE_REST_S = 2.0
+# An entry that knew nothing new is asked again after this time: when the store
+# is back, the first to know are those that are asked first.  Source: the wait
+# of a feed, and one call.
+OUTDATED_REST_S = 0.6
 # Knowledge that is older than this at a peer is no better than the store's.
 # Source: the longest wait of a read, and one call.
 PEER_AGE_MAX_S = 2.8
@@ -48,6 +52,7 @@
         """Start with the store as the only source."""
         self._own = own
         self._rest_until: dict[str, float] = {}
+        self._unable_until: dict[str, float] = {}
         self._store_until = float(0)
         self._alone_since: float | None = None
 
@@ -68,8 +73,12 @@
             return STORE
         if readers:
             return Source(peer=self._spread(readers))
-        # Nobody knows better, so the first in the zone keeps on trying.
-        return NOWHERE if self._betters(entries, now) else STORE
+        betters = self._betters(entries, now)
+        if not betters:
+            # Nobody else would find out that the store is back.
+            return STORE
+        awake = [one for one in betters if not self._rests(one, now)]
+        return Source(peer=min(awake, key=rank)) if awake else NOWHERE
 
     def store_failed(self, now: float) -> None:
         """Ask peers first for a while."""
@@ -79,6 +88,16 @@
     def peer_failed(self, name: str, now: float) -> None:
         """Leave a peer alone for a while."""
         self._rest_until[name] = now + SOURCE_REST_S
+        self._unable_until[name] = now + SOURCE_REST_S
+
+    def peer_outdated(self, name: str, now: float, *, is_reader: bool) -> None:
+        """Leave a peer alone that knows nothing new.
+
+        If it reads the store, it does not reach it.
+        """
+        self._rest_until[name] = now + OUTDATED_REST_S
+        if is_reader:
+            self._unable_until[name] = now + SOURCE_REST_S
 
     def _is_better(self, reader: EntryRecord, now: float) -> bool:
         """Tell whether a reader should be asked rather than the store."""
@@ -89,7 +108,9 @@
         if self._store_until > now or self._alone_since is None:
             return False
         betters = self._betters(entries, now)
-        place = sum(not self._rests(one, now) for one in betters)
+        place = sum(
+            self._unable_until.get(one.name, 0) <= now for one in betters
+        )
         return now - self._alone_since >= STAGGER_S * place
 
     def _betters(self, entries: EntryTable, now: float) -> list[EntryRecord]:
--- a/tests/router/test_decider.py
+++ b/tests/router/test_decider.py
@@ -1,6 +1,7 @@
 """One decider at a time, under faults between decision and order."""
 
 import asyncio
+from dataclasses import replace
 
 from foxtailhatch.core import LayerRange
 from foxtailhatch.placement.layout import gaps
@@ -224,3 +225,18 @@
     world.run(12)
     assert known_for
     assert min(known_for) >= NOTICE_S
+
+
+def test_new_holder_repairs_at_once_while_endpoints_come_and_go():
+    """A release: the list changes all the time, and the turn moves."""
+    first = placed_world()
+    held = first.held()
+    world = World(
+        *(
+            replace(first.board.endpoints.get(name), layers=layers)
+            for name, layers in held.items()
+            if name != 'e05'
+        ),
+    )
+    world.run(0.25)
+    assert world.engines.orders
