Read on at once when the store has forgotten its history

Change: lost history is not an outage; newcomers read endpoints once at once, and leave the rest until they know the other entries.

--- a/foxtailhatch/router/follower.py
+++ b/foxtailhatch/router/follower.py
@@ -110,8 +110,10 @@
     def _failed(self, fault: StoreFault) -> None:
         self.failed_at = self._clock()
         if fault is StoreFault.HISTORY_GONE:
+            # The store answers: read the newest records instead.
             self._offset = None
-        if not self.is_lost:
+            self._log.write('history_gone', topic=self._topic.value)
+        elif not self.is_lost:
             self.is_lost = True
             self._log.write(
                 'store_lost',
--- a/foxtailhatch/router/following.py
+++ b/foxtailhatch/router/following.py
@@ -36,9 +36,11 @@
 # After a failed read, and while another entry is the source.
 RETRY_PERIOD_S = 0.3
 IDLE_PERIOD_S = 0.15
-# A process that has just started learns first which entries are there: if one
-# of them reads the store, the rest comes from it.  Source: two heartbeats' looks.
+# A process that has just started learns which entries are there: if one of them
+# reads the store, the rest comes from it.  Source: two looks of heartbeats.
 NEWCOMER_S = 0.6
+# What it reads once to serve its first requests.
+NEWCOMER_TOPICS = frozenset((Topic.CONFIGURATION, Topic.ENDPOINTS))
 NEWCOMER_PERIOD_S = 0.25
 URGENT = frozenset((Topic.CONFIGURATION, Topic.FINDINGS))
 
@@ -141,8 +143,11 @@
             return False
         if topic is Topic.CONFIGURATION:
             return True
-        is_early = self._is_newcomer() and topic is not Topic.ENTRIES
-        return not is_early and not self._followers[Topic.CONFIGURATION].is_lost
+        if self._followers[Topic.CONFIGURATION].is_lost:
+            return False
+        is_first = self._followers[topic].offset is None
+        has_its_turn = topic in NEWCOMER_TOPICS and is_first
+        return has_its_turn or topic is Topic.ENTRIES or not self._is_newcomer()
 
     def _is_newcomer(self) -> bool:
         return self._board.clock() - self._started_at < NEWCOMER_S
--- a/tests/router/test_follower.py
+++ b/tests/router/test_follower.py
@@ -52,6 +52,18 @@
     assert seen[-1] == ([], True)
 
 
+def test_store_that_forgot_its_history_is_not_away():
+    """Counted as away it was left alone for two seconds."""
+    store = MemoryStore()
+    store.add(Topic.ENDPOINTS, KeyedRecord('a', b'1'))
+    made, _, log = follower(store)
+    step(made)
+    store.first[Topic.ENDPOINTS] = 5
+    step(made)
+    assert not made.is_lost
+    assert log.of('history_gone') and not log.of('store_lost')
+
+
 def test_outage_gives_one_line_and_its_end_another():
     store = MemoryStore()
     made, _, log = follower(store)
