Believe streams rather than one entry about dead endpoints

Change: a silent receiver counts as dead only if others answer meanwhile; an endpoint through which an event came within 0.1 s is not taken for dead.

--- a/foxtailhatch/router/following.py
+++ b/foxtailhatch/router/following.py
@@ -55,6 +55,7 @@
         log: DecisionLog,
         own: Callable[[], EntryRecord],
         make_client: Callable[[str], FeedClient],
+        is_working: Callable[[str, float], bool],
     ) -> None:
         """Prepare the followers; nothing is read yet."""
         self.mirror = Mirror()
@@ -68,7 +69,7 @@
         self._sources = Sources(own())
         self._source_name = ''
         self._started_at = board.clock()
-        know = Knowledge(board, log, adapter)
+        know = Knowledge(board, log, adapter, is_working)
         self._know = know
         self._followers = {
             topic: self._follower(topic, on_records)
--- a/foxtailhatch/router/group_pause.py
+++ b/foxtailhatch/router/group_pause.py
@@ -77,15 +77,25 @@
         *,
         is_sure: bool,
     ) -> None:
-        silent = await self._silent_of(endpoints)
-        # If most are silent, the fault is on this side.
-        if 2 * len(silent) >= len(endpoints):
-            return
-        if not is_sure:
-            silent = await self._silent_of(silent)
-        for endpoint in silent:
+        for endpoint in await self.silent_among(endpoints, is_sure=is_sure):
             self._on_silent(endpoint, 'silent while its streams pause')
 
+    async def silent_among(
+        self,
+        endpoints: Sequence[LiveEndpoint],
+        *,
+        is_sure: bool = False,
+    ) -> list[LiveEndpoint]:
+        """Return the endpoints of a chain that do not answer.
+
+        They are asked twice unless it ``is_sure`` that one of them is dead.
+        If most are silent, the fault is on this side.
+        """
+        silent = await self._silent_of(endpoints)
+        if 2 * len(silent) > len(endpoints):
+            return []
+        return silent if is_sure else await self._silent_of(silent)
+
     async def _silent_of(
         self,
         endpoints: Sequence[LiveEndpoint],
--- a/foxtailhatch/router/knowledge.py
+++ b/foxtailhatch/router/knowledge.py
@@ -1,6 +1,6 @@
 """Bring what the log says onto the blackboard."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from returns.result import Success
 
@@ -10,7 +10,7 @@
 from foxtailhatch.router.adapter import Adapter
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.entry_table import decode_heartbeat
-from foxtailhatch.router.findings import decode_finding
+from foxtailhatch.router.findings import Finding, decode_finding
 from foxtailhatch.router.keyed_log import KeyedRecord
 from foxtailhatch.routes import RoutingTable
 
@@ -29,12 +29,18 @@
         board: Blackboard,
         log: DecisionLog,
         adapter: Adapter,
+        is_working: Callable[[str, float], bool],
     ) -> None:
-        """Decode operators' and endpoints' records as ``adapter`` does."""
+        """Decode operators' and endpoints' records as ``adapter`` does.
+
+        ``is_working`` tells whether streams have just come through an
+        endpoint.
+        """
         self._board = board
         self._log = log
         self._adapter = adapter
         self._unreadable: set[str] = set()
+        self._is_working = is_working
 
     def configuration(
         self,
@@ -102,20 +108,24 @@
             # Old findings say nothing of the present.
             return
         now = self._board.clock()
-        table = self._board.endpoints
         for record in records:
             found = decode_finding(record.value or b'')
             if not isinstance(found, Success):
                 self._log.write('finding_unreadable', key=record.key)
                 continue
-            finding = found.unwrap()
-            if finding.apply(table, now):
-                self._log.write(
-                    'finding',
-                    endpoint=finding.endpoint,
-                    dead=finding.is_dead,
-                    layers=finding.layers,
-                )
+            self._found(found.unwrap(), now)
+
+    def _found(self, finding: Finding, now: float) -> None:
+        name = finding.endpoint
+        if finding.is_dead and self._is_working(name, now):
+            self._log.write('finding_doubted', endpoint=name)
+        elif finding.apply(self._board.endpoints, now):
+            self._log.write(
+                'finding',
+                endpoint=name,
+                dead=finding.is_dead,
+                layers=finding.layers,
+            )
 
     def _configure(self, raw: bytes) -> None:
         decoded = self._adapter.decode_configuration(raw)
--- a/foxtailhatch/router/parts.py
+++ b/foxtailhatch/router/parts.py
@@ -9,6 +9,7 @@
 from foxtailhatch.relay.decision_log import BoundedLog, DecisionLog
 from foxtailhatch.relay.parts import RelayParts
 from foxtailhatch.relay.retry_budget import WindowBudget
+from foxtailhatch.relay.witness import has_progress
 from foxtailhatch.router.adapter import Adapter
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.choosing import EndpointChooser
@@ -115,6 +116,7 @@
             log,
             own,
             partial(FeedClient, reactor),
+            partial(has_progress, relay.running),
         ),
         heartbeats=Heartbeats(board, adapter, log, own),
         turn=turn,
--- a/foxtailhatch/router/stall_watch.py
+++ b/foxtailhatch/router/stall_watch.py
@@ -18,6 +18,7 @@
 from foxtailhatch.placement.reports import EngineReport
 from foxtailhatch.relay.parts import Chosen, RelayParts, chain_of
 from foxtailhatch.relay.relay import Relay
+from foxtailhatch.relay.witness import has_progress
 from foxtailhatch.router.group_pause import PROBE_TIMEOUT_S, GroupPause
 
 # Longer than this between two events is no batch's work.  Source: the longest
@@ -27,6 +28,8 @@
 FIRST_STALL_AFTER_S = 0.6
 # A receiver is asked again after this time, as its report lags by more.
 ASK_AGAIN_S = 0.12
+# Endpoints beside a chain that are asked whether the fault is on this side.
+OTHERS_ASKED = 2
 # A stream that cannot be moved by then runs again elsewhere: callers leave
 # after a gap of two seconds.
 GIVE_UP_AFTER_S = 1.1
@@ -111,12 +114,21 @@
             count=len(relays),
             report=_summary(found.value_or(None)),
         )
-        if not isinstance(found, Success):
+        if isinstance(found, Success):
+            await self._ask_stalled(found.unwrap(), relays)
+        elif endpoint in await self._silent_beside(relays[0]):
             self._lost(endpoint, 'silent receiver')
             for relay in relays:
                 relay.give_up_attempt('silent receiver')
-            return
-        await self._ask_stalled(found.unwrap(), relays)
+
+    async def _silent_beside(self, relay: Relay) -> list[LiveEndpoint]:
+        """Return the silent endpoints of a chain, if others answer."""
+        if relay.attempt is None:
+            return []
+        chain = [stage.endpoint for stage in relay.attempt.chosen]
+        alike = self._parts.endpoints.alive(chain[0].service)
+        beside = [one for one in alike if one not in chain]
+        return await self._groups.silent_among(chain + beside[:OTHERS_ASKED])
 
     async def _ask_stalled(
         self,
@@ -163,6 +175,8 @@
 
     def _lost(self, endpoint: LiveEndpoint, why: str) -> None:
         now = self._parts.clock()
+        if has_progress(self._parts.running, endpoint.name, now):
+            return
         if self._parts.endpoints.mark_dead(endpoint.name, endpoint.born, now):
             self._parts.log.write('dead', endpoint=endpoint.name, why=why)
             self._parts.on_suspect(endpoint, why)
--- a/tests/router/test_following.py
+++ b/tests/router/test_following.py
@@ -52,6 +52,7 @@
         ListLog(),
         lambda: entry('entry-1'),
         lambda address: None,
+        lambda name, now: False,
     )
     steps = Steps()
     following.start(steps)
--- a/tests/router/test_knowledge.py
+++ b/tests/router/test_knowledge.py
@@ -22,7 +22,7 @@
     return Success(endpoint(name, born=int(raw)))
 
 
-def knowledge(made):
+def knowledge(made, working=()):
     adapter = SimpleNamespace(
         configuration_key='config',
         decode_configuration=lambda raw: (
@@ -33,7 +33,8 @@
         decode_endpoint=decode_endpoint,
     )
     log = ListLog()
-    return Knowledge(made, log, adapter), log
+    made_know = Knowledge(made, log, adapter, lambda name, now: name in working)
+    return made_know, log
 
 
 def listed(know, *pairs, failed_at=None, newest=False):
@@ -133,3 +134,14 @@
     assert made.entries.ready(100) == listed_entries
     know.entries([KeyedRecord('n1', None)], newest=False)
     assert made.entries.ready(100) == []
+
+
+def test_finding_against_what_streams_show_is_doubted():
+    """An entry with a fault of its own reaches nobody."""
+    made = board()
+    know, log = knowledge(made, working=('e1',))
+    made.endpoints.put(endpoint('e1'), 0)
+    dead = KeyedRecord('e1', Finding('e1', 1, is_dead=True).encode())
+    know.findings([dead], newest=False)
+    assert not made.endpoints.is_dead('e1')
+    assert log.of('finding_doubted')
--- a/tests/router/test_stall_watch.py
+++ b/tests/router/test_stall_watch.py
@@ -84,6 +84,17 @@
     assert b'X-After: 1' in other.request
 
 
+def test_silence_of_all_is_a_fault_of_this_side():
+    """An entry that was slow itself declared three receivers dead."""
+    made = world()
+    for name in ('e1', 'e2'):
+        made.engines.outcomes[name] = OrderOutcome.NO_ANSWER
+    made.reactor.advance(STALL_AFTER_S + 0.1)
+    step(made)
+    assert not made.parts.endpoints.is_dead('e1')
+    assert made.log.of('attempt_given_up') == []
+
+
 def test_receiver_is_not_asked_again_at_once():
     made = world()
     made.reactor.advance(STALL_AFTER_S + 0.1)
