--- a/foxtailhatch/placement/__init__.py
+++ b/foxtailhatch/placement/__init__.py
@@ -1,7 +1,7 @@
 """Which engine holds which layers of the model."""
 
 from foxtailhatch.placement.cards import Card, LayerOrder, Reason
-from foxtailhatch.placement.copies import ModelCopies
+from foxtailhatch.placement.copies import ModelCopies, beside
 from foxtailhatch.placement.groups import zone_groups
 from foxtailhatch.placement.plan import plan_orders
 from foxtailhatch.placement.reports import EngineReport, StalledRequest
@@ -14,6 +14,7 @@
     'ModelCopies',
     'Reason',
     'StalledRequest',
+    'beside',
     'plan_orders',
     'tile',
     'zone_groups',
--- a/foxtailhatch/placement/copies.py
+++ b/foxtailhatch/placement/copies.py
@@ -66,6 +66,13 @@
         return copies
 
 
+def beside(copy: Copy, copies: Sequence[Copy]) -> Copy:
+    """Return the cards of the other copies in the same zone."""
+    zones = {card.zone for card in copy}
+    others = [one for one in copies if one is not copy]
+    return [card for other in others for card in other if card.zone in zones]
+
+
 def copy_count(cards: Sequence[Card], engine: Engine) -> int:
     """Return how many copies cards hold, or could hold if most are empty."""
     memory_mb = memory_of(cards)
--- a/foxtailhatch/placement/plan.py
+++ b/foxtailhatch/placement/plan.py
@@ -5,7 +5,8 @@
 stand on two cards.  Later plans change as little as they can: lost layers go
 to cards that are empty or hold only what others hold as well, and to the
 cards that hold the layers beside the gap.  Only where these lack the memory
-is the whole group laid out anew: it cannot serve in any case.  While nothing
+and no other copy holds the layers is the whole group laid out anew: it cannot
+serve in any case.  While nothing
 is lost, empty cards and neighbours with more room take over from tight cards.
 """
 
@@ -29,8 +30,16 @@
 KV_TOKENS_MIN = 8000.0
 
 
-def plan_orders(group: Sequence[Card], engine: Engine) -> list[LayerOrder]:
-    """Return the orders for one group of cards; none if all is well."""
+def plan_orders(
+    group: Sequence[Card],
+    engine: Engine,
+    beside: Sequence[Card] = (),
+) -> list[LayerOrder]:
+    """Return the orders for one group of cards; none if all is well.
+
+    Cards ``beside`` the group, of other copies, hold layers that chains may
+    take from there as well.
+    """
     holding = [card for card in group if card.layers is not None]
     spares = [
         card for card in group if card.layers is None and not card.is_settling
@@ -40,7 +49,10 @@
         return _orders(laid_out(spares, engine), spares, Reason.FIRST_PLAN)
     lost = gaps(holding, engine.layer_count)
     if lost:
-        return _repair(lost, holding, spares, engine)
+        repair = _repair(lost, holding, spares, engine)
+        if repair or _hold_all(lost, beside):
+            return repair
+        return _anew([*holding, *spares], engine)
     orders = _use(spares, holding, engine)
     return orders or _orders(
         relaxed(holding, engine), holding, Reason.EVENED_OUT
@@ -60,12 +72,23 @@
     for gap in lost:
         placed = closed(gap, holding, left, engine, KV_TOKENS_MIN)
         if not placed:
-            return orders or _anew(cards, engine)
+            continue
         left = [card for card in left if card not in _cards(placed)]
         orders.extend(_orders(placed, cards, Reason.LOST_LAYERS))
     return orders
 
 
+def _hold_all(lost: Sequence[LayerRange], cards: Sequence[Card]) -> bool:
+    """Tell whether other cards hold what is lost."""
+    held = {
+        layer
+        for card in cards
+        if card.layers is not None
+        for layer in range(card.layers.first, card.layers.end)
+    }
+    return all(held.issuperset(range(one.first, one.end)) for one in lost)
+
+
 def _anew(cards: Sequence[Card], engine: Engine) -> list[LayerOrder]:
     if any(card.is_settling for card in cards):
         return []
--- a/foxtailhatch/router/decider.py
+++ b/foxtailhatch/router/decider.py
@@ -21,6 +21,7 @@
     LayerOrder,
     ModelCopies,
     Reason,
+    beside,
     plan_orders,
 )
 from foxtailhatch.placement.protocols import Engines, OrderOutcome
@@ -118,10 +119,11 @@
         cards = self._cards(service.name, engine)
         if not self._is_settled(cards, now):
             return
+        groups = self._copies[service.name].groups(cards, engine)
         orders = [
             order
-            for group in self._copies[service.name].groups(cards, engine)
-            for order in plan_orders(group, engine)
+            for group in groups
+            for order in plan_orders(group, engine, beside(group, groups))
             if order.endpoint not in self._pending
             and self._fits(order, cards, engine)
         ]
--- a/foxtailhatch/router/entry_table.py
+++ b/foxtailhatch/router/entry_table.py
@@ -152,12 +152,16 @@
 
     def known(self, zone: str, now: float) -> list[EntryRecord]:
         """Return the entries of a zone that were ready not long ago."""
+        listed = self._listed_last(now)
+        return [entry for entry in listed if entry.zone == zone]
+
+    def _listed_last(self, now: float) -> list[EntryRecord]:
         found = {
             entry.name: entry
             for entries, heard_at in self._lists.values()
             if now - heard_at <= KNOWN_S
             for entry in entries
-            if entry.zone == zone and entry.is_ready
+            if entry.is_ready
         }
         return list(found.values())
 
@@ -172,7 +176,8 @@
 
         A wider circle is taken while a narrow one has too few entries.
         """
-        ready = self.ready(now)
+        # While nobody can list entries, those listed last serve what they can.
+        ready = self.ready(now) or self._listed_last(now)
         circles = (
             [entry for entry in ready if entry.zone == zone],
             [entry for entry in ready if entry.region == region],
--- a/foxtailhatch/router/pages.py
+++ b/foxtailhatch/router/pages.py
@@ -42,6 +42,9 @@
             board.clock(),
             ADVISED_MOST,
         )
+        if board.stop_asked_at is not None:
+            own = board.cfg.callers_address
+            addresses = [one for one in addresses if one != own]
         if not addresses:
             if not board.is_ready():
                 return None
--- a/foxtailhatch/router/turn.py
+++ b/foxtailhatch/router/turn.py
@@ -18,6 +18,9 @@
 # Who has lost the turn goes on for this long.  Source: two periods of calls,
 # after which the next holder knows of its turn.
 HANDOVER_S = 0.8
+# Who wants the turn no more leaves after this time.  Source: a reader that has
+# met a failing call asks others for two seconds, then reads again.
+LEAVE_AFTER_S = 2.5
 # Knowledge older than this means that nobody reaches the store.  Source: the
 # age at which entries leave a peer for being outdated.
 STORE_AWAY_S = 2.8
@@ -41,6 +44,7 @@
         self._log = log
         self._generation = 0
         self._has_joined = False
+        self._wanted_at = float('-inf')
         self._heard_at = float('-inf')
         self._lost_at = float('-inf')
         self._fenced = -1
@@ -49,8 +53,12 @@
         """Join those who take the turn, or leave them."""
         if self._board.stop_asked_at is not None:
             return
-        if wants or self.is_held:
+        now = self._board.clock()
+        if wants:
+            self._wanted_at = now
             self._has_joined = True
+        is_leaving = now - self._wanted_at >= LEAVE_AFTER_S
+        if self.is_held or (self._has_joined and not is_leaving):
             await self._join()
         elif self._has_joined:
             await self.leave()
--- a/tests/placement/test_copies.py
+++ b/tests/placement/test_copies.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from foxtailhatch.placement import ModelCopies, plan_orders
+from foxtailhatch.placement import (
+    ModelCopies,
+    Reason,
+    beside,
+    plan_orders,
+)
 from foxtailhatch.placement.copies import copy_count, copy_mb
 from foxtailhatch.placement.groups import memory_of
 from foxtailhatch.placement.layout import gaps
@@ -116,3 +121,24 @@
         zone_cards(2, 13, 22),
         ENGINE,
     )
+
+
+def test_broken_copy_is_not_laid_out_anew_while_another_holds_its_layers():
+    """Engines of one copy fall away until it has not the memory for all."""
+    keeper = ModelCopies()
+    cards = planned(keeper, zone_cards(1, 22, 12))
+    copies = keeper.groups(cards, ENGINE)
+    kept = copies[0][:3]
+    assert plan_orders(kept, ENGINE, beside(copies[0], copies)) == []
+
+
+def test_lone_copy_is_laid_out_anew_where_neighbours_lack_the_memory():
+    cards = [
+        card('a', 'large', (0, 20)),
+        card('b', 'large', (20, 39)),
+        card('c', 'large', (59, 79)),
+        card('d', 'large', (79, 80)),
+        card('e', 'large', (79, 80)),
+    ]
+    reasons = {one.reason for one in plan_orders(cards, ENGINE)}
+    assert reasons == {Reason.LAID_OUT_ANEW}
--- a/tests/router/test_entry_table.py
+++ b/tests/router/test_entry_table.py
@@ -4,6 +4,7 @@
 from foxtailhatch.fleet import Work
 from foxtailhatch.router.entry_table import (
     ENTRY_TIMEOUT_S,
+    KNOWN_S,
     EntryRecord,
     EntryTable,
     Heartbeat,
@@ -64,6 +65,13 @@
     assert [one.name for one in made.readers(1)] == ['c', 'a']
 
 
+def test_entries_listed_last_are_advised_while_nobody_can_list():
+    """The store is away for long: requests without a key can be served."""
+    made = table(entry('a'), entry('b'), entry('c', ready=False))
+    assert advised(made, now=ENTRY_TIMEOUT_S + 5) == ['a:80', 'b:80']
+    assert advised(made, now=KNOWN_S + 1) == []
+
+
 def test_advice_is_bounded():
     made = table(*(entry(f'e{place:02}') for place in range(80)))
     assert len(advised(made, most=64)) == 64
--- a/tests/router/test_turn.py
+++ b/tests/router/test_turn.py
@@ -7,6 +7,7 @@
 from foxtailhatch.router.keyed_log import Membership, StoreFault
 from foxtailhatch.router.turn import (
     HANDOVER_S,
+    LEAVE_AFTER_S,
     STORE_AWAY_S,
     TURN_S,
     Turn,
@@ -89,11 +90,21 @@
 def test_entry_that_reads_for_a_moment_gives_its_place_back():
     """Trouble at the store: many entries try in turn whether it is back."""
     world = World(holder=False)
+    world.clock.now += LEAVE_AFTER_S
     world.ask(wants=False)
     world.ask(wants=False)
     assert world.left == ['entry-1']
 
 
+def test_reader_that_met_a_failing_call_stays_in_the_group():
+    world = World(holder=False)
+    world.clock.now += LEAVE_AFTER_S / 2
+    world.ask(wants=False)
+    world.become(2, holder=True)
+    assert world.left == []
+    assert world.may()
+
+
 def test_holder_that_reads_no_more_keeps_the_turn():
     world = World()
     world.ask(wants=False)
