--- a/foxtailhatch/relay/retry_budget.py
+++ b/foxtailhatch/relay/retry_budget.py
@@ -20,8 +20,8 @@
     """Count requests and retries of each service in a sliding window.
 
     >>> budget = WindowBudget(ratio=0.0, slack=10.0, window_s=10.0)
-    >>> [budget.spend('s', 10.0, entries=2) for _ in range(3)]
-    [True, True, False]
+    >>> [budget.spend('s', 10.0, entries=5) for _ in range(3)]
+    [True, False, False]
     """
 
     def __init__(
--- a/foxtailhatch/router/follower.py
+++ b/foxtailhatch/router/follower.py
@@ -111,6 +111,7 @@
         self.failed_at = self._clock()
         if fault is StoreFault.HISTORY_GONE:
             # The store answers: read the newest records instead.
+            self._regained()
             self._offset = None
             self._log.write('history_gone', topic=self._topic.value)
         elif not self.is_lost:
--- a/tests/router/test_follower.py
+++ b/tests/router/test_follower.py
@@ -64,6 +64,20 @@
     assert log.of('history_gone') and not log.of('store_lost')
 
 
+def test_store_that_is_back_without_its_history_is_back():
+    store = MemoryStore()
+    store.add(Topic.ENDPOINTS, KeyedRecord('a', b'1'))
+    made, _, log = follower(store)
+    step(made)
+    store.fault = StoreFault.UNREACHABLE
+    step(made)
+    store.fault = None
+    store.first[Topic.ENDPOINTS] = 5
+    step(made)
+    assert not made.is_lost
+    assert log.of('store_regained')
+
+
 def test_outage_gives_one_line_and_its_end_another():
     store = MemoryStore()
     made, _, log = follower(store)
