Ask slow engines twice; change members of the deciders less often

Changes: who is silent is asked once more with 0.2 s, whoever pauses; who refuses the connection is dead at once; an endpoint is asked once a second at most, whatever chains it is in. Fresh news of a peer that is fed itself is taken. Entries join the deciders after two seconds as readers and leave 4.5 s after, as each change of members may move the turn.

--- a/foxtailhatch/router/following.py
+++ b/foxtailhatch/router/following.py
@@ -14,7 +14,12 @@
 from foxtailhatch.router.keyed_log import KeyedRecord, Topic
 from foxtailhatch.router.knowledge import Knowledge
 from foxtailhatch.router.mirror import Mirror
-from foxtailhatch.router.sources import PEER_AGE_MAX_S, Source, Sources
+from foxtailhatch.router.sources import (
+    FED_AGE_MAX_S,
+    PEER_AGE_MAX_S,
+    Source,
+    Sources,
+)
 
 # How long a read of the store waits for something new.  The age of keys
 # grows as long, and has to stay below the revocation bound.
@@ -214,9 +219,9 @@
         if any(news.topics[urgent].records for urgent in URGENT):
             self.mirror.signal()
         age_s = news.topics[Topic.CONFIGURATION].age_s
-        is_far = peer.zone != self._board.cfg.zone
-        is_outdated = age_s is None or age_s > PEER_AGE_MAX_S
-        if is_outdated or (is_far and not news.reads_store):
+        is_fed = peer.zone != self._board.cfg.zone and not news.reads_store
+        oldest_s = FED_AGE_MAX_S if is_fed else PEER_AGE_MAX_S
+        if age_s is None or age_s > oldest_s:
             self._sources.peer_outdated(
                 peer.name,
                 self._board.clock(),
--- a/foxtailhatch/router/group_pause.py
+++ b/foxtailhatch/router/group_pause.py
@@ -4,7 +4,7 @@
 endpoints most likely is dead; the dead one is the one that does not answer.
 This is sooner than any report tells, as reports lag.  Where many entries share
 the traffic each has few streams over a chain.  One that pauses may have other
-reasons, so it has to pause for longer, and who is silent is asked twice.
+reasons, so it has to pause for longer.
 """
 
 import asyncio
@@ -14,7 +14,7 @@
 from returns.result import Success
 
 from foxtailhatch.fleet import LiveEndpoint
-from foxtailhatch.placement.protocols import Engines
+from foxtailhatch.placement.protocols import EngineFault, Engines
 from foxtailhatch.relay.attempt import Attempt
 from foxtailhatch.relay.relay import Relay
 
@@ -30,8 +30,11 @@
 FIRST_PAUSE_S = 0.2
 # A sound engine answers within milliseconds.
 PROBE_TIMEOUT_S = 0.08
-# The endpoints of a chain are asked again after this time, as each call has
-# its price.
+# Who has not answered by then is asked once more, for longer: an engine that is
+# only slow is a loss to its zone if it counts as dead.
+CONFIRM_TIMEOUT_S = 0.2
+# An endpoint is asked again after this time, as each call has its price, and
+# streams over slow engines pause all the time.
 PROBE_AGAIN_S = 1.0
 
 OnSilent = Callable[[LiveEndpoint, str], None]
@@ -48,7 +51,7 @@
         """Call ``on_silent`` for an endpoint that does not answer."""
         self._engines = engines
         self._on_silent = on_silent
-        self._asked_at: dict[tuple[str, ...], float] = {}
+        self._asked_at: dict[str, float] = {}
 
     async def look(self, relays: Iterable[Relay], now: float) -> None:
         """Ask the endpoints of each group that pauses."""
@@ -57,57 +60,70 @@
             if relay.attempt is not None:
                 groups[_key(relay.attempt)].append(relay)
         self._asked_at = {
-            key: asked_at
-            for key, asked_at in self._asked_at.items()
+            name: asked_at
+            for name, asked_at in self._asked_at.items()
             if now - asked_at < PROBE_AGAIN_S
         }
         probes = []
-        for key, members in groups.items():
-            paused = _paused(members, now)
-            if paused and key not in self._asked_at:
-                self._asked_at[key] = now
-                is_sure = len(paused) >= GROUP_MIN
-                parts = _endpoints(members[0])
-                probes.append(self._probe(parts, is_sure=is_sure))
+        for members in groups.values():
+            if _pauses(members, now):
+                chain = _endpoints(members[0])
+                probes.append(self._probe(chain, self._due(chain, now)))
         await asyncio.gather(*probes)
 
+    def _due(
+        self,
+        chain: Iterable[LiveEndpoint],
+        now: float,
+    ) -> list[LiveEndpoint]:
+        """Return the endpoints of a chain that have not just been asked."""
+        due = [one for one in chain if one.name not in self._asked_at]
+        self._asked_at.update((one.name, now) for one in due)
+        return due
+
     async def _probe(
         self,
-        endpoints: Sequence[LiveEndpoint],
-        *,
-        is_sure: bool,
+        chain: Sequence[LiveEndpoint],
+        due: Sequence[LiveEndpoint],
     ) -> None:
-        for endpoint in await self.silent_among(endpoints, is_sure=is_sure):
+        for endpoint in await self.silent_among(due, len(chain)):
             self._on_silent(endpoint, 'silent while its streams pause')
 
     async def silent_among(
         self,
         endpoints: Sequence[LiveEndpoint],
-        *,
-        is_sure: bool = False,
+        of: int,
     ) -> list[LiveEndpoint]:
-        """Return the endpoints of a chain that do not answer.
+        """Return the endpoints, out of so many, that do not answer.
 
-        They are asked twice unless it ``is_sure`` that one of them is dead.
+        Who refuses the connection is dead; who is only silent is asked twice.
         If most are silent, the fault is on this side.
         """
-        silent = await self._silent_of(endpoints)
-        if 2 * len(silent) > len(endpoints):
+        faults = await self._faults_of(endpoints, PROBE_TIMEOUT_S)
+        if 2 * len(faults) > of:
             return []
-        return silent if is_sure else await self._silent_of(silent)
+        refused = [
+            endpoint
+            for endpoint, fault in faults
+            if fault is EngineFault.NOT_CONNECTED
+        ]
+        silent = [one for one, _ in faults if one not in refused]
+        again = await self._faults_of(silent, CONFIRM_TIMEOUT_S)
+        return refused + [endpoint for endpoint, _ in again]
 
-    async def _silent_of(
+    async def _faults_of(
         self,
         endpoints: Sequence[LiveEndpoint],
-    ) -> list[LiveEndpoint]:
+        timeout_s: float,
+    ) -> list[tuple[LiveEndpoint, EngineFault]]:
         reports = await asyncio.gather(
             *(
-                self._engines.report(endpoint, PROBE_TIMEOUT_S)
+                self._engines.report(endpoint, timeout_s)
                 for endpoint in endpoints
             )
         )
         return [
-            endpoint
+            (endpoint, report.failure())
             for endpoint, report in zip(endpoints, reports, strict=True)
             if not isinstance(report, Success)
         ]
@@ -117,18 +133,16 @@
     return tuple(stage.endpoint.name for stage in attempt.chosen)
 
 
-def _paused(members: Sequence[Relay], now: float) -> list[Relay]:
-    """Return the members that pause; none if any of them has progress."""
+def _pauses(members: Sequence[Relay], now: float) -> bool:
+    """Tell whether members pause for long, and none has progress."""
     pauses = {relay: now - relay.progress_at for relay in members}
     started = [relay for relay in members if relay.is_started]
     limit_s = GROUP_PAUSE_S if len(started) >= GROUP_MIN else LONE_PAUSE_S
     if any(pauses[relay] <= limit_s for relay in started):
-        return []
-    return [
-        relay
-        for relay in members
-        if relay.is_started or pauses[relay] > FIRST_PAUSE_S
-    ]
+        return False
+    return bool(started) or any(
+        pause_s > FIRST_PAUSE_S for pause_s in pauses.values()
+    )
 
 
 def _endpoints(relay: Relay) -> list[LiveEndpoint]:
--- a/foxtailhatch/router/parts.py
+++ b/foxtailhatch/router/parts.py
@@ -26,9 +26,10 @@
 from foxtailhatch.router.stall_watch import StallWatch
 from foxtailhatch.router.turn import Turn
 
-# Who has read the store for this long goes on to do so.  Source: entries that
-# try whether the store is back find out within one read.
-READER_SETTLED_S = 1.0
+# Who has read the store for this long goes on to do so.  Source: an entry that
+# takes over from a reader for an outage hands back within two seconds; each
+# change of members may move the turn.
+READER_SETTLED_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailhatch/router/sources.py
+++ b/foxtailhatch/router/sources.py
@@ -21,6 +21,8 @@
 # Knowledge that is older than this at a peer is no better than the store's.
 # Source: the longest wait of a read, and one call.
 PEER_AGE_MAX_S = 2.8
+# A peer of another zone that is fed itself adds a wait of its own.
+FED_AGE_MAX_S = 1.8
 # An entry leaves each better one this much time to read the store before it
 # tries.  Source: a read of the store, and the news of it.
 STAGGER_S = 0.3
--- a/foxtailhatch/router/stall_watch.py
+++ b/foxtailhatch/router/stall_watch.py
@@ -128,7 +128,8 @@
         chain = [stage.endpoint for stage in relay.attempt.chosen]
         alike = self._parts.endpoints.alive(chain[0].service)
         beside = [one for one in alike if one not in chain]
-        return await self._groups.silent_among(chain + beside[:OTHERS_ASKED])
+        asked = chain + beside[:OTHERS_ASKED]
+        return await self._groups.silent_among(asked, len(asked))
 
     async def _ask_stalled(
         self,
--- a/foxtailhatch/router/turn.py
+++ b/foxtailhatch/router/turn.py
@@ -19,8 +19,9 @@
 # after which the next holder knows of its turn.
 HANDOVER_S = 0.8
 # Who wants the turn no more leaves after this time.  Source: a reader that has
-# met a failing call asks others for two seconds, then reads again.
-LEAVE_AFTER_S = 2.5
+# met a failing call asks others for two seconds, and reads again for two before
+# it counts as one.
+LEAVE_AFTER_S = 4.5
 # Knowledge older than this means that nobody reaches the store.  Source: the
 # age at which entries leave a peer for being outdated.
 STORE_AWAY_S = 2.8
--- a/tests/router/test_group_pause.py
+++ b/tests/router/test_group_pause.py
@@ -93,7 +93,8 @@
     assert watched.found == ['e2']
 
 
-def test_part_that_answers_the_second_question_of_a_lone_stream_lives():
+def test_engine_that_is_only_slow_lives():
+    """Its report comes after the first question's time, before the second's."""
     watched = Watched()
     answers = iter([False, True])
 
@@ -103,10 +104,25 @@
         return Failure(EngineFault.SILENT)
 
     watched.engines.report = report
-    watched.look([stream()], 1.0)
+    watched.look([stream() for _ in range(GROUP_MIN)], 1.0)
     assert watched.found == []
 
 
+def test_chains_that_share_endpoints_do_not_ask_them_again_and_again():
+    """Slow engines: all streams pause, over many different chains."""
+    watched = Watched()
+    asked = []
+
+    async def report(one, timeout_s):
+        asked.append(one.name)
+        return Success(EngineReport())
+
+    watched.engines.report = report
+    watched.look([stream()], 1.0)
+    watched.look([stream(parts=PARTS[::-1])], 1.1)
+    assert sorted(asked) == ['e1', 'e2', 'e3']
+
+
 def test_silence_of_most_parts_is_our_own_fault():
     watched = Watched('e1', 'e2')
     watched.look([stream() for _ in range(GROUP_MIN)], 1.0)
