A read of the store that was cut once is no outage

A failed call to the group of deciders left no log line.

Change: two failures in a row make an outage; read_failed and turn_unheard are lines of their own.

--- a/foxtailhatch/router/follower.py
+++ b/foxtailhatch/router/follower.py
@@ -14,6 +14,9 @@
 )
 from foxtailhatch.router.mirror import TopicMirror
 
+# Reads that fail in a row until the store counts as away.
+FAILURES_MIN = 2
+
 OnRecords = Callable[[Iterable[KeyedRecord], bool], None]
 
 
@@ -38,6 +41,7 @@
         """Start without any knowledge."""
         self.failed_at: float | None = None
         self.is_lost = False
+        self._failures = 0
         self._store = store
         self._topic = topic
         self._mirror = mirror
@@ -114,6 +118,15 @@
             self._regained()
             self._offset = None
             self._log.write('history_gone', topic=self._topic.value)
+            return
+        self._failures += 1
+        if self._failures < FAILURES_MIN:
+            # A read that waits for news may be cut by a sound store.
+            self._log.write(
+                'read_failed',
+                topic=self._topic.value,
+                fault=fault.value,
+            )
         elif not self.is_lost:
             self.is_lost = True
             self._log.write(
@@ -124,6 +137,7 @@
             )
 
     def _regained(self) -> None:
+        self._failures = 0
         if self.is_lost:
             self.is_lost = False
             self._log.write(
--- a/foxtailhatch/router/turn.py
+++ b/foxtailhatch/router/turn.py
@@ -45,6 +45,7 @@
         self._log = log
         self._generation = 0
         self._has_joined = False
+        self._is_unheard = False
         self._wanted_at = float('-inf')
         self._heard_at = float('-inf')
         self._lost_at = float('-inf')
@@ -96,7 +97,16 @@
             TURN_S,
         )
         if isinstance(joined, Success):
+            self._is_unheard = False
             self._joined(joined.unwrap(), self._board.clock())
+        elif not self._is_unheard:
+            self._is_unheard = True
+            self._log.write(
+                'turn_unheard',
+                fault=joined.failure().value,
+                held=self.is_held,
+                token=self.token,
+            )
 
     def _joined(self, membership: Membership, now: float) -> None:
         self._heard_at = now
--- a/tests/router/test_follower.py
+++ b/tests/router/test_follower.py
@@ -1,7 +1,7 @@
 import asyncio
 
 from foxtailhatch.router.feed import TopicNews
-from foxtailhatch.router.follower import Follower
+from foxtailhatch.router.follower import FAILURES_MIN, Follower
 from foxtailhatch.router.keyed_log import KeyedRecord, StoreFault, Topic
 from foxtailhatch.router.mirror import TopicMirror
 from tests.relay.fakes import ListLog
@@ -70,7 +70,7 @@
     made, _, log = follower(store)
     step(made)
     store.fault = StoreFault.UNREACHABLE
-    step(made)
+    step(made, FAILURES_MIN)
     store.fault = None
     store.first[Topic.ENDPOINTS] = 5
     step(made)
@@ -136,3 +136,19 @@
     made.take(news('a', end=1, newest=True), sent_at=50)
     step(made)
     assert seen == [(['a'], True), (['b'], False)]
+
+
+def test_read_that_was_cut_once_is_not_an_outage():
+    """The store cuts reads that wait, and answers the next ones."""
+    store = MemoryStore()
+    made, _, log = follower(store)
+    step(made)
+    store.fault = StoreFault.UNREACHABLE
+    step(made)
+    assert not made.is_lost
+    assert log.of('read_failed') and not log.of('store_lost')
+    store.fault = None
+    step(made)
+    store.fault = StoreFault.UNREACHABLE
+    step(made)
+    assert not made.is_lost
--- a/tests/router/test_following.py
+++ b/tests/router/test_following.py
@@ -94,6 +94,7 @@
     made.clock.now += NEWCOMER_S + 0.1
     made.store.fault = StoreFault.UNREACHABLE
     made.steps.run()
+    made.steps.run()
     made.store.read_topics.clear()
     made.steps.run()
     assert made.store.read_topics == [Topic.CONFIGURATION]
