--- a/foxtailhatch/placement/__init__.py
+++ b/foxtailhatch/placement/__init__.py
@@ -1,6 +1,6 @@
 """Which engine holds which layers of the model."""
 
-from foxtailhatch.placement.cards import Card, LayerOrder, Reason
+from foxtailhatch.placement.cards import Card, LayerOrder, OrderReason
 from foxtailhatch.placement.copies import ModelCopies, beside
 from foxtailhatch.placement.groups import zone_groups
 from foxtailhatch.placement.plan import plan_orders
@@ -12,7 +12,7 @@
     'EngineReport',
     'LayerOrder',
     'ModelCopies',
-    'Reason',
+    'OrderReason',
     'StalledRequest',
     'beside',
     'plan_orders',
--- a/foxtailhatch/placement/cards.py
+++ b/foxtailhatch/placement/cards.py
@@ -21,7 +21,7 @@
     is_settling: bool = False
 
 
-class Reason(StrEnum):
+class OrderReason(StrEnum):
     """Why layers are placed."""
 
     FIRST_PLAN = 'first plan'
@@ -37,4 +37,4 @@
 
     endpoint: str
     layers: LayerRange
-    reason: Reason
+    reason: OrderReason
--- a/foxtailhatch/placement/plan.py
+++ b/foxtailhatch/placement/plan.py
@@ -13,7 +13,7 @@
 from collections.abc import Sequence
 
 from foxtailhatch.core import LayerRange
-from foxtailhatch.placement.cards import Card, LayerOrder, Reason
+from foxtailhatch.placement.cards import Card, LayerOrder, OrderReason
 from foxtailhatch.placement.closing import closed, duplicates
 from foxtailhatch.placement.columns import columns_of
 from foxtailhatch.placement.layout import (
@@ -46,7 +46,7 @@
     ]
     spares.sort(key=lambda card: (-card.memory_mb, card.endpoint))
     if not holding:
-        return _orders(laid_out(spares, engine), spares, Reason.FIRST_PLAN)
+        return _orders(laid_out(spares, engine), spares, OrderReason.FIRST_PLAN)
     lost = gaps(holding, engine.layer_count)
     if lost:
         repair = _repair(lost, holding, spares, engine)
@@ -55,7 +55,7 @@
         return _anew([*holding, *spares], engine)
     orders = _use(spares, holding, engine)
     return orders or _orders(
-        relaxed(holding, engine), holding, Reason.EVENED_OUT
+        relaxed(holding, engine), holding, OrderReason.EVENED_OUT
     )
 
 
@@ -74,7 +74,7 @@
         if not placed:
             continue
         left = [card for card in left if card not in _cards(placed)]
-        orders.extend(_orders(placed, cards, Reason.LOST_LAYERS))
+        orders.extend(_orders(placed, cards, OrderReason.LOST_LAYERS))
     return orders
 
 
@@ -92,7 +92,7 @@
 def _anew(cards: Sequence[Card], engine: Engine) -> list[LayerOrder]:
     if any(card.is_settling for card in cards):
         return []
-    return _orders(laid_out(cards, engine), cards, Reason.LAID_OUT_ANEW)
+    return _orders(laid_out(cards, engine), cards, OrderReason.LAID_OUT_ANEW)
 
 
 def _use(
@@ -113,13 +113,13 @@
         return []
     if engine.kv_tokens(spare.memory_mb, len(layers)) < KV_TOKENS_MIN:
         return []
-    return _orders([(spare, layers)], [spare], Reason.LITTLE_ROOM)
+    return _orders([(spare, layers)], [spare], OrderReason.LITTLE_ROOM)
 
 
 def _orders(
     placed: Sequence[Placed],
     cards: Sequence[Card],
-    reason: Reason,
+    reason: OrderReason,
 ) -> list[LayerOrder]:
     """Return orders for the cards that do not hold what they should."""
     held = {card.endpoint: card.layers for card in cards}
--- a/foxtailhatch/router/decider.py
+++ b/foxtailhatch/router/decider.py
@@ -20,7 +20,7 @@
     Card,
     LayerOrder,
     ModelCopies,
-    Reason,
+    OrderReason,
     beside,
     plan_orders,
 )
@@ -194,7 +194,9 @@
         now = self._board.clock()
         pending = PendingOrder(endpoint, order, now, now + LOOK_AGAIN_S)
         self._pending[endpoint.name] = pending
-        if order.reason == Reason.EVENED_OUT and _gives_up(endpoint, order):
+        if order.reason == OrderReason.EVENED_OUT and _gives_up(
+            endpoint, order
+        ):
             pending.is_announced = True
             pending.look_at = now + NOTICE_S
             self._publish(_kept(endpoint, order.layers))
--- a/tests/placement/test_copies.py
+++ b/tests/placement/test_copies.py
@@ -6,7 +6,7 @@
 
 from foxtailhatch.placement import (
     ModelCopies,
-    Reason,
+    OrderReason,
     beside,
     plan_orders,
 )
@@ -141,4 +141,4 @@
         card('e', 'large', (79, 80)),
     ]
     reasons = {one.reason for one in plan_orders(cards, ENGINE)}
-    assert reasons == {Reason.LAID_OUT_ANEW}
+    assert reasons == {OrderReason.LAID_OUT_ANEW}
