--- a/tests/soak_router/world.py
+++ b/tests/soak_router/world.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from random import SystemRandom
 
 from standins.platform_engine import Node, Pool
 from standins.platform_log import PlatformLog
@@ -27,10 +28,17 @@
 }
 
 
+# Below the ports that the system gives to connections: one of these was taken
+# again before a router had bound it.
+PORTS = range(15_000, 31_000)
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    while True:
+        port = SystemRandom().choice(PORTS)
+        with socket.socket() as probe:
+            if probe.connect_ex(('127.0.0.1', port)):
+                return port
 
 
 def configuration(version):
