Write a line where silence of engines is not believed

Three decisions about engines that did not answer left no trace: most of a chain silent, an engine that answered the second question only, and one through which an event had just come. No decision changes.

--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -28,7 +28,8 @@
 
 EXIT_OK = 0
 EXIT_INVARIANT = 3
-# Pauses between steps.
+# Pauses between steps.  Source: a heartbeat is due each 1.5 s and sooner after a
+# change; the turn lapses after three calls that fail.
 HEARTBEAT_LOOK_S = 0.25
 TURN_PERIOD_S = 0.4
 PLAN_PERIOD_S = 0.1
--- a/foxtailhatch/router/group_pause.py
+++ b/foxtailhatch/router/group_pause.py
@@ -16,6 +16,7 @@
 from foxtailhatch.fleet import LiveEndpoint
 from foxtailhatch.placement.protocols import EngineFault, Engines
 from foxtailhatch.relay.attempt import Attempt
+from foxtailhatch.relay.decision_log import DecisionLog
 from foxtailhatch.relay.relay import Relay
 
 # So many streams pausing at once are no chance.
@@ -47,10 +48,12 @@
         self,
         engines: Engines,
         on_silent: OnSilent,
+        log: DecisionLog,
     ) -> None:
         """Call ``on_silent`` for an endpoint that does not answer."""
         self._engines = engines
         self._on_silent = on_silent
+        self._log = log
         self._asked_at: dict[str, float] = {}
 
     async def look(self, relays: Iterable[Relay], now: float) -> None:
@@ -101,6 +104,7 @@
         """
         faults = await self._faults_of(endpoints, PROBE_TIMEOUT_S)
         if 2 * len(faults) > of:
+            self._log.write('silent_all', asked=len(endpoints), of=of)
             return []
         refused = [
             endpoint
@@ -109,6 +113,12 @@
         ]
         silent = [one for one, _ in faults if one not in refused]
         again = await self._faults_of(silent, CONFIRM_TIMEOUT_S)
+        if len(again) < len(silent):
+            self._log.write(
+                'slow',
+                endpoints=[one.name for one in silent],
+                silent=[one.name for one, _ in again],
+            )
         return refused + [endpoint for endpoint, _ in again]
 
     async def _faults_of(
--- a/foxtailhatch/router/stall_watch.py
+++ b/foxtailhatch/router/stall_watch.py
@@ -49,7 +49,7 @@
         self._parts = parts
         self._engines = engines
         self._asked_at: dict[str, float] = {}
-        self._groups = GroupPause(engines, self._lost)
+        self._groups = GroupPause(engines, self._lost, parts.log)
         self._moving: set[str] = set()
         self._refused_at: WeakKeyDictionary[Relay, float] = WeakKeyDictionary()
 
@@ -177,6 +177,7 @@
     def _lost(self, endpoint: LiveEndpoint, why: str) -> None:
         now = self._parts.clock()
         if has_progress(self._parts.running, endpoint.name, now):
+            self._parts.log.write('doubted', endpoint=endpoint.name, why=why)
             return
         if self._parts.endpoints.mark_dead(endpoint.name, endpoint.born, now):
             self._parts.log.write('dead', endpoint=endpoint.name, why=why)
--- a/tests/router/test_group_pause.py
+++ b/tests/router/test_group_pause.py
@@ -16,6 +16,7 @@
     GroupPause,
 )
 from tests.fleet.endpoints import endpoint
+from tests.relay.fakes import ListLog
 from tests.router.fakes import MemoryEngines
 
 PARTS = [endpoint(name, 'model') for name in ('e1', 'e2', 'e3')]
@@ -43,9 +44,11 @@
         for name in silent:
             self.engines.outcomes[name] = OrderOutcome.NO_ANSWER
         self.found = []
+        self.log = ListLog()
         self.watch = GroupPause(
             self.engines,
             lambda one, why: self.found.append(one.name),
+            self.log,
         )
 
     def look(self, streams, now):
@@ -106,6 +109,7 @@
     watched.engines.report = report
     watched.look([stream() for _ in range(GROUP_MIN)], 1.0)
     assert watched.found == []
+    assert watched.log.of('slow')[0]['endpoints'] == ['e2']
 
 
 def test_chains_that_share_endpoints_do_not_ask_them_again_and_again():
@@ -127,6 +131,7 @@
     watched = Watched('e1', 'e2')
     watched.look([stream() for _ in range(GROUP_MIN)], 1.0)
     assert watched.found == []
+    assert watched.log.of('silent_all')
 
 
 def test_parts_are_not_asked_again_at_once():
--- a/tests/router/test_stall_watch.py
+++ b/tests/router/test_stall_watch.py
@@ -129,3 +129,10 @@
     asyncio.run(made.watch._repath(made.relay, chosen[0].endpoint, chosen))
     assert made.relay.choose_moved(0) is not None
     assert 'e2' in made.relay._receivers.choice().avoid
+
+
+def test_death_that_streams_contradict_is_doubted_with_a_line():
+    made = world()
+    made.watch._lost(made.parts.endpoints.get('e1'), 'silent receiver')
+    assert not made.parts.endpoints.is_dead('e1')
+    assert made.log.of('doubted')[0]['endpoint'] == 'e1'
