Keep chains in one zone unless none is complete or free

Cause: a hop between zones cost a chain 1 s and a request 0.3 s, less than the difference in speed between a fast and a slow zone. On the further deployment all zones sent to the zone with two fast accelerators, and from the first second on chains ran through two or three zones. Each such request moves about 58 MB of activations over one link that all share; at 45 requests a second it is full.

Change: the selector searches the entry's own zone first, and others only if its chain is missing or crowded. A hop of activations outweighs any speed.

--- a/foxtailhatch/chains/costs.py
+++ b/foxtailhatch/chains/costs.py
@@ -11,10 +11,13 @@
 # Share of the KV cache in use above which an engine begins to preempt.
 KV_FILL_HIGH = 0.85
 FULL_PENALTY_S = 5.0
-# The activations of prompt and answer cross a shared link between zones.
-ZONE_CROSSING_S = 1.0
-# A request and its events are small next to activations, but not free.
-REQUEST_CROSSING_S = 0.3
+# Activations of all chains that cross zones queue for one link.  A few dozen
+# such requests a second fill it, and then every one of them stalls, so no
+# difference in speed is worth a crossing.
+ZONE_CROSSING_S = 30.0
+# A request and its events are small next to activations.  The work of other
+# zones is known late, so a faster chain there would attract all zones at once.
+REQUEST_CROSSING_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +44,14 @@
             cost += _penalty_s(received / live.slots)
         return cost
 
+    def is_crowded(self, endpoint: str, *, is_first: bool) -> bool:
+        """Return whether an endpoint has little capacity left."""
+        live = self.endpoints[endpoint]
+        if self.fill(live) > KV_FILL_HIGH:
+            return True
+        received = self.work.work_at(endpoint).received
+        return is_first and received > KV_FILL_HIGH * live.slots
+
     def crossing_cost(
         self, zone: str, to_zone: str, *, is_first: bool
     ) -> float:
--- a/foxtailhatch/router/endpoint_selection.py
+++ b/foxtailhatch/router/endpoint_selection.py
@@ -1,6 +1,6 @@
 """Select the endpoints of an attempt by load and zone."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from random import Random
 
 from foxtailhatch.chains.chain_search import (
@@ -91,17 +91,18 @@
         engine: Engine,
         usable: Sequence[LiveEndpoint],
     ) -> SelectedChain | None:
+        """Return the cheapest chain of the zone, or of all if that is full.
+
+        Other zones are searched only if the chain in this zone is missing or
+        crowded.  Their work is known late, and the time of a search grows
+        with the number of endpoints.
+        """
         by_name = {
             endpoint.name: endpoint
             for endpoint in usable
             if endpoint.layers is not None
             and endpoint.accelerator_kind in engine.accelerators
         }
-        holders = [
-            LayerHolder(endpoint.name, endpoint.zone, endpoint.layers)
-            for endpoint in by_name.values()
-            if endpoint.layers is not None
-        ]
         tokens = selection.req.tokens
         costs = ChainCosts(
             engine,
@@ -109,21 +110,21 @@
             self._estimate_work(),
             tokens.expected if tokens else int(engine.typical_prompt_tokens),
         )
-        cheapest = cheapest_chain(
-            holders,
-            engine.layer_count,
-            costs,
-            _initial_path(selection, self._board.cfg.zone),
-            heads=selection.heads,
-            max_stages=engine.max_stages,
-        )
-        if cheapest is None:
+        start = _initial_path(selection, self._board.cfg.zone)
+        in_zone = [
+            endpoint
+            for endpoint in by_name.values()
+            if endpoint.zone == start.zone
+        ]
+        path = _cheapest(selection, costs, start, in_zone)
+        if path is None or _is_crowded(path, costs):
+            path = _cheapest(selection, costs, start, by_name.values())
+        if path is None:
             return None
         first = () if selection.first is None else (selection.first,)
-        rest = cheapest.stages[len(first) :]
         return first + tuple(
             SelectedStage(by_name[stage.endpoint], stage.layers)
-            for stage in rest
+            for stage in path.stages[len(first) :]
         )
 
     def _estimate_work(self) -> WorkEstimate:
@@ -142,3 +143,34 @@
         return ChainPath(zone)
     stage = Stage(first.endpoint.name, first.layers)
     return ChainPath(first.endpoint.zone, stages=(stage,))
+
+
+def _cheapest(
+    selection: SelectionRequest,
+    costs: ChainCosts,
+    start: ChainPath,
+    endpoints: Iterable[LiveEndpoint],
+) -> ChainPath | None:
+    """Return the cheapest chain over some of the endpoints."""
+    holders = [
+        LayerHolder(endpoint.name, endpoint.zone, endpoint.layers)
+        for endpoint in endpoints
+        if endpoint.layers is not None
+    ]
+    return cheapest_chain(
+        holders,
+        costs.engine.layer_count,
+        costs,
+        start,
+        heads=selection.heads,
+        max_stages=costs.engine.max_stages,
+    )
+
+
+def _is_crowded(path: ChainPath, costs: ChainCosts) -> bool:
+    """Return whether a stage of a path has little capacity left."""
+    return any(
+        costs.is_crowded(stage.endpoint, is_first=stage.layers.first == 0)
+        for stage in path.stages
+        if stage.endpoint in costs.endpoints
+    )
