Give no order after the lease has lapsed, nor over another's

Cause: on the small twin of the large deployment an entry that was cut off from the store for nine seconds learned on its return that it had lost the lease, and only then began the 0.8 s in which a former holder goes on. It gave 15 orders from a view of before the cut; engines that had seen no newer token carried them out and gave up layers that others had just placed. The next leader met engines whose orders it did not know, refreshed the count and sent its own order all the same, over those in progress.

Ruled out: the fencing tokens; engines that had seen a newer one did refuse.

Change: the handover ends when the lease lapses. An engine that refuses an order since it has accepted others keeps them: the plan is sent again only if the engine holds what the plan was made for; one that is busy is left alone until it is done.

Result: four tests, in two modules, fail before and pass now.

--- a/foxtailhatch/router/leader_lease.py
+++ b/foxtailhatch/router/leader_lease.py
@@ -3,8 +3,9 @@
 The store's group grants the lease to one of its members, with a generation
 that serves as fencing token.  Members join and leave at any time, and each
 change may move the lease.  To keep the time without a leader short, an entry
-that loses the lease goes on for ``HANDOVER_S`` with its old token; orders of
-the next holder take precedence by their higher token.
+that loses the lease goes on for ``HANDOVER_S`` with its old token, but not
+beyond the time at which its lease lapses; orders of the next holder take
+precedence by their higher token.
 """
 
 from returns.result import Success
@@ -49,7 +50,7 @@
         self._is_renewal_failing = False
         self._candidate_at = float('-inf')
         self._renewed_at = float('-inf')
-        self._lost_at = float('-inf')
+        self._handover_until = float('-inf')
         self._fenced_token = -1
 
     async def maintain(self, *, is_candidate: bool) -> None:
@@ -82,7 +83,7 @@
         if self._fenced_token >= self.fencing_token:
             return False
         if not self.is_held:
-            return now - self._lost_at < HANDOVER_S
+            return now < self._handover_until
         if now - self._renewed_at <= LEASE_S:
             return True
         return self._board.configuration_age(now) > STORE_OUTAGE_AGE_S
@@ -110,6 +111,7 @@
             )
 
     def _renewed(self, membership: Membership, now: float) -> None:
+        lapses_at = self._renewed_at + LEASE_S
         self._renewed_at = now
         self._generation = max(self._generation, membership.generation)
         if membership.is_holder:
@@ -120,7 +122,9 @@
         if self.is_held:
             self.acquisitions += 1
         else:
-            self._lost_at = now
+            # Who learns of the loss after the lease has lapsed, as it was cut
+            # off or paused, must not act: the next holder has by then.
+            self._handover_until = min(now + HANDOVER_S, lapses_at)
         self._log.write(
             'lease_acquired' if self.is_held else 'lease_lost',
             generation=membership.generation,
--- a/foxtailhatch/router/placement_controller.py
+++ b/foxtailhatch/router/placement_controller.py
@@ -49,14 +49,22 @@
 class PendingOrder:
     """An order that is planned or in progress.
 
-    It is sent at once, or at ``check_at`` if ``is_announced``.
+    It is sent at once, or at ``check_at`` if ``is_announced``.  ``order`` is
+    ``None`` if another entry gave it; ``held`` is then what the engine holds
+    until the order is completed.
     """
 
     endpoint: LiveEndpoint
-    order: PlacementOrder
+    order: PlacementOrder | None
     planned_at: float
     check_at: float
     is_announced: bool = False
+    held: LayerRange | None = None
+
+    @property
+    def layers(self) -> LayerRange | None:
+        """Return the layers to plan with."""
+        return self.held if self.order is None else self.order.layers
 
 
 class PlacementController:
@@ -184,7 +192,7 @@
                     zone=endpoint.zone,
                     memory_mb=kind.memory_mb,
                     step_factor=kind.step_factor,
-                    layers=pending.order.layers if pending else endpoint.layers,
+                    layers=pending.layers if pending else endpoint.layers,
                     has_pending_order=pending is not None,
                 )
             )
@@ -217,7 +225,7 @@
         self, endpoint: LiveEndpoint, order: PlacementOrder
     ) -> None:
         outcome = await self._place(endpoint, order)
-        if outcome is OrderOutcome.CONFLICT and await self._refresh_order_count(
+        if outcome is OrderOutcome.CONFLICT and await self._is_still_valid(
             endpoint
         ):
             outcome = await self._place(endpoint, order)
@@ -227,16 +235,48 @@
             self._lease.mark_fenced()
             self._pending.pop(endpoint.name, None)
 
-    async def _refresh_order_count(self, endpoint: LiveEndpoint) -> bool:
-        """Ask an engine for its order count; return whether it differs."""
+    async def _is_still_valid(self, endpoint: LiveEndpoint) -> bool:
+        """Return whether a plan still holds for an engine that refused it.
+
+        The engine has accepted orders that this entry did not know of, such
+        as those of the previous leader.  The plan holds if the engine holds
+        what the plan was made for.  Otherwise the engine is left alone until
+        its order is completed, and the next plan starts from what it holds.
+        """
         key = (endpoint.name, endpoint.incarnation)
-        report = await self._engines.report(endpoint)
-        if not isinstance(report, Success):
+        outcome = await self._engines.report(endpoint)
+        if not isinstance(outcome, Success):
             return False
-        orders: int = report.unwrap().orders
-        has_changed = orders != self._order_counts.get(key, 0)
-        self._order_counts[key] = orders
-        return has_changed
+        report: EngineReport = outcome.unwrap()
+        if report.orders == self._order_counts.get(key, 0):
+            return False
+        self._order_counts[key] = report.orders
+        if report.is_busy:
+            self._await_other_order(endpoint, report)
+            return False
+        if report.layers == endpoint.layers:
+            return True
+        self._pending.pop(endpoint.name, None)
+        self._publish(
+            EndpointObservation(
+                endpoint.name, endpoint.incarnation, False, report.layers
+            )
+        )
+        return False
+
+    def _await_other_order(
+        self, endpoint: LiveEndpoint, report: EngineReport
+    ) -> None:
+        """Exclude an engine from plans while it executes another's order."""
+        now = self._board.clock()
+        self._log.write('order_of_another', endpoint=endpoint.name)
+        self._pending[endpoint.name] = PendingOrder(
+            endpoint,
+            None,
+            now,
+            now + ORDER_CHECK_PERIOD_S,
+            held=report.layers,
+        )
 
     async def _place(
         self,
@@ -284,7 +324,7 @@
         if is_gone or now - pending.planned_at > ORDER_TIMEOUT_S:
             self._pending.pop(name, None)
             return
-        if pending.is_announced:
+        if pending.is_announced and pending.order is not None:
             pending.is_announced = False
             pending.check_at = now + ORDER_CHECK_PERIOD_S
             await self._send(pending.endpoint, pending.order)
@@ -307,7 +347,7 @@
         self._log.write(
             'order_done',
             endpoint=endpoint.name,
-            wanted=_bounds(pending.order.layers),
+            wanted=_bounds(pending.layers),
             held=_bounds(report.layers),
             orders=report.orders,
             took_s=round(self._board.clock() - pending.planned_at, 2),
--- a/tests/router/test_leader_lease.py
+++ b/tests/router/test_leader_lease.py
@@ -56,6 +56,23 @@
     assert not world.may_order()
 
 
+def test_holder_that_learns_of_its_loss_too_late_may_not_order():
+    """It was cut off or paused while others held the lease, and gave orders."""
+    world = World()
+    world.clock.now += LEASE_S + 0.1
+    world.become(7, holder=False)
+    assert not world.may_order()
+
+
+def test_handover_ends_when_the_lease_lapses():
+    world = World()
+    world.clock.now += LEASE_S - HANDOVER_S / 2
+    world.become(2, holder=False)
+    assert world.may_order()
+    world.clock.now += 0.6 * HANDOVER_S
+    assert not world.may_order()
+
+
 def test_former_holder_keeps_its_old_token():
     world = World()
     world.become(2, holder=False)
--- a/tests/router/test_placement_controller.py
+++ b/tests/router/test_placement_controller.py
@@ -254,3 +254,37 @@
     )
     world.run(0.25)
     assert world.engines.orders
+
+
+def refusing_world(report):
+    """Return a world whose lost layers one engine has been ordered to hold.
+
+    The order is that of a previous leader, which this entry does not know.
+    """
+    world = placed_world()
+    for name in world.board.endpoints.names():
+        world.engines.reports[name] = replace(
+            world.engines.reports.get(name, EngineReport()),
+            orders=5,
+            layers=report.layers,
+            is_busy=report.is_busy,
+        )
+    world.engines.orders.clear()
+    world.board.endpoints.mark_dead('e05', 1, world.clock.now)
+    return world
+
+
+def test_engine_that_executes_an_order_of_another_is_left_alone():
+    """Two leaders in turn gave each engine other layers, and none served."""
+    world = refusing_world(EngineReport(is_busy=True))
+    world.run(2)
+    assert world.engines.orders == []
+    assert world.log.of('order_of_another')
+
+
+def test_plan_for_layers_that_an_engine_no_longer_holds_is_dropped():
+    world = refusing_world(EngineReport(layers=LayerRange(0, 2)))
+    world.clock.now += 0.25
+    asyncio.run(world.controller.step())
+    assert world.engines.orders == []
+    assert world.observations[-1].layers == LayerRange(0, 2)
