Keep much slower accelerators in reserve

Cause: layers were laid out over all accelerators of a zone in proportion to memory. On the further deployment a third of the layers of a zone lay on accelerators three to seven times as slow as the others, and every token of every chain passed them; a zone's mean step factor was 6.4 to 9.4. Slow answers are also more requests in progress, which took the memory that the slow accelerators had added.

Ruled out: fewer replicas of the same accelerators, which leaves the speed as it is; all requests over one fast chain, which the shared link does not carry.

Change: the working set of a zone is the fastest accelerators whose requests served in a time, over their time, are most; a zone that can hold two replicas keeps two. The others stay empty and take over lost layers. Accelerators of similar speed all serve, as before, so zones of two speeds where the fast ones are few do not change.

--- a/foxtailhatch/placement/plan.py
+++ b/foxtailhatch/placement/plan.py
@@ -6,8 +6,9 @@
 little as possible: lost layers go to accelerators that are empty or redundant,
 and to those that hold the adjacent layers.  If these lack the memory and no
 other replica holds the layers, the group cannot serve in any case and is laid
-out again as a whole.  While no layer is missing, empty accelerators and
-neighbours with more KV capacity take layers from those with the least.
+out again as a whole.  While no layer is missing, empty accelerators of the
+working set and neighbours with more KV capacity take layers from those with
+the least.
 """
 
 from collections.abc import Sequence
@@ -27,6 +28,7 @@
 )
 from foxtailhatch.placement.rebalancing import rebalancing_steps, split_range
 from foxtailhatch.placement.stage_groups import stage_groups_of
+from foxtailhatch.placement.working_set import working_set
 from foxtailhatch.routes import Engine
 
 # KV capacity that must be left on an accelerator that loads layers: about ten
@@ -51,15 +53,17 @@
         for accelerator in group
         if accelerator.layers is None and not accelerator.has_pending_order
     ]
+    serving = working_set([*holding, *spares], engine)
     spares.sort(
         key=lambda accelerator: (
+            accelerator not in serving,
             -accelerator.memory_mb,
             accelerator.endpoint,
         )
     )
     if not holding:
         return _orders(
-            lay_out(spares, engine), spares, OrderReason.INITIAL_PLACEMENT
+            lay_out(serving, engine), spares, OrderReason.INITIAL_PLACEMENT
         )
     gaps = uncovered_ranges(holding, engine.layer_count)
     if gaps:
@@ -67,7 +71,8 @@
         if repair or _are_held(gaps, other_replicas):
             return repair
         return _relayout([*holding, *spares], engine)
-    orders = _assign_spare(spares, holding, engine)
+    useful = [spare for spare in spares if spare in serving]
+    orders = _assign_spare(useful, holding, engine)
     return orders or _orders(
         rebalancing_steps(holding, engine), holding, OrderReason.REBALANCING
     )
--- a/foxtailhatch/placement/replicas.py
+++ b/foxtailhatch/placement/replicas.py
@@ -13,13 +13,11 @@
 
 from foxtailhatch.placement.accelerators import Accelerator
 from foxtailhatch.placement.groups import total_memory_mb, zone_groups
+from foxtailhatch.placement.working_set import (
+    replicas_in_working_set,
+    working_set,
+)
 from foxtailhatch.routes import Engine
-from foxtailhatch.routes.configuration import BYTES_IN_MB
-
-# KV capacity of a replica, relative to the requests that its first endpoint
-# admits.  With three quarters of it some hundred requests were refused during
-# a day of injected faults.
-ADMITTED_LOAD_SHARE = 1.0
 
 Replica = list[Accelerator]
 
@@ -61,11 +59,12 @@
             count = replica_count(accelerators, engine)
             known = _heads(accelerators, count)
         replicas: list[Replica] = [[] for _ in range(count)]
-        for accelerator in sorted(accelerators, key=_join_order):
+        in_order = _in_join_order(accelerators, engine)
+        for accelerator in in_order:
             index = known.get(accelerator.endpoint)
             if index is not None:
                 replicas[index].append(accelerator)
-        for newcomer in sorted(accelerators, key=_join_order):
+        for newcomer in in_order:
             if newcomer.endpoint not in known:
                 _join(newcomer, replicas)
         return replicas
@@ -89,7 +88,7 @@
     """Return how many replicas accelerators hold.
 
     If those without layers have half of the memory or more, return how many
-    replicas the memory suffices for.
+    replicas the working set suffices for.
     """
     memory_mb = total_memory_mb(accelerators)
     empty_mb = total_memory_mb(
@@ -102,15 +101,7 @@
             len(accelerator.layers or ()) for accelerator in accelerators
         )
         return max(1, round(held / engine.layer_count))
-    return max(1, int(memory_mb // replica_memory_mb(engine)))
-
-
-def replica_memory_mb(engine: Engine) -> float:
-    """Return the memory of a replica's weights and KV cache, in MB."""
-    usual = engine.typical_prompt_tokens + engine.typical_output_tokens
-    tokens = ADMITTED_LOAD_SHARE * engine.slots * usual
-    weights_mb = engine.layer_count * engine.layer_mb
-    return weights_mb + tokens * engine.kv_bytes / BYTES_IN_MB
+    return replicas_in_working_set(accelerators, engine)
 
 
 def _indexes(replicas: Sequence[Replica]) -> dict[str, int]:
@@ -141,15 +132,32 @@
     }
 
 
-def _join_order(accelerator: Accelerator) -> tuple[bool, int, float, str]:
-    """Sort holders by their first layer, then the empty ones; large first."""
-    first = accelerator.layers.first if accelerator.layers else 0
-    return (
-        accelerator.layers is None,
-        first,
-        -accelerator.memory_mb,
-        accelerator.endpoint,
-    )
+def _in_join_order(
+    accelerators: Sequence[Accelerator], engine: Engine
+) -> list[Accelerator]:
+    """Return holders by their first layer, then the empty ones; large first.
+
+    Accelerators outside the working set come last, so that the members of
+    the working set are spread evenly.
+    """
+    serving = {
+        accelerator.endpoint
+        for accelerator in working_set(accelerators, engine)
+    }
+
+    def join_key(  # noqa: WPS430
+        accelerator: Accelerator,
+    ) -> tuple[bool, bool, int, float, str]:
+        first = accelerator.layers.first if accelerator.layers else 0
+        return (
+            accelerator.layers is None,
+            accelerator.layers is None and accelerator.endpoint not in serving,
+            first,
+            -accelerator.memory_mb,
+            accelerator.endpoint,
+        )
+
+    return sorted(accelerators, key=join_key)
 
 
 def _join(accelerator: Accelerator, replicas: Sequence[Replica]) -> None:
--- a/tests/placement/test_replicas.py
+++ b/tests/placement/test_replicas.py
@@ -12,7 +12,8 @@
 )
 from foxtailhatch.placement.groups import total_memory_mb
 from foxtailhatch.placement.layout import uncovered_ranges
-from foxtailhatch.placement.replicas import replica_count, replica_memory_mb
+from foxtailhatch.placement.replicas import replica_count
+from foxtailhatch.placement.working_set import AcceleratorPool
 from tests.placement.test_plan import (
     apply_orders,
     make_accelerator,
@@ -52,11 +53,13 @@
 
 @pytest.mark.parametrize('shape', LARGE)
 def test_large_zone_is_several_replicas_of_similar_memory(shape):
-    replicas = ModelReplicas().groups(zone_accelerators(*shape), ENGINE)
+    accelerators = zone_accelerators(*shape)
+    replicas = ModelReplicas().groups(accelerators, ENGINE)
     assert len(replicas) > 1
     sizes = [total_memory_mb(replica) for replica in replicas]
     assert max(sizes) - min(sizes) <= 36_000
-    assert min(sizes) >= 0.95 * replica_memory_mb(ENGINE)
+    pool = AcceleratorPool.of(accelerators)
+    assert min(sizes) >= 0.95 * pool.replica_memory_mb(ENGINE, pool)
 
 
 @pytest.mark.parametrize('shape', LARGE)
