Count what other entries have begun since their late report

Cause: each entry adds the work that others reported half a second ago or more to its own. Between two reports all entries of a zone see the same endpoint as the least busy one and send to it; with 26 entries and 47 requests a second some 30 requests go to one head before any of them knows.

Ruled out: a random choice among good chains, which hides the order of costs; a fixed share of each endpoint for each entry, which an entry with much of the traffic would exhaust while places stand free.

Change: each of the others is assumed to have begun as much work at an endpoint since the last two reports as this entry has.

--- a/foxtailhatch/__main__.py
+++ b/foxtailhatch/__main__.py
@@ -2,13 +2,13 @@
 
 import sys
 
-from foxtailhatch.startup import exit_on_stop_signals, is_daemon_command
+from foxtailhatch.startup import prepare_daemon, is_daemon_command
 
 
 def main() -> None:
     """Run the command line; daemons can be stopped from the start on."""
     if is_daemon_command(sys.argv[1:]):
-        exit_on_stop_signals()
+        prepare_daemon()
     # The signal handlers have to be there before the longer imports.
     from foxtailhatch.cli.main import main as run  # noqa: WPS433
 
--- a/foxtailhatch/daemon/app.py
+++ b/foxtailhatch/daemon/app.py
@@ -40,6 +40,7 @@
 from foxtailhatch.daemon.settings import Settings
 from foxtailhatch.daemon.shutdown import ShutdownController
 from foxtailhatch.peers import PeerNode
+from foxtailhatch.startup import start_collecting_garbage
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
@@ -163,6 +164,7 @@
 
         signal.signal(signal.SIGTERM, stop)
         signal.signal(signal.SIGINT, stop)
+        start_collecting_garbage()
 
     def _stop_on_invariant_violation(self) -> None:
         self.exit_code = EXIT_INVARIANT
--- a/foxtailhatch/fleet/estimate.py
+++ b/foxtailhatch/fleet/estimate.py
@@ -41,9 +41,11 @@
 class WorkEstimate:
     """Estimate the work at endpoints at the time ``now``.
 
-    ``entry_count`` is the number of entries that share the load.  Without a
-    fresh report of their work, each is assumed to have as much in progress
-    as this entry.
+    ``entry_count`` is the number of entries that share the load.  Their report
+    is late, so each of them is assumed to have begun as much work since as
+    this entry has.  Otherwise all would send to the endpoint that was least
+    busy at the time of the report.  Without a fresh report, each is assumed to
+    have as much in progress as this entry.
 
     >>> own = EndpointLoads()
     >>> own.begin(['e1'], 100)
@@ -60,5 +62,8 @@
         """Return the estimated work of all entries at an endpoint."""
         own = self.own.work_at(name)
         if self.peers.is_fresh(self.now):
-            return own.plus(self.peers.work_at(name))
+            unreported = self.own.recently_begun(name)
+            return own.plus(self.peers.work_at(name)).plus(
+                unreported.times(self.entry_count - 1)
+            )
         return own.times(self.entry_count)
--- a/foxtailhatch/fleet/loads.py
+++ b/foxtailhatch/fleet/loads.py
@@ -48,11 +48,25 @@
     def __init__(self) -> None:
         """Start without any work."""
         self._work_by_name: dict[str, Work] = defaultdict(Work)
+        self._begun: dict[str, Work] = defaultdict(Work)
+        self._begun_before: dict[str, Work] = {}
 
     def work_at(self, name: str) -> Work:
         """Return the work at an endpoint."""
         return self._work_by_name[name]
 
+    def start_period(self) -> None:
+        """Begin a new period of :meth:`recently_begun`."""
+        self._begun_before = self._begun
+        self._begun = defaultdict(Work)
+
+    def recently_begun(self, name: str) -> Work:
+        """Return the work begun at an endpoint in this and the last period."""
+        nothing = Work()
+        return self._begun.get(name, nothing).plus(
+            self._begun_before.get(name, nothing)
+        )
+
     def in_progress(self) -> dict[str, Work]:
         """Return the work of the endpoints that have requests in progress."""
         return {
@@ -63,16 +77,20 @@
 
     def begin(self, names: list[str], tokens: int) -> None:
         """Count a request on a chain of endpoints, the first one first."""
-        self._add(names, 1, tokens)
+        _add(self._work_by_name, names, 1, tokens)
+        _add(self._begun, names, 1, tokens)
 
     def end(self, names: list[str], tokens: int) -> None:
         """Reverse the effect of :meth:`begin` with the same arguments."""
-        self._add(names, -1, -tokens)
-
-    def _add(self, names: list[str], requests: int, tokens: int) -> None:
-        for position, name in enumerate(names):
-            work = self._work_by_name[name]
-            work.requests += requests
-            work.tokens += tokens
-            if position == 0:
-                work.received += requests
+        _add(self._work_by_name, names, -1, -tokens)
+
+
+def _add(
+    work_by_name: dict[str, Work], names: list[str], requests: int, tokens: int
+) -> None:
+    for position, name in enumerate(names):
+        work = work_by_name[name]
+        work.requests += requests
+        work.tokens += tokens
+        if position == 0:
+            work.received += requests
--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -25,6 +25,7 @@
 from foxtailhatch.router.settings import RouterSettings
 from foxtailhatch.router.single_page_site import page_site
 from foxtailhatch.router.twisted_errors import log_twisted_errors
+from foxtailhatch.startup import start_collecting_garbage
 
 EXIT_OK = 0
 EXIT_INVARIANT = 3
@@ -94,6 +95,7 @@
         self._install_signal_handlers()
         self._open_listeners(self._components)
         self._start_loops(self._components)
+        start_collecting_garbage()
         self._log.write('start', pid=os.getpid(), zone=self._cfg.zone)
 
     def _install_signal_handlers(self) -> None:
--- a/foxtailhatch/router/blackboard.py
+++ b/foxtailhatch/router/blackboard.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from foxtailhatch.fleet import EndpointLoads, EndpointTable, PeerWork
+from foxtailhatch.fleet.estimate import WorkByEndpoint
 from foxtailhatch.router.entry_table import EntryTable
 from foxtailhatch.router.settings import RouterSettings
 from foxtailhatch.routes import RoutingTable
@@ -35,6 +36,11 @@
         age_s = self.configuration_age(self.clock())
         return age_s <= self.cfg.bounds.revocation_s
 
+    def update_peer_work(self, work: WorkByEndpoint, now: float) -> None:
+        """Replace the report of the work of other entries."""
+        self.peer_work.update(work, now)
+        self.loads.start_period()
+
     def configuration_age(self, now: float) -> float:
         """Return the time in seconds since the configuration was confirmed.
 
--- a/foxtailhatch/router/components.py
+++ b/foxtailhatch/router/components.py
@@ -73,7 +73,7 @@
         now = self.board.clock()
         name = self.board.cfg.instance
         others = self.heartbeats.work_of_others(name, now)
-        self.board.peer_work.update(others, now)
+        self.board.update_peer_work(others, now)
 
 
 def build_components(
--- a/foxtailhatch/router/entry_table.py
+++ b/foxtailhatch/router/entry_table.py
@@ -108,6 +108,7 @@
     def __init__(self) -> None:
         """Start without lists."""
         self._lists: dict[str, ReceivedList] = {}
+        self._readers: dict[str, EntryRecord] = {}
         self._work: dict[str, WorkByEndpoint] = {}
 
     def record_heartbeat(
@@ -119,10 +120,17 @@
         """Replace a reader's list and work."""
         self._lists[reader] = (heartbeat.entries, now)
         self._work[reader] = heartbeat.work
+        self._readers.pop(reader, None)
+        self._readers.update(
+            (reader, entry)
+            for entry in heartbeat.entries
+            if entry.name == reader
+        )
 
     def remove(self, reader: str) -> None:
         """Drop a reader's list and work."""
         self._lists.pop(reader, None)
+        self._readers.pop(reader, None)
         self._work.pop(reader, None)
 
     def ready(self, now: float) -> list[EntryRecord]:
@@ -136,13 +144,16 @@
         return list(by_name.values())
 
     def readers(self, now: float) -> list[EntryRecord]:
-        """Return the entries that read the store, most preferred first."""
+        """Return the entries that read the store, most preferred first.
+
+        The time does not grow with the number of entries that they list, as
+        an idle entry asks this dozens of times a second.
+        """
         readers = [
             entry
-            for reader, (entries, received_at) in self._lists.items()
-            if now - received_at <= ENTRY_LIST_TIMEOUT_S
-            for entry in entries
-            if entry.name == reader and entry.is_ready
+            for reader, entry in self._readers.items()
+            if entry.is_ready
+            and now - self._lists[reader][1] <= ENTRY_LIST_TIMEOUT_S
         ]
         return sorted(readers, key=reader_rank)
 
--- a/foxtailhatch/router/state_sync.py
+++ b/foxtailhatch/router/state_sync.py
@@ -224,7 +224,7 @@
         response: FeedResponse,
         sent_at: float,
     ) -> None:
-        self._board.peer_work.update(response.work, self._board.clock())
+        self._board.update_peer_work(response.work, self._board.clock())
         for followed, update in response.topics.items():
             self._followers[followed].apply_update(update, sent_at)
         self.refresh()
--- a/foxtailhatch/startup.py
+++ b/foxtailhatch/startup.py
@@ -1,4 +1,4 @@
-"""Handle stop signals that arrive while a program still starts.
+"""What a daemon does before and after the import of its modules.
 
 Importing the modules of a daemon takes some tenths of a second, and longer on a
 busy instance.  A stop in that time is a planned stop: no listener is open and
@@ -8,6 +8,7 @@
 This module imports only what the interpreter has loaded anyway.
 """
 
+import gc
 import os
 import signal
 
@@ -16,16 +17,29 @@
 DAEMON_SUBCOMMANDS = frozenset(('route', 'serve'))
 
 
-def exit_on_stop_signals() -> None:
-    """End the process with exit code 0 on SIGTERM or SIGINT.
+def prepare_daemon() -> None:
+    """Prepare the import of a daemon's modules.
 
-    SIGHUP is ignored, as the settings are about to be read anyway.
+    Until the daemon has its own handlers, SIGTERM and SIGINT end the process
+    with exit code 0, and SIGHUP is ignored, as the settings are about to be
+    read anyway.  Garbage is not collected, since imports leave hardly any;
+    the collections would take a tenth of the time.
     """
+    gc.disable()
     signal.signal(signal.SIGTERM, _exit)
     signal.signal(signal.SIGINT, _exit)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
+def start_collecting_garbage() -> None:
+    """Enable garbage collection, without what a daemon keeps for its life.
+
+    The modules and their classes are left out of each later collection.
+    """
+    gc.freeze()
+    gc.enable()
+
+
 def is_daemon_command(arguments: list[str]) -> bool:
     """Return whether command line arguments start a daemon.
 
--- a/tests/fleet/test_estimate.py
+++ b/tests/fleet/test_estimate.py
@@ -18,7 +18,10 @@
 def test_peer_work_is_added_to_own_work():
     peers = PeerWork()
     peers.update({'e1': Work(4, 3, 500)}, 0)
-    estimate = WorkEstimate(own(), peers, 9, 0)
+    loads = own()
+    loads.start_period()
+    loads.start_period()
+    estimate = WorkEstimate(loads, peers, 9, 0)
     assert estimate.work_at('e1') == Work(5, 4, 600)
     assert estimate.work_at('e2') == Work(1, 0, 100)
 
@@ -34,3 +37,20 @@
     loads = own()
     loads.end(['e1', 'e2'], 100)
     assert loads.in_progress() == {}
+
+
+def test_peers_are_assumed_to_have_sent_alike_since_their_report():
+    peers = PeerWork()
+    loads = EndpointLoads()
+    peers.update({'e1': Work(4, 3, 500)}, 0)
+    loads.start_period()
+    loads.begin(['e1'], 100)
+    estimate = WorkEstimate(loads, peers, 9, 0)
+    assert estimate.work_at('e1') == Work(4 + 1 + 8, 3 + 1 + 8, 500 + 900)
+
+
+def test_work_that_has_ended_since_the_report_still_counts():
+    """Of the others, some that are assumed to have begun still run."""
+    loads = own()
+    loads.end(['e1', 'e2'], 100)
+    assert loads.recently_begun('e1') == Work(1, 1, 100)
