Let few entries of a zone probe a stalled chain

Cause: a stall pauses streams of all entries of a zone, and each of them probed all endpoints of the chain, once a second.

Ruled out: longer limits for all, which leave streams on dead chains for longer where few entries share them.

Change: of the entries of a zone three, other ones for each chain, probe at once and publish what they find; the others do so only if their streams still pause when that news should have come. Zones of up to three entries are as before.

--- a/foxtailhatch/router/blackboard.py
+++ b/foxtailhatch/router/blackboard.py
@@ -5,7 +5,7 @@
 
 from foxtailhatch.fleet import EndpointLoads, EndpointTable, PeerWork
 from foxtailhatch.fleet.estimate import WorkByEndpoint
-from foxtailhatch.router.entry_table import EntryTable
+from foxtailhatch.router.entry_table import EntryRecord, EntryTable
 from foxtailhatch.router.settings import RouterSettings
 from foxtailhatch.routes import RoutingTable
 
@@ -36,6 +36,19 @@
         age_s = self.configuration_age(self.clock())
         return age_s <= self.cfg.bounds.revocation_s
 
+    def own_entry(self) -> EntryRecord:
+        """Return what this entry announces about itself."""
+        cfg = self.cfg
+        return EntryRecord(
+            name=cfg.instance,
+            zone=cfg.zone,
+            region=cfg.region,
+            address=cfg.callers_address,
+            peer_address=cfg.peer_address,
+            cpu_cores=cfg.cpu_cores,
+            is_ready=self.is_ready(),
+        )
+
     def update_peer_work(self, work: WorkByEndpoint, now: float) -> None:
         """Replace the report of the work of other entries."""
         self.peer_work.update(work, now)
--- a/foxtailhatch/router/components.py
+++ b/foxtailhatch/router/components.py
@@ -13,7 +13,6 @@
 from foxtailhatch.router.adapter import PlatformAdapter
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.endpoint_selection import LoadAwareSelector
-from foxtailhatch.router.entry_table import EntryRecord
 from foxtailhatch.router.feed import FeedClient
 from foxtailhatch.router.graceful_shutdown import GracefulShutdown
 from foxtailhatch.router.heartbeats import Heartbeats
@@ -21,6 +20,7 @@
 from foxtailhatch.router.metrics import RouterMetrics
 from foxtailhatch.router.observation_publisher import ObservationPublisher
 from foxtailhatch.router.placement_controller import PlacementController
+from foxtailhatch.router.probers import probe_delay_s
 from foxtailhatch.router.request_handler import RequestHandler
 from foxtailhatch.router.stall_detector import StallDetector
 from foxtailhatch.router.state_sync import StateSync
@@ -106,7 +106,6 @@
         entries=lambda: len(board.entries.ready(board.clock())),
         on_suspect=observation_publisher.confirm_suspect,
     )
-    own_entry = partial(_own_entry, board)
     lease = LeaderLease(board, adapter.store, log)
     return RouterComponents(
         board=board,
@@ -120,11 +119,11 @@
             board,
             adapter,
             log,
-            own_entry,
+            board.own_entry,
             partial(FeedClient, reactor),
             partial(has_recent_progress, relay.running),
         ),
-        heartbeats=Heartbeats(board, adapter, log, own_entry),
+        heartbeats=Heartbeats(board, adapter, log, board.own_entry),
         lease=lease,
         placement_controller=PlacementController(
             board,
@@ -133,19 +132,10 @@
             log,
             observation_publisher.publish,
         ),
-        stall_detector=StallDetector(relay, adapter.engines),
+        stall_detector=StallDetector(
+            relay,
+            adapter.engines,
+            lambda head: probe_delay_s(board, head, board.clock()),
+        ),
         shutdown=GracefulShutdown(board, relay, log),
     )
-
-
-def _own_entry(board: Blackboard) -> EntryRecord:
-    cfg = board.cfg
-    return EntryRecord(
-        name=cfg.instance,
-        zone=cfg.zone,
-        region=cfg.region,
-        address=cfg.callers_address,
-        peer_address=cfg.peer_address,
-        cpu_cores=cfg.cpu_cores,
-        is_ready=board.is_ready(),
-    )
--- a/foxtailhatch/router/group_stall_detector.py
+++ b/foxtailhatch/router/group_stall_detector.py
@@ -39,6 +39,9 @@
 PROBE_INTERVAL_S = 1.0
 
 OnUnresponsive = Callable[[LiveEndpoint, str], None]
+# The time in seconds by which this entry probes a chain later than others,
+# given the name of the chain's head.
+ProbeDelay = Callable[[str], float]
 
 
 class GroupStallDetector:
@@ -49,11 +52,13 @@
         engines: EngineClient,
         on_unresponsive: OnUnresponsive,
         log: StructuredLog,
+        probe_delay_s: ProbeDelay,
     ) -> None:
         """Call ``on_unresponsive`` for each endpoint that does not respond."""
         self._engines = engines
         self._on_unresponsive = on_unresponsive
         self._log = log
+        self._probe_delay_s = probe_delay_s
         self._probed_at: dict[str, float] = {}
 
     async def check(self, relays: Iterable[Relay], now: float) -> None:
@@ -69,8 +74,11 @@
         }
         probes = []
         for members in groups.values():
-            if _is_paused(members, now):
-                chain = _endpoints(members[0])
+            if not _is_paused(members, now):
+                continue
+            chain = _endpoints(members[0])
+            delay_s = self._probe_delay_s(chain[0].name)
+            if not delay_s or _is_paused(members, now - delay_s):
                 probes.append(self._probe(chain, self._due(chain, now)))
         await asyncio.gather(*probes)
 
--- a/foxtailhatch/router/stall_detector.py
+++ b/foxtailhatch/router/stall_detector.py
@@ -22,6 +22,7 @@
 from foxtailhatch.router.group_stall_detector import (
     PROBE_TIMEOUT_S,
     GroupStallDetector,
+    ProbeDelay,
 )
 
 # One and a half times the longest pause between two events that is still on
@@ -48,13 +49,18 @@
 class StallDetector:
     """Detect and resolve stalls of the streams in progress at this entry."""
 
-    def __init__(self, context: RelayContext, engines: EngineClient) -> None:
+    def __init__(
+        self,
+        context: RelayContext,
+        engines: EngineClient,
+        probe_delay_s: ProbeDelay,
+    ) -> None:
         """Watch the running requests of ``context``."""
         self._context = context
         self._engines = engines
         self._queried_at: dict[str, float] = {}
         self._groups = GroupStallDetector(
-            engines, self._declare_dead, context.log
+            engines, self._declare_dead, context.log, probe_delay_s
         )
         self._rerouting: set[str] = set()
         self._refused_at: WeakKeyDictionary[Relay, float] = WeakKeyDictionary()
--- a/tests/router/test_group_stall_detector.py
+++ b/tests/router/test_group_stall_detector.py
@@ -49,6 +49,7 @@
             self.engines,
             lambda one, why: self.reported.append(one.name),
             self.log,
+            lambda _: 0,
         )
 
     def check(self, streams, now):
--- a/tests/router/test_stall_detector.py
+++ b/tests/router/test_stall_detector.py
@@ -21,7 +21,7 @@
     env.endpoint_conn.start_stream()
     env.endpoint_conn.send_event(1)
     env.engines = MemoryEngines()
-    env.detector = StallDetector(env.context, env.engines)
+    env.detector = StallDetector(env.context, env.engines, lambda _: 0)
     return env
 
 
