Wake idle entries less often

Ruled out: longer periods for entries that place layers or have streams.

Change: entries that may not order placement, have no stream or are fed by another wake a few times a second; the check of a stream's chain is repeated only if the table of endpoints has changed.

--- a/foxtailhatch/__main__.py
+++ b/foxtailhatch/__main__.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from foxtailhatch.startup import prepare_daemon, is_daemon_command
+from foxtailhatch.startup import is_daemon_command, prepare_daemon
 
 
 def main() -> None:
--- a/foxtailhatch/relay/attempt.py
+++ b/foxtailhatch/relay/attempt.py
@@ -49,7 +49,8 @@
     """Send a request once.
 
     The expected tokens count as load on each endpoint of the chain until
-    the attempt is over.
+    the attempt is over.  ``usable_revision`` is the revision of the endpoint
+    table at which the whole chain was last found usable.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         self.response: EndpointResponse | None = None
         self.splitter = EventSplitter()
         self.is_over = False
+        self.usable_revision = -1
         self._context = context
         self._listener = listener
         tokens = outgoing.req.tokens
@@ -104,6 +106,7 @@
             return
         self._context.loads.end(self._endpoint_names, self._tokens)
         self.chosen = chosen
+        self.usable_revision = -1
         self._endpoint_names = _endpoint_names(chosen)
         self._context.loads.begin(self._endpoint_names, self._tokens)
 
--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -35,7 +35,10 @@
 LEASE_RENEWAL_PERIOD_S = 0.4
 PLACEMENT_PERIOD_S = 0.1
 STALL_CHECK_PERIOD_S = 0.05
-SHUTDOWN_CHECK_PERIOD_S = 0.1
+SHUTDOWN_CHECK_PERIOD_S = 0.25
+# Period of the loops of placement and stalls while they have nothing to do.  An
+# entry that idles costs processor time with each step of a loop.
+IDLE_PERIOD_S = 0.2
 # Callers reuse connections for most of the idle timeout that is announced to
 # them; the configuration may announce a longer one later.
 IDLE_TIMEOUT_S = 60.0
@@ -140,9 +143,21 @@
         every = self._loops.every
         every(HEARTBEAT_CHECK_PERIOD_S, components.heartbeat)
         every(LEASE_RENEWAL_PERIOD_S, components.maintain_lease)
-        every(PLACEMENT_PERIOD_S, components.placement_controller.step)
-        every(STALL_CHECK_PERIOD_S, components.stall_detector.step)
         every(SHUTDOWN_CHECK_PERIOD_S, self._check_shutdown)
+        self._loops.repeat(
+            self._placement_pause_s, components.placement_controller.step
+        )
+        self._loops.repeat(
+            self._stall_check_pause_s, components.stall_detector.step
+        )
+
+    def _placement_pause_s(self) -> float:
+        may_order = self._components.lease.may_order(boot_time_clock())
+        return PLACEMENT_PERIOD_S if may_order else IDLE_PERIOD_S
+
+    def _stall_check_pause_s(self) -> float:
+        is_busy = self._components.stall_detector.has_streams
+        return STALL_CHECK_PERIOD_S if is_busy else IDLE_PERIOD_S
 
     async def _check_shutdown(self) -> None:
         self._output.flush()
--- a/foxtailhatch/router/stall_detector.py
+++ b/foxtailhatch/router/stall_detector.py
@@ -65,8 +65,15 @@
         self._rerouting: set[str] = set()
         self._refused_at: WeakKeyDictionary[Relay, float] = WeakKeyDictionary()
 
+    @property
+    def has_streams(self) -> bool:
+        """Return whether a request runs that may stall."""
+        return bool(self._context.running)
+
     async def step(self) -> None:
         """Check all streams once."""
+        if not self.has_streams:
+            return
         chains = filter(_is_chain, tuple(self._context.running))
         await self._groups.check(chains, self._context.clock())
         now = self._context.clock()
@@ -93,13 +100,16 @@
     def _crosses_unusable(self, relay: Relay) -> bool:
         endpoints = self._context.endpoints
         attempt = relay.attempt
-        if attempt is None:
+        if attempt is None or attempt.usable_revision == endpoints.revision:
             return False
-        return any(
+        is_unusable = any(
             endpoints.is_dead(stage.endpoint.name)
             or not endpoints.accepts_work(stage.endpoint)
             for stage in attempt.chosen
         )
+        if not is_unusable:
+            attempt.usable_revision = endpoints.revision
+        return is_unusable
 
     def _start_reroute(self, relay: Relay) -> None:
         now = self._context.clock()
--- a/foxtailhatch/router/state_sync.py
+++ b/foxtailhatch/router/state_sync.py
@@ -42,7 +42,7 @@
 # Pause after a failed read.
 RETRY_PERIOD_S = 0.3
 # Pause while another source is in use.
-IDLE_PERIOD_S = 0.15
+IDLE_PERIOD_S = 0.25
 # For this time after its start, an entry waits for heartbeats of other entries:
 # if one of them reads the store, it gets the other topics from there.  The time
 # covers two periods in which heartbeats are checked.
--- a/tests/router/test_stall_detector.py
+++ b/tests/router/test_stall_detector.py
@@ -145,3 +145,27 @@
     )
     assert not env.context.endpoints.is_dead('e1')
     assert env.log.of('death_report_rejected')[0]['endpoint'] == 'e1'
+
+
+def test_stream_is_rerouted_once_its_chain_is_no_longer_usable():
+    """That the chain was usable at an earlier step does not count."""
+    env = stalled_setup(('e1', 'e2', 'e3'))
+    step(env)
+    used = [stage.endpoint for stage in env.relay.attempt.chosen]
+    assert env.engines.moves == []
+    env.context.endpoints.mark_dead(
+        used[-1].name, used[-1].incarnation, env.context.clock()
+    )
+    step(env)
+    is_moved = bool(env.engines.moves)
+    is_abandoned = bool(env.log.of('attempt_given_up'))
+    assert is_moved or is_abandoned
+
+
+def test_entry_without_requests_checks_nothing():
+    env = stalled_setup()
+    env.relay.caller_disconnected()
+    assert not env.detector.has_streams
+    env.reactor.advance(STALL_AFTER_S + 0.1)
+    step(env)
+    assert env.log.of('stalled') == []
