Take accelerators from the reserve while a group is crowded

Ruled out: all accelerators in the layout at all times, which makes every answer nearly twice as long; a working set that weighs speed less, which gives the same small zones for most exponents.

--- a/foxtailhatch/placement/plan.py
+++ b/foxtailhatch/placement/plan.py
@@ -40,10 +40,14 @@
     group: Sequence[Accelerator],
     engine: Engine,
     other_replicas: Sequence[Accelerator] = (),
+    *,
+    is_crowded: bool = False,
 ) -> list[PlacementOrder]:
     """Return the orders for one group; empty if nothing has to change.
 
     ``other_replicas`` are accelerators whose layers chains may use as well.
+    A group that ``is_crowded`` has little KV capacity left, so that it uses
+    accelerators outside the working set, too.
     """
     holding = [
         accelerator for accelerator in group if accelerator.layers is not None
@@ -71,7 +75,9 @@
         if repair or _are_held(gaps, other_replicas):
             return repair
         return _relayout([*holding, *spares], engine)
-    useful = [spare for spare in spares if spare in serving]
+    is_changing = any(accelerator.has_pending_order for accelerator in group)
+    uses_reserve = is_crowded and not is_changing
+    useful = [spare for spare in spares if uses_reserve or spare in serving]
     orders = _assign_spare(useful, holding, engine)
     return orders or _orders(
         rebalancing_steps(holding, engine), holding, OrderReason.REBALANCING
--- a/foxtailhatch/router/placement_controller.py
+++ b/foxtailhatch/router/placement_controller.py
@@ -16,7 +16,7 @@
 from returns.result import Success
 
 from foxtailhatch.core import LayerRange
-from foxtailhatch.fleet import LiveEndpoint
+from foxtailhatch.fleet import LiveEndpoint, WorkEstimate
 from foxtailhatch.placement import (
     Accelerator,
     ModelReplicas,
@@ -39,6 +39,10 @@
 ORDER_CHECK_PERIOD_S = 0.25
 # An order that has not completed after this time is planned again.
 ORDER_TIMEOUT_S = 8.0
+# Share of an engine's KV cache in use above which its group takes accelerators
+# from the reserve.  Loading takes about a second, in which a burst of requests
+# can use up a third of the cache.
+CROWDED_FILL = 0.6
 # Entries are notified this long before an engine is ordered to release layers,
 # so that no request is on its way to them.  The time covers the wait of a feed
 # request and one call.
@@ -134,13 +138,31 @@
             order
             for group in groups
             for order in plan_placement(
-                group, engine, other_replicas_in_zone(group, groups)
+                group,
+                engine,
+                other_replicas_in_zone(group, groups),
+                is_crowded=self._is_crowded(group, engine, now),
             )
             if order.endpoint not in self._pending
             and self._fits(order, accelerators, engine)
         ]
         await asyncio.gather(*(self._submit(order) for order in orders))
 
+    def _is_crowded(
+        self, group: list[Accelerator], engine: Engine, now: float
+    ) -> bool:
+        """Return whether the KV cache of an accelerator is nearly used up."""
+        work = WorkEstimate(
+            self._board.loads, self._board.peer_work, entry_count=1, now=now
+        )
+        return any(
+            work.work_at(accelerator.endpoint).tokens
+            > CROWDED_FILL
+            * engine.kv_tokens(accelerator.memory_mb, len(accelerator.layers))
+            for accelerator in group
+            if accelerator.layers is not None
+        )
+
     def _fits(
         self,
         order: PlacementOrder,
--- a/tests/placement/test_working_set.py
+++ b/tests/placement/test_working_set.py
@@ -5,7 +5,12 @@
 import pytest
 
 from foxtailhatch.core import LayerRange
-from foxtailhatch.placement import Accelerator, ModelReplicas, plan_placement
+from foxtailhatch.placement import (
+    Accelerator,
+    ModelReplicas,
+    OrderReason,
+    plan_placement,
+)
 from foxtailhatch.placement.layout import uncovered_ranges
 from foxtailhatch.placement.plan import KV_TOKENS_MIN
 from foxtailhatch.placement.working_set import AcceleratorPool, working_set
@@ -151,3 +156,19 @@
     ]
     orders = plan_placement(swapped, ENGINE)
     assert 'slow0' not in {order.endpoint for order in orders}
+
+
+def test_crowded_group_takes_one_accelerator_from_the_reserve():
+    accelerators = placed(zone(*SMALL_ZONES[0]))
+    orders = plan_placement(accelerators, ENGINE, is_crowded=True)
+    assert [order.reason for order in orders] == [OrderReason.LOW_KV_CAPACITY]
+    assert orders[0].endpoint.startswith('slow')
+
+
+def test_crowded_group_waits_for_an_order_in_progress():
+    accelerators = placed(zone(*SMALL_ZONES[0]))
+    changing = [
+        replace(one, has_pending_order=one.endpoint == 'middle2')
+        for one in accelerators
+    ]
+    assert plan_placement(changing, ENGINE, is_crowded=True) == []
--- a/tests/router/test_placement_controller.py
+++ b/tests/router/test_placement_controller.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from foxtailhatch.core import LayerRange
+from foxtailhatch.fleet import Work
 from foxtailhatch.placement.layout import uncovered_ranges
 from foxtailhatch.placement.protocols import OrderOutcome
 from foxtailhatch.placement.reports import EngineReport
@@ -288,3 +289,28 @@
     asyncio.run(world.controller.step())
     assert world.engines.orders == []
     assert world.observations[-1].layers == LayerRange(0, 2)
+
+
+def mixed_zone():
+    """Return engines of which the slow ones are kept in reserve."""
+    fast = [engine(f'fast{number}', 'large') for number in range(6)]
+    return [*fast, *(engine(f'slow{number}') for number in range(3))]
+
+
+def test_reserve_serves_while_requests_use_up_the_kv_cache():
+    """A burst arrives faster than slow accelerators could be loaded later."""
+    world = World(*mixed_zone())
+    world.join()
+    world.run(4)
+    assert not any(
+        layers
+        for name, layers in world.held().items()
+        if name.startswith('slow')
+    )
+    world.board.update_peer_work(
+        {f'fast{number}': Work(80, 80, 90_000) for number in range(6)},
+        world.clock.now,
+    )
+    world.clock.now += 0.25
+    asyncio.run(world.controller.step())
+    assert world.engines.orders[-1][0].startswith('slow')
