--- a/foxtailhatch/placement/working_set.py
+++ b/foxtailhatch/placement/working_set.py
@@ -18,10 +18,8 @@
 from foxtailhatch.routes.configuration import BYTES_IN_MB
 
 # KV capacity of a replica, relative to the requests that its first endpoint
-# admits.  With three quarters of it some hundred requests were refused during
-# a day of injected faults.
+# admits.
 ADMITTED_LOAD_SHARE = 1.0
-
 # With fewer replicas the loss of one accelerator stops all requests of a zone.
 REPLICAS_MIN = 2
 
