--- a/tests/router/test_late_reports.py
+++ b/tests/router/test_late_reports.py
@@ -23,7 +23,6 @@
 CHAINS = 4
 REPORT_PERIOD_S = 0.5
 ANSWER_S = 2.5
-LOAD = 0.7
 
 
 def record(number):
@@ -56,12 +55,28 @@
         env.update_peer_work(sum_work(others), now)
 
 
-@pytest.mark.parametrize('count', [6, 26, 39])
-def test_no_chain_head_is_overrun(count):
-    """None is sent more than it admits while three tenths of all slots are free."""
+@pytest.mark.parametrize(
+    ('count', 'load'),
+    [
+        (6, 0.7),
+        (26, 0.7),
+        (39, 0.7),
+        (6, 0.75),
+        (26, 0.75),
+        pytest.param(
+            39,
+            0.75,
+            marks=pytest.mark.xfail(
+                strict=True, reason='listed in KNOWN-RED.txt'
+            ),
+        ),
+    ],
+)
+def test_no_chain_head_is_overrun(count, load):
+    """None is sent more than it admits while a quarter of all slots is free."""
     random = Random(count)
     boards, clock, heartbeat = entries(count)
-    rate = LOAD * CHAINS * SLOTS / ANSWER_S
+    rate = load * CHAINS * SLOTS / ANSWER_S
     running, most = [], Counter()
     while clock.now < 110:
         clock.now += 1 / rate
