Log the parts of a prompt and the events of an attempt that failed

'sent' now names the last eight parts, 'attempt_failed' the events that the attempt had brought, and the metric 'failed_attempts' counts both cases. No decision changes.

--- a/foxtailhatch/platform/names.py
+++ b/foxtailhatch/platform/names.py
@@ -10,6 +10,8 @@
 NOT_RUN = b'foxtailhatch-not-executed'
 # Prompt tokens and maximum output tokens, separated by a comma.
 TOKEN_COUNTS = b'foxtailhatch-token-usage'
+# Parts of the prompt in order, each as identifier, colon and number of tokens.
+PROMPT_PARTS = b'foxtailhatch-prefix-hash'
 URGENCY = b'foxtailhatch-request-urgency'
 # The chain of endpoints that processes the request.
 CHAIN = b'foxtailhatch-hops'
--- a/foxtailhatch/platform/requests.py
+++ b/foxtailhatch/platform/requests.py
@@ -25,6 +25,9 @@
 # Statuses by which a caller knows that the request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 MAX_URGENCY = 9
+# Bounds on what is kept of the parts of a prompt.
+MAX_PROMPT_PARTS = 64
+MAX_PART_ID_LENGTH = 64
 _CONNECTION_HEADERS = frozenset(
     (
         b'connection',
@@ -130,6 +133,7 @@
             tokens=_tokens(first),
             last_event_id=None if last_event is None else int(last_event),
             malformed_headers=_malformed_headers(first),
+            prompt_parts=_prompt_parts(first),
         )
     )
 
@@ -212,6 +216,14 @@
     return TokenCounts(int(prompt_tokens), int(max_output), int(expected))
 
 
+def _prompt_parts(first: Mapping[bytes, bytes]) -> tuple[str, ...]:
+    """Return the identifiers of the parts of a prompt, in order."""
+    listed = _text(first.get(names.PROMPT_PARTS)).split(',')
+    identifiers = (part.partition(':')[0].strip() for part in listed)
+    known = [part[:MAX_PART_ID_LENGTH] for part in identifiers if part]
+    return tuple(known[-MAX_PROMPT_PARTS:])
+
+
 def _number(field: bytes | None) -> float | None:
     """Return a finite, non-negative number, or ``None`` for other text."""
     try:
--- a/foxtailhatch/relay/attempt.py
+++ b/foxtailhatch/relay/attempt.py
@@ -50,7 +50,8 @@
 
     The expected tokens count as load on each endpoint of the chain until
     the attempt is over.  ``usable_revision`` is the revision of the endpoint
-    table at which the whole chain was last found usable.
+    table at which the whole chain was last found usable.  ``event_count`` is
+    the number of complete events that have arrived.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         self.splitter = EventSplitter()
         self.is_over = False
         self.usable_revision = -1
+        self.event_count = 0
         self._context = context
         self._listener = listener
         tokens = outgoing.req.tokens
--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -69,6 +69,9 @@
     def record_retry(self, cause: str) -> None:
         """Count a retry by cause."""
 
+    def record_failed_attempt(self, kind: str, *, has_begun: bool) -> None:
+        """Count a failed attempt, and whether it had brought an event."""
+
 
 @dataclass(slots=True)
 class RelayContext:
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -39,6 +39,8 @@
 # Delay after a refusal, longer than the above as each retry counts against the
 # retry budget.
 REFUSED_RETRY_S = 0.4
+# Bound on the length of a log line; a part that requests share comes late.
+MAX_LOGGED_PARTS = 8
 FIRST_ERROR_STATUS = 400
 FIRST_SERVER_ERROR_STATUS = 500
 
@@ -175,6 +177,7 @@
         was_started = self.is_started
         if response.is_event_stream:
             events = attempt.splitter.feed(chunk)
+            attempt.event_count += len(events)
             self._delivery.deliver_events(response, events, now)
         else:
             self._delivery.deliver_body(response, chunk, now)
@@ -253,6 +256,7 @@
             to=[endpoint.name for endpoint in endpoints],
             list_revision=self._context.endpoints.revision,
             resume_after=dispatch.resume_after,
+            parts=admitted.req.prompt_parts[-MAX_LOGGED_PARTS:],
         )
         outgoing = OutgoingRequest(admitted.req, dispatch, chosen)
         self.attempt = Attempt(self._context, outgoing, self, now)
@@ -293,6 +297,10 @@
             cause=cause,
             next=action.value,
             after_s=round(now - attempt.sent_at, 3),
+            events=attempt.event_count,
+        )
+        self._context.metrics.record_failed_attempt(
+            failure.value, has_begun=attempt.event_count > 0
         )
         self._apply(action, chosen, cause, now)
 
--- a/foxtailhatch/relay/request.py
+++ b/foxtailhatch/relay/request.py
@@ -29,6 +29,8 @@
     caller waits, counted from the arrival.  ``last_event_id`` is the event
     after which a stream resumes.  ``malformed_headers`` names the headers
     whose value is not a number where one is expected; they are ignored.
+    ``prompt_parts`` are the identifiers of the prompt's parts in order; the
+    last part belongs to this request or its session alone.
     """
 
     request_id: str
@@ -42,6 +44,7 @@
     tokens: TokenCounts | None
     last_event_id: int | None
     malformed_headers: tuple[str, ...] = ()
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailhatch/router/metrics.py
+++ b/foxtailhatch/router/metrics.py
@@ -39,6 +39,12 @@
             const_labels=labels,
             registry=registry,
         )
+        self._failed_attempts = Counter(
+            'failed_attempts',
+            'Failed attempts by kind, before and after their first event',
+            const_labels=labels,
+            registry=registry,
+        )
         self._checks = Counter(
             'invariant_checks',
             'Checks that held',
@@ -79,6 +85,11 @@
         """Count a retry by cause."""
         self._retries.inc({'cause': cause})
 
+    def record_failed_attempt(self, kind: str, *, has_begun: bool) -> None:
+        """Count a failed attempt, and whether it had brought an event."""
+        begun = 'yes' if has_begun else 'no'
+        self._failed_attempts.inc({'kind': kind, 'begun': begun})
+
     def render(self, version: int, running: int) -> bytes:
         """Return all metrics as text.
 
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -189,3 +189,17 @@
 
 def test_valid_headers_are_not_named():
     assert request().malformed_headers == ()
+
+
+def test_identifiers_of_the_prompt_parts_are_decoded_in_order():
+    assert request().prompt_parts == ('5c', '91')
+
+
+def test_unreadable_prompt_parts_are_bounded():
+    parts = b','.join(b'%064x:1' % number for number in range(100))
+    fields = [pair for pair in HEADERS if b'Prefix' not in pair[0]]
+    many = request([*fields, (b'Foxtailhatch-Prefix-Hash', parts)])
+    assert len(many.prompt_parts) == 64
+    assert many.prompt_parts[-1] == f'{99:064x}'
+    empty = request([*fields, (b'Foxtailhatch-Prefix-Hash', b',:4, ,')])
+    assert empty.prompt_parts == ()
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -44,6 +44,7 @@
     def __init__(self):
         self.outcomes = []
         self.retries = []
+        self.failed_attempts = []
 
     def record_outcome(self, outcome, seconds):
         self.outcomes.append(outcome)
@@ -54,6 +55,9 @@
     def record_retry(self, cause):
         self.retries.append(cause)
 
+    def record_failed_attempt(self, kind, *, has_begun):
+        self.failed_attempts.append((kind, has_begun))
+
 
 class PlainCodec:
     """A codec with short header names."""
@@ -196,6 +200,7 @@
     layered=False,
     service=PLAIN,
     budget=None,
+    parts=(),
 ):
     """Return a started relay with its dependencies, caller and endpoints."""
     reactor = MemoryReactorClock()
@@ -229,6 +234,7 @@
         caller_timeout_s=20,
         tokens=TokenCounts(100, 50, 40),
         last_event_id=None,
+        prompt_parts=parts,
     )
     relay_route = route(
         kind=kind,
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -415,3 +415,18 @@
         for env in worlds:
             env.reactor.advance(CAPACITY_RETRY_S)
     assert sends - len(worlds) <= 8
+
+
+def test_log_tells_an_engine_lost_before_the_first_event_from_a_later_loss():
+    env = start_relay(**STREAM, parts=('5c', '91', 'aa'))
+    env.accept_connection().close()
+    second = env.accept_connection()
+    second.start_stream()
+    second.send_event(1)
+    second.close()
+    assert [line['events'] for line in env.log.of('attempt_failed')] == [0, 1]
+    assert env.log.of('sent')[0]['parts'] == ('5c', '91', 'aa')
+    assert env.metrics.failed_attempts == [
+        ('may_have_run', False),
+        ('may_have_run', True),
+    ]
