Keep an attempt that has ended from being given up again

Callers could get a stream that was closed twice, and a request could be sent twice at once: the record of the crashing engines has six 'error' lines of a timer that fired after its request had ended. Reports on a chain head arrive while an attempt may have failed meanwhile; giving it up again scheduled the same timer a second time, and the first one was lost from the books, so that it outlived the request. Ruled out: a caller's connection that is closed without notice, as the caller's departure cancels all timers that are known. An attempt that is over is now left alone, and a timer replaces the pending one of its name.

--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -132,7 +132,7 @@
 
     def abandon_attempt(self, cause: str) -> None:
         """Cancel an attempt without progress, and retry if possible."""
-        if self.attempt is None or self.is_over:
+        if self.attempt is None or self.attempt.is_over or self.is_over:
             return
         self._context.log.write(
             'attempt_given_up', id=self.request_id, why=cause
--- a/foxtailhatch/relay/timers.py
+++ b/foxtailhatch/relay/timers.py
@@ -27,12 +27,18 @@
         callback: Callable[..., None],
         *args: Any,
     ) -> None:
-        """Call ``callback`` after ``delay_s`` seconds."""
+        """Call ``callback`` after ``delay_s`` seconds.
+
+        A pending callback of the same name is cancelled.
+        """
 
         def fire() -> None:  # noqa: WPS430
             self._pending.pop(name, None)
             callback(*args)
 
+        replaced = self._pending.pop(name, None)
+        if replaced is not None:
+            replaced.cancel()
         self._pending[name] = self._reactor.callLater(delay_s, fire)
 
     def cancel_all(self) -> None:
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -430,3 +430,14 @@
         ('may_have_run', False),
         ('may_have_run', True),
     ]
+
+
+# Guards against a second copy of a request after a report that came late.
+def test_attempt_that_has_ended_is_not_given_up_again():
+    env = start_relay(('e1', 'e2', 'e3'), **STREAM, slack=0.0)
+    first = env.accept_connection()
+    first.start_stream()
+    first.send_event(1)
+    first.close()
+    env.relay.abandon_attempt('unresponsive chain head')
+    assert len(env.log.of('attempt_failed')) == 1
--- a/tests/relay/test_timers.py
+++ b/tests/relay/test_timers.py
@@ -34,3 +34,23 @@
     clock.advance(1)
     clock.advance(1)
     assert done == ['hold', 'last']
+
+
+# Guards against a timer that outlives its request, as another took its name.
+def test_timer_of_the_same_name_replaces_the_pending_one():
+    clock, fired = Clock(), []
+    timers = Timers(clock)
+    timers.schedule('hold', 1, fired.append, 'first')
+    timers.schedule('hold', 2, fired.append, 'second')
+    clock.advance(3)
+    assert fired == ['second']
+
+
+def test_no_timer_fires_after_all_are_cancelled():
+    clock, fired = Clock(), []
+    timers = Timers(clock)
+    timers.schedule('hold', 1, fired.append, 'first')
+    timers.schedule('hold', 2, fired.append, 'second')
+    timers.cancel_all()
+    clock.advance(3)
+    assert fired == []
