Quarantine parts of prompts under which engines crash

Requests of all routes of a service failed while its engines ended one after the other: a request whose prompt makes an engine crash was sent on to the next one, like any request whose engine was lost, and engines that are gone did not count as attempts; new requests with the same part came at all entries, and none knew what the others had seen.

The class of fault is a retry that carries its own cause (a query of death). Each entry now reports the prompts that a crashed endpoint had not begun; requests that had brought an event are cleared, and a part that suspects of three crashes have in common, and that no request has begun with, is quarantined at all entries (recovery/crash_suspects.py). Of parts that explain the same crashes the unknown one is taken, and entries tell which parts are sound. Requests with a quarantined part are refused at once as not run, not repeated, not resumed, and stopped if they wait at an engine. A wrong verdict is mended by a trial: one request of the whole fleet after 10, 60 and 360 s, claimed in the log. Beside it, a request whose prompt was lost with two engines before its first event goes to no third one.

Records go through the topic of observations: one for each entry and crash, some tens of bytes for a prompt, 32 at most; one for a quarantined part, again every 200 s while it is asked for. Nothing is written while all parts are known to be sound.

--- a/foxtailhatch/relay/admitted_request.py
+++ b/foxtailhatch/relay/admitted_request.py
@@ -12,6 +12,7 @@
 
     These come from the configuration that was in force at admission.
     ``account`` is ``None`` on public routes; urgency 0 is the most urgent.
+    A trial may crash its endpoint, so it is sent once.
     """
 
     req: RelayRequest
@@ -19,3 +20,4 @@
     service: Service
     account: str | None
     urgency: int
+    is_trial: bool = False
--- a/foxtailhatch/relay/attempt_history.py
+++ b/foxtailhatch/relay/attempt_history.py
@@ -20,6 +20,7 @@
         self._admitted = admitted
         self._endpoints = endpoints
         self._sent_to: dict[str, LiveEndpoint] = {}
+        self._lost: list[LiveEndpoint] = []
         self._excluded: set[str] = set()
         self._refusing: set[str] = set()
 
@@ -28,6 +29,20 @@
         """Return whether the limit on attempts is reached."""
         return len(self._attempted()) >= self._admitted.route.attempts
 
+    @property
+    def lost_heads(self) -> int:
+        """Return how many chain heads were lost before the first event.
+
+        The last one counts at once; those before it only if they are gone, as
+        an endpoint that lives has only closed a connection.
+        """
+        gone = [
+            endpoint
+            for endpoint in self._lost[:-1]
+            if not self._endpoints.is_available(endpoint)
+        ]
+        return len(gone) + len(self._lost[-1:])
+
     @property
     def has_refusals(self) -> bool:
         """Return whether an endpoint refused since the last clearing."""
@@ -42,6 +57,10 @@
         self.unreached += 1
         self._sent_to.pop(name, None)
 
+    def record_lost(self, endpoint: LiveEndpoint) -> None:
+        """Record that a chain head was lost before the first event."""
+        self._lost.append(endpoint)
+
     def exclude(self, name: str) -> None:
         """Exclude an endpoint from later attempts."""
         self._excluded.add(name)
--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -57,6 +57,21 @@
         """Return a chain or a single endpoint; ``None`` if there is none."""
 
 
+class PromptWatch(Protocol):
+    """Watch for parts of prompts that crash endpoints."""
+
+    def record_begun(self, req: RelayRequest, now: float) -> None:
+        """Record the first event of an attempt."""
+
+    def record_lost(
+        self, chosen: SelectedChain, req: RelayRequest, now: float
+    ) -> None:
+        """Record that a request was lost before the first event."""
+
+    def is_blocked(self, req: RelayRequest) -> bool:
+        """Return whether a part of the prompt is quarantined."""
+
+
 class RelayMetrics(Protocol):
     """Metrics of relayed requests."""
 
@@ -90,6 +105,7 @@
     selector: EndpointSelector
     log: StructuredLog
     metrics: RelayMetrics
+    prompts: PromptWatch
     entries: Callable[[], int]
     on_suspect: Callable[[LiveEndpoint, str], None]
     running: set[Any] = field(default_factory=set)
--- a/foxtailhatch/relay/refusals.py
+++ b/foxtailhatch/relay/refusals.py
@@ -27,6 +27,7 @@
     TIMEOUT_BEFORE_RUN = 'timeout_before_run'
     TIMEOUT = 'timeout'
     NO_REQUEST_ID = 'no_request_id'
+    QUARANTINED = 'quarantined_prompt'
 
 
 _STATUSES = {
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -29,6 +29,8 @@
 # retries after this time is likely to be served.
 RETRY_AFTER_NO_ENDPOINT_S = 1.0
 RETRY_AFTER_REFUSED_S = 0.5
+# Pause before a quarantined part of a prompt is first tried again.
+RETRY_AFTER_QUARANTINED_S = 10.0
 # Limit on the wait of a request for capacity: half of the usual target for the
 # first event, so that the target can still be met.
 MAX_CAPACITY_WAIT_S = 0.25
@@ -39,6 +41,9 @@
 # Delay after a refusal, longer than the above as each retry counts against the
 # retry budget.
 REFUSED_RETRY_S = 0.4
+# An engine that crashes loses all its streams, so a request whose prompt may be
+# the cause is not sent to a third one.
+MAX_LOST_HEADS = 2
 # Bound on the length of a log line; a part that requests share comes late.
 MAX_LOGGED_PARTS = 8
 FIRST_ERROR_STATUS = 400
@@ -130,6 +135,16 @@
         is_resumable = self.admitted.route.is_resumable
         return is_resumable and not self._history.is_exhausted
 
+    def stop_before_event(self) -> None:
+        """End the request if its prompt is blocked and it has not begun."""
+        attempt = self.attempt
+        if self.is_over or self.is_started or self.admitted.is_trial:
+            return
+        if attempt is not None and not attempt.is_over:
+            attempt.cancel()
+            self._may_have_run = True
+        self._refuse_blocked()
+
     def abandon_attempt(self, cause: str) -> None:
         """Cancel an attempt without progress, and retry if possible."""
         if self.attempt is None or self.attempt.is_over or self.is_over:
@@ -177,6 +192,8 @@
         was_started = self.is_started
         if response.is_event_stream:
             events = attempt.splitter.feed(chunk)
+            if events and not attempt.event_count:
+                self._context.prompts.record_begun(self.admitted.req, now)
             attempt.event_count += len(events)
             self._delivery.deliver_events(response, events, now)
         else:
@@ -273,7 +290,7 @@
     ) -> None:
         now = self._context.clock()
         if failure is FailureKind.MAY_HAVE_RUN:
-            self._may_have_run = True
+            self._record_lost(attempt, now)
         if failure in {FailureKind.FAILED, FailureKind.MAY_HAVE_RUN}:
             self._history.exclude(attempt.head_name)
         action = action_after_failure(self._failure_context(failure, now))
@@ -304,6 +321,30 @@
         )
         self._apply(action, chosen, cause, now)
 
+    def _record_lost(self, attempt: Attempt, now: float) -> None:
+        self._may_have_run = True
+        if attempt.event_count:
+            return
+        self._history.record_lost(attempt.chosen[0].endpoint)
+        self._context.prompts.record_lost(
+            attempt.chosen, self.admitted.req, now
+        )
+
+    def _is_blocked(self) -> bool:
+        if self.admitted.is_trial:
+            return self._sends > 0
+        return self._context.prompts.is_blocked(self.admitted.req)
+
+    def _refuse_blocked(self) -> None:
+        """End a request whose prompt may crash another endpoint."""
+        if self.is_started:
+            self._caller.abort()
+            self._end('broken_off')
+        elif self._may_have_run:
+            self._refuse(RefusalReason.OUTCOME_UNKNOWN)
+        else:
+            self._refuse(RefusalReason.QUARANTINED, RETRY_AFTER_QUARANTINED_S)
+
     def _apply(
         self,
         action: RetryAction,
@@ -311,7 +352,9 @@
         cause: str,
         now: float,
     ) -> None:
-        if action is RetryAction.RETRY and chosen is not None:
+        if self._is_blocked():
+            self._refuse_blocked()
+        elif action is RetryAction.RETRY and chosen is not None:
             self._spend_retry(now)
             self._context.metrics.record_retry(cause.split(' ')[0])
             self._send(chosen, now)
@@ -337,6 +380,9 @@
 
     def _resume(self) -> None:
         """Retry from the last event if there is a chain, or wait on."""
+        if self._is_blocked():
+            self._refuse_blocked()
+            return
         self._history.clear_refusals()
         now = self._context.clock()
         chosen = self._select_chain(now)
@@ -349,6 +395,9 @@
         self, reason: RefusalReason, retry_after_s: float
     ) -> None:
         """Send if there is a chain; otherwise wait for one, or refuse."""
+        if self._is_blocked():
+            self._refuse_blocked()
+            return
         self._history.clear_refusals()
         now = self._context.clock()
         chosen = self._select_chain(now)
@@ -407,12 +456,18 @@
         route = self.admitted.route
         resumes = self.is_started and route.is_resumable
         is_exhausted = self._history.is_exhausted and not resumes
+        is_suspect = (
+            not self.is_started
+            and bool(self.admitted.req.shared_parts)
+            and self._history.lost_heads >= MAX_LOST_HEADS
+        )
+        has_ended = is_exhausted or is_suspect or self._is_blocked()
         return FailureContext(
             failure=failure,
             may_repeat=route.may_repeat and (resumes or not self.is_started),
             may_have_run=self._may_have_run,
             is_started=self.is_started,
-            attempts_left=0 if is_exhausted else 1,
+            attempts_left=0 if has_ended else 1,
             unreached=self._history.unreached,
             time_left_s=self._deadline_at - now,
             has_budget=self._has_budget(),
--- a/foxtailhatch/relay/request.py
+++ b/foxtailhatch/relay/request.py
@@ -46,6 +46,11 @@
     malformed_headers: tuple[str, ...] = ()
     prompt_parts: tuple[str, ...] = ()
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the parts of the prompt that other requests may share."""
+        return self.prompt_parts[:-1]
+
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -35,6 +35,7 @@
 LEASE_RENEWAL_PERIOD_S = 0.4
 PLACEMENT_PERIOD_S = 0.1
 STALL_CHECK_PERIOD_S = 0.05
+CRASH_WATCH_PERIOD_S = 0.1
 SHUTDOWN_CHECK_PERIOD_S = 0.25
 # Period of the loops of placement and stalls while they have nothing to do.  An
 # entry that idles costs processor time with each step of a loop.
@@ -143,6 +144,9 @@
         every = self._loops.every
         every(HEARTBEAT_CHECK_PERIOD_S, components.heartbeat)
         every(LEASE_RENEWAL_PERIOD_S, components.maintain_lease)
+        self._loops.repeat(
+            self._crash_watch_pause_s, components.crash_watch.step
+        )
         every(SHUTDOWN_CHECK_PERIOD_S, self._check_shutdown)
         self._loops.repeat(
             self._placement_pause_s, components.placement_controller.step
@@ -159,6 +163,10 @@
         is_busy = self._components.stall_detector.has_streams
         return STALL_CHECK_PERIOD_S if is_busy else IDLE_PERIOD_S
 
+    def _crash_watch_pause_s(self) -> float:
+        is_idle = self._components.crash_watch.is_idle
+        return IDLE_PERIOD_S if is_idle else CRASH_WATCH_PERIOD_S
+
     async def _check_shutdown(self) -> None:
         self._output.flush()
         self._components.shutdown.check(boot_time_clock())
--- a/foxtailhatch/router/blackboard.py
+++ b/foxtailhatch/router/blackboard.py
@@ -5,6 +5,7 @@
 
 from foxtailhatch.fleet import EndpointLoads, EndpointTable, PeerWork
 from foxtailhatch.fleet.estimate import WorkByEndpoint
+from foxtailhatch.recovery.quarantine import Quarantine
 from foxtailhatch.router.entry_table import EntryRecord, EntryTable
 from foxtailhatch.router.settings import RouterSettings
 from foxtailhatch.routes import RoutingTable
@@ -28,6 +29,7 @@
     entries: EntryTable = field(default_factory=EntryTable)
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     peer_work: PeerWork = field(default_factory=PeerWork)
+    quarantine: Quarantine = field(default_factory=Quarantine)
 
     def is_ready(self) -> bool:
         """Return whether this entry can serve callers now."""
--- a/foxtailhatch/router/components.py
+++ b/foxtailhatch/router/components.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import partial
 from random import Random
 from typing import Any
 
@@ -12,6 +11,7 @@
 from foxtailhatch.relay.structured_log import RateLimitedLog, StructuredLog
 from foxtailhatch.router.adapter import PlatformAdapter
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.crash_watch import CrashWatch
 from foxtailhatch.router.endpoint_selection import LoadAwareSelector
 from foxtailhatch.router.feed import FeedClient
 from foxtailhatch.router.graceful_shutdown import GracefulShutdown
@@ -40,6 +40,7 @@
     adapter: PlatformAdapter
     log: StructuredLog
     request_handler: RequestHandler
+    crash_watch: CrashWatch
     pages: StatusPages
     state_sync: StateSync
     heartbeats: Heartbeats
@@ -88,6 +89,9 @@
     metrics = RouterMetrics(board.cfg.instance)
     observation_publisher = ObservationPublisher(board, adapter, log)
     bounds = board.cfg.bounds
+    crash_watch = CrashWatch(
+        board, adapter.store, log, random, lambda: relay.running
+    )
     relay = RelayContext(
         reactor=reactor,
         clock=board.clock,
@@ -103,6 +107,7 @@
         selector=LoadAwareSelector(board, random),
         log=log,
         metrics=metrics,
+        prompts=crash_watch,
         entries=lambda: len(board.entries.ready(board.clock())),
         on_suspect=observation_publisher.confirm_suspect,
     )
@@ -112,16 +117,18 @@
         adapter=adapter,
         log=log,
         request_handler=RequestHandler(
-            board, relay, adapter.decode_request, random
+            board, relay, adapter.decode_request, random, crash_watch
         ),
+        crash_watch=crash_watch,
         pages=StatusPages(board, relay, metrics),
         state_sync=StateSync(
             board,
             adapter,
             log,
             board.own_entry,
-            partial(FeedClient, reactor),
-            partial(has_recent_progress, relay.running),
+            lambda address: FeedClient(reactor, address),
+            lambda name, now: has_recent_progress(relay.running, name, now),
+            crash_watch,
         ),
         heartbeats=Heartbeats(board, adapter, log, board.own_entry),
         lease=lease,
--- /dev/null
+++ b/foxtailhatch/router/crash_watch.py
@@ -0,0 +1,335 @@
+"""Watch for parts of prompts that crash endpoints, together with other entries.
+
+Each entry reports the prompts that it lost in a crash, and all entries reach
+the verdict from the reports of all.  Records that any entry could write are
+written after a random delay, unless another entry has written them meanwhile.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from returns.result import Success
+
+from foxtailhatch.fleet import LiveEndpoint
+from foxtailhatch.recovery.crash_suspects import (
+    Crash,
+    CrashSuspects,
+    LostPrompt,
+)
+from foxtailhatch.recovery.trial_claims import TrialClaims
+from foxtailhatch.relay.context import SelectedChain
+from foxtailhatch.relay.relay import Relay
+from foxtailhatch.relay.request import RelayRequest
+from foxtailhatch.relay.structured_log import StructuredLog
+from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.keyed_log import KeyedLog, KeyedRecord, Topic
+from foxtailhatch.router.prompt_records import (
+    LOST_PREFIX,
+    PART_PREFIX,
+    SOUND_PREFIX,
+    LostRecord,
+    PartRecord,
+    PromptRecord,
+    SoundRecord,
+    decode_prompt_record,
+)
+
+# An endpoint that closed a connection is found dead within this time, or has
+# not crashed.
+CONFIRM_S = 3.0
+# Upper bound on the random delay of records that any entry could write.  It
+# covers the time in which the record of another entry arrives.
+SPREAD_S = 0.3
+# Parts with fewer crashes are far from a verdict, and need no other entry's
+# knowledge.
+CRASHES_TO_ACT = 2
+MAX_LOGGED_PARTS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class _Loss:
+    """A request that was lost before its first event, and its endpoints."""
+
+    endpoints: tuple[LiveEndpoint, ...]
+    prompt: LostPrompt
+    lost_at: float
+
+
+class CrashWatch:
+    """Collect and share evidence, and keep the quarantine on the blackboard."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        store: KeyedLog,
+        log: StructuredLog,
+        random: Random,
+        running: Callable[[], Iterable[Relay]],
+    ) -> None:
+        """Start without evidence; ``running`` returns the relays in progress."""
+        self._board = board
+        self._store = store
+        self._log = log
+        self._random = random
+        self._running = running
+        self._suspects = CrashSuspects()
+        self._losses: list[_Loss] = []
+        self._sound_due: dict[str, float] = {}
+        self._parts_due: dict[str, float] = {}
+        self._releases_due: dict[str, float] = {}
+        self._claims = TrialClaims()
+        self._tasks: set[asyncio.Future[None]] = set()
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether there is nothing to confirm, decide or write."""
+        due = (self._sound_due, self._parts_due, self._releases_due)
+        return not (self._losses or any(due) or len(self._board.quarantine))
+
+    def record_begun(self, req: RelayRequest, now: float) -> None:
+        """Record the first event of an attempt, which clears the prompt."""
+        for part in req.shared_parts:
+            if self._board.quarantine.lift(part):
+                self._log.write('part_released', part=part, why='begun')
+                self._releases_due[part] = now
+                self._sound_due[part] = now
+            elif self._suspects.crash_count(part) >= CRASHES_TO_ACT:
+                self._sound_due.setdefault(part, self._spread(now))
+        self._suspects.record_begun(req.shared_parts, now)
+
+    def record_lost(
+        self, chosen: SelectedChain, req: RelayRequest, now: float
+    ) -> None:
+        """Record that a request was lost before the first event."""
+        if not req.shared_parts:
+            return
+        endpoints = tuple(stage.endpoint for stage in chosen)
+        prompt = LostPrompt(req.prompt_parts[-1], req.shared_parts)
+        self._losses.append(_Loss(endpoints, prompt, now))
+
+    def is_blocked(self, req: RelayRequest) -> bool:
+        """Return whether a part of the prompt is quarantined."""
+        return bool(self._board.quarantine.blocking(req.shared_parts))
+
+    def take_trial(self, parts: Sequence[str], now: float) -> bool:
+        """Return whether a request with quarantined parts is sent as a trial.
+
+        A trial with several quarantined parts would not tell them apart.  A
+        claim in the log decides which entry may begin the next trial.
+        """
+        if len(parts) != 1:
+            return False
+        part = parts[0]
+        if self._claims.take(part, now):
+            return True
+        quarantine = self._board.quarantine
+        if quarantine.is_trial_due(part, now) and self._claims.claim(part, now):
+            self._write_part(part, quarantine.trials(part) + 1)
+        return False
+
+    def apply(
+        self, records: Iterable[KeyedRecord], *, is_snapshot: bool
+    ) -> None:
+        """Apply the records of all entries, of a snapshot only quarantines."""
+        now = self._board.clock()
+        for record in records:
+            if record.key.startswith(PART_PREFIX) or not is_snapshot:
+                self._decode(record.key, record.value, now)
+
+    async def step(self) -> None:
+        """Confirm crashes, reach verdicts and write what is due."""
+        if self.is_idle:
+            return
+        now = self._board.clock()
+        self._confirm_losses(now)
+        self._convict(now)
+        for part in self._board.quarantine.expired(now):
+            self._release(part)
+            self._releases_due[part] = self._spread(now)
+        for part in self._board.quarantine.due_for_renewal(now):
+            self._parts_due.setdefault(part, self._spread(now))
+        self._write_due(now)
+
+    def _decode(self, key: str, raw: bytes | None, now: float) -> None:
+        if raw is None:
+            self._release(key.removeprefix(PART_PREFIX))
+            return
+        decoded = decode_prompt_record(key, raw)
+        if isinstance(decoded, Success):
+            self._apply(decoded.unwrap(), now)
+        else:
+            self._log.write(
+                'observation_unreadable', key=key, why=decoded.failure()
+            )
+
+    def _apply(self, record: PromptRecord, now: float) -> None:
+        if isinstance(record, LostRecord):
+            crash = (record.endpoint, record.incarnation)
+            self._suspects.record_crash(crash, record.prompts, now)
+            self._offer_knowledge(record.prompts, now)
+            self._convict(now)
+        elif isinstance(record, SoundRecord):
+            for part, age_s in record.ages_s.items():
+                self._sound_due.pop(part, None)
+                self._suspects.record_sound(part, now - age_s)
+        else:
+            self._apply_part(record, now)
+
+    def _apply_part(self, record: PartRecord, now: float) -> None:
+        part = record.part
+        known_trials = self._board.quarantine.trials(part)
+        self._parts_due.pop(part, None)
+        if not self._board.quarantine.add(part, now, record.trials):
+            return
+        is_claim = record.trials > known_trials
+        if is_claim and record.entry == self._board.cfg.instance:
+            self._claims.grant(part, now)
+        self._log.write(
+            'part_quarantined',
+            part=part,
+            by=record.entry,
+            trials=record.trials,
+        )
+        self._stop_requests(part)
+
+    def _offer_knowledge(
+        self, prompts: Iterable[LostPrompt], now: float
+    ) -> None:
+        """Plan to tell other entries which suspected parts are sound."""
+        suspected = {part for prompt in prompts for part in prompt.parts}
+        for part in suspected:
+            count = self._suspects.crash_count(part)
+            if count >= CRASHES_TO_ACT and self._suspects.is_sound(part, now):
+                self._sound_due.setdefault(part, self._spread(now))
+
+    def _confirm_losses(self, now: float) -> None:
+        crashes: dict[Crash, list[LostPrompt]] = {}
+        waiting = []
+        for loss in self._losses:
+            crashed = list(filter(self._has_crashed, loss.endpoints))
+            for endpoint in crashed:
+                crash = (endpoint.name, endpoint.incarnation)
+                crashes.setdefault(crash, []).append(loss.prompt)
+            if not crashed and now - loss.lost_at <= CONFIRM_S:
+                waiting.append(loss)
+        self._losses = waiting
+        for crash, prompts in crashes.items():
+            self._suspects.record_crash(crash, prompts, now)
+            self._report(crash, prompts, now)
+
+    def _has_crashed(self, endpoint: LiveEndpoint) -> bool:
+        table = self._board.endpoints
+        if table.draining_for(endpoint, self._board.clock()) is not None:
+            return False
+        known = table.get(endpoint.name)
+        is_gone = known is None or known.incarnation != endpoint.incarnation
+        return is_gone or table.is_dead(endpoint.name)
+
+    def _report(
+        self, crash: Crash, prompts: list[LostPrompt], now: float
+    ) -> None:
+        """Report the parts of lost prompts that may have caused a crash."""
+        suspected = [
+            LostPrompt(
+                prompt.own,
+                tuple(
+                    part
+                    for part in prompt.parts
+                    if not self._suspects.is_sound(part, now)
+                    or self._suspects.crash_count(part) >= CRASHES_TO_ACT
+                ),
+            )
+            for prompt in prompts
+        ]
+        named = tuple(prompt for prompt in suspected if prompt.parts)
+        endpoint, incarnation = crash
+        self._log.write(
+            'crash_suspects',
+            endpoint=endpoint,
+            born=incarnation,
+            lost=len(prompts),
+            parts=sorted({part for one in named for part in one.parts})[
+                :MAX_LOGGED_PARTS
+            ],
+        )
+        if named:
+            record = LostRecord(endpoint, incarnation, named)
+            self._put(f'{LOST_PREFIX}{self._entry}', record.encode())
+
+    def _convict(self, now: float) -> None:
+        for part in self._suspects.convict(now):
+            if not self._board.quarantine.add(part, now):
+                continue
+            self._log.write(
+                'part_quarantined',
+                part=part,
+                by=self._entry,
+                crashes=self._suspects.crash_count(part),
+            )
+            self._parts_due[part] = self._spread(now)
+            self._stop_requests(part)
+
+    def _stop_requests(self, part: str) -> None:
+        """End the requests with a part that have brought no event yet."""
+        for relay in tuple(self._running()):
+            if part in relay.admitted.req.shared_parts:
+                relay.stop_before_event()
+
+    def _release(self, part: str) -> None:
+        self._suspects.acquit(part)
+        self._releases_due.pop(part, None)
+        self._parts_due.pop(part, None)
+        self._claims.forget(part)
+        if self._board.quarantine.lift(part):
+            self._log.write('part_released', part=part, why='record')
+
+    def _write_due(self, now: float) -> None:
+        sound = _take_due(self._sound_due, now)
+        if sound:
+            ages_s = {
+                part: round(now - self._suspects.sound_at(part), 2)
+                for part in sound
+                if self._suspects.is_sound(part, now)
+            }
+            self._put(
+                f'{SOUND_PREFIX}{self._entry}', SoundRecord(ages_s).encode()
+            )
+        for part in _take_due(self._parts_due, now):
+            self._write_part(part, self._board.quarantine.trials(part))
+        for part in _take_due(self._releases_due, now):
+            self._put(f'{PART_PREFIX}{part}', None)
+
+    def _write_part(self, part: str, trials: int) -> None:
+        record = PartRecord(part, trials, self._entry)
+        self._put(f'{PART_PREFIX}{part}', record.encode())
+
+    @property
+    def _entry(self) -> str:
+        return self._board.cfg.instance
+
+    def _spread(self, now: float) -> float:
+        return now + self._random.uniform(0, SPREAD_S)
+
+    def _put(self, key: str, raw: bytes | None) -> None:
+        task = asyncio.ensure_future(self._write(key, raw))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _write(self, key: str, raw: bytes | None) -> None:
+        written = await self._store.put(Topic.OBSERVATIONS, key, raw)
+        if not isinstance(written, Success):
+            self._log.write(
+                'observation_not_written',
+                endpoint=key,
+                fault=written.failure().value,
+            )
+
+
+def _take_due(due: dict[str, float], now: float) -> list[str]:
+    """Remove and return the parts whose time has come."""
+    taken = [part for part, due_at in due.items() if due_at <= now]
+    for part in taken:
+        due.pop(part)
+    return taken
--- a/foxtailhatch/router/record_applier.py
+++ b/foxtailhatch/router/record_applier.py
@@ -1,6 +1,7 @@
 """Apply records of the log to the state of the router."""
 
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from returns.result import Success
 
@@ -15,6 +16,7 @@
     EndpointObservation,
     decode_observation,
 )
+from foxtailhatch.router.prompt_records import is_prompt_key
 from foxtailhatch.routes import RoutingTable
 
 # An endpoint that disappears from the list this soon after a failed read may
@@ -25,6 +27,15 @@
 UNKNOWN_AGE_S = 2.2
 
 
+class PromptRecords(Protocol):
+    """Apply records about parts of prompts."""
+
+    def apply(
+        self, records: Iterable[KeyedRecord], *, is_snapshot: bool
+    ) -> None:
+        """Apply the records of all entries."""
+
+
 class RecordApplier:
     """Decode the records of each topic, and update the state."""
 
@@ -34,17 +45,19 @@
         log: StructuredLog,
         adapter: PlatformAdapter,
         is_working: Callable[[str, float], bool],
+        prompts: PromptRecords,
     ) -> None:
         """Use ``adapter`` to decode configuration and endpoint records.
 
         ``is_working`` returns whether streams have recently made progress
-        through an endpoint.
+        through an endpoint; ``prompts`` applies the records about prompts.
         """
         self._board = board
         self._log = log
         self._adapter = adapter
         self._unreadable: set[str] = set()
         self._is_working = is_working
+        self._prompts = prompts
 
     def apply_configuration(
         self,
@@ -112,12 +125,17 @@
         records: Iterable[KeyedRecord],
         is_snapshot: bool,  # noqa: FBT001
     ) -> None:
-        """Apply other entries' observations of endpoints."""
+        """Apply other entries' observations of endpoints and prompts."""
+        listed = tuple(records)
+        about_prompts = [rec for rec in listed if is_prompt_key(rec.key)]
+        self._prompts.apply(about_prompts, is_snapshot=is_snapshot)
         if is_snapshot:
             # Old observations no longer describe the endpoints.
             return
         now = self._board.clock()
-        for record in records:
+        for record in listed:
+            if is_prompt_key(record.key):
+                continue
             decoded = decode_observation(record.value or b'')
             if not isinstance(decoded, Success):
                 self._log.write('observation_unreadable', key=record.key)
--- a/foxtailhatch/router/request_handler.py
+++ b/foxtailhatch/router/request_handler.py
@@ -1,17 +1,20 @@
 """Admit decoded requests and start to relay them."""
 
+from dataclasses import replace
 from random import Random
 
-from returns.result import Success
+from returns.result import Failure, Result, Success
 
+from foxtailhatch.relay.admitted_request import AdmittedRequest
 from foxtailhatch.relay.context import RelayContext
 from foxtailhatch.relay.refusal_response import send_refusal
-from foxtailhatch.relay.refusals import RelayRefusal
+from foxtailhatch.relay.refusals import RefusalReason, RelayRefusal
 from foxtailhatch.relay.relay import Relay
 from foxtailhatch.relay.request import CallerConnection, RelayRequest
 from foxtailhatch.router.adapter import DecodeRequest
 from foxtailhatch.router.admission import admit
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.crash_watch import CrashWatch
 
 # Used until a configuration is known; the usual configured limit.
 DEFAULT_MAX_BODY_BYTES = 4_194_304
@@ -26,12 +29,14 @@
         context: RelayContext,
         decode: DecodeRequest,
         random: Random,
+        crash_watch: CrashWatch,
     ) -> None:
         """Relay requests with ``context``; ``random`` picks among shares."""
         self.decode = decode
         self._board = board
         self._context = context
         self._random = random
+        self._crash_watch = crash_watch
 
     @property
     def max_body_bytes(self) -> int:
@@ -57,7 +62,9 @@
                 id=req.request_id,
                 headers=req.malformed_headers,
             )
-        admitted = admit(self._board, req, now, self._random)
+        admitted = admit(self._board, req, now, self._random).bind(
+            lambda passed: self._check_quarantine(passed, now)
+        )
         if not isinstance(admitted, Success):
             refusal = admitted.failure()
             self.record_refusal(refusal, req.request_id)
@@ -67,6 +74,23 @@
         relay.begin()
         return relay
 
+    def _check_quarantine(
+        self, admitted: AdmittedRequest, now: float
+    ) -> Result[AdmittedRequest, RelayRefusal]:
+        """Refuse a request with a quarantined part, unless it is a trial."""
+        quarantine = self._board.quarantine
+        parts = quarantine.blocking(admitted.req.shared_parts)
+        if not parts:
+            return Success(admitted)
+        quarantine.record_request(parts, now)
+        if self._crash_watch.take_trial(parts, now):
+            self._context.log.write(
+                'part_tried', id=admitted.req.request_id, part=parts[0]
+            )
+            return Success(replace(admitted, is_trial=True))
+        retry_after_s = quarantine.retry_after_s(parts, now)
+        return Failure(RelayRefusal(RefusalReason.QUARANTINED, retry_after_s))
+
     def record_refusal(self, refusal: RelayRefusal, request_id: str) -> None:
         """Count and log a refusal."""
         now = self._context.clock()
--- a/foxtailhatch/router/state_sync.py
+++ b/foxtailhatch/router/state_sync.py
@@ -12,7 +12,7 @@
 from foxtailhatch.router.feed import FeedClient, FeedRequest, FeedResponse
 from foxtailhatch.router.keyed_log import KeyedRecord, Topic
 from foxtailhatch.router.mirror import Mirror
-from foxtailhatch.router.record_applier import RecordApplier
+from foxtailhatch.router.record_applier import PromptRecords, RecordApplier
 from foxtailhatch.router.source_selector import (
     INDIRECT_PEER_AGE_MAX_S,
     PEER_AGE_MAX_S,
@@ -64,6 +64,7 @@
         own: Callable[[], EntryRecord],
         make_client: Callable[[str], FeedClient],
         is_working: Callable[[str, float], bool],
+        prompts: PromptRecords,
     ) -> None:
         """Create the followers; reading begins with :meth:`start`."""
         self.mirror = Mirror()
@@ -77,7 +78,7 @@
         self._selector = SourceSelector(own())
         self._source_name = ''
         self._started_at = board.clock()
-        applier = RecordApplier(board, log, adapter, is_working)
+        applier = RecordApplier(board, log, adapter, is_working, prompts)
         self._applier = applier
         self._followers = {
             topic: self._make_follower(topic, on_records)
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -59,6 +59,24 @@
         self.failed_attempts.append((kind, has_begun))
 
 
+class RecordingPrompts:
+    """A watch for harmful prompts that records what it is told."""
+
+    def __init__(self):
+        self.blocked = set()
+        self.begun = []
+        self.lost = []
+
+    def record_begun(self, req, now):
+        self.begun.append(req.shared_parts)
+
+    def record_lost(self, chosen, req, now):
+        self.lost.append((chosen[0].endpoint.name, req.shared_parts))
+
+    def is_blocked(self, req):
+        return bool(self.blocked & set(req.shared_parts))
+
+
 class PlainCodec:
     """A codec with short header names."""
 
@@ -220,6 +238,7 @@
         selector=FirstEndpointSelector(endpoints, layered),
         log=log,
         metrics=metrics,
+        prompts=RecordingPrompts(),
         entries=lambda: 1,
         on_suspect=lambda one, why: suspects.append((one.name, why)),
     )
--- /dev/null
+++ b/tests/router/test_crash_watch.py
@@ -0,0 +1,245 @@
+"""Entries that share what they know of prompts that crash engines."""
+
+import asyncio
+from dataclasses import replace
+from random import Random
+from types import SimpleNamespace
+
+import pytest
+from returns.result import Failure, Success
+
+from foxtailhatch.recovery.crash_suspects import CRASHES_TO_CONVICT
+from foxtailhatch.recovery.quarantine import TRIAL_PAUSE_S
+from foxtailhatch.relay.context import SelectedStage
+from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.crash_watch import CONFIRM_S, SPREAD_S, CrashWatch
+from foxtailhatch.router.keyed_log import KeyedRecord, StoreFault
+from tests.fleet.endpoints import endpoint
+from tests.relay.fakes import ListLog
+from tests.router.fakes import SETTINGS, Clock
+
+ENGINES = [f'e{number}' for number in range(9)]
+
+
+class SharedLog:
+    """A store whose records reach the entries when they are delivered."""
+
+    def __init__(self):
+        self.records = []
+        self.latest = {}
+        self.is_down = False
+
+    async def put(self, topic, key, value):
+        if self.is_down:
+            return Failure(StoreFault.UNREACHABLE)
+        self.records.append(KeyedRecord(key, value))
+        self.latest[key] = value
+        return Success(None)
+
+
+class Entry:
+    def __init__(self, store, clock, number):
+        self.store = store
+        self.running = set()
+        self.log = ListLog()
+        settings = replace(SETTINGS, instance=f'entry-{number}')
+        self.board = Blackboard(settings, clock)
+        for name in ENGINES:
+            self.board.endpoints.put(endpoint(name), clock())
+        self.watch = CrashWatch(
+            self.board, store, self.log, Random(number), lambda: self.running
+        )
+        self._read = 0
+
+    def lose(self, name, *parts):
+        stage = SelectedStage(self.board.endpoints.get(name))
+        self.watch.record_lost((stage,), prompt(*parts), self.board.clock())
+
+    def deliver(self):
+        records = self.store.records[self._read :]
+        self._read = len(self.store.records)
+        self.watch.apply(records, is_snapshot=False)
+
+
+class Fleet:
+    def __init__(self, entries=3):
+        self.clock = Clock()
+        self.store = SharedLog()
+        self.entries = [
+            Entry(self.store, self.clock, number) for number in range(entries)
+        ]
+
+    def crash(self, name):
+        for one in self.entries:
+            one.board.endpoints.mark_dead(name, 1, self.clock())
+
+    def advance(self, seconds):
+        async def steps():
+            end = self.clock.now + seconds
+            while self.clock.now < end:
+                self.clock.now += 0.1
+                for one in self.entries:
+                    await one.watch.step()
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+                for one in self.entries:
+                    one.deliver()
+
+        asyncio.run(steps())
+
+    def blocked(self, *parts):
+        return [one.watch.is_blocked(prompt(*parts)) for one in self.entries]
+
+    def convict(self, *parts):
+        for number in range(CRASHES_TO_CONVICT):
+            name = ENGINES[number]
+            self.entries[number % len(self.entries)].lose(
+                name, *parts, f'own{number}'
+            )
+            self.crash(name)
+            self.advance(0.3)
+
+
+def prompt(*parts):
+    return SimpleNamespace(prompt_parts=parts, shared_parts=parts[:-1])
+
+
+# Guards against crashes whose common cause no single entry sees.
+def test_part_is_quarantined_everywhere_after_crashes_at_several_entries():
+    fleet = Fleet()
+    fleet.convict('bad')
+    fleet.advance(1)
+    assert fleet.blocked('bad', 'other') == [True, True, True]
+    assert fleet.blocked('s', 'other') == [False, False, False]
+
+
+def test_few_records_are_written_for_a_verdict_of_many_entries():
+    fleet = Fleet(entries=40)
+    fleet.convict('bad')
+    fleet.advance(1)
+    assert all(fleet.blocked('bad', 'x'))
+    # A report of each crash, and some entries that announce the part at once.
+    assert len(fleet.store.records) <= CRASHES_TO_CONVICT + 20
+
+
+def test_closed_connection_of_a_living_engine_is_no_evidence():
+    fleet = Fleet()
+    for number in range(5):
+        fleet.entries[0].lose('e1', 'bad', f'own{number}')
+    fleet.advance(CONFIRM_S + 1)
+    assert fleet.store.records == []
+    assert fleet.entries[0].watch.is_idle
+
+
+def test_engine_that_was_leaving_has_not_crashed():
+    fleet = Fleet()
+    entry = fleet.entries[0]
+    for name in ENGINES[:4]:
+        leaving = replace(entry.board.endpoints.get(name), state='draining')
+        entry.lose(name, 'bad', f'own-{name}')
+        entry.board.endpoints._draining_since[name, 1] = fleet.clock()
+        entry.board.endpoints.remove(leaving.name)
+    fleet.advance(1)
+    assert fleet.store.records == []
+
+
+def test_shared_part_that_other_entries_know_to_be_sound_is_spared():
+    fleet = Fleet()
+    fleet.entries[2].watch.record_begun(prompt('s', 'before'), fleet.clock())
+    fleet.convict('s', 'bad')
+    fleet.advance(1.5)
+    assert fleet.blocked('s', 'bad', 'x') == [True, True, True]
+    assert fleet.blocked('s', 'x') == [False, False, False]
+
+
+def test_request_that_begins_releases_its_part_everywhere():
+    fleet = Fleet()
+    fleet.convict('s')
+    fleet.advance(1)
+    assert all(fleet.blocked('s', 'x'))
+    fleet.entries[1].watch.record_begun(prompt('s', 'x'), fleet.clock())
+    fleet.advance(0.5)
+    assert fleet.blocked('s', 'x') == [False, False, False]
+
+
+def test_entry_that_has_just_started_finds_the_quarantined_parts():
+    fleet = Fleet()
+    fleet.convict('bad')
+    fleet.advance(1)
+    fresh = Entry(fleet.store, fleet.clock, 9)
+    latest = [KeyedRecord(*pair) for pair in fleet.store.latest.items()]
+    fresh.watch.apply(latest, is_snapshot=True)
+    assert fresh.watch.is_blocked(prompt('bad', 'x'))
+    assert fresh.watch._suspects.crash_count('bad') == 0
+
+
+def test_verdict_is_reached_without_the_store():
+    fleet = Fleet(entries=1)
+    fleet.store.is_down = True
+    fleet.convict('bad')
+    fleet.advance(1)
+    assert fleet.blocked('bad', 'x') == [True]
+    assert fleet.entries[0].log.of('observation_not_written')
+
+
+def test_one_entry_of_all_begins_a_trial():
+    fleet = Fleet()
+    fleet.convict('bad')
+    fleet.advance(TRIAL_PAUSE_S + 1)
+
+    async def ask():
+        return [
+            one.watch.take_trial(['bad'], fleet.clock())
+            for one in fleet.entries
+        ]
+
+    taken = []
+    for _ in range(8):
+        taken += asyncio.run(_settled(ask))
+        fleet.advance(0.3)
+    assert taken.count(True) == 1
+
+
+def test_request_with_two_quarantined_parts_is_no_trial():
+    fleet = Fleet()
+    fleet.convict('bad')
+    fleet.advance(TRIAL_PAUSE_S + 1)
+    assert not fleet.entries[0].watch.take_trial(['bad', 's'], fleet.clock())
+
+
+@pytest.mark.parametrize('raw', [b'junk', b'[]', b'[1]'])
+def test_malformed_records_are_logged(raw):
+    fleet = Fleet()
+    entry = fleet.entries[0]
+    entry.watch.apply([KeyedRecord('part/x', raw)], is_snapshot=False)
+    assert entry.log.of('observation_unreadable')
+    assert len(entry.board.quarantine) == 0
+
+
+def test_requests_that_wait_for_an_event_are_stopped_at_the_verdict():
+    fleet = Fleet()
+    stopped = []
+    for one in fleet.entries:
+        for parts in (('bad', 'x'), ('s', 'x')):
+            relay = SimpleNamespace(
+                admitted=SimpleNamespace(req=prompt(*parts)),
+                stop_before_event=lambda parts=parts: stopped.append(parts),
+            )
+            one.running.add(_Hashable(relay))
+    fleet.convict('bad')
+    fleet.advance(SPREAD_S + 0.5)
+    assert set(stopped) == {('bad', 'x')}
+    assert len(stopped) >= len(fleet.entries)
+
+
+class _Hashable:
+    def __init__(self, relay):
+        self.admitted = relay.admitted
+        self.stop_before_event = relay.stop_before_event
+
+
+async def _settled(ask):
+    taken = await ask()
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    return taken
--- a/tests/router/test_record_applier.py
+++ b/tests/router/test_record_applier.py
@@ -34,7 +34,11 @@
     )
     log = ListLog()
     applier = RecordApplier(
-        blackboard, log, adapter, lambda name, now: name in working
+        blackboard,
+        log,
+        adapter,
+        lambda name, now: name in working,
+        SimpleNamespace(apply=lambda records, is_snapshot: None),
     )
     return applier, log
 
--- a/tests/router/test_state_sync.py
+++ b/tests/router/test_state_sync.py
@@ -53,6 +53,7 @@
         lambda: entry('entry-1'),
         lambda address: None,
         lambda name, now: False,
+        SimpleNamespace(apply=lambda records, is_snapshot: None),
     )
     loops = ManualLoops()
     state_sync.start(loops)
--- a/tests/soak_router/test_crashing_prompts.py
+++ b/tests/soak_router/test_crashing_prompts.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import pytest
-
 from tests.soak_router.client import send_request
 from tests.soak_router.test_router import run_scenario
 
@@ -60,7 +58,6 @@
 
 
 # Guards against requests with a part under which engines crash being sent on.
-@pytest.mark.xfail(strict=True, reason='listed in KNOWN-RED.txt')
 def test_part_under_which_five_engines_crashed_reaches_no_more(tmp_path):
     async def scenario(world):
         world.pool.crashing_parts = {CRASHING}
