Run an answer without a token at no more than three endpoints that fail

It now fails with endpoint_failed, as possibly run, once three endpoints were lost while they had a step of it and before its first token. An answer that has tokens goes on as before. The new test fails without the change: the answer went on to a fourth endpoint.

--- a/foxtailhatch/pipeline/answer.py
+++ b/foxtailhatch/pipeline/answer.py
@@ -55,6 +55,15 @@
 RECOVERY_WINDOW_S = 20.0
 CHAIN_RETRY_S = 0.05
 LOSSES_BEFORE_EXCLUSION = 2
+# A prompt may be what makes endpoints fail, so an answer without a token is not
+# run again after this many were lost.
+MAX_LOST_BEFORE_TOKEN = 3
+
+PROMPT_SUSPECTED = Refusal(
+    ErrorCode.ENDPOINT_FAILED,
+    'Several endpoints failed before the first token of the answer.',
+    RunState.UNKNOWN,
+)
 
 NOT_REPEATABLE = Refusal(
     ErrorCode.OUTCOME_UNKNOWN,
@@ -93,6 +102,7 @@
         self._retained = RetainedInputs(retained_bytes)
         self._losses: Counter[str] = Counter()
         self._excluded: set[str] = set()
+        self._lost_before_token: set[str] = set()
         self._step_sent = False
         self._output_received = False
         self._paused = False
@@ -131,6 +141,10 @@
         """Handle the loss of the session with an endpoint."""
         if self.done or not self._uses(endpoint):
             return []
+        if self._has_step_at(endpoint) and len(self._tokens) == len(
+            self.plan.prompt
+        ):
+            self._lost_before_token.add(endpoint)
         self._losses[endpoint] += 1
         if self._losses[endpoint] >= LOSSES_BEFORE_EXCLUSION:
             self._excluded.add(endpoint)
@@ -215,6 +229,16 @@
             return False
         return any(stage.endpoint == endpoint for stage in self.attempt.stages)
 
+    def _has_step_at(self, endpoint: str) -> bool:
+        """Return whether the endpoint has a step of the running attempt."""
+        if self.attempt is None:
+            return False
+        return any(
+            stage.steps
+            for stage in self.attempt.stages
+            if stage.endpoint == endpoint
+        )
+
     def _track_steps(self, actions: Iterator[Action]) -> list[Action]:
         tracked = list(actions)
         self._step_sent = self._step_sent or any(
@@ -304,6 +328,10 @@
             yield from attempt.cancel()
             yield from self._fail(NOT_REPEATABLE)
             return
+        if len(self._lost_before_token) >= MAX_LOST_BEFORE_TOKEN:
+            yield from attempt.cancel()
+            yield from self._fail(PROMPT_SUSPECTED)
+            return
         if self._interrupted_since is None:
             self._interrupted_since = since
         chain = self._choose_chain(self._reusable_stages(attempt, failed), now)
--- a/tests/pipeline/test_answer.py
+++ b/tests/pipeline/test_answer.py
@@ -9,7 +9,7 @@
     RunState,
 )
 from foxtailhatch.outside.frames import CancelStage, StageOutput, StepStage
-from foxtailhatch.pipeline import AnswerFinished, AnswerRun
+from foxtailhatch.pipeline import AnswerFailed, AnswerFinished, AnswerRun
 from foxtailhatch.pipeline.attempt import Attempt
 from foxtailhatch.pipeline.retained_inputs import RetainedInputs
 from tests.pipeline.fakes import (
@@ -253,3 +253,37 @@
     short = StageOutput('s', 1, LayerRange(0, 2), step.frame.position)
     with pytest.raises(InvariantViolation, match='layers_once_in_order'):
         list(driver.run.attempt.handle_output(0, short, driver.now))
+
+
+# Guards against one prompt that crashes an endpoint after the other.
+def test_answer_that_lost_three_endpoints_before_its_first_token_fails():
+    chains = FixedChains(('a', 'd', 'g', 'j'), ('b', 'e'), ('c', 'f'))
+    driver = Driver(AnswerRun(plan(), chains), names='abcdefgj')
+    driver.begin()
+    for name in 'adg':
+        while driver.sent[-1].endpoint != name or not isinstance(
+            driver.sent[-1].frame, StepStage
+        ):
+            action = driver.pending.popleft()
+            for reply in driver.engines[action.endpoint].handle(action.frame):
+                driver.perform(
+                    driver.run.handle_frame(action.endpoint, reply, 0)
+                )
+        driver.pending.clear()
+        chains.down.add(name)
+        driver.perform(driver.run.handle_session_loss(name, driver.now))
+    assert isinstance(driver.outcome, AnswerFailed)
+    assert driver.outcome.refusal.run is RunState.UNKNOWN
+    assert all(action.endpoint != 'j' for action in driver.sent)
+
+
+def test_answer_that_has_tokens_survives_any_number_of_lost_endpoints():
+    chains = FixedChains(('a', 'd', 'g', 'j'), ('b', 'e'), ('c', 'f'))
+    driver = Driver(AnswerRun(plan(), chains), names='abcdefgj')
+    driver.begin()
+    for count, name in enumerate('adg', 1):
+        driver.pump(until_tokens=count)
+        chains.down.add(name)
+        driver.perform(driver.run.handle_session_loss(name, driver.now))
+    driver.pump()
+    assert driver.delivered == expected_tokens()
