Bound repeats only for prompts with a part not known to be sound

It now holds only for a prompt with a part that no request has begun with as far as the entry knows. The new test fails without the change.

--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -71,6 +71,9 @@
     def is_blocked(self, req: RelayRequest) -> bool:
         """Return whether a part of the prompt is quarantined."""
 
+    def is_cleared(self, req: RelayRequest) -> bool:
+        """Return whether requests with each part that is shared have begun."""
+
 
 class RelayMetrics(Protocol):
     """Metrics of relayed requests."""
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -458,7 +458,7 @@
         is_exhausted = self._history.is_exhausted and not resumes
         is_suspect = (
             not self.is_started
-            and bool(self.admitted.req.shared_parts)
+            and not self._context.prompts.is_cleared(self.admitted.req)
             and self._history.lost_heads >= MAX_LOST_HEADS
         )
         has_ended = is_exhausted or is_suspect or self._is_blocked()
--- a/foxtailhatch/router/crash_watch.py
+++ b/foxtailhatch/router/crash_watch.py
@@ -113,6 +113,13 @@
         """Return whether a part of the prompt is quarantined."""
         return bool(self._board.quarantine.blocking(req.shared_parts))
 
+    def is_cleared(self, req: RelayRequest) -> bool:
+        """Return whether requests with each part that is shared have begun."""
+        now = self._board.clock()
+        return all(
+            self._suspects.is_sound(part, now) for part in req.shared_parts
+        )
+
     def take_trial(self, parts: Sequence[str], now: float) -> bool:
         """Return whether a request with quarantined parts is sent as a trial.
 
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -64,6 +64,7 @@
 
     def __init__(self):
         self.blocked = set()
+        self.sound = set()
         self.begun = []
         self.lost = []
 
@@ -73,6 +74,9 @@
     def record_lost(self, chosen, req, now):
         self.lost.append((chosen[0].endpoint.name, req.shared_parts))
 
+    def is_cleared(self, req):
+        return self.sound.issuperset(req.shared_parts)
+
     def is_blocked(self, req):
         return bool(self.blocked & set(req.shared_parts))
 
--- a/tests/relay/test_crashing_prompts.py
+++ b/tests/relay/test_crashing_prompts.py
@@ -45,6 +45,14 @@
     assert env.caller.body.count(b'id:') == 3
 
 
+def test_sound_request_beside_the_cause_is_repeated_as_before():
+    env = start_relay(**STREAM, parts=PARTS)
+    env.context.prompts.sound = {'s', 'bad'}
+    crash(env, 'e1').close()
+    crash(env, 'e2').close()
+    assert b'X-To: e3' in env.accept_connection().request
+
+
 def test_endpoints_that_live_on_do_not_make_a_request_suspect():
     env = start_relay(**STREAM, attempts=4, parts=PARTS)
     for _ in range(3):
