Take an unframed stream without an event for broken off

An answer may end with its connection, without a length or chunks. A stream whose engine went after the head and before the first event then looked complete and empty; a resumed one would have ended as complete in its middle. It is now tried again like one that ends inside an event. The other cases of such answers (a clean end after an event, an end inside an event, a reset, a plain body) were handled before; tests of them come with this one. Only the test of the stream without an event fails without the change.

--- a/foxtailhatch/relay/attempt.py
+++ b/foxtailhatch/relay/attempt.py
@@ -98,6 +98,17 @@
         """Return the transport, which can be paused for backpressure."""
         return self._connection.transport
 
+    @property
+    def is_truncated(self) -> bool:
+        """Return whether an event stream that has ended is incomplete.
+
+        A stream that ends with its connection and has brought no event may
+        have been broken off after its head.
+        """
+        if self.splitter.has_partial_event:
+            return True
+        return not self._connection.is_framed and not self.event_count
+
     def uses(self, name: str) -> bool:
         """Return whether an endpoint is part of the attempt's chain."""
         return name in self._endpoint_names
--- a/foxtailhatch/relay/http_connection.py
+++ b/foxtailhatch/relay/http_connection.py
@@ -181,6 +181,11 @@
         if listener is not None:
             listener.response_completed()
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the response has a length or chunks."""
+        return self._is_framed
+
     @property
     def _out(self) -> Any:
         return self.transport
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -211,7 +211,7 @@
         response = attempt.response
         if attempt is not self.attempt or response is None:
             return
-        if response.is_event_stream and attempt.splitter.has_partial_event:
+        if response.is_event_stream and attempt.is_truncated:
             self._on_attempt_failed(
                 attempt, FailureKind.MAY_HAVE_RUN, 'half an event'
             )
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -441,3 +441,68 @@
     first.close()
     env.relay.abandon_attempt('unresponsive chain head')
     assert len(env.log.of('attempt_failed')) == 1
+
+
+UNFRAMED = (
+    b'HTTP/1.1 200 OK\r\nX-Id: request-1\r\n'
+    b'Content-Type: text/event-stream\r\n\r\n'
+)
+EVENT = b'id: 1\ndata: t1\n\n'
+
+
+# Guards against answers without a length that end with their connection.
+def test_stream_that_ends_with_its_connection_is_complete():
+    env = start_relay(**STREAM)
+    conn = env.accept_connection()
+    conn.send_bytes(UNFRAMED + EVENT)
+    conn.close()
+    assert env.caller.finished
+    assert env.caller.body == EVENT
+
+
+@pytest.mark.parametrize('rest', [b'i', b'id: 2\n', b'id: 2\ndata: t2\n'])
+def test_stream_that_ends_inside_an_event_is_resumed(rest):
+    env = start_relay(**STREAM)
+    conn = env.accept_connection()
+    conn.send_bytes(UNFRAMED + EVENT + rest)
+    conn.close()
+    assert not env.caller.finished
+    second = env.accept_connection()
+    assert b'X-After: 1' in second.request
+    assert env.caller.body == EVENT
+
+
+def test_stream_that_ends_inside_an_event_and_may_not_resume_is_broken_off():
+    env = start_relay(**STREAM | {'resumable': False}, attempts=1)
+    conn = env.accept_connection()
+    conn.send_bytes(UNFRAMED + EVENT + b'id: 2\n')
+    conn.close()
+    assert env.caller.aborted
+
+
+def test_unframed_stream_whose_connection_is_reset_is_resumed():
+    env = start_relay(**STREAM)
+    conn = env.accept_connection()
+    conn.send_bytes(UNFRAMED + EVENT)
+    conn.close(clean=False)
+    assert not env.caller.finished
+    assert b'X-After: 1' in env.accept_connection().request
+
+
+def test_unframed_stream_that_ends_without_an_event_is_tried_again():
+    env = start_relay(**STREAM)
+    conn = env.accept_connection()
+    conn.send_bytes(UNFRAMED)
+    conn.close()
+    assert not env.caller.finished
+    assert b'X-To: e2' in env.accept_connection().request
+
+
+@pytest.mark.parametrize('clean', [True, False])
+def test_body_without_a_length_is_complete_only_after_a_clean_end(clean):
+    env = start_relay(**AT_MOST_ONCE)
+    conn = env.accept_connection()
+    conn.send_bytes(b'HTTP/1.1 200 OK\r\nX-Id: request-1\r\n\r\nbody')
+    conn.close(clean=clean)
+    assert env.caller.status == (200 if clean else 502)
+    assert env.caller.body == (b'body' if clean else env.caller.body)
