Log the limits that endpoints name

An endpoint in need names in its responses how many requests a second it takes from all entries together. The number is decoded into the response's head, and 'limit_named' tells each change. No decision changes.

--- a/foxtailhatch/platform/names.py
+++ b/foxtailhatch/platform/names.py
@@ -12,6 +12,8 @@
 TOKEN_COUNTS = b'foxtailhatch-token-usage'
 # Parts of the prompt in order, each as identifier, colon and number of tokens.
 PROMPT_PARTS = b'foxtailhatch-prefix-hash'
+# Requests a second that an endpoint in need takes from all entries together.
+RATE_LIMIT = b'server-limit'
 URGENCY = b'foxtailhatch-request-urgency'
 # The chain of endpoints that processes the request.
 CHAIN = b'foxtailhatch-hops'
--- a/foxtailhatch/platform/requests.py
+++ b/foxtailhatch/platform/requests.py
@@ -97,6 +97,7 @@
             if at_fault
             else None,
             is_event_stream=content_type.startswith(b'text/event-stream'),
+            rate_limit_per_s=_number(head.get(names.RATE_LIMIT)),
         )
 
 
--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -5,7 +5,12 @@
 from typing import Any, Protocol
 
 from foxtailhatch.core import LayerRange
-from foxtailhatch.fleet import EndpointLoads, EndpointTable, LiveEndpoint
+from foxtailhatch.fleet import (
+    EndpointLoads,
+    EndpointTable,
+    LiveEndpoint,
+    RateLimits,
+)
 from foxtailhatch.relay.request import RelayRequest, WireCodec
 from foxtailhatch.relay.retry_budget import RetryBudget
 from foxtailhatch.relay.structured_log import StructuredLog
@@ -104,6 +109,7 @@
     codec: WireCodec
     endpoints: EndpointTable
     loads: EndpointLoads
+    rate_limits: RateLimits
     budget: RetryBudget
     selector: EndpointSelector
     log: StructuredLog
--- a/foxtailhatch/relay/endpoint_feedback.py
+++ b/foxtailhatch/relay/endpoint_feedback.py
@@ -3,6 +3,7 @@
 from foxtailhatch.relay.attempt import Attempt
 from foxtailhatch.relay.attempt_history import AttemptHistory
 from foxtailhatch.relay.context import RelayContext
+from foxtailhatch.relay.request import ResponseKind
 
 
 class EndpointFeedback:
@@ -64,6 +65,26 @@
         )
         return name
 
+    def record_rate_limit(self, attempt: Attempt) -> None:
+        """Record the limit that the head of the chain names, or that it ends.
+
+        A response that may be of another origin tells nothing.
+        """
+        response = attempt.response
+        if response is None or response.kind is ResponseKind.AMBIGUOUS:
+            return
+        head = attempt.chosen[0].endpoint
+        limit_per_s = response.rate_limit_per_s
+        if self._context.rate_limits.record(
+            head, limit_per_s, self._context.clock()
+        ):
+            self._context.log.write(
+                'limit_named',
+                id=self._request_id,
+                endpoint=head.name,
+                per_s=limit_per_s,
+            )
+
     def record_success(self, attempt: Attempt) -> None:
         """Clear the failures of the endpoints of a successful attempt."""
         for stage in attempt.chosen:
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -163,6 +163,7 @@
             return
         response = self._context.codec.decode_head(head, self.admitted.req)
         attempt.response = response
+        self._feedback.record_rate_limit(attempt)
         if response.kind is ResponseKind.NOT_RUN:
             self._on_not_run(attempt)
             return
--- a/foxtailhatch/relay/request.py
+++ b/foxtailhatch/relay/request.py
@@ -89,7 +89,8 @@
 
     ``failed_address`` is the address of the endpoint of the chain that
     failed or refused, if the response names it.  ``headers`` are those to
-    forward.
+    forward.  ``rate_limit_per_s`` is the number of requests a second that the
+    endpoint takes from all entries together, if it names one.
     """
 
     kind: ResponseKind
@@ -97,6 +98,7 @@
     headers: tuple[tuple[bytes, bytes], ...]
     failed_address: str | None = None
     is_event_stream: bool = False
+    rate_limit_per_s: float | None = None
 
 
 class WireCodec(Protocol):
--- a/foxtailhatch/router/blackboard.py
+++ b/foxtailhatch/router/blackboard.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from foxtailhatch.fleet import EndpointLoads, EndpointTable, PeerWork
+from foxtailhatch.fleet import (
+    EndpointLoads,
+    EndpointTable,
+    PeerWork,
+    RateLimits,
+)
 from foxtailhatch.fleet.estimate import WorkByEndpoint
 from foxtailhatch.recovery.quarantine import Quarantine
 from foxtailhatch.router.entry_table import EntryRecord, EntryTable
@@ -29,6 +34,7 @@
     entries: EntryTable = field(default_factory=EntryTable)
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     peer_work: PeerWork = field(default_factory=PeerWork)
+    rate_limits: RateLimits = field(default_factory=RateLimits)
     quarantine: Quarantine = field(default_factory=Quarantine)
 
     def is_ready(self) -> bool:
--- a/foxtailhatch/router/components.py
+++ b/foxtailhatch/router/components.py
@@ -98,6 +98,7 @@
         codec=adapter.codec,
         endpoints=board.endpoints,
         loads=board.loads,
+        rate_limits=board.rate_limits,
         budget=RetryBudget(
             bounds.retry_ratio,
             bounds.retry_slack,
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -203,3 +203,15 @@
     assert many.prompt_parts[-1] == f'{99:064x}'
     empty = request([*fields, (b'Foxtailhatch-Prefix-Hash', b',:4, ,')])
     assert empty.prompt_parts == ()
+
+
+@pytest.mark.parametrize(
+    ('field', 'expected'),
+    [(b'2.5', 2.5), (b'0', 0), (b'x', None), (None, None)],
+)
+def test_limit_that_an_endpoint_names_is_decoded(field, expected):
+    headers = () if field is None else ((b'server-limit', field),)
+    response = PlatformCodec().decode_head(
+        ResponseHead(503, headers), request()
+    )
+    assert response.rate_limit_per_s == expected
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -7,7 +7,7 @@
 from twisted.python.failure import Failure
 
 from foxtailhatch.core import LayerRange
-from foxtailhatch.fleet import EndpointLoads, EndpointTable
+from foxtailhatch.fleet import EndpointLoads, EndpointTable, RateLimits
 from foxtailhatch.relay.admitted_request import AdmittedRequest
 from foxtailhatch.relay.context import RelayContext, SelectedStage
 from foxtailhatch.relay.relay import Relay
@@ -107,6 +107,7 @@
             head.headers,
             faulty.decode() if faulty else None,
             head.get(b'content-type') == b'text/event-stream',
+            float(head.get(b'x-limit') or 0) or None,
         )
 
 
@@ -238,6 +239,7 @@
         codec=PlainCodec(),
         endpoints=endpoints,
         loads=EndpointLoads(),
+        rate_limits=RateLimits(),
         budget=budget or RetryBudget(0.2, slack, 10, started_at=-10),
         selector=FirstEndpointSelector(endpoints, layered),
         log=log,
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -506,3 +506,12 @@
     conn.close(clean=clean)
     assert env.caller.status == (200 if clean else 502)
     assert env.caller.body == (b'body' if clean else env.caller.body)
+
+
+def test_log_tells_when_an_endpoint_names_a_limit_and_when_it_ends():
+    env = start_relay(**AT_MOST_ONCE)
+    env.accept_connection().respond(headers='X-Limit: 2.5\r\n')
+    assert env.log.of('limit_named')[0]['per_s'] == 2.5
+    head = endpoint('e1')
+    assert not env.context.rate_limits.record(head, 2.5, 1)
+    assert env.context.rate_limits.record(head, None, 2)
