--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -40,7 +40,9 @@
 
     ``crashing_runs`` are the times, on the loop's clock, at which requests with
     a crashing part arrived; ``crashed_at`` are those at which endpoints crashed
-    on one.  ``on_crash`` is called with the endpoint.
+    on one.  ``on_crash`` is called with the endpoint.  An endpoint in
+    ``limits_per_s`` names its limit in each response, and ``arrivals`` holds
+    the times at which requests reached it.
     """
 
     log: PlatformLog
@@ -51,6 +53,8 @@
     crashing_runs: list[float] = field(default_factory=list)
     crashed_at: list[float] = field(default_factory=list)
     on_crash: Callable[['StubEndpoint'], None] | None = None
+    limits_per_s: dict[str, float] = field(default_factory=dict)
+    arrivals: dict[str, list[float]] = field(default_factory=dict)
 
     def check_layers(self, request_id: str, stages: list[ChainStage]) -> None:
         """Record a violation unless each layer runs once and in order."""
@@ -170,12 +174,22 @@
             await self._crash_on_prompt()
             return None
         self._pool.runs[request_id] += 1
+        limit_headers = self._record_arrival()
         last_event_id = int(req.headers.get('last-event-id', 0))
         with _ActivePath(self.paths, request_id, stages):
-            writer.write(_stream_head(request_id))
+            writer.write(_stream_head(request_id, limit_headers))
             await self._stream(request_id, last_event_id, writer)
         return None
 
+    def _record_arrival(self) -> dict[str, str]:
+        """Record a request, and return the header that names a limit."""
+        limit_per_s = self._pool.limits_per_s.get(self.name)
+        if limit_per_s is None:
+            return {}
+        arrived_at = asyncio.get_running_loop().time()
+        self._pool.arrivals.setdefault(self.name, []).append(arrived_at)
+        return {'Server-Limit': str(limit_per_s)}
+
     async def _crash_on_prompt(self) -> None:
         """Crash after the time of a prompt, before the first event."""
         loop = asyncio.get_running_loop()
@@ -289,10 +303,10 @@
     return {part.partition(':')[0] for part in listed}
 
 
-def _stream_head(request_id: str) -> bytes:
+def _stream_head(request_id: str, extra: dict[str, str]) -> bytes:
     lines = ['HTTP/1.1 200 OK', 'Content-Type: text/event-stream']
     lines.append('Transfer-Encoding: chunked')
-    seal_headers = _seal_headers(request_id).items()
+    seal_headers = (_seal_headers(request_id) | extra).items()
     lines.extend(f'{key}: {text}' for key, text in seal_headers)
     return '\r\n'.join([*lines, '', '']).encode()
 
