Forget limits and counts of endpoints that are gone

Names of limited endpoints that had left stayed in the set that each choice of a chain consults, and counts of requests stayed for each endpoint ever used. Both are now dropped; the entries that are ready are counted once for a choice. The new test fails without the change.

--- a/foxtailhatch/fleet/rate_limits.py
+++ b/foxtailhatch/fleet/rate_limits.py
@@ -22,6 +22,8 @@
 # endpoint without requests is tried again.
 LIMIT_TTL_S = 10.0
 MAX_COUNTED = 10_000
+# With more endpoints than this, those without recent requests are dropped.
+MAX_ENDPOINTS = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +67,9 @@
 
     def record_send(self, name: str, now: float) -> None:
         """Count a request that is sent to an endpoint."""
+        if len(self._sent_at) > MAX_ENDPOINTS:
+            for known in tuple(self._sent_at):
+                self.sent(known, now)
         sent_at = self._sent_at.setdefault(name, deque(maxlen=MAX_COUNTED))
         sent_at.append(now)
         self._demand.append(now)
@@ -96,9 +101,15 @@
         _expire(self._demand, now)
         return len(self._demand) / WINDOW_S
 
-    @property
-    def names(self) -> frozenset[str]:
+    def names(self, now: float) -> frozenset[str]:
         """Return the names of the endpoints that have named a limit."""
+        lapsed = [
+            name
+            for name, known in self._limits.items()
+            if now - known.named_at > LIMIT_TTL_S
+        ]
+        for name in lapsed:
+            self._limits.pop(name)
         return frozenset(self._limits)
 
     def report(
@@ -110,14 +121,11 @@
         Only limits that this entry was told itself are passed on.
         """
         reports = {
-            name: Work(sent=sent)
-            for name in reported_names | self.names
-            if (sent := self.sent(name, now))
+            name: Work(sent=self.sent(name, now)) for name in reported_names
         }
-        for name, known in self._limits.items():
-            if now - known.named_at <= LIMIT_TTL_S:
-                sent = self.sent(name, now)
-                reports[name] = Work(sent=sent, limit_per_s=known.per_s)
+        for name in self.names(now):
+            per_s = self._limits[name].per_s
+            reports[name] = Work(sent=self.sent(name, now), limit_per_s=per_s)
         return reports
 
 
--- a/foxtailhatch/router/endpoint_selection.py
+++ b/foxtailhatch/router/endpoint_selection.py
@@ -67,28 +67,35 @@
         head is not sent to it again.
         """
         board = self._board
-        limited = board.rate_limits.names | board.peer_work.limited_names(now)
+        zone = board.cfg.zone
+        limited = board.rate_limits.names(now)
+        limited |= board.peer_work.limited_names(now)
         if not limited or selection.first is not None:
             return None
         chance = self._random.random()
+        gates = self._rate_gates(now)
         names = frozenset(
             endpoint.name
             for endpoint in endpoints
             if endpoint.name not in limited
-            or self._rate_gate(endpoint, now).admits(endpoint, chance)
+            or gates[endpoint.zone == zone].admits(endpoint, chance)
         )
         return names & selection.heads if selection.heads else names
 
-    def _rate_gate(self, endpoint: LiveEndpoint, now: float) -> RateGate:
+    def _rate_gates(self, now: float) -> dict[bool, RateGate]:
+        """Return the gates to endpoints by whether they are in this zone."""
         board = self._board
         ready = board.entries.ready(now)
-        delay_s = REPORT_DELAY_S
-        if endpoint.zone == board.cfg.zone:
-            delay_s = ZONE_REPORT_DELAY_S
-            ready = [entry for entry in ready if entry.zone == endpoint.zone]
-        return RateGate(
-            board.rate_limits, board.peer_work, max(1, len(ready)), delay_s, now
-        )
+        in_zone = sum(entry.zone == board.cfg.zone for entry in ready)
+        limits, peers = board.rate_limits, board.peer_work
+        return {
+            True: RateGate(
+                limits, peers, max(1, in_zone), ZONE_REPORT_DELAY_S, now
+            ),
+            False: RateGate(
+                limits, peers, max(1, len(ready)), REPORT_DELAY_S, now
+            ),
+        }
 
     def _select_from(
         self,
--- a/tests/router/test_named_limits.py
+++ b/tests/router/test_named_limits.py
@@ -10,7 +10,12 @@
 import pytest
 
 from foxtailhatch.fleet import Work
-from foxtailhatch.fleet.rate_limits import LIMIT_TTL_S, WINDOW_S, RateLimits
+from foxtailhatch.fleet.rate_limits import (
+    LIMIT_TTL_S,
+    MAX_ENDPOINTS,
+    WINDOW_S,
+    RateLimits,
+)
 from foxtailhatch.relay.context import SelectionRequest
 from foxtailhatch.router.endpoint_selection import LoadAwareSelector
 from foxtailhatch.router.work_totals import (
@@ -177,6 +182,16 @@
     assert limits.sent('e1', WINDOW_S + 1) == 0
 
 
+def test_endpoints_that_are_gone_leave_nothing_behind():
+    limits = RateLimits()
+    for number in range(3 * MAX_ENDPOINTS):
+        limits.record_send(f'e{number}', number)
+    limits.record(endpoint('e1'), 2.0, 0)
+    assert len(limits._sent_at) <= MAX_ENDPOINTS + 1
+    assert limits.names(LIMIT_TTL_S + 1) == frozenset()
+    assert limits.report(frozenset(), LIMIT_TTL_S + 1) == {}
+
+
 def test_limits_survive_encoding_and_others_cost_nothing():
     work = {'e1': Work(1, 1, 9, 3, 2.5), 'e2': Work(1, 0, 9)}
     assert decode_work(encode_work(work)) == work
