Test that a quarantine outlives a restart, and that rare crashes are recognized

Two more runs of routers as processes: one entry is killed after the verdict and serves on without another crash but one trial; a crashing first part that comes every 0.7 s at one entry or another is recognized within the bound. Both pass on the code as it is.

--- a/tests/soak_router/test_crashing_prompts.py
+++ b/tests/soak_router/test_crashing_prompts.py
@@ -1,9 +1,11 @@
 """Requests that share a part of their prompts under which engines crash."""
 
 import asyncio
+import signal
 
 from tests.soak_router.client import send_request
-from tests.soak_router.test_router import run_scenario
+from tests.soak_router.test_router import all_serve, run_scenario
+from tests.soak_router.world import wait_until
 
 SHARED, CRASHING = 'aa', 'bad'
 PERIOD_S = 0.1
@@ -75,3 +77,43 @@
         assert len(begun) >= (load.sent - first_late) / 2
 
     run_scenario(tmp_path, scenario, routers=3)
+
+
+# Guards against an entry that starts without what the others know.
+def test_entry_that_restarts_keeps_the_quarantine(tmp_path):
+    async def scenario(world):
+        world.pool.crashing_parts = {CRASHING}
+        load = Load(world)
+        await load.run(2, is_crashing=False)
+        await load.run(5, is_crashing=True)
+        await asyncio.gather(*load.tasks)
+        crashes = len(world.pool.crashed_at)
+        router = world.routers[0]
+        router.signal(signal.SIGKILL)
+        await asyncio.to_thread(router.process.wait)
+        router.start()
+        await wait_until(lambda: all_serve(world), 'it does not serve again')
+        await load.run(CONTACT_S, is_crashing=True)
+        await asyncio.gather(*load.tasks)
+        assert crashes >= 1
+        # One trial of all entries may have begun meanwhile.
+        assert len(world.pool.crashed_at) <= crashes + 1
+
+    run_scenario(tmp_path, scenario, routers=3)
+
+
+# Guards against crashes that are too rare for any entry to see two of them.
+def test_rare_requests_with_a_crashing_first_part_are_recognized(tmp_path):
+    async def scenario(world):
+        world.pool.crashing_parts = {CRASHING}
+        load = Load(world)
+        await load.run(2, is_crashing=False)
+        for number in range(14):
+            parts = (CRASHING, 'tail', f'own{number}')
+            load.start(load.send(900 + number, parts))
+            await load.run(0.7, is_crashing=False)
+        await asyncio.gather(*load.tasks)
+        late = world.pool.crashing_runs[CRASHES:]
+        assert len(late) <= MAX_LATE_REQUESTS
+
+    run_scenario(tmp_path, scenario, routers=3)
