Reach a verdict between rival parts without waiting for a crash

When several parts explained the same crashes, the verdict was put off for a second and then not taken up: the watch counted as idle, and only the next crash or report made it decide, at the cost of an engine. It now stays awake while a verdict waits, and decides at once when a rival is reported to be sound. The first of the two new tests fails without the change.

--- a/foxtailhatch/recovery/crash_suspects.py
+++ b/foxtailhatch/recovery/crash_suspects.py
@@ -130,6 +130,15 @@
         evidence = self._evidence.get(part)
         return 0 if evidence is None else len(evidence.crashes)
 
+    @property
+    def is_undecided(self) -> bool:
+        """Return whether a verdict waits for what other entries report."""
+        return any(
+            evidence.convictable_since is not None
+            for part, evidence in self._evidence.items()
+            if part not in self._convicted
+        )
+
     def acquit(self, part: str) -> None:
         """Drop the evidence against a part."""
         self._evidence.pop(part, None)
--- a/foxtailhatch/router/crash_watch.py
+++ b/foxtailhatch/router/crash_watch.py
@@ -86,7 +86,8 @@
     def is_idle(self) -> bool:
         """Return whether there is nothing to confirm, decide or write."""
         due = (self._sound_due, self._parts_due, self._releases_due)
-        return not (self._losses or any(due) or len(self._board.quarantine))
+        is_waiting = bool(self._losses) or self._suspects.is_undecided
+        return not (is_waiting or any(due) or len(self._board.quarantine))
 
     def record_begun(self, req: RelayRequest, now: float) -> None:
         """Record the first event of an attempt, which clears the prompt."""
@@ -181,6 +182,7 @@
             for part, age_s in record.ages_s.items():
                 self._sound_due.pop(part, None)
                 self._suspects.record_sound(part, now - age_s)
+            self._convict(now)
         else:
             self._apply_part(record, now)
 
--- a/tests/router/test_crash_watch.py
+++ b/tests/router/test_crash_watch.py
@@ -8,7 +8,10 @@
 import pytest
 from returns.result import Failure, Success
 
-from foxtailhatch.recovery.crash_suspects import CRASHES_TO_CONVICT
+from foxtailhatch.recovery.crash_suspects import (
+    CRASHES_TO_CONVICT,
+    RIVALRY_S,
+)
 from foxtailhatch.recovery.quarantine import TRIAL_PAUSE_S
 from foxtailhatch.relay.context import SelectedStage
 from foxtailhatch.router.blackboard import Blackboard
@@ -243,3 +246,22 @@
     await asyncio.sleep(0)
     await asyncio.sleep(0)
     return taken
+
+
+# Guards against a verdict that waits for the next crash.
+def test_verdict_between_rivals_needs_no_further_crash():
+    fleet = Fleet()
+    fleet.convict('unknown', 'bad')
+    assert fleet.blocked('unknown', 'bad', 'x') == [False, False, False]
+    fleet.advance(RIVALRY_S + SPREAD_S + 0.2)
+    assert fleet.blocked('unknown', 'bad', 'x') == [True, True, True]
+    assert fleet.blocked('unknown', 'x') == [False, False, False]
+
+
+def test_part_is_quarantined_as_soon_as_its_rival_is_known_to_be_sound():
+    fleet = Fleet()
+    fleet.convict('s', 'bad')
+    for one in fleet.entries:
+        one.watch.record_begun(prompt('s', 'x'), fleet.clock())
+    fleet.advance(0.2)
+    assert fleet.blocked('bad', 'x') == [True, True, True]
