--- a/foxtailhatch/platform/names.py
+++ b/foxtailhatch/platform/names.py
@@ -14,6 +14,9 @@
 PROMPT_PARTS = b'foxtailhatch-prefix-hash'
 # Requests a second that an endpoint in need takes from all entries together.
 RATE_LIMIT = b'server-limit'
+# In all answers of the store; rises by one each time the store returns from an
+# older copy.
+STORE_EPOCH = b'store-era'
 URGENCY = b'foxtailhatch-request-urgency'
 # The chain of endpoints that processes the request.
 CHAIN = b'foxtailhatch-hops'
--- a/foxtailhatch/platform/store.py
+++ b/foxtailhatch/platform/store.py
@@ -64,7 +64,8 @@
                 content = base64.b64decode(item['value'])
                 records.append(KeyedRecord(after, content))
             if not document.get('has_more') or not document['items']:
-                return Success(KeyedPage(tuple(records), end))
+                epoch = document['epoch']
+                return Success(KeyedPage(tuple(records), end, epoch))
 
     async def read(
         self,
@@ -138,7 +139,7 @@
         called = await self._call(
             HttpCall('GET', f'/log-newest?{urlencode(query)}')
         )
-        return called.bind(_decode_json)
+        return called.bind(_decode_latest)
 
     async def _call(self, call: HttpCall) -> Result[HttpResponse, StoreFault]:
         outcome = await self._http_client.call(call)
@@ -164,6 +165,19 @@
     return Success(document)
 
 
+def _decode_latest(response: HttpResponse) -> Result[Any, StoreFault]:
+    """Return a page of latest records, with the epoch of the store."""
+    return _decode_json(response).map(
+        lambda document: {**document, 'epoch': _epoch(response)}
+    )
+
+
+def _epoch(response: HttpResponse) -> int:
+    """Return the epoch of the store; 0 if it does not name a valid one."""
+    field = response.head.get(names.STORE_EPOCH) or b''
+    return int(field) if field.isdigit() else 0
+
+
 def _decode_membership(
     response: HttpResponse,
 ) -> Result[Membership, StoreFault]:
@@ -172,6 +186,7 @@
             document.get('generation', 0),
             # The member that is assigned partition 0 holds the leader lease.
             any(row[1] == 0 for row in document.get('parts', ())),
+            _epoch(response),
         )
     )
 
@@ -183,7 +198,8 @@
     if len(body) < _READ_HEAD.size:
         return Failure(StoreFault.MALFORMED)
     records = tuple(_decode_records(body[_READ_HEAD.size :]))
-    return Success(KeyedPage(records, offset + len(records)))
+    next_offset = offset + len(records)
+    return Success(KeyedPage(records, next_offset, _epoch(response)))
 
 
 def _decode_records(body: bytes) -> Iterator[KeyedRecord]:
--- a/foxtailhatch/router/blackboard.py
+++ b/foxtailhatch/router/blackboard.py
@@ -24,7 +24,8 @@
 
     ``configuration_confirmed_at`` is the latest time at which the
     configuration in force is known to have been the newest.
-    ``stop_requested_at`` is set when a stop is requested.
+    ``store_epoch`` is the store's epoch at the last read of the configuration,
+    and ``stop_requested_at`` is set when a stop is requested.
     """
 
     cfg: RouterSettings
@@ -32,6 +33,7 @@
     table: RoutingTable | None = None
     configuration_confirmed_at: float | None = None
     stop_requested_at: float | None = None
+    store_epoch: int = 0
     endpoints: EndpointTable = field(default_factory=EndpointTable)
     entries: EntryTable = field(default_factory=EntryTable)
     loads: EndpointLoads = field(default_factory=EndpointLoads)
--- a/foxtailhatch/router/keyed_log.py
+++ b/foxtailhatch/router/keyed_log.py
@@ -45,22 +45,28 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyedPage:
-    """Records in log order, and the offset at which the next read starts."""
+    """Records in log order, and the offset at which the next read starts.
+
+    ``epoch`` is that of the store, which grows each time the store returns
+    from an older copy of itself and gives out the offsets since then again.
+    """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Membership:
     """Membership in the lease group.
 
-    ``generation`` increases with each change of members; ``is_holder`` is
-    true for the member that holds the lease.
+    ``generation`` increases with each change of members within an ``epoch``
+    of the store; ``is_holder`` is true for the member that holds the lease.
     """
 
     generation: int
     is_holder: bool
+    epoch: int = 0
 
 
 class KeyedLog(Protocol):
--- a/foxtailhatch/router/leader_lease.py
+++ b/foxtailhatch/router/leader_lease.py
@@ -128,4 +128,5 @@
         self._log.write(
             'lease_acquired' if self.is_held else 'lease_lost',
             generation=membership.generation,
+            epoch=membership.epoch,
         )
--- a/foxtailhatch/router/state_sync.py
+++ b/foxtailhatch/router/state_sync.py
@@ -105,6 +105,7 @@
         """Update the age of the configuration, and expire lapsed endpoints."""
         follower = self._followers[Topic.CONFIGURATION]
         self._board.configuration_confirmed_at = follower.confirmed_at
+        self._board.store_epoch = follower.epoch
         now = self._board.clock()
         for name in self._board.endpoints.remove_lapsed(now):
             self._log.write('endpoint_gone', name=name, why='lapsed')
--- a/foxtailhatch/router/status_pages.py
+++ b/foxtailhatch/router/status_pages.py
@@ -60,4 +60,5 @@
         """Return the metrics as text."""
         table = self._board.table
         version = 0 if table is None else table.version
-        return self._metrics.render(version, len(self._context.running))
+        running = len(self._context.running)
+        return self._metrics.render(version, running, self._board.store_epoch)
--- a/foxtailhatch/router/topic_follower.py
+++ b/foxtailhatch/router/topic_follower.py
@@ -50,6 +50,8 @@
         self._log = log
         self._clock = clock
         self._offset: int | None = None
+        self._epoch = 0
+        self._is_ignoring = False
 
     @property
     def confirmed_at(self) -> float | None:
@@ -61,6 +63,11 @@
         """Return the offset of the next record, or ``None`` at the start."""
         return self._offset
 
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of the store at the last read."""
+        return self._epoch
+
     async def step(self, wait_s: float = 0) -> bool:
         """Read the store once; return whether there were new records."""
         sent_at = self._clock()
@@ -78,6 +85,7 @@
             # be older than what is known now.
             return False
         self._read_succeeded()
+        self._epoch = page.epoch
         self._apply(page.records, page.next_offset, offset is None)
         self._confirm(sent_at)
         return bool(page.records)
@@ -93,7 +101,9 @@
             update.next_offset < self._offset
         )
         if is_behind:
+            self._log_ignored(update)
             return
+        self._is_ignoring = False
         self._apply(update.records, update.next_offset, update.is_snapshot)
         self._confirm(sent_at - update.age_s)
 
@@ -103,14 +113,35 @@
         next_offset: int,
         is_snapshot: bool,  # noqa: FBT001
     ) -> None:
+        before = self._offset
         self._offset = next_offset
         if is_snapshot:
+            self._log.write(
+                'snapshot',
+                topic=self._topic.value,
+                offset=next_offset,
+                before=before,
+                epoch=self._epoch,
+                records=len(records),
+            )
             self._mirror.reset(records, next_offset)
         else:
             self._mirror.append(records, next_offset)
         if records or is_snapshot:
             self._on_records(records, is_snapshot)
 
+    def _log_ignored(self, update: TopicUpdate) -> None:
+        """Write a line for the first of several updates that are ignored."""
+        if not self._is_ignoring:
+            self._is_ignoring = True
+            self._log.write(
+                'update_ignored',
+                topic=self._topic.value,
+                offset=self._offset,
+                peer_offset=update.next_offset,
+                age_s=update.age_s,
+            )
+
     def _confirm(self, confirmed_at: float) -> None:
         known = self._mirror.confirmed_at
         if known is None or confirmed_at > known:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -27,8 +27,9 @@
         answer = self._answers.pop(0)
         if isinstance(answer, TransportFailure):
             return Failure(answer)
-        status, body = answer
-        return Success(HttpResponse(ResponseHead(status, ()), body))
+        status, body, *headers = answer
+        head = ResponseHead(status, tuple(headers))
+        return Success(HttpResponse(head, body))
 
     def query(self, index=0):
         return parse_qs(urlsplit(self.calls[index].target).query)
@@ -59,6 +60,24 @@
     assert http_client.query()['topic'] == ['keyed.servers']
 
 
+@pytest.mark.parametrize(
+    ('headers', 'epoch'),
+    [
+        ([(b'store-era', b'3')], 3),
+        ([(b'store-era', b'three')], 0),
+        ([], 0),
+    ],
+)
+def test_epoch_of_the_store_is_decoded_from_all_reads(headers, epoch):
+    latest = b'{"items": [], "end_offset": 0}'
+    http_client = ScriptedHttpClient(
+        (200, page(), *headers), (200, latest, *headers)
+    )
+    store = LogStore(http_client)
+    assert run(store.read(Topic.ENDPOINTS, 0, 0)).unwrap().epoch == epoch
+    assert run(store.read_latest(Topic.ENDPOINTS)).unwrap().epoch == epoch
+
+
 def test_truncated_record_is_left_for_the_next_read():
     body = page(record(b'a', b'1'), record(b'b', b'2')[:-1])
     http_client = ScriptedHttpClient((200, body))
--- a/tests/router/test_topic_follower.py
+++ b/tests/router/test_topic_follower.py
@@ -128,6 +128,14 @@
     assert follower.offset == 9
 
 
+def test_ignored_updates_of_a_peer_are_logged_once():
+    follower, _, log = make_follower(MemoryStore())
+    follower.apply_update(update('a', end=9, is_snapshot=True), sent_at=50)
+    for sent_at in (60, 70):
+        follower.apply_update(update('b', end=5), sent_at=sent_at)
+    assert [line['peer_offset'] for line in log.of('update_ignored')] == [5]
+
+
 def test_update_of_a_peer_without_data_is_ignored():
     follower, applied, _ = make_follower(MemoryStore())
     follower.apply_update(TopicUpdate((), None, False, None), sent_at=50)
