Tell older records of endpoints by their heartbeats

An older copy of the store lists endpoints that have left or crashed since, and lacks those that have come.

For two seconds after a restore, endpoints that are missing count as lapsed, at fed entries as well.

--- a/foxtailhatch/fleet/endpoint.py
+++ b/foxtailhatch/fleet/endpoint.py
@@ -1,6 +1,6 @@
 """State that an endpoint publishes of itself."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 from foxtailhatch.core import LayerRange
@@ -18,7 +18,8 @@
     """One incarnation of an endpoint.
 
     ``layers`` is the range that a model engine holds.  ``incarnation`` differs
-    after each restart under the same name.
+    after each restart under the same name, and ``heartbeats`` is the number of
+    records that it has written; both are 0 if unknown.
     """
 
     name: str
@@ -30,3 +31,4 @@
     layers: LayerRange | None = None
     accelerator_kind: str = ''
     incarnation: int = 0
+    heartbeats: int = field(default=0, compare=False)
--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -5,6 +5,7 @@
 
 from foxtailhatch.core import LayerRange
 from foxtailhatch.fleet.endpoint import EndpointState, LiveEndpoint
+from foxtailhatch.fleet.last_heartbeats import LastHeartbeats
 from foxtailhatch.fleet.observed_layers import ObservedLayers
 
 # Back-off after a failure, which doubles with each consecutive one.  The first
@@ -37,6 +38,7 @@
     def __init__(self) -> None:
         """Start without endpoints."""
         self._endpoints: dict[str, LiveEndpoint] = {}
+        self._heartbeats = LastHeartbeats()
         self._lapsed_at: dict[str, float] = {}
         self._failure_backoffs: dict[str, tuple[float, float]] = {}
         self._draining_since: dict[tuple[str, int], float] = {}
@@ -46,8 +48,13 @@
         self._refusal_backoffs: dict[str, tuple[float, float]] = {}
         self.revision = 0
 
+    def is_outdated(self, endpoint: LiveEndpoint) -> bool:
+        """Return whether a record is older than what is known."""
+        return self._heartbeats.is_older(endpoint)
+
     def put(self, endpoint: LiveEndpoint, now: float) -> LiveEndpoint | None:
         """Update an endpoint from its record; return the previous state."""
+        self._heartbeats.record(endpoint)
         before = self._endpoints.get(endpoint.name)
         self._lapsed_at.pop(endpoint.name, None)
         self._revive(endpoint, before, now)
@@ -109,8 +116,9 @@
         """Return whether an endpoint is marked dead."""
         return name in self._dead_since
 
-    def remove(self, name: str) -> None:
+    def remove(self, name: str, now: float) -> None:
         """Remove an endpoint that has left."""
+        self._heartbeats.record_removal(name, now)
         self._lapsed_at.pop(name, None)
         self._dead_since.pop(name, None)
         self._observations.remove(name)
@@ -133,7 +141,7 @@
             if now - since >= LAPSE_GRACE_S
         ]
         for name in expired:
-            self.remove(name)
+            self.remove(name, now)
         return expired
 
     def get(self, name: str) -> LiveEndpoint | None:
--- a/foxtailhatch/platform/endpoints.py
+++ b/foxtailhatch/platform/endpoints.py
@@ -28,6 +28,9 @@
     slots: int = 0
     state: str
     born: int = 0
+    # Number of the heartbeat that wrote the record; in a report the same name
+    # holds the number of accepted orders.
+    seq: int = 0
     layers: Any = None
     # Accelerator kind; in a route the same name says whether requests may
     # be repeated.
@@ -77,6 +80,7 @@
             layers=_layers(record.layers),
             accelerator_kind=record.route_kind,
             incarnation=record.born,
+            heartbeats=record.seq,
         )
     )
 
--- a/foxtailhatch/router/record_applier.py
+++ b/foxtailhatch/router/record_applier.py
@@ -75,12 +75,17 @@
         failed_at: float | None,
         *,
         is_snapshot: bool,
+        is_restored: bool = False,
     ) -> None:
         """Update the endpoints, and drop those that have been deleted.
 
-        ``failed_at`` is the time of the last failed read, if any.
+        ``failed_at`` is the time of the last failed read, if any.  If the
+        store ``is_restored``, it has just returned from an older copy, in
+        which endpoints may be missing that write their records again.
         """
         now = self._board.clock()
+        if is_restored:
+            failed_at = now
         table = self._board.endpoints
         seen = set()
         for record in records:
@@ -189,10 +194,14 @@
                     endpoint=name,
                     why=decoded.failure(),
                 )
-            self._board.endpoints.remove(name)
+            self._board.endpoints.remove(name, now)
             return
         self._unreadable.discard(name)
         endpoint = decoded.unwrap()
+        if self._board.endpoints.is_outdated(endpoint):
+            if self._board.endpoints.get(name) is None:
+                self._log.write('endpoint_outdated', name=name)
+            return
         before = self._board.endpoints.put(endpoint, now)
         if before is None or _has_changed(before, endpoint):
             self._log.write(
@@ -216,7 +225,7 @@
             table.mark_lapsed(name, now)
             self._log.write('endpoint_lapsed', name=name)
         else:
-            table.remove(name)
+            table.remove(name, now)
             self._log.write('endpoint_gone', name=name)
 
 
--- a/foxtailhatch/router/state_sync.py
+++ b/foxtailhatch/router/state_sync.py
@@ -52,6 +52,9 @@
 # Topics that are read once during the startup, to serve the first requests.
 STARTUP_TOPICS = frozenset((Topic.CONFIGURATION, Topic.ENDPOINTS))
 STARTUP_PERIOD_S = 0.25
+# For this time after the store has returned from an older copy, the records that
+# endpoints have written since may be missing there.
+RESTORE_SETTLING_S = 2.0
 URGENT = frozenset((Topic.CONFIGURATION, Topic.OBSERVATIONS))
 
 
@@ -128,11 +131,20 @@
     def _apply_endpoints(
         self, records: Iterable[KeyedRecord], is_snapshot: bool
     ) -> None:
-        failed_at = self._followers[Topic.ENDPOINTS].failed_at
         self._applier.apply_endpoints(
-            records, failed_at, is_snapshot=is_snapshot
+            records,
+            self._followers[Topic.ENDPOINTS].failed_at,
+            is_snapshot=is_snapshot,
+            is_restored=self._is_restored(Topic.ENDPOINTS),
         )
 
+    def _is_restored(self, topic: Topic) -> bool:
+        """Return whether the store has just returned from an older copy."""
+        restored_at = self._followers[topic].restored_at
+        if restored_at is None:
+            return False
+        return self._board.clock() - restored_at < RESTORE_SETTLING_S
+
     def _store_loop(
         self,
         topic: Topic,
--- a/tests/fleet/endpoints.py
+++ b/tests/fleet/endpoints.py
@@ -14,6 +14,7 @@
     incarnation=1,
     slots=6,
     address='',
+    heartbeats=0,
 ):
     return LiveEndpoint(
         name=name,
@@ -25,4 +26,5 @@
         layers=None if layers is None else LayerRange(*layers),
         accelerator_kind=accelerator_kind,
         incarnation=incarnation,
+        heartbeats=heartbeats,
     )
--- a/tests/router/test_crash_watch.py
+++ b/tests/router/test_crash_watch.py
@@ -141,7 +141,7 @@
         leaving = replace(entry.board.endpoints.get(name), state='draining')
         entry.lose(name, 'bad', f'own-{name}')
         entry.board.endpoints._draining_since[name, 1] = fleet.clock()
-        entry.board.endpoints.remove(leaving.name)
+        entry.board.endpoints.remove(leaving.name, fleet.clock())
     fleet.advance(1)
     assert fleet.store.records == []
 
--- a/tests/router/test_record_applier.py
+++ b/tests/router/test_record_applier.py
@@ -19,7 +19,14 @@
 def decode_endpoint(name, raw):
     if raw == b'junk':
         return Failure('junk')
-    return Success(endpoint(name, incarnation=int(raw)))
+    incarnation, _, heartbeats = raw.partition(b'.')
+    return Success(
+        endpoint(
+            name,
+            incarnation=int(incarnation),
+            heartbeats=int(heartbeats or 0),
+        )
+    )
 
 
 def make_applier(blackboard, working=()):
@@ -43,9 +50,10 @@
     return applier, log
 
 
-def apply_endpoints(applier, *pairs, failed_at=None, is_snapshot=False):
+def apply_endpoints(applier, *pairs, failed_at=None, **kind):
     records = [KeyedRecord(*pair) for pair in pairs]
-    applier.apply_endpoints(records, failed_at, is_snapshot=is_snapshot)
+    kind.setdefault('is_snapshot', False)
+    applier.apply_endpoints(records, failed_at, **kind)
 
 
 def test_older_configuration_is_ignored():
@@ -106,6 +114,32 @@
     assert set(blackboard.endpoints.names()) == {'e2'}
 
 
+# Guards against new work for an endpoint that has left, after the store returned
+# from a copy which still lists it.
+def test_removed_endpoint_is_not_taken_from_an_older_copy():
+    blackboard = board()
+    applier, log = make_applier(blackboard)
+    apply_endpoints(applier, ('e1', b'1.7'), ('e2', b'1.7'))
+    apply_endpoints(applier, ('e1', None))
+    restored = {'is_snapshot': True, 'is_restored': True}
+    apply_endpoints(applier, ('e1', b'1.4'), ('e2', b'1.4'), **restored)
+    assert set(blackboard.endpoints.names()) == {'e2'}
+    assert log.of('endpoint_outdated') == [{'name': 'e1'}]
+
+
+# Guards against an entry without endpoints, as an older copy lacks those that
+# have come since.
+def test_endpoints_missing_from_an_older_copy_stay_for_the_grace_period():
+    clock = Clock()
+    blackboard = board(clock)
+    applier, _ = make_applier(blackboard)
+    apply_endpoints(applier, ('e1', b'1.2'), ('e2', b'1.1'))
+    apply_endpoints(applier, ('e1', b'1.1'), is_snapshot=True, is_restored=True)
+    assert set(blackboard.endpoints.names()) == {'e1', 'e2'}
+    apply_endpoints(applier, ('e1', b'1.3'))
+    assert blackboard.endpoints.remove_lapsed(clock.now + 2) == ['e2']
+
+
 def test_observations_in_a_snapshot_are_ignored():
     blackboard = board()
     applier, _ = make_applier(blackboard)
