--- a/foxtailhatch/router/record_applier.py
+++ b/foxtailhatch/router/record_applier.py
@@ -102,9 +102,17 @@
     def apply_entries(
         self,
         records: Iterable[KeyedRecord],
-        is_snapshot: bool,  # noqa: FBT001
+        *,
+        is_snapshot: bool,
+        is_restored: bool = False,
     ) -> None:
-        """Record the heartbeats of entries."""
+        """Record the heartbeats of entries.
+
+        Those in an older copy of the store are older than those known, and
+        may name entries that have left.
+        """
+        if is_snapshot and is_restored:
+            return
         now = self._board.clock()
         for record in records:
             if record.value is None:
--- a/foxtailhatch/router/state_sync.py
+++ b/foxtailhatch/router/state_sync.py
@@ -91,7 +91,7 @@
                 (Topic.CONFIGURATION, applier.apply_configuration),
                 (Topic.OBSERVATIONS, applier.apply_observations),
                 (Topic.ENDPOINTS, self._apply_endpoints),
-                (Topic.ENTRIES, applier.apply_entries),
+                (Topic.ENTRIES, self._apply_entries),
             )
         }
 
@@ -138,6 +138,15 @@
             is_restored=self._is_restored(Topic.ENDPOINTS),
         )
 
+    def _apply_entries(
+        self, records: Iterable[KeyedRecord], is_snapshot: bool
+    ) -> None:
+        self._applier.apply_entries(
+            records,
+            is_snapshot=is_snapshot,
+            is_restored=self._is_restored(Topic.ENTRIES),
+        )
+
     def _is_restored(self, topic: Topic) -> bool:
         """Return whether the store has just returned from an older copy."""
         restored_at = self._followers[topic].restored_at
--- a/tests/router/test_record_applier.py
+++ b/tests/router/test_record_applier.py
@@ -140,6 +140,18 @@
     assert blackboard.endpoints.remove_lapsed(clock.now + 2) == ['e2']
 
 
+# Guards against advice to use entries that have left, by an older copy.
+def test_heartbeats_in_an_older_copy_are_ignored():
+    blackboard = board()
+    applier, _ = make_applier(blackboard)
+    heartbeat = KeyedRecord('n1', Heartbeat([entry('n1')]).encode())
+    restored = {'is_snapshot': True, 'is_restored': True}
+    applier.apply_entries([heartbeat], **restored)
+    assert blackboard.entries.ready(blackboard.clock()) == []
+    applier.apply_entries([heartbeat], is_snapshot=True)
+    assert len(blackboard.entries.ready(blackboard.clock())) == 1
+
+
 def test_observations_in_a_snapshot_are_ignored():
     blackboard = board()
     applier, _ = make_applier(blackboard)
