Write quarantines again that a restored store has lost

A quarantined part whose record fell into the lost seconds was unknown to every entry that started later, until its renewal after 200 s; a released one came back; a trial that had been claimed could be claimed again, and each trial may cost an engine.

Cost of a restore: about one record a quarantined part, at most one an entry.

Found by looking for the same cause elsewhere; the three tests need the new argument, so they could not run on the code before.

--- a/foxtailhatch/recovery/quarantine.py
+++ b/foxtailhatch/recovery/quarantine.py
@@ -91,6 +91,10 @@
         for part in self.blocking(parts):
             self._entries[part].requested_at = now
 
+    def all_trials(self) -> dict[str, int]:
+        """Return the number of trials that have begun, of each part."""
+        return {part: entry.trials for part, entry in self._entries.items()}
+
     def trials(self, part: str) -> int:
         """Return the number of trials of a part that have begun."""
         entry = self._entries.get(part)
--- a/foxtailhatch/recovery/trial_claims.py
+++ b/foxtailhatch/recovery/trial_claims.py
@@ -16,16 +16,23 @@
 
     def __init__(self) -> None:
         """Start without claims."""
+        self._held_until = float('-inf')
         self._claimed_at: dict[str, float] = {}
         self._granted_at: dict[str, float] = {}
 
     def claim(self, part: str, now: float) -> bool:
         """Return whether a claim is to be written, and record it if so."""
+        if now < self._held_until:
+            return False
         if now - self._claimed_at.get(part, float('-inf')) <= GRANT_TTL_S:
             return False
         self._claimed_at[part] = now
         return True
 
+    def hold(self, until: float) -> None:
+        """Claim nothing until a time, as claims of others may be missing."""
+        self._held_until = until
+
     def grant(self, part: str, now: float) -> None:
         """Record that the claim of this entry was the first in the log."""
         self._granted_at[part] = now
--- a/foxtailhatch/router/crash_watch.py
+++ b/foxtailhatch/router/crash_watch.py
@@ -45,6 +45,11 @@
 # Parts with fewer crashes are far from a verdict, and need no other entry's
 # knowledge.
 CRASHES_TO_ACT = 2
+# After the store has returned from an older copy, entries write quarantines and
+# trials again that it has lost; all have read them after this time.
+RESTORE_S = 2.0
+# Bound on the released parts that are remembered.
+MAX_RELEASED = 1024
 MAX_LOGGED_PARTS = 8
 
 
@@ -79,6 +84,7 @@
         self._sound_due: dict[str, float] = {}
         self._parts_due: dict[str, float] = {}
         self._releases_due: dict[str, float] = {}
+        self._released: dict[str, float] = {}
         self._claims = TrialClaims()
         self._tasks: set[asyncio.Future[None]] = set()
 
@@ -92,8 +98,7 @@
     def record_begun(self, req: RelayRequest, now: float) -> None:
         """Record the first event of an attempt, which clears the prompt."""
         for part in req.shared_parts:
-            if self._board.quarantine.lift(part):
-                self._log.write('part_released', part=part, why='begun')
+            if self._lift(part, 'begun', now):
                 self._releases_due[part] = now
                 self._sound_due[part] = now
             elif self._suspects.crash_count(part) >= CRASHES_TO_ACT:
@@ -138,13 +143,41 @@
         return False
 
     def apply(
-        self, records: Iterable[KeyedRecord], *, is_snapshot: bool
+        self,
+        records: Iterable[KeyedRecord],
+        *,
+        is_snapshot: bool,
+        is_restored: bool = False,
     ) -> None:
-        """Apply the records of all entries, of a snapshot only quarantines."""
+        """Apply the records of all entries, of a snapshot only quarantines.
+
+        If the store ``is_restored``, the snapshot is an older copy of it.
+        """
         now = self._board.clock()
-        for record in records:
-            if record.key.startswith(PART_PREFIX) or not is_snapshot:
-                self._decode(record.key, record.value, now)
+        if not is_snapshot:
+            for record in records:
+                self._apply_record(record.key, record.value, now)
+            return
+        quarantined = self._quarantined(records)
+        if is_restored:
+            self._claims.hold(now + RESTORE_S)
+            quarantined = self._restate(quarantined, now)
+        for listed in quarantined:
+            self._apply_part(listed, now, may_grant=False)
+
+    def _restate(
+        self, listed: list[PartRecord], now: float
+    ) -> list[PartRecord]:
+        """Plan to write again what a copy lacks; return what still holds."""
+        copied = {record.part: record.trials for record in listed}
+        for part, trials in self._board.quarantine.all_trials().items():
+            if copied.get(part, -1) < trials:
+                self._parts_due.setdefault(part, self._spread(now))
+        for part in self._released.keys() & copied.keys():
+            self._releases_due.setdefault(part, self._spread(now))
+        return [
+            record for record in listed if record.part not in self._released
+        ]
 
     async def step(self) -> None:
         """Confirm crashes, reach verdicts and write what is due."""
@@ -154,23 +187,39 @@
         self._confirm_losses(now)
         self._convict(now)
         for part in self._board.quarantine.expired(now):
-            self._release(part)
+            self._release(part, now)
             self._releases_due[part] = self._spread(now)
         for part in self._board.quarantine.due_for_renewal(now):
             self._parts_due.setdefault(part, self._spread(now))
         self._write_due(now)
 
-    def _decode(self, key: str, raw: bytes | None, now: float) -> None:
-        if raw is None:
-            self._release(key.removeprefix(PART_PREFIX))
-            return
+    def _quarantined(self, records: Iterable[KeyedRecord]) -> list[PartRecord]:
+        """Return the quarantined parts in a snapshot."""
+        decoded = (
+            self._decode(record.key, record.value)
+            for record in records
+            if record.key.startswith(PART_PREFIX) and record.value is not None
+        )
+        return [record for record in decoded if isinstance(record, PartRecord)]
+
+    def _decode(self, key: str, raw: bytes) -> PromptRecord | None:
+        """Return the record, or write a line if it is malformed."""
         decoded = decode_prompt_record(key, raw)
         if isinstance(decoded, Success):
-            self._apply(decoded.unwrap(), now)
-        else:
-            self._log.write(
-                'observation_unreadable', key=key, why=decoded.failure()
-            )
+            record: PromptRecord = decoded.unwrap()
+            return record
+        self._log.write(
+            'observation_unreadable', key=key, why=decoded.failure()
+        )
+        return None
+
+    def _apply_record(self, key: str, raw: bytes | None, now: float) -> None:
+        if raw is None:
+            self._release(key.removeprefix(PART_PREFIX), now)
+            return
+        record = self._decode(key, raw)
+        if record is not None:
+            self._apply(record, now)
 
     def _apply(self, record: PromptRecord, now: float) -> None:
         if isinstance(record, LostRecord):
@@ -186,14 +235,17 @@
         else:
             self._apply_part(record, now)
 
-    def _apply_part(self, record: PartRecord, now: float) -> None:
+    def _apply_part(
+        self, record: PartRecord, now: float, *, may_grant: bool = True
+    ) -> None:
         part = record.part
+        self._released.pop(part, None)
         known_trials = self._board.quarantine.trials(part)
         self._parts_due.pop(part, None)
         if not self._board.quarantine.add(part, now, record.trials):
             return
         is_claim = record.trials > known_trials
-        if is_claim and record.entry == self._board.cfg.instance:
+        if may_grant and is_claim and record.entry == self._board.cfg.instance:
             self._claims.grant(part, now)
         self._log.write(
             'part_quarantined',
@@ -286,13 +338,22 @@
             if part in relay.admitted.req.shared_parts:
                 relay.stop_before_event()
 
-    def _release(self, part: str) -> None:
+    def _release(self, part: str, now: float) -> None:
         self._suspects.acquit(part)
         self._releases_due.pop(part, None)
         self._parts_due.pop(part, None)
         self._claims.forget(part)
-        if self._board.quarantine.lift(part):
-            self._log.write('part_released', part=part, why='record')
+        self._lift(part, 'record', now)
+
+    def _lift(self, part: str, why: str, now: float) -> bool:
+        """Release a part; return whether it was quarantined."""
+        if not self._board.quarantine.lift(part):
+            return False
+        self._released[part] = now
+        while len(self._released) > MAX_RELEASED:
+            self._released.pop(next(iter(self._released)))
+        self._log.write('part_released', part=part, why=why)
+        return True
 
     def _write_due(self, now: float) -> None:
         sound = _take_due(self._sound_due, now)
--- a/foxtailhatch/router/record_applier.py
+++ b/foxtailhatch/router/record_applier.py
@@ -31,7 +31,11 @@
     """Apply records about parts of prompts."""
 
     def apply(
-        self, records: Iterable[KeyedRecord], *, is_snapshot: bool
+        self,
+        records: Iterable[KeyedRecord],
+        *,
+        is_snapshot: bool,
+        is_restored: bool = False,
     ) -> None:
         """Apply the records of all entries."""
 
@@ -136,12 +140,16 @@
     def apply_observations(
         self,
         records: Iterable[KeyedRecord],
-        is_snapshot: bool,  # noqa: FBT001
+        *,
+        is_snapshot: bool,
+        is_restored: bool = False,
     ) -> None:
         """Apply other entries' observations of endpoints and prompts."""
         listed = tuple(records)
         about_prompts = [rec for rec in listed if is_prompt_key(rec.key)]
-        self._prompts.apply(about_prompts, is_snapshot=is_snapshot)
+        self._prompts.apply(
+            about_prompts, is_snapshot=is_snapshot, is_restored=is_restored
+        )
         if is_snapshot:
             # Old observations no longer describe the endpoints.
             return
--- a/foxtailhatch/router/state_sync.py
+++ b/foxtailhatch/router/state_sync.py
@@ -89,7 +89,7 @@
             topic: self._make_follower(topic, on_records)
             for topic, on_records in (
                 (Topic.CONFIGURATION, applier.apply_configuration),
-                (Topic.OBSERVATIONS, applier.apply_observations),
+                (Topic.OBSERVATIONS, self._apply_observations),
                 (Topic.ENDPOINTS, self._apply_endpoints),
                 (Topic.ENTRIES, self._apply_entries),
             )
@@ -138,6 +138,15 @@
             is_restored=self._is_restored(Topic.ENDPOINTS),
         )
 
+    def _apply_observations(
+        self, records: Iterable[KeyedRecord], is_snapshot: bool
+    ) -> None:
+        self._applier.apply_observations(
+            records,
+            is_snapshot=is_snapshot,
+            is_restored=self._is_restored(Topic.OBSERVATIONS),
+        )
+
     def _apply_entries(
         self, records: Iterable[KeyedRecord], is_snapshot: bool
     ) -> None:
--- a/tests/router/test_crash_watch.py
+++ b/tests/router/test_crash_watch.py
@@ -176,6 +176,68 @@
     assert fresh.watch._suspects.crash_count('bad') == 0
 
 
+def restore(fleet, *copied):
+    """Let the store return from a copy with only some of its keys."""
+    fleet.store.latest = {
+        key: value for key, value in fleet.store.latest.items() if key in copied
+    }
+    snapshot = [
+        KeyedRecord(key, value) for key, value in fleet.store.latest.items()
+    ]
+    for one in fleet.entries:
+        one.watch.apply(snapshot, is_snapshot=True, is_restored=True)
+
+
+# Guards against entries that start after a restore and know no quarantine.
+def test_quarantine_that_a_restored_store_has_lost_is_written_again():
+    fleet = Fleet()
+    fleet.convict('bad')
+    fleet.advance(1)
+    restore(fleet)
+    written = len(fleet.store.records)
+    fleet.advance(1)
+    assert 'part/bad' in fleet.store.latest
+    assert all(fleet.blocked('bad', 'x'))
+    assert len(fleet.store.records) - written <= len(fleet.entries)
+
+
+# Guards against sound requests that an older copy quarantines again.
+def test_released_part_stays_released_after_a_restore():
+    fleet = Fleet()
+    fleet.convict('bad')
+    fleet.advance(1)
+    copied = dict(fleet.store.latest)
+    fleet.entries[0].watch.record_begun(prompt('bad', 'x'), fleet.clock())
+    fleet.advance(1)
+    fleet.store.latest = copied
+    restore(fleet, 'part/bad')
+    fleet.advance(1)
+    assert not any(fleet.blocked('bad', 'x'))
+    assert fleet.store.latest['part/bad'] is None
+
+
+# Guards against a second trial of the same number, which costs an engine.
+def test_trial_that_a_restored_store_has_lost_is_not_begun_again():
+    fleet = Fleet()
+    fleet.convict('bad')
+    fleet.advance(TRIAL_PAUSE_S + 1)
+    first, second, _ = fleet.entries
+
+    async def claim():
+        first.watch.take_trial(['bad'], fleet.clock())
+
+    asyncio.run(claim())
+    fleet.advance(1)
+    assert first.watch.take_trial(['bad'], fleet.clock())
+    restore(fleet)
+    assert not second.watch.take_trial(['bad'], fleet.clock())
+    fleet.advance(3)
+    started = Entry(fleet.store, fleet.clock, 7)
+    snapshot = [KeyedRecord(*pair) for pair in fleet.store.latest.items()]
+    started.watch.apply(snapshot, is_snapshot=True)
+    assert started.board.quarantine.trials('bad') == 1
+
+
 def test_verdict_is_reached_without_the_store():
     fleet = Fleet(entries=1)
     fleet.store.is_down = True
--- a/tests/router/test_record_applier.py
+++ b/tests/router/test_record_applier.py
@@ -45,7 +45,7 @@
         log,
         adapter,
         lambda name, now: name in working,
-        SimpleNamespace(apply=lambda records, is_snapshot: None),
+        SimpleNamespace(apply=lambda records, **kind: None),
     )
     return applier, log
 
--- a/tests/router/test_state_sync.py
+++ b/tests/router/test_state_sync.py
@@ -53,7 +53,7 @@
         lambda: entry('entry-1'),
         lambda address: None,
         lambda name, now: False,
-        SimpleNamespace(apply=lambda records, is_snapshot: None),
+        SimpleNamespace(apply=lambda records, **kind: None),
     )
     loops = ManualLoops()
     state_sync.start(loops)
