Let the daemon's log return from an older copy without a second run

A claim in the lost records could be given to a second entry and run again, a fencing token could fall below those that endpoints have seen, and a starting entry could hand a lost version's successor to its peers, whose check of rising versions stops the process. The page on configuration listed this as not covered.

A page now names the log's epoch, and offsets carry it above the log's own offset, so they never go back. What lies between counts as lost, which readers know how to treat; the keys of claims and the term of leases count from the moment at which the restore was noticed, since lost records may be as recent. A state of a peer replaces only lower versions, or the same configuration. A log that goes back without a new epoch counts as unavailable.

Open: publications after a restore need an operator's restoration (docs/design/CONFIGURATION.md).

--- a/foxtailhatch/config/fold.py
+++ b/foxtailhatch/config/fold.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from returns.pipeline import is_successful
 
@@ -28,6 +28,7 @@
 )
 from foxtailhatch.core import Invariant, Mark, check_invariant
 from foxtailhatch.outside import LogPage, LogRecord
+from foxtailhatch.outside.log_offsets import offset_in_epoch
 
 BEFORE_FIRST_OFFSET = -1
 MAX_VERSIONS = 200
@@ -131,13 +132,20 @@
         return None if offset is None else self._recent.after(offset)
 
     def adopt_state(self, state: FoldState) -> bool:
-        """Replace the state by ``state`` if that has folded more records.
+        """Replace the state by ``state`` if that is newer.
 
         Folding is deterministic: of two readers of the same stream, the one
-        at the higher offset has seen everything that the other has.
+        at the higher offset has seen everything that the other has.  A stream
+        that returned from an older copy has lost versions, though, so the
+        higher version is newer than any offset, and a configuration in force
+        is not replaced by another one of the same version.
         """
-        if state.last_offset <= self.last_offset:
+        if state.cfg.version < self.version:
             return False
+        if state.cfg.version == self.version:
+            is_further = state.last_offset > self.last_offset
+            if not is_further or state.cfg != self._state.cfg:
+                return False
         self._replace_state(state)
         return True
 
@@ -152,6 +160,8 @@
     def apply_page(self, page: LogPage) -> list[ApplyOutcome]:
         """Fold a page of the log, which may start at any offset."""
         outcomes: list[ApplyOutcome] = []
+        if self._cursor == BEFORE_FIRST_OFFSET:
+            self._begin(page)
         if page.first > self.next_offset:
             outcomes.append(self._start_gap(page.first))
         elif not self.is_complete:
@@ -186,6 +196,12 @@
             self._record_accepted(outcome.cfg.version, record.offset)
         return outcome
 
+    def _begin(self, page: LogPage) -> None:
+        """Begin at the first record of a stream that is in a later epoch."""
+        if page.first > self.next_offset and not offset_in_epoch(page.first):
+            before_first = page.first - 1
+            self._replace_state(replace(self._state, last_offset=before_first))
+
     def _record_accepted(self, version: int, offset: int) -> None:
         self._accepted_offsets[version] = offset
         if len(self._accepted_offsets) > MAX_VERSIONS:
--- a/foxtailhatch/durable/claim_table.py
+++ b/foxtailhatch/durable/claim_table.py
@@ -25,6 +25,7 @@
 )
 from foxtailhatch.durable.claim_settings import MAX_CLOCK_SKEW_S
 from foxtailhatch.outside import LogPage, LogRecord
+from foxtailhatch.outside.log_offsets import epoch_of
 
 NO_OFFSET = -1
 
@@ -133,10 +134,13 @@
 
         At the first read, these records have expired and are older than the
         retention.  At a later read, they were lost since the last read and
-        may be as recent as the first record after them.
+        may be as recent as the first record after them.  A log that returned
+        from an older copy may have lost records until now.
         """
         lost_before = now - self._retention_s
-        if self._has_read:
+        if epoch_of(page.first) != epoch_of(self.next_offset):
+            lost_before = now
+        elif self._has_read:
             times = [record.time for record in page.records[:1]]
             lost_before = min([now, *times])
         self._incomplete_before = max(self._incomplete_before, lost_before)
--- a/foxtailhatch/durable/leases.py
+++ b/foxtailhatch/durable/leases.py
@@ -14,6 +14,7 @@
 
 from foxtailhatch.durable.claim_settings import MAX_CLOCK_SKEW_S
 from foxtailhatch.outside import LogPage, LogRecord
+from foxtailhatch.outside.log_offsets import epoch_of
 
 LEASE_STREAM = 'leases'
 LEASE_TERM_S = 15.0
@@ -132,7 +133,9 @@
     def apply_page(self, now: float, page: LogPage) -> list[LeaseGrant]:
         """Apply a page and return the requests that were granted."""
         if page.first > self.next_offset:
-            first = page.records[0].time if page.records else now
+            is_same_epoch = epoch_of(page.first) == epoch_of(self.next_offset)
+            has_records = is_same_epoch and page.records
+            first = page.records[0].time if has_records else now
             self._uncertain_until = first + LEASE_TERM_S + MAX_CLOCK_SKEW_S
             self.last_offset = page.first - 1
         granted: list[LeaseGrant | None] = []
--- a/foxtailhatch/outside/log_http.py
+++ b/foxtailhatch/outside/log_http.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from pydantic import BaseModel, ConfigDict, TypeAdapter
-from returns.result import Result
+from returns.result import Failure, Result, Success
 
 from foxtailhatch.core import Address
 from foxtailhatch.outside.http_client import (
@@ -13,7 +13,17 @@
     build_path,
 )
 from foxtailhatch.outside.json_responses import parse_response
-from foxtailhatch.outside.protocols import LogPage, LogRecord, PlatformError
+from foxtailhatch.outside.log_offsets import (
+    epoch_of,
+    offset_in_epoch,
+    ordered_offset,
+)
+from foxtailhatch.outside.protocols import (
+    LogPage,
+    LogRecord,
+    PlatformError,
+    PlatformFault,
+)
 
 
 class RecordDocument(BaseModel):
@@ -30,28 +40,37 @@
         """Return the document of a record."""
         return cls(offset=record.offset, time=record.time, body=record.body)
 
-    def record(self) -> LogRecord:
-        """Return the record of this document."""
-        return LogRecord(self.offset, self.time, self.body)
+    def record(self, epoch: int = 0) -> LogRecord:
+        """Return the record of this document, read in an epoch of the log."""
+        offset = ordered_offset(epoch, self.offset)
+        return LogRecord(offset, self.time, self.body)
 
 
 class LogDocument(BaseModel):
-    """JSON document of a page of a stream."""
+    """JSON document of a page of a stream.
+
+    ``epoch`` rises each time the log returns from an older copy.
+    """
 
     records: list[RecordDocument]
     first: int
     end: int
+    epoch: int = 0
 
     def page(self) -> LogPage:
         """Return the page of this document."""
-        records = tuple(record.record() for record in self.records)
-        return LogPage(records, self.first, self.end)
+        return LogPage(
+            tuple(record.record(self.epoch) for record in self.records),
+            ordered_offset(self.epoch, self.first),
+            ordered_offset(self.epoch, self.end),
+        )
 
 
 class AppendedDocument(BaseModel):
     """JSON document of the response to an append."""
 
     offset: int
+    epoch: int = 0
 
 
 _pages: Final = TypeAdapter(LogDocument)
@@ -87,7 +106,7 @@
         response = await self._client.send(self._address, call, self._timeout_s)
         return response.bind(
             lambda reply: parse_response(_appended, reply),
-        ).map(lambda appended: appended.offset)
+        ).map(lambda reply: ordered_offset(reply.epoch, reply.offset))
 
     async def read(
         self,
@@ -95,10 +114,31 @@
         offset: int,
         limit: int,
     ) -> Result[LogPage, PlatformError]:
-        """Read from ``offset``, or from the oldest retained record after it."""
+        """Read from ``offset``, or from the oldest retained record after it.
+
+        A page of a later epoch than that of ``offset`` has no records, as
+        those at ``offset`` do not follow what was read before.
+        """
         path = build_path('streams', stream)
-        call = HttpCall('GET', f'{path}?from={offset}&limit={limit}')
+        start = offset_in_epoch(offset)
+        call = HttpCall('GET', f'{path}?from={start}&limit={limit}')
         response = await self._client.send(self._address, call, self._timeout_s)
         return response.bind(
             lambda reply: parse_response(_pages, reply),
-        ).map(LogDocument.page)
+        ).bind(lambda document: _following_page(document, offset))
+
+
+def _following_page(
+    document: LogDocument, offset: int
+) -> Result[LogPage, PlatformError]:
+    """Return the page that was read from ``offset``.
+
+    A log that has lost records without naming a new epoch cannot be followed.
+    """
+    page = document.page()
+    if document.epoch > epoch_of(offset):
+        return Success(LogPage((), page.first, page.end))
+    if page.end < offset:
+        lost = f'the log ends at {page.end}, before offset {offset}'
+        return Failure(PlatformError(PlatformFault.INVALID_RESPONSE, lost))
+    return Success(page)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -30,6 +30,9 @@
     down: bool = False
     lose_append: int = 0
     drop_before: dict[str, int] = {}
+    # The log returns from a copy without this many of the latest records of
+    # each stream; acts once and is not stored.
+    restore: int = 0
     # For the log service and plain services: the request is executed, but no
     # response is sent.
     lose_ack: int = 0
--- a/standins/log_service.py
+++ b/standins/log_service.py
@@ -40,7 +40,13 @@
         while self.records and self.records[0].offset < offset:
             self.records.popleft()
 
-    def page(self, offset: int, limit: int) -> LogDocument:
+    def drop_latest(self, count: int) -> None:
+        """Delete the latest records, whose offsets are given out again."""
+        for _ in range(min(count, len(self.records))):
+            self.records.pop()
+            self.end -= 1
+
+    def page(self, offset: int, limit: int, epoch: int = 0) -> LogDocument:
         """Return at most ``limit`` records, starting at an offset."""
         first = self.first()
         begin = max(offset - first, 0)
@@ -52,6 +58,7 @@
             ],
             first=first,
             end=self.end,
+            epoch=epoch,
         )
 
 
@@ -63,6 +70,7 @@
     kept_s: float = DEFAULT_RETENTION_S
     kept_records: int = DEFAULT_MAX_RECORDS
     faults: Faults = field(default_factory=Faults)
+    epoch: int = 0
     streams: defaultdict[str, LogStream] = field(
         default_factory=lambda: defaultdict(LogStream),
     )
@@ -71,13 +79,16 @@
         """Append a record or read a page."""
         if self.faults.down:
             return reply({'error': 'log unavailable'}, UNAVAILABLE)
+        if self.faults.restore:
+            self._restore()
         match (call.method, call.path):
             case ('POST', ('streams', name)):
                 return self._append(name, call.body)
             case ('GET', ('streams', name)):
                 stream = self._apply_retention(name)
                 limit = call.number('limit', DEFAULT_LIMIT)
-                return reply(stream.page(call.number('from'), limit))
+                page = stream.page(call.number('from'), limit, self.epoch)
+                return reply(page)
             case _:
                 return reply({'error': 'unknown path'}, NOT_FOUND)
 
@@ -91,7 +102,14 @@
         stream.end += 1
         if self.faults.consume('lose_ack'):
             return None
-        return reply({'offset': record.offset})
+        return reply({'offset': record.offset, 'epoch': self.epoch})
+
+    def _restore(self) -> None:
+        """Return from a copy that lacks the latest records."""
+        for stream in self.streams.values():
+            stream.drop_latest(self.faults.restore)
+        self.faults.restore = 0
+        self.epoch += 1
 
     def _apply_retention(self, name: str) -> LogStream:
         """Delete expired records of a stream and return the stream."""
--- a/tests/config/test_fold.py
+++ b/tests/config/test_fold.py
@@ -128,6 +128,48 @@
     assert fold.version == 2
 
 
+# Guards against an accepted configuration that a restored log takes back.
+def test_a_restored_log_takes_no_version_back():
+    log = FakeLog()
+    append_records(log, publication(1, 'a'), publication(2, 'b'))
+    known, _ = read_all(log)
+    log.restore(lost=1)
+    append_records(log, publication(2, 'other'))
+    catch_up(known, log)
+    started, _ = read_all(log)
+    assert (known.version, known.in_force.accounts[0].name) == (2, 'b')
+    assert not known.is_complete
+    assert started.is_complete
+    assert not known.adopt_state(started.export_state())
+
+
+def test_a_restored_state_of_a_peer_replaces_no_newer_version():
+    log = FakeLog()
+    append_records(log, publication(1, 'a'), publication(2, 'b'))
+    known, _ = read_all(log)
+    log.restore(lost=1)
+    started, _ = read_all(log)
+    assert started.version == 1
+    assert not known.adopt_state(started.export_state())
+    assert started.adopt_state(known.export_state())
+    catch_up(started, log)
+    assert started.version == known.version == 2
+
+
+def test_a_restoration_is_accepted_by_all_readers_of_a_restored_log():
+    log = FakeLog()
+    append_records(log, publication(1, 'a'), publication(2, 'b'))
+    known, _ = read_all(log)
+    log.restore(lost=1)
+    cfg = Configuration(3, accounts=(Account('restored'),))
+    document = render_configuration(cfg)
+    append_records(log, Restoration(3, 'r', document, ()))
+    started, _ = read_all(log)
+    catch_up(known, log)
+    assert known.in_force == started.in_force == cfg
+    assert known.is_complete
+
+
 def test_a_page_from_a_later_offset_is_not_folded():
     log = FakeLog()
     append_records(
--- a/tests/durable/fake_log.py
+++ b/tests/durable/fake_log.py
@@ -1,7 +1,7 @@
 """An in-memory log with retention, outages and lost acknowledgements."""
 
 from collections import defaultdict, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
 from returns.result import Failure, Result, Success
@@ -12,6 +12,11 @@
     PlatformError,
     PlatformFault,
 )
+from foxtailhatch.outside.log_offsets import (
+    epoch_of,
+    offset_in_epoch,
+    ordered_offset,
+)
 
 
 class AppendOutcome(StrEnum):
@@ -53,6 +58,7 @@
     )
     delayed_appends: list[tuple[str, bytes]] = field(default_factory=list)
     appends: int = 0
+    epoch: int = 0
 
     def append(
         self,
@@ -77,6 +83,12 @@
             return _failure(PlatformFault.NO_RESPONSE)
         return Success(offset)
 
+    def restore(self, lost: int) -> None:
+        """Return from a copy without the latest records of each stream."""
+        self.epoch += 1
+        for state in self.streams.values():
+            del state.records[max(0, len(state.records) - lost) :]
+
     def apply_delayed(self, now: float) -> None:
         """Apply the delayed appends."""
         for stream, body in self.delayed_appends:
@@ -94,9 +106,18 @@
             return _failure(PlatformFault.UNREACHABLE)
         state = self.streams[stream]
         state.expire(now - self.retention_s)
-        start = max(0, offset - state.first)
-        records = tuple(state.records[start : start + limit])
-        return Success(LogPage(records, state.first, state.end))
+        start = max(0, offset_in_epoch(offset) - state.first)
+        records = tuple(
+            replace(record, offset=ordered_offset(self.epoch, record.offset))
+            for record in state.records[start : start + limit]
+        )
+        return Success(
+            LogPage(
+                records if epoch_of(offset) == self.epoch else (),
+                ordered_offset(self.epoch, state.first),
+                ordered_offset(self.epoch, state.end),
+            )
+        )
 
     def _apply_append(self, stream: str, body: bytes, now: float) -> int:
         state = self.streams[stream]
--- a/tests/durable/test_claim_controller.py
+++ b/tests/durable/test_claim_controller.py
@@ -276,6 +276,37 @@
     assert entry.may_run('r3')
 
 
+# Guards against a second run of a request whose claim a restored log has lost.
+def test_a_claim_that_a_restored_log_has_lost_causes_no_second_run():
+    log, (entry, other) = cluster()
+    other.read()
+    submit_and_permit(entry)
+    entry.send()
+    log.restore(lost=1)
+    other.submit(request('r2'), START + 1)
+    for seconds in (1, 2, 3):
+        other.run_cycle(START + seconds)
+    assert other.sent_keys == []
+    assert other.refusal_of('r2') == UNKNOWN
+
+
+def test_an_entry_that_starts_after_a_restore_runs_only_later_keys():
+    log, (entry, _) = cluster()
+    submit_and_permit(entry)
+    entry.send()
+    log.restore(lost=1)
+    started = Entry('started', log)
+    started.read(START + 2)
+    started.submit(request('r2'), START + 2)
+    assert started.refusal_of('r2') == UNKNOWN
+    newest = f'{int(START) + 300}-c'
+    now = START + 300
+    started.submit(request('r3', newest, deadline_at=now + 9), now)
+    for _ in range(2):
+        started.run_cycle(now)
+    assert started.may_run('r3')
+
+
 def test_a_key_of_a_different_request_is_refused():
     _, (entry, other) = cluster()
     submit_and_permit(entry)
--- a/tests/durable/test_leases.py
+++ b/tests/durable/test_leases.py
@@ -134,6 +134,22 @@
     assert fresh.table.state('placement').fence == holders(held_fences[-1])[0]
 
 
+# Guards against two holders, and against tokens that endpoints have seen.
+@pytest.mark.parametrize('lost', [0, 1, 3, 90])
+def test_a_restored_log_leaves_one_holder_and_rising_tokens(lost):
+    log = FakeLog()
+    entries = candidates(log)
+    before = max(holders(run(entries, 0, 20)[-1]))
+    log.restore(lost)
+    fresh = Candidate('fresh', log)
+    held_fences = run([*entries, fresh], 20, 120)
+    assert all(len(holders(moment)) <= 1 for moment in held_fences)
+    assert holders(held_fences[-1])[0] >= before
+    entries[0].awake = entries[1].awake = entries[2].awake = False
+    after = run([fresh], 120, 220)
+    assert holders(after[-1])[0] > before
+
+
 def test_a_released_lease_is_taken_within_seconds():
     log = FakeLog()
     entries = candidates(log, 2)
--- a/tests/outside/test_services.py
+++ b/tests/outside/test_services.py
@@ -50,6 +50,39 @@
     assert [record.offset for record in page.records] == [1, 2]
 
 
+def test_a_restored_log_begins_a_new_epoch_behind_all_offsets():
+    standin = LogStandIn()
+
+    async def scenario(ports):
+        log = HttpLogService(client(), ports.address())
+        for body in (b'one', b'two', b'three'):
+            last = (await log.append('c', body)).unwrap()
+        standin.faults.restore = 2
+        page = (await log.read('c', last + 1, 10)).unwrap()
+        return last, page, (await log.read('c', page.first, 10)).unwrap()
+
+    with listening(standin) as ports:
+        last, page, restored = run(scenario(ports))
+    assert page.records == ()
+    assert page.first > last
+    assert [record.body for record in restored.records] == [b'one']
+    assert restored.records[0].offset == page.first
+
+
+def test_a_log_that_goes_back_without_a_new_epoch_is_a_fault():
+    standin = LogStandIn()
+
+    async def scenario(ports):
+        log = HttpLogService(client(), ports.address())
+        await log.append('c', b'one')
+        standin.streams.clear()
+        return await log.read('c', 1, 10)
+
+    with listening(standin) as ports:
+        outcome = run(scenario(ports))
+    assert _fault(outcome) is PlatformFault.INVALID_RESPONSE
+
+
 @pytest.mark.parametrize(
     ('fault', 'appended'), [('lose_ack', 1), ('lose_append', 0)]
 )
