Feed entries that start no older configuration than the one in force

After a restore a reader took the older copy into the feed as it was, so an entry that started before operators had written their version again was fed one that had been replaced. The reader now keeps the record in force in its feed. Found by looking for the same cause elsewhere; the test failed before. An entry that starts and reads the store itself has the older copy until then.

A key that stood twice in a test document is there once again.

--- a/foxtailhatch/router/record_applier.py
+++ b/foxtailhatch/router/record_applier.py
@@ -60,6 +60,7 @@
         self._log = log
         self._adapter = adapter
         self._unreadable: set[str] = set()
+        self._in_force: KeyedRecord | None = None
         self._is_working = is_working
         self._prompts = prompts
 
@@ -71,7 +72,12 @@
         """Put the latest configuration in force; ignore older versions."""
         for record in records:
             if record.key == self._adapter.configuration_key and record.value:
-                self._configure(record.value)
+                self._configure(record)
+
+    @property
+    def configuration_in_force(self) -> KeyedRecord | None:
+        """Return the record of the configuration in force."""
+        return self._in_force
 
     def apply_endpoints(
         self,
@@ -177,8 +183,8 @@
                 layers=observation.layers,
             )
 
-    def _configure(self, raw: bytes) -> None:
-        decoded = self._adapter.decode_configuration(raw)
+    def _configure(self, record: KeyedRecord) -> None:
+        decoded = self._adapter.decode_configuration(record.value or b'')
         if not isinstance(decoded, Success):
             self._log.write('configuration_unreadable', why=decoded.failure())
             return
@@ -192,6 +198,7 @@
             str(cfg.version),
         )
         self._board.table = RoutingTable(cfg)
+        self._in_force = record
         self._log.write(
             'configuration',
             version=cfg.version,
--- a/foxtailhatch/router/state_sync.py
+++ b/foxtailhatch/router/state_sync.py
@@ -88,7 +88,7 @@
         self._followers = {
             topic: self._make_follower(topic, on_records)
             for topic, on_records in (
-                (Topic.CONFIGURATION, applier.apply_configuration),
+                (Topic.CONFIGURATION, self._apply_configuration),
                 (Topic.OBSERVATIONS, self._apply_observations),
                 (Topic.ENDPOINTS, self._apply_endpoints),
                 (Topic.ENTRIES, self._apply_entries),
@@ -128,6 +128,16 @@
             self._board.clock,
         )
 
+    def _apply_configuration(
+        self, records: Iterable[KeyedRecord], is_snapshot: bool
+    ) -> None:
+        """Apply configurations; feed other entries no older one than that."""
+        self._applier.apply_configuration(records, is_snapshot)
+        in_force = self._applier.configuration_in_force
+        if is_snapshot and in_force is not None and in_force.value is not None:
+            latest = self.mirror.topics[Topic.CONFIGURATION].latest
+            latest[in_force.key] = in_force.value
+
     def _apply_endpoints(
         self, records: Iterable[KeyedRecord], is_snapshot: bool
     ) -> None:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -53,7 +53,6 @@
     'state': 'ready',
     'seq': 4,
     'born': 17,
-    'seq': 9,
     'layers': {'from': 3, 'to': 9, 'version': 1},
     'route_kind': 'l4',
 }
@@ -104,7 +103,7 @@
     result = endpoint().unwrap()
     assert result.layers == LayerRange(3, 9)
     assert (result.accelerator_kind, result.incarnation) == ('l4', 17)
-    assert result.heartbeats == 9
+    assert result.heartbeats == 4
 
 
 def test_draining_state_is_decoded():
--- a/tests/router/test_state_sync.py
+++ b/tests/router/test_state_sync.py
@@ -3,11 +3,14 @@
 import asyncio
 from types import SimpleNamespace
 
-from foxtailhatch.router.keyed_log import StoreFault, Topic
+from returns.result import Success
+
+from foxtailhatch.router.keyed_log import KeyedRecord, StoreFault, Topic
 from foxtailhatch.router.state_sync import STARTUP_S, StateSync
 from tests.relay.fakes import ListLog
 from tests.router.fakes import Clock, MemoryStore, board
 from tests.router.test_entry_table import entry
+from tests.routes.configurations import configuration
 
 
 class RecordingStore(MemoryStore):
@@ -46,9 +49,17 @@
 def make_world():
     clock = Clock()
     store = RecordingStore()
+    blackboard = board(clock, has_configuration=False)
+    adapter = SimpleNamespace(
+        store=store,
+        configuration_key='config',
+        decode_configuration=lambda raw: Success(
+            configuration(version=int(raw))
+        ),
+    )
     state_sync = StateSync(
-        board(clock),
-        SimpleNamespace(store=store),
+        blackboard,
+        adapter,
         ListLog(),
         lambda: entry('entry-1'),
         lambda address: None,
@@ -58,6 +69,7 @@
     loops = ManualLoops()
     state_sync.start(loops)
     return SimpleNamespace(
+        board=blackboard,
         clock=clock,
         store=store,
         state_sync=state_sync,
@@ -101,6 +113,23 @@
     assert world.store.read_topics == [Topic.CONFIGURATION]
 
 
+# Guards against entries that start after a restore, and are fed the older copy.
+def test_feed_keeps_the_configuration_in_force_after_a_restore():
+    world = make_world()
+    for version in (b'3', b'7'):
+        world.store.add(Topic.CONFIGURATION, KeyedRecord('config', version))
+    world.loops.run()
+    world.store.restore(Topic.CONFIGURATION, length=1)
+    world.loops.run()
+    world.loops.run()
+    fed, is_snapshot = world.state_sync.mirror.topics[
+        Topic.CONFIGURATION
+    ].since(None)
+    assert world.board.store_epoch == 1
+    assert world.board.table.version == 7
+    assert (fed, is_snapshot) == ([KeyedRecord('config', b'7')], True)
+
+
 def test_time_since_which_the_store_is_read_is_recorded():
     world = make_world()
     world.loops.run()
