Let the soak's store return from an older copy after half of its outages

The stand-in loses the latest records of each topic, gives their offsets out again, counts the group's generations from the copy, and names its epoch. The run ends only when the newest configuration is in force at all routers.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -86,6 +86,7 @@
         self.paths: dict[str, list[ChainStage]] = {}
         self.server = MiniServer(self._answer)
         self._busy = False
+        self._heartbeats = 1
         self._pool = pool
 
     async def start(self) -> None:
@@ -103,11 +104,13 @@
             'slots': 96,
             'state': 'draining' if self.is_draining else 'ready',
             'born': 1,
+            'seq': self._heartbeats,
             'route_kind': self.accelerator_kind,
         }
         if self.layers:
             first, end = self.layers
             record['layers'] = {'from': first, 'to': end, 'version': 1}
+        self._heartbeats += 1
         content = json.dumps(record).encode()
         self._pool.log.put('keyed.servers', self.name, content)
 
--- a/standins/platform_log.py
+++ b/standins/platform_log.py
@@ -7,6 +7,7 @@
 from collections import defaultdict
 
 from standins.mini_http import (
+    GONE,
     UNAVAILABLE,
     MiniRequest,
     MiniResponse,
@@ -18,11 +19,15 @@
 
 
 class PlatformLog:
-    """In-memory store; while ``is_down``, all calls get status 503."""
+    """In-memory store; while ``is_down``, all calls get status 503.
+
+    ``epoch`` rises each time the store returns from an older copy.
+    """
 
     def __init__(self) -> None:
         """Create a store without topics or group members."""
         self.is_down = False
+        self.epoch = 1
         self.calls = 0
         self.server = MiniServer(self._answer)
         self._topics: dict[str, list[bytes]] = defaultdict(list)
@@ -37,12 +42,31 @@
         self._appended.set()
         self._appended = asyncio.Event()
 
+    def restore(self, lost: int) -> None:
+        """Return from a copy without the ``lost`` latest records of each topic.
+
+        The copy is of a time at which the group had seen fewer changes.
+        """
+        self.epoch += 1
+        for topic, records in tuple(self._topics.items()):
+            self._topics[topic] = records[: max(0, len(records) - lost)]
+        self._generation = max(0, self._generation - lost)
+
     async def _answer(
         self,
         req: MiniRequest,
         _: asyncio.StreamWriter,
     ) -> MiniResponse:
         self.calls += 1
+        epoch = self.epoch
+        response = await self._handle(req)
+        # A read that waits while the store is restored gets no answer from it.
+        if epoch != self.epoch:
+            response = MiniResponse(UNAVAILABLE)
+        response.headers['Store-Era'] = str(self.epoch)
+        return response
+
+    async def _handle(self, req: MiniRequest) -> MiniResponse:
         if self.is_down:
             return MiniResponse(UNAVAILABLE)
         if req.path == '/log-read':
@@ -58,6 +82,8 @@
     async def _read(self, req: MiniRequest) -> MiniResponse:
         records = self._topics[req.query['topic']]
         offset = int(req.query['from'])
+        if offset > len(records):
+            return MiniResponse(GONE)
         wait_s = int(req.query.get('wait_ms', 0)) / 1000
         if len(records) <= offset and wait_s:
             await self._wait(req.query['topic'], offset, wait_s)
--- a/tests/soak_router/soak.py
+++ b/tests/soak_router/soak.py
@@ -14,6 +14,10 @@
 LEAVING_S = 2.5
 CLIENTS = 4
 PAUSE_S = 0.4
+# Share of the outages after which the store returns from an older copy, and the
+# bound on the records that each of its topics has lost.
+RESTORE_SHARE = 0.5
+MAX_LOST = 40
 
 
 class Soak:
@@ -21,6 +25,8 @@
 
     def __init__(self, world, seed):
         self.random = Random(seed)
+        # A source of its own keeps the faults of older seeds as they were.
+        self._restores = Random(f'restore-{seed}')
         self.world = world
         self.responses = {}
         self.violations = []
@@ -41,6 +47,9 @@
         await wait_until(
             lambda: all_serve(self.world), 'the routers do not serve again'
         )
+        await wait_until(
+            self.world.is_configured, 'a configuration is not in force'
+        )
         self._stopping = True
         await asyncio.gather(*clients)
         self._check()
@@ -110,9 +119,11 @@
     async def _stop_store(self):
         self.world.log.is_down = True
         await asyncio.sleep(self.random.uniform(0.2, 3.0))
-        self._restore_store()
+        if self._restores.random() < RESTORE_SHARE:
+            self.world.return_older_store(self._restores.randrange(MAX_LOST))
+        self._end_store_outage()
 
-    def _restore_store(self):
+    def _end_store_outage(self):
         self.world.log.is_down = False
         self._store_recovered_at = asyncio.get_running_loop().time()
 
@@ -154,7 +165,7 @@
             writer.transport.abort()
 
     async def _heal(self):
-        self._restore_store()
+        self._end_store_outage()
         for router in self.world.routers:
             router.proxy.mode = 'normal'
         for zone in ZONES:
--- a/tests/soak_router/world.py
+++ b/tests/soak_router/world.py
@@ -102,6 +102,16 @@
             stderr=log,
         )
 
+    def version_in_force(self):
+        """Return the last version that the router has put in force."""
+        log = (self._folder / f'{self.name}.log').read_text()
+        lines = [
+            line
+            for line in log.splitlines()
+            if '"event":"configuration"' in line
+        ]
+        return json.loads(lines[-1])['version'] if lines else None
+
     def signal(self, number):
         if self.process.poll() is None:
             self.process.send_signal(number)
@@ -145,8 +155,22 @@
             router.start()
             self.routers.append(router)
 
+    def return_older_store(self, lost):
+        """Let the store lose records; operators write theirs again."""
+        self.log.restore(lost)
+        self._write_configuration()
+
+    async def is_configured(self):
+        """Return whether the newest configuration is in force everywhere."""
+        return all(
+            router.version_in_force() == self.version for router in self.routers
+        )
+
     def configure(self):
         self.version += 1
+        self._write_configuration()
+
+    def _write_configuration(self):
         raw = json.dumps(configuration(self.version)).encode()
         self.log.put('keyed.op', 'config', raw)
 
