Name the fingerprint of a request in the log

Two sends of one request had nothing in common in the logs but the last part of the prompt, which a session shares and plain services lack, so requests that crash engines could not be told from parts that do. The fingerprint is a hash of path, account and body, taken at admission; no decision depends on it yet. Cost: a blake2b of the body, once a request.

--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -276,6 +276,7 @@
             list_revision=self._context.endpoints.revision,
             resume_after=dispatch.resume_after,
             parts=admitted.req.prompt_parts[-MAX_LOGGED_PARTS:],
+            fingerprint=admitted.req.fingerprint,
         )
         outgoing = OutgoingRequest(admitted.req, dispatch, chosen)
         self.attempt = Attempt(self._context, outgoing, self, now)
--- a/foxtailhatch/relay/request.py
+++ b/foxtailhatch/relay/request.py
@@ -1,11 +1,14 @@
 """Types of requests and responses, and the interfaces to both sides."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
+from hashlib import blake2b
 from typing import Protocol
 
 from foxtailhatch.relay.http_connection import ResponseHead
 
+FINGERPRINT_BYTES = 8
+
 
 @dataclass(frozen=True, slots=True)
 class TokenCounts:
@@ -30,7 +33,8 @@
     after which a stream resumes.  ``malformed_headers`` names the headers
     whose value is not a number where one is expected; they are ignored.
     ``prompt_parts`` are the identifiers of the prompt's parts in order; the
-    last part belongs to this request or its session alone.
+    last part belongs to this request or its session alone.  ``fingerprint``
+    is the same whenever an account sends the same request again.
     """
 
     request_id: str
@@ -45,12 +49,22 @@
     last_event_id: int | None
     malformed_headers: tuple[str, ...] = ()
     prompt_parts: tuple[str, ...] = ()
+    fingerprint: str = ''
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
         """Return the parts of the prompt that other requests may share."""
         return self.prompt_parts[:-1]
 
+    def with_fingerprint(self, account: str | None) -> 'RelayRequest':
+        """Return the request with the fingerprint of path, account and body."""
+        digest = blake2b(digest_size=FINGERPRINT_BYTES)
+        for field in (self.target.encode(), (account or '').encode()):
+            digest.update(len(field).to_bytes(4, 'big'))
+            digest.update(field)
+        digest.update(self.body)
+        return replace(self, fingerprint=digest.hexdigest())
+
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
--- a/foxtailhatch/router/admission.py
+++ b/foxtailhatch/router/admission.py
@@ -106,4 +106,8 @@
     if account is not None and account.priority is not None:
         urgency = account.priority
     name = None if account is None else account.name
-    return Success(AdmittedRequest(req, route, service, name, urgency))
+    return Success(
+        AdmittedRequest(
+            req.with_fingerprint(name), route, service, name, urgency
+        )
+    )
