--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -3,7 +3,8 @@
 All endpoints share one pool, so that a chain can check whether its stages are
 available.  The pool counts executions and checks the layers of each chain.  A
 prompt with one of the pool's crashing parts makes the head of its chain crash
-before the first event.
+before the first event, and a request with a crashing path the endpoint that
+runs it.
 """
 
 import asyncio
@@ -39,7 +40,7 @@
     """All endpoints, with execution counts and detected violations.
 
     ``crashing_runs`` are the times, on the loop's clock, at which requests with
-    a crashing part arrived; ``crashed_at`` are those at which endpoints crashed
+    a crashing part or path arrived; ``crashed_at`` are those at which endpoints crashed
     on one.  ``on_crash`` is called with the endpoint.  An endpoint in
     ``limits_per_s`` names its limit in each response, and ``arrivals`` holds
     the times at which requests reached it.
@@ -50,6 +51,7 @@
     runs: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
     crashing_parts: set[str] = field(default_factory=set)
+    crashing_paths: set[str] = field(default_factory=set)
     crashing_runs: list[float] = field(default_factory=list)
     crashed_at: list[float] = field(default_factory=list)
     on_crash: Callable[['StubEndpoint'], None] | None = None
@@ -151,10 +153,17 @@
         if expected != self.name:
             return MiniResponse(MISDIRECTED)
         if not self.accelerator_kind:
-            return self._run_plain(req)
+            return await self._run_plain(req)
         return await self._run_chain(req, writer)
 
-    def _run_plain(self, req: MiniRequest) -> MiniResponse:
+    def _is_crashing(self, req: MiniRequest) -> bool:
+        has_part = bool(self._pool.crashing_parts & _parts(req))
+        return has_part or req.path in self._pool.crashing_paths
+
+    async def _run_plain(self, req: MiniRequest) -> MiniResponse | None:
+        if self._is_crashing(req):
+            await self._crash_on_prompt()
+            return None
         request_id = req.headers['foxtailhatch-request-id']
         self._pool.runs[request_id] += 1
         return MiniResponse(body=b'done', headers=_seal_headers(request_id))
@@ -173,7 +182,7 @@
                 'At-Server': unavailable,
             }
             return MiniResponse(UNAVAILABLE, headers=headers)
-        if self._pool.crashing_parts & _parts(req):
+        if self._is_crashing(req):
             await self._crash_on_prompt()
             return None
         self._pool.runs[request_id] += 1
