Wait for the reports of all entries before a request is convicted

Reports arrive late, so a verdict on three crashes now waits 0.6 s as one on two does; whoever is suspected is not sent meanwhile.

--- a/foxtailhatch/recovery/crashing_requests.py
+++ b/foxtailhatch/recovery/crashing_requests.py
@@ -183,15 +183,13 @@
         explained: Collection[Crash],
     ) -> bool:
         count = counts[name]
-        if count < SUSPECT_CRASHES:
+        if count < SUSPECT_CRASHES or now < self.reported_at(name):
             return False
         beside = self._beside(name, explained)
         if count < CRASHES_TO_CONVICT:
-            return not beside and now >= self.reported_at(name)
-        if all(counts[other] < count for other in beside):
-            return True
-        has_waited = now >= self.reported_at(name)
-        return has_waited and count >= CRASHES_TO_CONVICT_RIVALS
+            return not beside
+        is_above_others = all(counts[other] < count for other in beside)
+        return is_above_others or count >= CRASHES_TO_CONVICT_RIVALS
 
     def _beside(self, name: str, explained: Collection[Crash]) -> set[str]:
         """Return the other requests that were lost in a request's crashes."""
