--- a/foxtailhatch/relay/attempt.py
+++ b/foxtailhatch/relay/attempt.py
@@ -51,8 +51,7 @@
     The expected tokens count as load on each endpoint of the chain until
     the attempt is over.  ``usable_revision`` is the revision of the endpoint
     table at which the whole chain was last found usable.  ``event_count`` is
-    the number of complete events that have arrived, the first of them at
-    ``begun_at``.
+    the number of complete events that have arrived.
     """
 
     def __init__(
@@ -70,7 +69,6 @@
         self.is_over = False
         self.usable_revision = -1
         self.event_count = 0
-        self.begun_at: float | None = None
         self._context = context
         self._listener = listener
         tokens = outgoing.req.tokens
@@ -111,16 +109,6 @@
             return True
         return not self._connection.is_framed and not self.event_count
 
-    def has_run_for(self, seconds: float, now: float) -> bool:
-        """Return whether the first event arrived some seconds ago."""
-        return self.begun_at is not None and now - self.begun_at >= seconds
-
-    def record_events(self, count: int, now: float) -> None:
-        """Count complete events."""
-        if count and self.begun_at is None:
-            self.begun_at = now
-        self.event_count += count
-
     def uses(self, name: str) -> bool:
         """Return whether an endpoint is part of the attempt's chain."""
         return name in self._endpoint_names
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -44,8 +44,8 @@
 # An engine that crashes loses all its streams, so a request whose prompt may be
 # the cause is not sent to a third one.
 MAX_LOST_HEADS = 2
-# An endpoint that a request crashes ends within this time after the first event.
-CRASH_DELAY_S = 0.3
+# A request may crash an endpoint as it begins to run, with its first event.
+SOUND_EVENTS = 2
 # Bound on the wait of a request for a verdict on it and for its turn.
 MAX_SUSPECT_WAIT_S = 3.0
 SUSPECT_CHECK_S = 0.1
@@ -201,7 +201,7 @@
             events = attempt.splitter.feed(chunk)
             if events and not attempt.event_count:
                 self._context.prompts.record_begun(self.admitted.req, now)
-            attempt.record_events(len(events), now)
+            attempt.event_count += len(events)
             self._record_if_sound(attempt, now)
             self._delivery.deliver_events(response, events, now)
         else:
@@ -335,15 +335,15 @@
         self._apply(action, chosen, cause, now)
 
     def _record_if_sound(self, attempt: Attempt, now: float) -> None:
-        """Record once that a stream goes on after its first events."""
-        if not self._is_sound and attempt.has_run_for(CRASH_DELAY_S, now):
+        """Record once that a stream goes on after its first event."""
+        if not self._is_sound and attempt.event_count >= SOUND_EVENTS:
             self._is_sound = True
             self._context.prompts.record_sound(self.admitted.req, now)
 
     def _record_lost(self, attempt: Attempt, cause: str, now: float) -> None:
         self._may_have_run = True
         has_closed = cause == TransportFailure.CLOSED.value
-        if has_closed and not attempt.has_run_for(CRASH_DELAY_S, now):
+        if has_closed and attempt.event_count < SOUND_EVENTS:
             self._record_request_lost(attempt, now)
         if attempt.event_count:
             return
