Write reports of crashes again that the store did not take

A crash during an outage of the store was known to the entries that met it alone, also after the outage: their reports were dropped with a line, and the quarantine was announced only 200 s later. They are kept, 64 at most, and written again one a second until the store takes one; a quarantine that has been lifted meanwhile is left out. The first new test failed before.

--- a/foxtailhatch/router/crash_watch.py
+++ b/foxtailhatch/router/crash_watch.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from random import Random
@@ -65,6 +65,10 @@
 # Bound on the released parts that are remembered.
 MAX_RELEASED = 1024
 MAX_LOGGED_PARTS = 8
+# Records that the store did not take are written again, one at a time, until it
+# takes them; the oldest are dropped.
+REWRITE_S = 1.0
+MAX_UNWRITTEN = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +125,10 @@
         self._released: dict[str, float] = {}
         self._claims = TrialClaims()
         self._tasks: set[asyncio.Future[None]] = set()
+        self._unwritten: deque[tuple[str, bytes | None]] = deque(
+            maxlen=MAX_UNWRITTEN
+        )
+        self._rewrite_at = float('-inf')
 
     @property
     def is_idle(self) -> bool:
@@ -130,7 +138,8 @@
         is_undecided = (
             self._suspects.is_undecided or self._requests.is_undecided
         )
-        is_waiting = has_losses or is_undecided or any(due)
+        has_records = any(due) or bool(self._unwritten)
+        is_waiting = has_losses or is_undecided or has_records
         return not (is_waiting or len(self._board.quarantine))
 
     def record_begun(self, req: RelayRequest, now: float) -> None:
@@ -498,6 +507,16 @@
             self._write_part(part, self._board.quarantine.trials(part))
         for part in _take_due(self._releases_due, now):
             self._put(f'{PART_PREFIX}{part}', None)
+        if self._unwritten and now >= self._rewrite_at:
+            self._rewrite_at = now + REWRITE_S
+            self._rewrite(*self._unwritten.popleft())
+
+    def _rewrite(self, key: str, raw: bytes | None) -> None:
+        """Write a record that the store did not take, if it still holds."""
+        part = key.removeprefix(PART_PREFIX)
+        is_quarantined = bool(self._board.quarantine.blocking((part,)))
+        if not key.startswith(PART_PREFIX) or is_quarantined == bool(raw):
+            self._put(key, raw)
 
     def _write_part(self, part: str, trials: int) -> None:
         record = PartRecord(part, trials, self._entry)
@@ -517,7 +536,10 @@
 
     async def _write(self, key: str, raw: bytes | None) -> None:
         written = await self._store.put(Topic.OBSERVATIONS, key, raw)
-        if not isinstance(written, Success):
+        if isinstance(written, Success):
+            self._rewrite_at = float('-inf')
+        else:
+            self._unwritten.append((key, raw))
             self._log.write(
                 'observation_not_written',
                 endpoint=key,
--- a/tests/router/test_crash_watch.py
+++ b/tests/router/test_crash_watch.py
@@ -320,6 +320,29 @@
     assert not any(one.watch.is_blocked(sent('a')) for one in fleet.entries)
 
 
+# Guards against crashes in an outage of the store that nobody hears of.
+def test_reports_of_an_outage_are_written_after_it():
+    fleet = Fleet()
+    fleet.store.is_down = True
+    for number, name in enumerate(('e0', 'e1')):
+        lose_request(fleet, number, name, 'bad')
+        fleet.advance(1)
+    assert not any(one.watch.is_blocked(sent('bad')) for one in fleet.entries)
+    fleet.store.is_down = False
+    fleet.advance(3)
+    assert all(one.watch.is_blocked(sent('bad')) for one in fleet.entries)
+
+
+def test_store_that_is_away_gets_one_record_a_second():
+    fleet = Fleet(entries=1)
+    fleet.store.is_down = True
+    for name in ('e0', 'e1', 'e2', 'e3'):
+        lose_request(fleet, 0, name, 'a', 'b')
+    fleet.advance(10)
+    failed = fleet.entries[0].log.of('observation_not_written')
+    assert len(failed) <= 4 + 10 + 2
+
+
 def test_few_records_are_written_for_a_request_at_many_entries():
     fleet = Fleet(entries=40)
     for number in range(3):
