--- a/foxtailhatch/config/fold.py
+++ b/foxtailhatch/config/fold.py
@@ -28,7 +28,7 @@
 )
 from foxtailhatch.core import Invariant, Mark, check_invariant
 from foxtailhatch.outside import LogPage, LogRecord
-from foxtailhatch.outside.log_offsets import offset_in_epoch
+from foxtailhatch.outside.log_offsets import epoch_of, offset_in_epoch
 
 BEFORE_FIRST_OFFSET = -1
 MAX_VERSIONS = 200
@@ -136,16 +136,17 @@
 
         Folding is deterministic: of two readers of the same stream, the one
         at the higher offset has seen everything that the other has.  A stream
-        that returned from an older copy has lost versions, though, so the
-        higher version is newer than any offset, and a configuration in force
+        that returned from an older copy has lost versions, though: of states
+        in two epochs the higher version is newer, and a configuration in force
         is not replaced by another one of the same version.
         """
-        if state.cfg.version < self.version:
+        is_further = state.last_offset > self.last_offset
+        if epoch_of(state.last_offset) != epoch_of(self.last_offset):
+            is_same = state.cfg == self._state.cfg
+            has_more = state.cfg.version > self.version
+            is_further = has_more or (is_same and is_further)
+        if not is_further:
             return False
-        if state.cfg.version == self.version:
-            is_further = state.last_offset > self.last_offset
-            if not is_further or state.cfg != self._state.cfg:
-                return False
         self._replace_state(state)
         return True
 
