Let all entries of the daemon refuse a request under which endpoints failed

In `serve` an answer that lost three endpoints before its first token fails, but the same request, sent again, was run anew: by the same entry, and by every other one. The outcome stays unknown, as an earlier try has run. Entries of earlier versions get the field only while it is not empty. The new tests fail on the code before, which knows no such list.

--- a/foxtailhatch/daemon/answers.py
+++ b/foxtailhatch/daemon/answers.py
@@ -28,6 +28,8 @@
     StageReady,
     StepCompleted,
 )
+from foxtailhatch.pipeline.answer import PROMPT_SUSPECTED
+from foxtailhatch.recovery.failed_requests import answer_fingerprint
 from foxtailhatch.routing import ChainChooser
 
 TICK_PERIOD_S = 0.02
@@ -118,6 +120,9 @@
         now = self.now()
         self._board.shares.record_request(req.caller.account, now)
         handle = AnswerHandle(req, authorized, sink, self._withdraw)
+        if self._board.entries.has_failed(_fingerprint(req)):
+            self._refuse(handle, PROMPT_SUSPECTED)
+            return handle
         ticket = _ticket(req, authorized, now)
         offered = self._board.admission.submit(ticket, now)
         if not is_successful(offered):
@@ -134,6 +139,7 @@
         self._endpoint_monitor.pause_detector.record_running()
         now = self.now()
         self._refuse_tickets(self._board.admission.expire(now))
+        self._announce_failed_requests(now)
         tick_is_late = now - self._last_tick_at > LATE_TICK_GAP_S
         self._last_tick_at = now
         # After a pause of this process, frames that arrived meanwhile are not
@@ -193,14 +199,30 @@
             handle.load.close(now)
         work = answer.delivered - len(answer.run.plan.received)
         self._board.metrics.tokens_delivered += work
-        if isinstance(outcome, AnswerFailed) and answer.run.attempt_number > 1:
-            self._board.metrics.count_failed_recovery()
+        if isinstance(outcome, AnswerFailed):
+            self._record_failure(handle, outcome, now)
+            if answer.run.attempt_number > 1:
+                self._board.metrics.count_failed_recovery()
         self._board.admission.finish(answer.stream, now, max(1, work))
         self._board.record(
             _event_kind(outcome), answer.stream, _event_detail(outcome)
         )
         self._clock.callLater(0, self._start_ready)
 
+    def _record_failure(
+        self, handle: AnswerHandle, failure: AnswerFailed, now: float
+    ) -> None:
+        """Let all entries refuse a request under which endpoints failed."""
+        if failure.refusal is PROMPT_SUSPECTED:
+            self._board.failed_requests.add(_fingerprint(handle.req), now)
+            self._announce_failed_requests(now)
+
+    def _announce_failed_requests(self, now: float) -> None:
+        entries = self._board.entries
+        failed = self._board.failed_requests.current(now)
+        if failed != entries.own.failed_requests:
+            entries.update_own(failed_requests=failed)
+
     def _start_ready(self) -> None:
         if not self._endpoint_monitor.pause_detector.is_current():
             return
@@ -285,6 +307,10 @@
     return positions_by_endpoint
 
 
+def _fingerprint(req: GenerateRequest) -> str:
+    return answer_fingerprint(req.caller.account, req.model, req.prompt)
+
+
 def _ticket(
     req: GenerateRequest,
     authorized: AuthorizedAnswer,
--- a/foxtailhatch/daemon/blackboard.py
+++ b/foxtailhatch/daemon/blackboard.py
@@ -17,6 +17,7 @@
 )
 from foxtailhatch.membership import EndpointTable, EntryTable, PlannedStop
 from foxtailhatch.recovery import EndpointHealth, RetryBudget, StallDetector
+from foxtailhatch.recovery.failed_requests import FailedRequests
 from foxtailhatch.routing import Pool
 
 
@@ -49,6 +50,7 @@
     endpoints: EndpointTable = field(default_factory=EndpointTable)
     stall_detector: StallDetector = field(default_factory=StallDetector)
     admission: AdmissionController = field(default_factory=AdmissionController)
+    failed_requests: FailedRequests = field(default_factory=FailedRequests)
     fold: ConfigurationFold = field(default_factory=ConfigurationFold)
     desired_states: DesiredStateTable = field(default_factory=DesiredStateTable)
     listed_peers: frozenset[Address] = frozenset()
--- a/foxtailhatch/membership/entries.py
+++ b/foxtailhatch/membership/entries.py
@@ -45,6 +45,7 @@
         load: float | None = None,
         state: EntryState | None = None,
         configuration_version: int | None = None,
+        failed_requests: tuple[str, ...] | None = None,
     ) -> Entry:
         """Update the local entry, raise its heartbeat, and return it."""
         own = self._own
@@ -57,9 +58,21 @@
             configuration_version=(
                 own.configuration_version if version is None else version
             ),
+            failed_requests=(
+                own.failed_requests
+                if failed_requests is None
+                else failed_requests
+            ),
         )
         return self._own
 
+    def has_failed(self, request: str) -> bool:
+        """Return whether an entry lost several endpoints under a request."""
+        return any(
+            request in entry.failed_requests
+            for entry in (self._own, *self.peers())
+        )
+
     def refute(self, incarnation: int) -> bool:
         """Refute a claim that the local entry's ``incarnation`` is dead.
 
--- a/foxtailhatch/membership/entry.py
+++ b/foxtailhatch/membership/entry.py
@@ -32,7 +32,8 @@
 
     Only the entry itself raises ``incarnation`` (at each start, and to refute
     a suspicion) and ``heartbeat`` (at each change).  ``load`` is the share of
-    its capacity in use, 1 when full.
+    its capacity in use, 1 when full.  ``failed_requests`` are fingerprints of
+    requests under which it lost several endpoints.
     """
 
     name: str
@@ -45,6 +46,7 @@
     state: EntryState = EntryState.SERVING
     load: float = 0
     configuration_version: int = 0
+    failed_requests: tuple[str, ...] = ()
 
     def is_newer_than(self, other: 'Entry') -> bool:
         """Return whether this announcement is newer than ``other``."""
@@ -54,7 +56,15 @@
     def equals_in_announced_fields(self, other: 'Entry') -> bool:
         """Return whether the fields that must spread promptly are equal.
 
-        These are the incarnation, the state and the peer address.
+        These are the incarnation, the state, the peer address and the requests
+        under which endpoints failed.
         """
-        mine = (self.incarnation, self.state, self.peer_address)
-        return mine == (other.incarnation, other.state, other.peer_address)
+        return self._announced_fields() == other._announced_fields()
+
+    def _announced_fields(self) -> tuple[object, ...]:
+        return (
+            self.incarnation,
+            self.state,
+            self.peer_address,
+            self.failed_requests,
+        )
--- a/foxtailhatch/peers/digest_codec.py
+++ b/foxtailhatch/peers/digest_codec.py
@@ -46,6 +46,8 @@
 
 
 def _encode_entry(entry: Entry) -> list[Any]:
+    # Earlier versions know no more fields, so the last is left out if empty.
+    failed_requests = list(entry.failed_requests)
     return [
         entry.name,
         [entry.caller_address.host, entry.caller_address.port],
@@ -57,6 +59,7 @@
         _STATES.index(entry.state),
         min(wire.LOAD_MAX_PERCENT, round(entry.load * PERCENT_PER_UNIT)),
         entry.configuration_version,
+        *([failed_requests] if failed_requests else []),
     ]
 
 
@@ -72,4 +75,5 @@
         state=_STATES[array.state],
         load=array.load_percent / PERCENT_PER_UNIT,
         configuration_version=array.configuration_version,
+        failed_requests=tuple(array.failed_requests),
     )
--- a/foxtailhatch/peers/wire.py
+++ b/foxtailhatch/peers/wire.py
@@ -21,6 +21,7 @@
 NOTICES_MAX = 64
 ACCOUNTS_MAX = 1024
 ENDPOINTS_MAX = 2048
+FAILED_REQUESTS_MAX = 64
 AGE_MAX_S = 3600
 LOAD_MAX_PERCENT = 100_000
 
@@ -83,6 +84,9 @@
     state: Annotated[int, Field(strict=True, ge=0, le=2)]
     load_percent: LoadPercent
     configuration_version: Count
+    failed_requests: Annotated[
+        list[Name], Field(max_length=FAILED_REQUESTS_MAX)
+    ] = []
 
 
 class SuspicionArray(NamedTuple):
--- a/tests/membership/test_entries.py
+++ b/tests/membership/test_entries.py
@@ -106,3 +106,15 @@
     table.expire(20.0)
     table.expire(10_000.0)
     assert table.record('b') is None
+
+
+# Guards against a request that crashes endpoints at an entry after the other.
+def test_failed_request_of_one_entry_is_known_to_all():
+    table = EntryTable(entry('a'))
+    other = entry('b', failed_requests=('f1',))
+    assert not table.has_failed('f1')
+    table.merge(other, 1)
+    assert table.has_failed('f1')
+    assert not other.equals_in_announced_fields(entry('b'))
+    table.update_own(failed_requests=('f2',))
+    assert table.has_failed('f2')
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import cbor2
 import pytest
 from hypothesis import given, settings
@@ -39,6 +41,7 @@
     state=EntryState.STOPPING,
     load=0.25,
     configuration_version=5,
+    failed_requests=('f1', 'f2'),
 )
 DIGEST = Digest(
     sender=ENTRY,
@@ -57,6 +60,22 @@
 ]
 
 
+# Guards against entries of an earlier version, which know no such field.
+def test_entry_without_failed_requests_is_encoded_as_before():
+    plain = replace(ENTRY, failed_requests=())
+    digest = replace(DIGEST, sender=plain, entries=(plain,))
+    envelope = cbor2.loads(encode(digest, STAMP))
+    assert len(_entry_arrays(envelope)[0]) == 10
+
+
+def _entry_arrays(item):
+    """Return all arrays in a decoded frame that describe an entry."""
+    if not isinstance(item, list):
+        return []
+    found = [item] if ENTRY.name in item and len(item) > 3 else []
+    return found + [one for part in item for one in _entry_arrays(part)]
+
+
 @pytest.mark.parametrize('message', MESSAGES)
 def test_message_survives_a_round_trip(message):
     assert decode(encode(message, STAMP)) == Success(Envelope(STAMP, message))
