Count the parts of a prompt to what tells that requests are the same

Requests of one account with one path and no body, whose prompts differ in their headers only, had one fingerprint: once some of them with a harmful part had crashed engines, all were refused, sound ones and probes too. The parts are the prompt's own hashes, so a request that comes again brings the same ones.

--- a/foxtailhatch/relay/request.py
+++ b/foxtailhatch/relay/request.py
@@ -65,11 +65,15 @@
         return (*self.shared_parts, request_suspect(self.fingerprint))
 
     def with_fingerprint(self, account: str | None) -> 'RelayRequest':
-        """Return the request with the fingerprint of path, account and body."""
+        """Return the request with its fingerprint.
+
+        It covers path, account, the parts of the prompt, and the body.
+        """
         digest = blake2b(digest_size=FINGERPRINT_BYTES)
-        for field in (self.target.encode(), (account or '').encode()):
-            digest.update(len(field).to_bytes(4, 'big'))
-            digest.update(field)
+        for field in (self.target, account or '', *self.prompt_parts):
+            raw = field.encode()
+            digest.update(len(raw).to_bytes(4, 'big'))
+            digest.update(raw)
         digest.update(self.body)
         return replace(self, fingerprint=digest.hexdigest())
 
--- a/tests/relay/test_request.py
+++ b/tests/relay/test_request.py
@@ -5,7 +5,13 @@
 from foxtailhatch.relay.request import RelayRequest
 
 
-def fingerprint(request_id='q1', target='/a/b', body=b'x', account='crew'):
+def fingerprint(
+    request_id='q1',
+    target='/a/b',
+    body=b'x',
+    account='crew',
+    parts=('s', 'own'),
+):
     req = RelayRequest(
         request_id=request_id,
         method='POST',
@@ -17,6 +23,7 @@
         caller_timeout_s=None,
         tokens=None,
         last_event_id=None,
+        prompt_parts=parts,
     )
     return req.with_fingerprint(account).fingerprint
 
@@ -32,6 +39,7 @@
         {'body': b'y'},
         {'account': 'crowd'},
         {'account': None},
+        {'parts': ('s', 'other')},
         {'target': '/a/', 'body': b'bx'},
     ],
 )
