Log the configuration by which a request was handled, and its age

For requests that were served the log named neither the version of the configuration nor its age, so the three hypotheses on requests handled by an old one could not be told apart for each of them, nor could it be counted how many there were. 'sent' now names both, 'source_selected' the source before and the age at the change, and a metric the age. No decision changes.

--- a/foxtailhatch/relay/admitted_request.py
+++ b/foxtailhatch/relay/admitted_request.py
@@ -12,7 +12,8 @@
 
     These come from the configuration that was in force at admission.
     ``account`` is ``None`` on public routes; urgency 0 is the most urgent.
-    A trial may crash its endpoint, so it is sent once.
+    A trial may crash its endpoint, so it is sent once.  ``version`` is that of
+    the configuration, which was confirmed ``configuration_age_s`` seconds ago.
     """
 
     req: RelayRequest
@@ -21,3 +22,5 @@
     account: str | None
     urgency: int
     is_trial: bool = False
+    version: int = 0
+    configuration_age_s: float = 0
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -287,6 +287,8 @@
             resume_after=dispatch.resume_after,
             parts=admitted.req.prompt_parts[-MAX_LOGGED_PARTS:],
             fingerprint=admitted.req.fingerprint,
+            version=admitted.version,
+            age_s=round(admitted.configuration_age_s, 2),
         )
         outgoing = OutgoingRequest(admitted.req, dispatch, chosen)
         self.attempt = Attempt(self._context, outgoing, self, now)
--- a/foxtailhatch/router/admission.py
+++ b/foxtailhatch/router/admission.py
@@ -1,5 +1,6 @@
 """Decide whether a request is admitted under the configuration in force."""
 
+from dataclasses import replace
 from random import Random
 
 from returns.result import Failure, Result, Success
@@ -41,13 +42,18 @@
     age_s = board.configuration_age(now)
     if table is None or route is None:
         return Failure(_denial_refusal(RefusalReason.NO_ROUTE, age_s))
-    if route.is_public or not table.cfg.checks_keys:
-        return _with_service(table, req, route, None, random)
-    account = None if req.key is None else table.account(req.key)
-    refusal = _key_refusal(board, account, age_s)
-    if refusal is not None:
-        return Failure(refusal)
-    return _with_service(table, req, route, account, random)
+    account = None
+    if not route.is_public and table.cfg.checks_keys:
+        account = None if req.key is None else table.account(req.key)
+        refusal = _key_refusal(board, account, age_s)
+        if refusal is not None:
+            return Failure(refusal)
+    admitted = _with_service(table, req, route, account, random)
+    return admitted.map(
+        lambda passed: replace(
+            passed, version=table.version, configuration_age_s=age_s
+        )
+    )
 
 
 def _entry_refusal(board: Blackboard, now: float) -> RelayRefusal | None:
--- a/foxtailhatch/router/metrics.py
+++ b/foxtailhatch/router/metrics.py
@@ -90,17 +90,26 @@
         begun = 'yes' if has_begun else 'no'
         self._failed_attempts.inc({'kind': kind, 'begun': begun})
 
-    def render(self, version: int, running: int, store_epoch: int = 0) -> bytes:
+    def render(
+        self,
+        version: int,
+        running: int,
+        store_epoch: int = 0,
+        configuration_age_s: float = 0,
+    ) -> bytes:
         """Return all metrics as text.
 
-        ``version`` is that of the configuration in force, ``running`` the
-        number of requests in progress, and ``store_epoch`` the epoch of the
-        store at the last read.
+        ``version`` is that of the configuration in force, which was confirmed
+        ``configuration_age_s`` ago, ``running`` the number of requests in
+        progress, and ``store_epoch`` the epoch of the store at the last read.
         """
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self._gauges.set({'of': 'configuration_version'}, version)
         self._gauges.set({'of': 'requests_running'}, running)
         self._gauges.set({'of': 'store_epoch'}, store_epoch)
+        self._gauges.set(
+            {'of': 'configuration_age_seconds'}, configuration_age_s
+        )
         self._gauges.set(
             {'of': 'peak_memory_bytes'},
             usage.ru_maxrss * KIBIBYTE,
--- a/foxtailhatch/router/state_sync.py
+++ b/foxtailhatch/router/state_sync.py
@@ -230,9 +230,14 @@
         board = self._board
         source = self._selector.select(board.entries, board.clock())
         if source.name != self._source_name:
+            self._log.write(
+                'source_selected',
+                peer=source.name,
+                before=self._source_name,
+                age_s=board.configuration_age(board.clock()),
+            )
             self._source_name = source.name
             self._set_reads_store(reads_store=source.is_store)
-            self._log.write('source_selected', peer=source.name)
         return source
 
     def _set_reads_store(self, *, reads_store: bool) -> None:
--- a/foxtailhatch/router/status_pages.py
+++ b/foxtailhatch/router/status_pages.py
@@ -61,4 +61,9 @@
         table = self._board.table
         version = 0 if table is None else table.version
         running = len(self._context.running)
-        return self._metrics.render(version, running, self._board.store_epoch)
+        return self._metrics.render(
+            version,
+            running,
+            self._board.store_epoch,
+            self._board.configuration_age(self._board.clock()),
+        )
--- a/tests/router/test_admission.py
+++ b/tests/router/test_admission.py
@@ -56,6 +56,12 @@
     assert result.account is None
 
 
+# Guards against requests of which nobody can tell how old their data were.
+def test_admitted_request_names_the_configuration_and_its_age():
+    result = admission_result(board(cfg=CFG), now=101.5).unwrap()
+    assert (result.version, result.configuration_age_s) == (CFG.version, 1.5)
+
+
 def test_unknown_key_is_denied():
     assert (
         refusal_reason(board(cfg=CFG), request(key='x'))
