Deny no route or key by a configuration that may have been replaced

Beyond the bound the answer is 503, and callers ask another entry. The test fails before with the bound in place of the constant.

--- a/foxtailhatch/router/admission.py
+++ b/foxtailhatch/router/admission.py
@@ -14,9 +14,6 @@
 # Keys are refused this long before an unseen revocation would have to be in
 # force, as an admitted request still has to reach its endpoint.
 REVOCATION_MARGIN_S = 0.4
-# A configuration older than this cannot prove that a route or key does not exist.
-# It is half of the time allowed for bringing a configuration into force.
-MAX_DENIAL_AGE_S = 3.0
 # A stopping entry accepts requests for this long: callers keep its address for a
 # while, and a response can still be completed within the grace period of a stop.
 STOP_ACCEPT_S = 2.5
@@ -41,7 +38,7 @@
     route = None if table is None else table.route(req.host, req.target)
     age_s = board.configuration_age(now)
     if table is None or route is None:
-        return Failure(_denial_refusal(RefusalReason.NO_ROUTE, age_s))
+        return Failure(_denial_refusal(board, RefusalReason.NO_ROUTE, age_s))
     account = None
     if not route.is_public and table.cfg.checks_keys:
         account = None if req.key is None else table.account(req.key)
@@ -77,14 +74,17 @@
             RefusalReason.STALE_CONFIGURATION, RETRY_AFTER_ELSEWHERE_S
         )
     return (
-        _denial_refusal(RefusalReason.UNKNOWN_KEY, age_s)
+        _denial_refusal(board, RefusalReason.UNKNOWN_KEY, age_s)
         if account is None
         else None
     )
 
 
-def _denial_refusal(reason: RefusalReason, age_s: float) -> RelayRefusal:
-    if age_s > MAX_DENIAL_AGE_S:
+def _denial_refusal(
+    board: Blackboard, reason: RefusalReason, age_s: float
+) -> RelayRefusal:
+    """Return a denial, unless a route or key may have been added since."""
+    if age_s > board.cfg.bounds.change_s:
         return RelayRefusal(
             RefusalReason.STALE_CONFIGURATION, RETRY_AFTER_ELSEWHERE_S
         )
--- a/tests/router/test_admission.py
+++ b/tests/router/test_admission.py
@@ -4,14 +4,10 @@
 
 from foxtailhatch.relay.refusals import RefusalReason
 from foxtailhatch.relay.request import RelayRequest
-from foxtailhatch.router.admission import (
-    MAX_DENIAL_AGE_S,
-    STOP_ACCEPT_S,
-    admit,
-)
+from foxtailhatch.router.admission import STOP_ACCEPT_S, admit
 from foxtailhatch.routes import Account
 from tests.relay.fakes import REQUEST_ID
-from tests.router.fakes import Clock, board
+from tests.router.fakes import SETTINGS, Clock, board
 from tests.routes.configurations import configuration, route
 
 ACCOUNT = Account('crew', ('key',), 0)
@@ -82,10 +78,11 @@
     assert refusal.retry_after_s is not None
 
 
+# Guards against denials of routes and keys that were added in the meantime.
 @pytest.mark.parametrize('req', [request('/z/'), request(key='x')])
 def test_old_configuration_gives_503_instead_of_a_denial(req):
     env = board(Clock(), CFG)
-    now = 100 + MAX_DENIAL_AGE_S + 0.1
+    now = 100 + SETTINGS.bounds.change_s + 0.1
     assert admission_result(env, req, now).failure().status == 503
 
 
