Use no connection from before after a call has timed out

The test fails before: the second call times out as well.

Ruled out: reports of crashes, whose reads wait up to 4 s.

--- a/foxtailhatch/relay/http_client.py
+++ b/foxtailhatch/relay/http_client.py
@@ -92,13 +92,17 @@
     async def call(
         self, call: HttpCall
     ) -> Result[HttpResponse, TransportFailure]:
-        """Make a call; a connection that timed out is not reused."""
+        """Make a call; after a timeout no connection from before is reused.
+
+        Connections may go silent all at once, while new ones work.
+        """
         collector = _ResponseCollector()
         connection, cancel = self._send(_encode(call, self._address), collector)
         try:
             outcome = await asyncio.wait_for(collector.fut, call.timeout_s)
         except TimeoutError:
             cancel()
+            self._drop_idle()
             return Failure(TransportFailure.TIMEOUT)
         if connection.is_reusable and len(self._idle) < self._max_idle:
             self._idle.append(connection)
@@ -106,6 +110,11 @@
             cancel()
         return outcome
 
+    def _drop_idle(self) -> None:
+        for connection in self._idle:
+            connection.abort()
+        self._idle.clear()
+
     def _send(self, request: bytes, collector: _ResponseCollector) -> Any:
         while self._idle:
             connection = self._idle.pop()
--- a/tests/relay/test_http_connection.py
+++ b/tests/relay/test_http_connection.py
@@ -143,6 +143,45 @@
     assert outcome == Failure(TransportFailure.MALFORMED)
 
 
+# Guards against data that get old by one timeout for each silent connection.
+def test_call_after_a_timeout_uses_no_connection_from_before():
+    """All open connections fall silent, while new ones work."""
+
+    async def scenario():
+        is_silent = []
+        both_asked = asyncio.Barrier(2)
+        writers = []
+
+        async def serve(reader, writer):
+            is_old = not is_silent
+            writers.append(writer)
+            while await reader.read(READ_BYTES):
+                if is_silent and is_old:
+                    continue
+                if is_old:
+                    await both_asked.wait()
+                writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        reactor = LoopReactor(asyncio.get_running_loop())
+        client = HttpClient(reactor, f'127.0.0.1:{port}')
+        long = HttpCall('GET', '/', timeout_s=30)
+        await asyncio.gather(client.call(long), client.call(long))
+        is_silent.append(True)
+        lost = await client.call(HttpCall('GET', '/', timeout_s=0.1))
+        after = await client.call(HttpCall('GET', '/', timeout_s=5))
+        server.close()
+        for writer in writers:
+            writer.close()
+        await asyncio.sleep(0)
+        return lost, after.unwrap().status
+
+    lost, status_after = asyncio.run(scenario())
+    assert lost == Failure(TransportFailure.TIMEOUT)
+    assert status_after == 200
+
+
 class LoopReactor:
     """Connect the protocols of a factory over the running asyncio loop."""
 
--- a/tests/router/entry_network.py
+++ b/tests/router/entry_network.py
@@ -103,7 +103,8 @@
             await network.store.wait(topic, offset, wait_s)
             page = network.store.page(topic, offset)
             await asyncio.sleep(DELAY_S)
-            if not network.is_cut(self._name, STORE):
+            is_silenced = sent_at <= network.silenced_at
+            if not is_silenced and not network.is_cut(self._name, STORE):
                 return page
         timeout_s = CALL_TIMEOUT_S + wait_s
         await asyncio.sleep(sent_at + timeout_s - network.loop.now)
@@ -211,6 +212,7 @@
         asyncio.set_event_loop(self.loop)
         self.store = VirtualStore(self.loop)
         self.entries = {}
+        self.silenced_at = -1.0
         self._cut = set()
         for zone in range(zones):
             for number in range(entries_per_zone):
@@ -242,6 +244,10 @@
         self.loop.close()
         asyncio.set_event_loop(None)
 
+    def silence_calls(self):
+        """Lose the answers of all calls to the store that are under way."""
+        self.silenced_at = self.loop.now
+
     def cut(self, name, *others):
         """Silence the links from an entry to others, or to the store."""
         self._cut.update(frozenset((name, other)) for other in others)
--- a/tests/router/test_data_age.py
+++ b/tests/router/test_data_age.py
@@ -12,6 +12,9 @@
 # Time in which a change has to be known to all entries in contact, less the
 # time that a request takes from its caller to the entry.
 CHANGE_BOUND_S = 2.0 - 0.05
+# Time after trouble within which entries have to be up to date again, less the
+# way of a feed response.
+CONTACT_S = 3.0 + 0.1
 WARM_UP_S = 8.0
 OBSERVED_S = 6.0
 TICK_S = 0.05
@@ -111,6 +114,23 @@
     assert max(behind.values()) <= CHANGE_BOUND_S, behind
 
 
+# Guards against reports that are unknown long after all connections were lost.
+@pytest.mark.parametrize('moment', range(10))
+def test_reports_are_known_soon_after_connections_went_silent(
+    make_network, moment
+):
+    network = make_network(zones=2, entries_per_zone=4)
+    network.run(0.43 * moment)
+    network.silence_calls()
+    network.store.write(Topic.OBSERVATIONS, 'counter', b'7')
+    network.run(CONTACT_S)
+    known = {
+        name: entry.newest(Topic.OBSERVATIONS)
+        for name, entry in network.entries.items()
+    }
+    assert set(known.values()) == {7}
+
+
 def calls_per_second(network, seconds):
     before = len(network.store.calls)
     network.run(seconds)
