Report engines dead only beside one that accepts connections

The holder of the lease, cut off itself, ordered the rest of them to change their layers.

An entry now knows whether it reaches a service (fleet/reach.py): by connections that were begun and accepted, since open ones may live on. A death needs a witness, another endpoint that accepts a connection since the probe began; who is cut off from engines gives up the lease and orders nothing. Advice leaves out entries without reach while others have it.

--- a/foxtailhatch/fleet/__init__.py
+++ b/foxtailhatch/fleet/__init__.py
@@ -4,11 +4,13 @@
 from foxtailhatch.fleet.estimate import PeerWork, WorkEstimate
 from foxtailhatch.fleet.loads import EndpointLoads, Work
 from foxtailhatch.fleet.rate_limits import RateGate, RateLimits
+from foxtailhatch.fleet.reach import EndpointReach
 from foxtailhatch.fleet.table import EndpointTable
 
 __all__ = [
     'LiveEndpoint',
     'EndpointLoads',
+    'EndpointReach',
     'EndpointState',
     'EndpointTable',
     'PeerWork',
--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -116,6 +116,27 @@
         """Return whether an endpoint is marked dead."""
         return name in self._dead_since
 
+    def revive(self, name: str, incarnation: int) -> bool:
+        """Withdraw that an incarnation is dead; return whether it was."""
+        known = self._endpoints.get(name)
+        if (
+            known is None
+            or known.incarnation != incarnation
+            or self._dead_since.pop(name, None) is None
+        ):
+            return False
+        self.clear_failures(name)
+        self.revision += 1
+        return True
+
+    def dead_for(self, seconds: float, now: float) -> list[LiveEndpoint]:
+        """Return the listed endpoints that have been dead for a time."""
+        return [
+            self._endpoints[name]
+            for name, since in self._dead_since.items()
+            if now - since >= seconds and name in self._endpoints
+        ]
+
     def remove(self, name: str, now: float) -> None:
         """Remove an endpoint that has left."""
         self._heartbeats.record_removal(name, now)
--- a/foxtailhatch/placement/protocols.py
+++ b/foxtailhatch/placement/protocols.py
@@ -26,9 +26,14 @@
 
 
 class EngineFault(StrEnum):
-    """Why no report could be obtained from an engine."""
+    """Why no report could be obtained from an engine.
+
+    ``NOT_CONNECTED`` is a connection that was refused, and ``UNCONNECTED`` one
+    that was not accepted in time.
+    """
 
     NOT_CONNECTED = 'not_connected'
+    UNCONNECTED = 'unconnected'
     NO_RESPONSE = 'silent'
     MALFORMED = 'malformed'
 
--- a/foxtailhatch/platform/engines.py
+++ b/foxtailhatch/platform/engines.py
@@ -29,6 +29,11 @@
     412: OrderOutcome.FENCED,
 }
 
+_FAULTS = {
+    TransportFailure.NOT_CONNECTED: EngineFault.NOT_CONNECTED,
+    TransportFailure.UNCONNECTED: EngineFault.UNCONNECTED,
+}
+
 
 class HttpEngineClient:
     """Call engines over HTTP with a new connection for each call."""
@@ -46,10 +51,9 @@
         call = HttpCall('GET', names.REPORT_PATH, timeout_s=timeout_s)
         outcome = await self._call(endpoint, call)
         if not isinstance(outcome, Success):
-            failure = outcome.failure()
-            if failure is TransportFailure.NOT_CONNECTED:
-                return Failure(EngineFault.NOT_CONNECTED)
-            return Failure(EngineFault.NO_RESPONSE)
+            return Failure(
+                _FAULTS.get(outcome.failure(), EngineFault.NO_RESPONSE)
+            )
         response = outcome.unwrap()
         if response.status != STATUS_OK:
             return Failure(EngineFault.MALFORMED)
--- a/foxtailhatch/relay/http_client.py
+++ b/foxtailhatch/relay/http_client.py
@@ -101,9 +101,14 @@
         try:
             outcome = await asyncio.wait_for(collector.fut, call.timeout_s)
         except TimeoutError:
+            is_connected = connection.is_connected
             cancel()
             self._drop_idle()
-            return Failure(TransportFailure.TIMEOUT)
+            return Failure(
+                TransportFailure.TIMEOUT
+                if is_connected
+                else TransportFailure.UNCONNECTED
+            )
         if connection.is_reusable and len(self._idle) < self._max_idle:
             self._idle.append(connection)
         else:
--- a/foxtailhatch/relay/http_connection.py
+++ b/foxtailhatch/relay/http_connection.py
@@ -27,9 +27,14 @@
 
 
 class TransportFailure(StrEnum):
-    """Why a request has no complete response."""
+    """Why a request has no complete response.
+
+    A call with a timeout of its own that ends before there is a connection is
+    ``UNCONNECTED``.
+    """
 
     NOT_CONNECTED = 'not_connected'
+    UNCONNECTED = 'unconnected'
     CLOSED = 'closed'
     MALFORMED = 'malformed'
     TIMEOUT = 'timeout'
@@ -181,6 +186,11 @@
         if listener is not None:
             listener.response_completed()
 
+    @property
+    def is_connected(self) -> bool:
+        """Return whether the peer has accepted the connection."""
+        return self.transport is not None
+
     @property
     def is_framed(self) -> bool:
         """Return whether the response has a length or chunks."""
--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -33,6 +33,7 @@
 # the leader lease lapses after three failed calls.
 HEARTBEAT_CHECK_PERIOD_S = 0.25
 LEASE_RENEWAL_PERIOD_S = 0.4
+REACH_CHECK_PERIOD_S = 0.1
 PLACEMENT_PERIOD_S = 0.1
 STALL_CHECK_PERIOD_S = 0.05
 CRASH_WATCH_PERIOD_S = 0.1
@@ -144,6 +145,7 @@
         every = self._loops.every
         every(HEARTBEAT_CHECK_PERIOD_S, components.heartbeat)
         every(LEASE_RENEWAL_PERIOD_S, components.maintain_lease)
+        every(REACH_CHECK_PERIOD_S, components.watch_reach)
         self._loops.repeat(
             self._crash_watch_pause_s, components.crash_watch.step
         )
@@ -151,9 +153,7 @@
         self._loops.repeat(
             self._placement_pause_s, components.placement_controller.step
         )
-        self._loops.repeat(
-            self._stall_check_pause_s, components.stall_detector.step
-        )
+        self._loops.repeat(self._stall_check_pause_s, components.watch_streams)
 
     def _placement_pause_s(self) -> float:
         may_order = self._components.lease.may_order(boot_time_clock())
--- a/foxtailhatch/router/blackboard.py
+++ b/foxtailhatch/router/blackboard.py
@@ -5,6 +5,7 @@
 
 from foxtailhatch.fleet import (
     EndpointLoads,
+    EndpointReach,
     EndpointTable,
     PeerWork,
     RateLimits,
@@ -39,6 +40,7 @@
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     peer_work: PeerWork = field(default_factory=PeerWork)
     rate_limits: RateLimits = field(default_factory=RateLimits)
+    reach: EndpointReach = field(default_factory=EndpointReach)
     quarantine: Quarantine = field(default_factory=Quarantine)
 
     def is_ready(self) -> bool:
@@ -48,6 +50,14 @@
         age_s = self.configuration_age(self.clock())
         return age_s <= self.cfg.bounds.revocation_s
 
+    def is_cut_off_from_engines(self) -> bool:
+        """Return whether this entry reaches no engine of a model."""
+        services = {} if self.table is None else self.table.services
+        return any(
+            name in services and services[name].engine is not None
+            for name in self.reach.unreached
+        )
+
     def own_entry(self) -> EntryRecord:
         """Return what this entry announces about itself."""
         cfg = self.cfg
@@ -59,6 +69,7 @@
             peer_address=cfg.peer_address,
             cpu_cores=cfg.cpu_cores,
             is_ready=self.is_ready(),
+            unreached=self.reach.unreached,
         )
 
     def own_work(self) -> dict[str, Work]:
--- a/foxtailhatch/router/components.py
+++ b/foxtailhatch/router/components.py
@@ -1,7 +1,7 @@
 """Construct and connect the components of a router."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
 
@@ -20,7 +20,7 @@
 from foxtailhatch.router.metrics import RouterMetrics
 from foxtailhatch.router.observation_publisher import ObservationPublisher
 from foxtailhatch.router.placement_controller import PlacementController
-from foxtailhatch.router.probers import probe_delay_s
+from foxtailhatch.router.reach_prober import ReachProber, ReachRecorder
 from foxtailhatch.router.request_handler import RequestHandler
 from foxtailhatch.router.stall_detector import StallDetector
 from foxtailhatch.router.state_sync import StateSync
@@ -47,6 +47,8 @@
     lease: LeaderLease
     placement_controller: PlacementController
     stall_detector: StallDetector
+    prober: ReachProber
+    observation_publisher: ObservationPublisher
     shutdown: GracefulShutdown
 
     async def heartbeat(self) -> None:
@@ -58,6 +60,15 @@
             self._update_peer_work()
         await self.heartbeats.step(reads_store=self.state_sync.reads_store)
 
+    async def watch_streams(self) -> None:
+        """Resolve what keeps the running requests waiting."""
+        await self.stall_detector.step()
+
+    async def watch_reach(self) -> None:
+        """Ask endpoints that may be out of reach, and dead ones again."""
+        await self.prober.step()
+        await self.observation_publisher.withdraw_wrong_reports()
+
     async def maintain_lease(self) -> None:
         """Maintain the leader lease if this entry reads the store.
 
@@ -87,7 +98,9 @@
     """Return the connected components of a router; no loop runs yet."""
     log = RateLimitedLog(write_line, board.clock, board.cfg.instance)
     metrics = RouterMetrics(board.cfg.instance)
-    observation_publisher = ObservationPublisher(board, adapter, log)
+    adapter = replace(adapter, engines=ReachRecorder(adapter.engines, board))
+    prober = ReachProber(board, adapter.engines, log, random)
+    observation_publisher = ObservationPublisher(board, adapter, log, prober)
     bounds = board.cfg.bounds
     crash_watch = CrashWatch(
         board, adapter.store, log, random, lambda: relay.running
@@ -139,11 +152,15 @@
             adapter.engines,
             log,
             observation_publisher.publish,
+            prober.has_witness,
         ),
         stall_detector=StallDetector(
             relay,
             adapter.engines,
-            lambda head: probe_delay_s(board, head, board.clock()),
+            prober.probe_delay_s,
+            prober.has_witness,
         ),
+        prober=prober,
+        observation_publisher=observation_publisher,
         shutdown=GracefulShutdown(board, relay, log),
     )
--- a/foxtailhatch/router/entry_table.py
+++ b/foxtailhatch/router/entry_table.py
@@ -5,7 +5,7 @@
 current list serves no callers.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import chain
 
 import cbor2
@@ -25,7 +25,7 @@
 # With fewer entries than this in a caller's zone, entries of the region are
 # recommended as well.
 RECOMMENDED_MIN = 2
-_FIELD_COUNT = 7
+_FIELD_COUNT = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +34,8 @@
 
     ``address`` is for callers and ``peer_address`` for other entries.
     ``cpu_cores`` is its processor share; the entries with the largest share
-    of a zone read the store.
+    of a zone read the store.  ``unreached`` names the services of which it
+    reaches no endpoint.
     """
 
     name: str
@@ -44,6 +45,7 @@
     peer_address: str
     cpu_cores: float
     is_ready: bool
+    unreached: tuple[str, ...] = ()
 
     def fields(self) -> list[object]:
         """Return the record as a list of plain values."""
@@ -55,6 +57,7 @@
             self.peer_address,
             self.cpu_cores,
             self.is_ready,
+            list(self.unreached),
         ]
 
 
@@ -62,11 +65,12 @@
     """Return the entry that a list of plain values describes.
 
     >>> decode_entry([]).failure()
-    'expected a list of seven fields'
+    'expected a list of eight fields'
     """
     if not isinstance(fields, list) or len(fields) != _FIELD_COUNT:
-        return Failure('expected a list of seven fields')
-    return Success(EntryRecord(*fields))
+        return Failure('expected a list of eight fields')
+    record = EntryRecord(*fields[:-1])
+    return Success(replace(record, unreached=tuple(fields[-1])))
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,11 +199,12 @@
 
         Entries of the caller's zone are preferred, then those of its region,
         then all: a wider scope is used if the narrower one has fewer than
-        ``RECOMMENDED_MIN`` entries.
+        ``RECOMMENDED_MIN`` entries.  Those that are cut off from a service
+        are left out.
         """
         # In a store outage no list is current.  The entries listed last can
         # still serve requests that need no key.
-        ready = self.ready(now) or self._retained(now)
+        ready = _with_reach(self.ready(now) or self._retained(now))
         scopes = (
             [entry for entry in ready if entry.zone == zone],
             [entry for entry in ready if entry.region == region],
@@ -211,6 +216,11 @@
         return sorted(entry.address for entry in ready)[:limit]
 
 
+def _with_reach(entries: list[EntryRecord]) -> list[EntryRecord]:
+    """Return the entries that reach all services, or all if none does."""
+    return [entry for entry in entries if not entry.unreached] or entries
+
+
 def reader_rank(entry: EntryRecord) -> tuple[float, str]:
     """Return the sort key of the order in which entries become readers."""
     return -entry.cpu_cores, entry.name
--- a/foxtailhatch/router/group_stall_detector.py
+++ b/foxtailhatch/router/group_stall_detector.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 from returns.result import Success
 
@@ -39,6 +39,8 @@
 PROBE_INTERVAL_S = 1.0
 
 OnUnresponsive = Callable[[LiveEndpoint, str], None]
+# Whether another endpoint has accepted a connection since a time, or does now.
+HasWitness = Callable[[Sequence[LiveEndpoint], float], Awaitable[bool]]
 # The time in seconds by which this entry probes a chain later than others,
 # given the name of the chain's head.
 ProbeDelay = Callable[[str], float]
@@ -53,12 +55,14 @@
         on_unresponsive: OnUnresponsive,
         log: StructuredLog,
         probe_delay_s: ProbeDelay,
+        has_witness: HasWitness,
     ) -> None:
         """Call ``on_unresponsive`` for each endpoint that does not respond."""
         self._engines = engines
         self._on_unresponsive = on_unresponsive
         self._log = log
         self._probe_delay_s = probe_delay_s
+        self._has_witness = has_witness
         self._probed_at: dict[str, float] = {}
 
     async def check(self, relays: Iterable[Relay], now: float) -> None:
@@ -79,7 +83,7 @@
             chain = _endpoints(members[0])
             delay_s = self._probe_delay_s(chain[0].name)
             if not delay_s or _is_paused(members, now - delay_s):
-                probes.append(self._probe(chain, self._due(chain, now)))
+                probes.append(self._probe(chain, self._due(chain, now), now))
         await asyncio.gather(*probes)
 
     def _due(
@@ -100,8 +104,9 @@
         self,
         chain: Sequence[LiveEndpoint],
         due: Sequence[LiveEndpoint],
+        now: float,
     ) -> None:
-        for endpoint in await self.unresponsive_among(due, len(chain)):
+        for endpoint in await self.unresponsive_among(due, len(chain), now):
             self._on_unresponsive(
                 endpoint, 'unresponsive while its streams pause'
             )
@@ -110,13 +115,15 @@
         self,
         endpoints: Sequence[LiveEndpoint],
         chain_length: int,
+        now: float,
     ) -> list[LiveEndpoint]:
         """Return the endpoints that do not respond to probes.
 
         An endpoint that refuses the connection counts as unresponsive at
         once; one that does not respond is probed twice.  If more than half of
         ``chain_length`` endpoints do not respond, the fault is assumed to be
-        on this entry, and none is returned.
+        on this entry, and none is returned; nor is any without a witness, as a
+        part of the chain may have been probed before.
         """
         faults = await self._faults_of(endpoints, PROBE_TIMEOUT_S)
         if 2 * len(faults) > chain_length:
@@ -139,7 +146,10 @@
                 endpoints=[endpoint.name for endpoint in silent],
                 silent=[endpoint.name for endpoint, _ in still_silent],
             )
-        return refused + [endpoint for endpoint, _ in still_silent]
+        unresponsive = refused + [endpoint for endpoint, _ in still_silent]
+        if unresponsive and not await self._has_witness(unresponsive, now):
+            return []
+        return unresponsive
 
     async def _faults_of(
         self,
--- a/foxtailhatch/router/leader_lease.py
+++ b/foxtailhatch/router/leader_lease.py
@@ -73,6 +73,11 @@
         """Join the group, renew the membership, or leave the group."""
         if self._board.stop_requested_at is not None:
             return
+        if self._board.is_cut_off_from_engines():
+            # Another entry can give orders to the engines.
+            if self._has_joined:
+                await self.release()
+            return
         now = self._board.clock()
         if is_candidate:
             self._candidate_at = now
@@ -96,11 +101,14 @@
         A holder that is cut off from the store goes on only if no entry
         reaches the store; otherwise another entry has the lease by now.  A
         lease of an earlier epoch of the store may be another entry's as well.
+        Who does not reach the engines knows nothing of them to order by.
         """
         if self._fenced_token >= self.fencing_token:
             return False
         if self._board.store_epoch > self._epoch:
             return False
+        if self._board.is_cut_off_from_engines():
+            return False
         if not self.is_held:
             return now < self._handover_until
         if now - self._renewed_at <= LEASE_S:
--- a/foxtailhatch/router/observation_publisher.py
+++ b/foxtailhatch/router/observation_publisher.py
@@ -12,6 +12,7 @@
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.keyed_log import Topic
 from foxtailhatch.router.observations import EndpointObservation
+from foxtailhatch.router.reach_prober import ReachProber
 
 
 class ObservationPublisher:
@@ -22,11 +23,13 @@
         board: Blackboard,
         adapter: PlatformAdapter,
         log: StructuredLog,
+        prober: ReachProber,
     ) -> None:
-        """Create a publisher without pending tasks."""
+        """Create a publisher; ``prober`` finds witnesses for deaths."""
         self._board = board
         self._adapter = adapter
         self._log = log
+        self._prober = prober
         self._tasks: set[asyncio.Future[None]] = set()
         self._probed: set[str] = set()
 
@@ -44,6 +47,12 @@
             self._probed.add(endpoint.name)
             self._start(self._probe(endpoint, why))
 
+    async def withdraw_wrong_reports(self) -> None:
+        """Publish which of the dead endpoints answer after all."""
+        for observation in await self._prober.revived():
+            self._log.write('report_withdrawn', endpoint=observation.endpoint)
+            self.publish(observation)
+
     def publish(self, observation: EndpointObservation) -> None:
         """Apply an observation locally, and write it to the log."""
         observation.apply(self._board.endpoints, self._board.clock())
@@ -55,21 +64,26 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _probe(self, endpoint: LiveEndpoint, why: str) -> None:
+        since = self._board.clock()
         report = await self._adapter.engines.report(endpoint)
-        self._probed.discard(endpoint.name)
         is_alive = isinstance(report, Success)
         if endpoint.layers is None:
             # A plain service has no report, but takes connections if it lives.
             is_alive = report.swap().value_or(None) is not (
                 EngineFault.NOT_CONNECTED
             )
+        has_witness = is_alive or await self._prober.has_witness(
+            [endpoint], since
+        )
+        self._probed.discard(endpoint.name)
         self._log.write(
             'suspect_probed',
             endpoint=endpoint.name,
             why=why,
             alive=is_alive,
+            has_witness=has_witness,
         )
-        if not is_alive:
+        if not is_alive and has_witness:
             self.publish(
                 EndpointObservation(
                     endpoint.name, endpoint.incarnation, is_dead=True
--- a/foxtailhatch/router/observations.py
+++ b/foxtailhatch/router/observations.py
@@ -30,9 +30,11 @@
         """Update the endpoint table; return whether anything changed."""
         if self.is_dead:
             return table.mark_dead(self.endpoint, self.incarnation, now)
-        return table.set_observed_layers(
+        is_revived = table.revive(self.endpoint, self.incarnation)
+        has_changed = table.set_observed_layers(
             self.endpoint, self.incarnation, self.layers, now
         )
+        return is_revived or has_changed
 
     def encode(self) -> bytes:
         """Return the observation as a log record."""
--- a/foxtailhatch/router/placement_controller.py
+++ b/foxtailhatch/router/placement_controller.py
@@ -29,6 +29,7 @@
 from foxtailhatch.placement.reports import EngineReport
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.group_stall_detector import HasWitness
 from foxtailhatch.router.leader_lease import LeaderLease
 from foxtailhatch.router.observations import EndpointObservation
 from foxtailhatch.routes import Engine, Service
@@ -81,6 +82,7 @@
         engines: EngineClient,
         log: StructuredLog,
         publish: Callable[[EndpointObservation], None],
+        has_witness: HasWitness,
     ) -> None:
         """Start without orders; ``publish`` shares what engines now hold."""
         self._board = board
@@ -88,6 +90,7 @@
         self._engines = engines
         self._log = log
         self._publish = publish
+        self._has_witness = has_witness
         self._acquisitions = 0
         self._replicas: dict[str, ModelReplicas] = defaultdict(ModelReplicas)
         self._pending: dict[str, PendingOrder] = {}
@@ -351,12 +354,15 @@
             pending.check_at = now + ORDER_CHECK_PERIOD_S
             await self._send(pending.endpoint, pending.order)
             return
+        asked_at = self._board.clock()
         report = await self._engines.report(pending.endpoint)
         pending.check_at = self._board.clock() + ORDER_CHECK_PERIOD_S
         if isinstance(report, Success):
             self._handle_report(pending, report.unwrap())
         else:
-            self._handle_silence(pending.endpoint, report.failure().value)
+            await self._handle_silence(
+                pending.endpoint, report.failure().value, asked_at
+            )
 
     def _handle_report(
         self, pending: PendingOrder, report: EngineReport
@@ -380,12 +386,21 @@
             ),
         )
 
-    def _handle_silence(self, endpoint: LiveEndpoint, fault: str) -> None:
-        self._log.write('engine_silent', endpoint=endpoint.name, fault=fault)
-        self._pending.pop(endpoint.name, None)
-        self._publish(
-            EndpointObservation(endpoint.name, endpoint.incarnation, True)
+    async def _handle_silence(
+        self, endpoint: LiveEndpoint, fault: str, since: float
+    ) -> None:
+        has_witness = await self._has_witness([endpoint], since)
+        self._log.write(
+            'engine_silent',
+            endpoint=endpoint.name,
+            fault=fault,
+            has_witness=has_witness,
         )
+        self._pending.pop(endpoint.name, None)
+        if has_witness:
+            self._publish(
+                EndpointObservation(endpoint.name, endpoint.incarnation, True)
+            )
 
 
 def _layers_during_order(
--- a/foxtailhatch/router/stall_detector.py
+++ b/foxtailhatch/router/stall_detector.py
@@ -22,6 +22,7 @@
 from foxtailhatch.router.group_stall_detector import (
     PROBE_TIMEOUT_S,
     GroupStallDetector,
+    HasWitness,
     ProbeDelay,
 )
 
@@ -54,13 +55,18 @@
         context: RelayContext,
         engines: EngineClient,
         probe_delay_s: ProbeDelay,
+        has_witness: HasWitness,
     ) -> None:
         """Watch the running requests of ``context``."""
         self._context = context
         self._engines = engines
         self._queried_at: dict[str, float] = {}
         self._groups = GroupStallDetector(
-            engines, self._declare_dead, context.log, probe_delay_s
+            engines,
+            self._declare_dead,
+            context.log,
+            probe_delay_s,
+            has_witness,
         )
         self._rerouting: set[str] = set()
         self._refused_at: WeakKeyDictionary[Relay, float] = WeakKeyDictionary()
@@ -153,7 +159,9 @@
             endpoint for endpoint in same_service if endpoint not in chain
         ]
         queries = chain + others[:MAX_CONTROL_PROBES]
-        return await self._groups.unresponsive_among(queries, len(queries))
+        return await self._groups.unresponsive_among(
+            queries, len(queries), self._context.clock()
+        )
 
     async def _probe_stalled(
         self,
--- a/foxtailhatch/router/status_pages.py
+++ b/foxtailhatch/router/status_pages.py
@@ -36,7 +36,7 @@
     def advice(self, query: Query) -> bytes | None:
         """Return the entry addresses that a caller should use, as JSON.
 
-        A stopping entry leaves out its own address.  Return ``None`` if there
+        An entry that is stopping or cut off leaves out its own address.  Return ``None`` if there
         is no address to advise.
         """
         board = self._board
@@ -46,7 +46,7 @@
             board.clock(),
             MAX_ADVISED_ADDRESSES,
         )
-        if board.stop_requested_at is not None:
+        if board.stop_requested_at is not None or board.reach.unreached:
             own = board.cfg.callers_address
             addresses = [address for address in addresses if address != own]
         if not addresses:
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -115,12 +115,13 @@
         self.outcomes = {}
         self.fences = {}
         self.orders = []
+        self.fault = EngineFault.UNCONNECTED
         self.moves = []
         self.move_answer = RerouteReply(OrderOutcome.STARTED)
 
     async def report(self, target, timeout_s=0.4):
         if target.name in self.outcomes:
-            return Failure(EngineFault.NO_RESPONSE)
+            return Failure(self.fault)
         return Success(self.reports.get(target.name, EngineReport()))
 
     async def place(self, target, layers, fence, expected_orders):
--- a/tests/router/test_cut_off_from_engines.py
+++ b/tests/router/test_cut_off_from_engines.py
@@ -4,10 +4,8 @@
 """
 
 import asyncio
+from random import Random
 
-import pytest
-
-from foxtailhatch.core import LayerRange
 from foxtailhatch.placement.protocols import OrderOutcome
 from foxtailhatch.router.group_stall_detector import (
     MIN_GROUP_STREAMS,
@@ -15,6 +13,7 @@
 )
 from foxtailhatch.router.keyed_log import Topic
 from foxtailhatch.router.observation_publisher import ObservationPublisher
+from foxtailhatch.router.reach_prober import ReachProber, ReachRecorder
 from tests.fleet.endpoints import endpoint
 from tests.router.fakes import (
     ListLog,
@@ -30,11 +29,8 @@
 )
 from tests.router.test_placement_controller import World, make_zone
 
-LISTED = pytest.mark.xfail(strict=True, reason='listed in KNOWN-RED.txt')
-
 
 # Guards against sound engines that are dead for all until the end of the day.
-@LISTED
 def test_chain_that_is_probed_in_parts_is_not_reported():
     """Most engines of the second chain were probed with the first one."""
     other = endpoint('e4', 'model')
@@ -49,7 +45,6 @@
 
 
 # Guards against reports of deaths by an entry that reaches no engine.
-@LISTED
 def test_entry_that_reaches_no_engine_reports_no_death():
     env = board()
     store = MemoryStore()
@@ -63,12 +58,14 @@
     store.put = put
     for number in range(6):
         name = f'e{number}'
-        env.endpoints.put(engine(name, layers=LayerRange(0, 40)), 0)
+        env.endpoints.put(engine(name, layers=(0, 40)), 0)
         engines.outcomes[name] = OrderOutcome.NO_ANSWER
-    adapter = type('Adapter', (), {'store': store, 'engines': engines})
+    recorder = ReachRecorder(engines, env)
+    adapter = type('Adapter', (), {'store': store, 'engines': recorder})
+    prober = ReachProber(env, recorder, ListLog(), Random(1))
 
     async def scenario():
-        publisher = ObservationPublisher(env, adapter, ListLog())
+        publisher = ObservationPublisher(env, adapter, ListLog(), prober)
         for name in ('e0', 'e1', 'e2'):
             publisher.confirm_suspect(env.endpoints.get(name), 'not_connected')
         await asyncio.sleep(0.05)
@@ -79,7 +76,6 @@
 
 
 # Guards against orders to, and reports of, engines that the leader lost sight of.
-@LISTED
 def test_leader_that_reaches_no_engine_reports_no_death():
     world = World(*make_zone())
     world.join()
--- a/tests/router/test_entry_table.py
+++ b/tests/router/test_entry_table.py
@@ -1,5 +1,7 @@
 """Which entries are ready, read the store, and are recommended to callers."""
 
+from dataclasses import replace
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -10,6 +12,7 @@
     EntryRecord,
     EntryTable,
     Heartbeat,
+    decode_entry,
     decode_heartbeat,
 )
 
@@ -105,3 +108,21 @@
     assert table.work_of_other_readers('a', 1) == work
     assert table.work_of_other_readers('c', 1) == {'e1': Work(4, 2, 1800)}
     assert table.work_of_other_readers('c', ENTRY_LIST_TIMEOUT_S + 1) == {}
+
+
+# Guards against advice that sends callers to entries which cannot serve them.
+def test_entries_that_are_cut_off_are_not_recommended():
+    table = EntryTable()
+    cut = [replace(entry(name), unreached=('model',)) for name in ('a', 'b')]
+    sound = [entry('c', 'z2'), entry('d', 'z2')]
+    table.record_heartbeat('a', Heartbeat([*cut, *sound]), 0)
+    advised = table.recommended_addresses('here', cut[0].zone, 0, 64)
+    assert advised == sorted(one.address for one in sound)
+    table.record_heartbeat('a', Heartbeat(cut), 0)
+    advised = table.recommended_addresses('here', cut[0].zone, 0, 64)
+    assert advised == sorted(one.address for one in cut)
+
+
+def test_services_out_of_reach_are_announced():
+    cut = replace(entry('a'), unreached=('model',))
+    assert decode_entry(cut.fields()).unwrap() == cut
--- a/tests/router/test_group_stall_detector.py
+++ b/tests/router/test_group_stall_detector.py
@@ -1,6 +1,7 @@
 """Probes of the endpoints of streams that pause together."""
 
 import asyncio
+from random import Random
 from types import SimpleNamespace
 
 from returns.result import Failure, Success
@@ -15,9 +16,10 @@
     SMALL_GROUP_PAUSE_S,
     GroupStallDetector,
 )
+from foxtailhatch.router.reach_prober import ReachProber, ReachRecorder
 from tests.fleet.endpoints import endpoint
 from tests.relay.fakes import ListLog
-from tests.router.fakes import MemoryEngines
+from tests.router.fakes import Clock, MemoryEngines, board
 
 ENDPOINTS = [endpoint(name, 'model') for name in ('e1', 'e2', 'e3')]
 
@@ -45,14 +47,20 @@
             self.engines.outcomes[name] = OrderOutcome.NO_ANSWER
         self.reported = []
         self.log = ListLog()
+        self.board = board(Clock())
+        for one in (*ENDPOINTS, endpoint('e4', 'model')):
+            self.board.endpoints.put(one, 0)
+        recorder = ReachRecorder(self.engines, self.board)
         self.detector = GroupStallDetector(
-            self.engines,
+            recorder,
             lambda one, why: self.reported.append(one.name),
             self.log,
             lambda _: 0,
+            ReachProber(self.board, recorder, self.log, Random(1)).has_witness,
         )
 
     def check(self, streams, now):
+        self.board.clock.now = now
         asyncio.run(self.detector.check(streams, now))
 
 
--- a/tests/router/test_leader_lease.py
+++ b/tests/router/test_leader_lease.py
@@ -52,6 +52,26 @@
     assert not World(holder=False).may_order()
 
 
+# Guards against orders by a leader that does not reach what it orders.
+def test_holder_that_is_cut_off_from_the_engines_releases_the_lease():
+    world = World()
+    model = next(iter(world.board.table.services))
+    world.board.reach.record_sample(model, accepted=0, asked=4)
+    assert not world.may_order()
+    world.maintain()
+    assert world.left == [world.board.cfg.instance]
+    world.board.reach.record_sample(model, accepted=4, asked=4)
+    world.maintain()
+    assert world.may_order()
+
+
+def test_holder_that_is_cut_off_from_a_plain_service_keeps_the_lease():
+    world = World()
+    world.board.reach.record_sample('plain', accepted=0, asked=3)
+    world.maintain()
+    assert world.may_order()
+
+
 def test_former_holder_goes_on_until_the_next_one_knows():
     world = World()
     world.become(2, holder=False)
--- a/tests/router/test_placement_controller.py
+++ b/tests/router/test_placement_controller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import replace
+from random import Random
 
 from foxtailhatch.core import LayerRange
 from foxtailhatch.fleet import Work
@@ -14,6 +15,7 @@
     RELEASE_NOTICE_S,
     PlacementController,
 )
+from foxtailhatch.router.reach_prober import ReachProber, ReachRecorder
 from tests.relay.fakes import ListLog
 from tests.router.fakes import (
     Clock,
@@ -37,12 +39,14 @@
         for added in endpoints:
             self.board.endpoints.put(added, 0)
         self.lease = LeaderLease(self.board, self.store, self.log)
+        recorder = ReachRecorder(self.engines, self.board)
         self.controller = PlacementController(
             self.board,
             self.lease,
-            self.engines,
+            recorder,
             self.log,
             self.publish,
+            ReachProber(self.board, recorder, self.log, Random(1)).has_witness,
         )
 
     def publish(self, observation):
--- a/tests/router/test_probers.py
+++ b/tests/router/test_probers.py
@@ -74,6 +74,9 @@
         probed.append(target.name)
         return await MemoryEngines.report(engines, target, timeout_s)
 
+    async def has_witness(silent, since):
+        return True
+
     engines.report = report
     for env in zone(count):
         detector = GroupStallDetector(
@@ -81,6 +84,7 @@
             lambda *_: None,
             ListLog(),
             lambda head, env=env: probe_delay_s(env, head, env.clock()),
+            has_witness,
         )
         asyncio.run(detector.check([stream()], pause_s))
     return probed
--- a/tests/router/test_stall_detector.py
+++ b/tests/router/test_stall_detector.py
@@ -21,7 +21,18 @@
     env.endpoint_conn.start_stream()
     env.endpoint_conn.send_event(1)
     env.engines = MemoryEngines()
-    env.detector = StallDetector(env.context, env.engines, lambda _: 0)
+
+    async def has_witness(silent, since):
+        return any(
+            one.name not in env.engines.outcomes
+            for one in map(endpoints.get, endpoints.names())
+            if one not in silent
+        )
+
+    endpoints = env.context.endpoints
+    env.detector = StallDetector(
+        env.context, env.engines, lambda _: 0, has_witness
+    )
     return env
 
 
