Forward requests through another entry while this one is cut off

Cause: an entry sent what came there to engines from there or not at all; callers keep advice for seconds, so that leaving the advice does not suffice.

For a service out of reach an entry now selects another entry that has reach, at random over all zones, so that one that is left in a zone does not get its whole load (router/forwarding.py). That entry handles the request as if its caller had come there, with the caller's key, checks it again, and does not forward it again. Its refusals say truly that nothing has run; a connection that it closes says nothing, so that requests that may run once are sent there once.

--- a/foxtailhatch/platform/names.py
+++ b/foxtailhatch/platform/names.py
@@ -5,6 +5,8 @@
 LAST_EVENT_ID = b'last-event-id'
 # Present only on a response that the endpoint itself produced.
 RESPONSE_SEAL = b'foxtailhatch-response-seal'
+# Set by an entry on requests that it forwards to another one.
+FORWARDED_BY = b'foxtailhatch-forwarded-by'
 ACCOUNT = b'foxtailhatch-tenant'
 EXPECTED_ENDPOINT = b'foxtailhatch-expect-instance'
 NOT_RUN = b'foxtailhatch-not-executed'
--- a/foxtailhatch/platform/requests.py
+++ b/foxtailhatch/platform/requests.py
@@ -1,6 +1,7 @@
 """Convert requests and responses between wire format and relay types."""
 
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 from math import isfinite
 
 from returns.result import Failure, Result, Success
@@ -54,6 +55,7 @@
         names.CHAIN,
         names.URGENCY,
         names.LAST_EVENT_ID,
+        names.FORWARDED_BY,
     )
 )
 _NUMBER_HEADERS = (
@@ -83,6 +85,19 @@
             lines.append(b'Content-Length: %d' % len(req.body))
         return b'\r\n'.join((*lines, b'', req.body))
 
+    def decode_forwarded_head(
+        self, head: ResponseHead, req: RelayRequest
+    ) -> EndpointResponse:
+        """Return the classified head of another entry's response.
+
+        An entry passes no refusal of an endpoint on as it is, so one that it
+        sends is its own, and true.
+        """
+        response = self.decode_head(head, req)
+        if head.status in NOT_RUN_STATUSES:
+            return replace(response, kind=ResponseKind.NOT_RUN)
+        return response
+
     def decode_head(
         self, head: ResponseHead, req: RelayRequest
     ) -> EndpointResponse:
@@ -135,6 +150,7 @@
             last_event_id=None if last_event is None else int(last_event),
             malformed_headers=_malformed_headers(first),
             prompt_parts=_prompt_parts(first),
+            is_forwarded=names.FORWARDED_BY in first,
         )
     )
 
@@ -145,6 +161,13 @@
 ) -> Iterable[tuple[bytes, bytes]]:
     time_left_ms = max(1, int(dispatch.time_left_s * MS_IN_S))
     yield names.DEADLINE_MS, b'%d' % time_left_ms
+    yield from _resume_header(req, dispatch)
+    if dispatch.is_forwarded:
+        yield names.FORWARDED_BY, b'1'
+        if req.key is not None:
+            key = req.key.encode(HEADER_ENCODING)
+            yield names.AUTHORIZATION, names.KEY_SCHEME.title() + key
+        return
     yield names.EXPECTED_ENDPOINT, dispatch.endpoint.encode(HEADER_ENCODING)
     if dispatch.account is not None:
         yield names.ACCOUNT, dispatch.account.encode(HEADER_ENCODING)
@@ -156,6 +179,11 @@
             f'{address}={first}-{end}' for address, first, end in dispatch.chain
         )
         yield names.CHAIN, ','.join(parts).encode(HEADER_ENCODING)
+
+
+def _resume_header(
+    req: RelayRequest, dispatch: Dispatch
+) -> Iterable[tuple[bytes, bytes]]:
     resume_after = dispatch.resume_after
     if resume_after is None:
         resume_after = req.last_event_id
--- a/foxtailhatch/relay/attempt.py
+++ b/foxtailhatch/relay/attempt.py
@@ -93,6 +93,16 @@
         """Return the name of the chain's head, which receives the request."""
         return self.chosen[0].endpoint.name
 
+    @property
+    def is_forwarded(self) -> bool:
+        """Return whether the request was sent to another entry."""
+        return self.chosen[0].is_entry
+
+    @property
+    def is_connected(self) -> bool:
+        """Return whether the connection was accepted, so the request is sent."""
+        return self._connection.is_connected
+
     @property
     def transport(self) -> object:
         """Return the transport, which can be paused for backpressure."""
@@ -160,4 +170,4 @@
 
 
 def _endpoint_names(chosen: SelectedChain) -> list[str]:
-    return [stage.endpoint.name for stage in chosen]
+    return [stage.endpoint.name for stage in chosen if not stage.is_entry]
--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -19,10 +19,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SelectedStage:
-    """An endpoint and the layers that it runs; ``None`` for plain services."""
+    """An endpoint and the layers that it runs; ``None`` for plain services.
+
+    If it ``is_entry``, the endpoint stands for another entry, to which the
+    request is forwarded.
+    """
 
     endpoint: LiveEndpoint
     layers: LayerRange | None = None
+    is_entry: bool = False
 
 
 SelectedChain = tuple[SelectedStage, ...]
--- a/foxtailhatch/relay/endpoint_feedback.py
+++ b/foxtailhatch/relay/endpoint_feedback.py
@@ -55,6 +55,8 @@
         )
         name = next(named, attempt.head_name)
         self._history.record_refusal(name)
+        if attempt.is_forwarded:
+            return name
         now = self._context.clock()
         until = self._context.endpoints.record_refusal(name, now)
         self._context.log.write(
@@ -73,6 +75,8 @@
         response = attempt.response
         if response is None or response.kind is ResponseKind.AMBIGUOUS:
             return
+        if attempt.is_forwarded:
+            return
         head = attempt.chosen[0].endpoint
         limit_per_s = response.rate_limit_per_s
         if self._context.rate_limits.record(
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -115,7 +115,8 @@
         context.running.add(self)
         left_s = max(0, self._deadline_at - now)
         self._timers.schedule('end', left_s, self._on_timeout)
-        context.budget.record_request(self.admitted.service.name, now)
+        if not self.admitted.req.is_forwarded:
+            context.budget.record_request(self.admitted.service.name, now)
         self._send_if_capacity(
             RefusalReason.NO_ENDPOINT, RETRY_AFTER_NO_ENDPOINT_S
         )
@@ -161,13 +162,36 @@
         self.attempt.cancel()
         self._on_attempt_failed(self.attempt, FailureKind.MAY_HAVE_RUN, cause)
 
+    def move_on(self, cause: str) -> None:
+        """Leave an attempt whose endpoint or entry is out of reach.
+
+        A request that was sent and may not be repeated stays where it is.
+        """
+        attempt = self.attempt
+        if attempt is None or attempt.is_over or self.is_over:
+            return
+        if attempt.is_connected:
+            if self.admitted.route.may_repeat:
+                self.abandon_attempt(cause)
+            return
+        attempt.cancel()
+        self._history.record_unreached(attempt.head_name)
+        self._history.exclude(attempt.head_name)
+        self._on_attempt_failed(attempt, FailureKind.UNREACHED, cause)
+
     def attempt_head_received(
         self, attempt: Attempt, head: ResponseHead
     ) -> None:
         """Decide by the status whether to retry or to forward the response."""
         if attempt is not self.attempt:
             return
-        response = self._context.codec.decode_head(head, self.admitted.req)
+        codec = self._context.codec
+        decode = (
+            codec.decode_forwarded_head
+            if attempt.is_forwarded
+            else codec.decode_head
+        )
+        response = decode(head, self.admitted.req)
         attempt.response = response
         self._feedback.record_rate_limit(attempt)
         if response.kind is ResponseKind.NOT_RUN:
@@ -257,13 +281,16 @@
         may_send = not self._may_have_run or admitted.route.may_repeat
         check_invariant(Invariant.AT_MOST_ONCE, may_send, self.request_id)
         endpoints = [stage.endpoint for stage in chosen]
+        is_forwarded = chosen[0].is_entry
         check_invariant(
             Invariant.DRAINING_GETS_NO_WORK,
-            all(map(self._context.endpoints.accepts_work, endpoints)),
+            is_forwarded
+            or all(map(self._context.endpoints.accepts_work, endpoints)),
             str([endpoint.name for endpoint in endpoints]),
         )
-        self._history.record_send(endpoints[0])
-        self._context.rate_limits.record_send(endpoints[0].name, now)
+        if not is_forwarded:
+            self._history.record_send(endpoints[0])
+            self._context.rate_limits.record_send(endpoints[0].name, now)
         self._delivery.start_attempt(now)
         self._sends += 1
         dispatch = Dispatch(
@@ -276,6 +303,7 @@
             resume_after=(
                 self._delivery.last_event if self.is_started else None
             ),
+            is_forwarded=is_forwarded,
         )
         self._context.log.write(
             'sent',
@@ -344,6 +372,8 @@
 
     def _record_lost(self, attempt: Attempt, cause: str, now: float) -> None:
         self._may_have_run = True
+        if attempt.is_forwarded:
+            return
         has_closed = cause == TransportFailure.CLOSED.value
         if has_closed and attempt.event_count < SOUND_EVENTS:
             self._record_request_lost(attempt, now)
@@ -548,6 +578,9 @@
         response = attempt.response
         if response is None or response.status < FIRST_SERVER_ERROR_STATUS:
             return False
+        if attempt.is_forwarded:
+            # The other entry has repeated it as often as is allowed.
+            return False
         now = self._context.clock()
         failure_context = self._failure_context(FailureKind.FAILED, now)
         if action_after_failure(failure_context) is not RetryAction.RETRY:
--- a/foxtailhatch/relay/request.py
+++ b/foxtailhatch/relay/request.py
@@ -35,7 +35,8 @@
     whose value is not a number where one is expected; they are ignored.
     ``prompt_parts`` are the identifiers of the prompt's parts in order; the
     last part belongs to this request or its session alone.  ``fingerprint``
-    is the same whenever an account sends the same request again.
+    is the same whenever an account sends the same request again.  A request
+    that ``is_forwarded`` comes from another entry, on behalf of its caller.
     """
 
     request_id: str
@@ -51,6 +52,7 @@
     malformed_headers: tuple[str, ...] = ()
     prompt_parts: tuple[str, ...] = ()
     fingerprint: str = ''
+    is_forwarded: bool = False
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
@@ -84,7 +86,8 @@
 
     ``chain`` holds the address, first layer and end layer of each stage; it
     is empty for plain services.  ``resume_after`` is the number of the last
-    event that the caller has received.
+    event that the caller has received.  If it ``is_forwarded``, the request
+    is sent to another entry with the key of its caller.
     """
 
     endpoint: str
@@ -94,6 +97,7 @@
     time_left_s: float
     chain: tuple[tuple[str, int, int], ...] = ()
     resume_after: int | None = None
+    is_forwarded: bool = False
 
 
 class ResponseKind(StrEnum):
@@ -144,6 +148,11 @@
     ) -> EndpointResponse:
         """Classify the head of an endpoint's response."""
 
+    def decode_forwarded_head(
+        self, head: ResponseHead, req: RelayRequest
+    ) -> EndpointResponse:
+        """Classify the head of another entry's response."""
+
 
 class CallerConnection(Protocol):
     """The caller's connection, limited to one response."""
--- a/foxtailhatch/router/components.py
+++ b/foxtailhatch/router/components.py
@@ -12,8 +12,8 @@
 from foxtailhatch.router.adapter import PlatformAdapter
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.crash_watch import CrashWatch
-from foxtailhatch.router.endpoint_selection import LoadAwareSelector
 from foxtailhatch.router.feed import FeedClient
+from foxtailhatch.router.forwarding import CutOffWatch, ForwardingSelector
 from foxtailhatch.router.graceful_shutdown import GracefulShutdown
 from foxtailhatch.router.heartbeats import Heartbeats
 from foxtailhatch.router.leader_lease import LeaderLease
@@ -47,6 +47,7 @@
     lease: LeaderLease
     placement_controller: PlacementController
     stall_detector: StallDetector
+    cut_off_watch: CutOffWatch
     prober: ReachProber
     observation_publisher: ObservationPublisher
     shutdown: GracefulShutdown
@@ -62,6 +63,7 @@
 
     async def watch_streams(self) -> None:
         """Resolve what keeps the running requests waiting."""
+        self.cut_off_watch.step()
         await self.stall_detector.step()
 
     async def watch_reach(self) -> None:
@@ -118,7 +120,7 @@
             bounds.retry_window_s,
             board.clock(),
         ),
-        selector=LoadAwareSelector(board, random),
+        selector=ForwardingSelector(board, random),
         log=log,
         metrics=metrics,
         prompts=crash_watch,
@@ -160,6 +162,7 @@
             prober.probe_delay_s,
             prober.has_witness,
         ),
+        cut_off_watch=CutOffWatch(board, relay),
         prober=prober,
         observation_publisher=observation_publisher,
         shutdown=GracefulShutdown(board, relay, log),
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -215,3 +215,28 @@
         ResponseHead(503, headers), request()
     )
     assert response.rate_limit_per_s == expected
+
+
+def test_forwarded_request_keeps_key_and_body_and_names_no_endpoint():
+    first, fields, body = encoded(is_forwarded=True, resume_after=7)
+    assert (first, body) == (b'POST /a/b?c=d HTTP/1.1', b'body')
+    assert fields[b'authorization'] == b'Bearer secret'
+    assert fields[b'last-event-id'] == b'7'
+    assert b'foxtailhatch-tenant' not in fields
+    assert b'foxtailhatch-expect-instance' not in fields
+
+
+def test_forwarded_request_is_recognized_and_its_mark_goes_to_no_endpoint():
+    _, fields, body = encoded(is_forwarded=True)
+    received = request(tuple(fields.items()), body=body)
+    assert received.is_forwarded
+    assert received.key == 'secret'
+    assert b'foxtailhatch-forwarded-by' not in encoded(received)[1]
+
+
+# Guards against a refusal of another entry that is taken for an unknown outcome.
+@pytest.mark.parametrize('status', [408, 421, 429, 503])
+def test_refusal_of_an_entry_says_that_the_request_has_not_run(status):
+    head = ResponseHead(status, ())
+    decoded = PlatformCodec().decode_forwarded_head(head, request())
+    assert decoded.kind is ResponseKind.NOT_RUN
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -1,5 +1,6 @@
 """A relay with a fake caller and fake endpoints."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 
 from twisted.internet.error import ConnectionDone, ConnectionLost
@@ -109,6 +110,12 @@
             head += f'X-After: {resume}\r\n'
         return f'{head}\r\n'.encode()
 
+    def decode_forwarded_head(self, head, req):
+        response = self.decode_head(head, req)
+        if head.status == 503:
+            return replace(response, kind=ResponseKind.NOT_RUN)
+        return response
+
     def decode_head(self, head, req):
         if head.get(b'x-not-run'):
             kind = ResponseKind.NOT_RUN
--- /dev/null
+++ b/tests/router/test_forwarding.py
@@ -0,0 +1,194 @@
+"""Requests at an entry that is cut off, and the load on the others."""
+
+from collections import Counter
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from foxtailhatch.relay.context import SelectionRequest
+from foxtailhatch.router.entry_table import Heartbeat
+from foxtailhatch.router.forwarding import (
+    CONNECT_PAUSE_S,
+    CUT_OFF_PAUSE_S,
+    FORWARDED_PAUSE_S,
+    CutOffWatch,
+    ForwardingSelector,
+)
+from foxtailhatch.routes import RouteKind
+from tests.relay.fakes import start_relay
+from tests.router.fakes import Clock, board, engine
+from tests.router.test_admission import request
+from tests.router.test_entry_table import entry
+from tests.routes.configurations import MODEL
+
+STREAM = {'kind': RouteKind.STREAM, 'resumable': True, 'layered': True}
+
+
+def selector_at(name, peers, unreached=(), seed=1):
+    """Return the selector of an entry that is cut off from the model."""
+    env = board(Clock())
+    env.cfg = replace(env.cfg, instance=name)
+    env.endpoints.put(engine('e1', layers=(0, 80)), 0)
+    listed = [
+        replace(
+            entry(peer), unreached=(MODEL.name,) if peer in unreached else ()
+        )
+        for peer in peers
+    ]
+    env.entries.record_heartbeat(peers[0], Heartbeat(listed), env.clock())
+    env.reach.record_sample(MODEL.name, accepted=0, asked=4)
+    return env, ForwardingSelector(env, Random(seed))
+
+
+def select(selector, req=None, exclude=()):
+    selection = SelectionRequest(MODEL, req or request(), frozenset(exclude))
+    return selector.select(selection, 100.0)
+
+
+# Guards against requests that are lost at an entry without reach.
+def test_entry_that_is_cut_off_selects_another_one():
+    _, selector = selector_at('a', ['a', 'b', 'c'], unreached=['c'])
+    (stage,) = select(selector)
+    assert (stage.endpoint.name, stage.is_entry) == ('b', True)
+
+
+def test_entry_with_reach_selects_endpoints():
+    env, selector = selector_at('a', ['a', 'b'])
+    env.reach.record_sample(MODEL.name, accepted=4, asked=4)
+    chosen = select(selector)
+    assert chosen is None or not chosen[0].is_entry
+
+
+def test_forwarded_request_is_not_forwarded_again():
+    _, selector = selector_at('a', ['a', 'b'])
+    assert select(selector, replace(request(), is_forwarded=True)) is None
+
+
+def test_entries_that_failed_a_request_are_left_out():
+    _, selector = selector_at('a', ['a', 'b', 'c'])
+    assert select(selector, exclude=['b'])[0].endpoint.name == 'c'
+    assert select(selector, exclude=['b', 'c']) is None
+
+
+# Guards against one entry that gets the load of its whole zone.
+def test_load_of_a_zone_that_is_cut_off_is_spread_over_all_others():
+    peers = [f'entry-{number}' for number in range(9)]
+    cut = peers[:3]
+    counts = Counter()
+    for seed, name in enumerate(cut):
+        _, selector = selector_at(name, peers, cut, seed)
+        counts.update(select(selector)[0].endpoint.name for _ in range(200))
+    assert set(counts) == set(peers[3:])
+    assert max(counts.values()) <= 1.3 * 600 / 6
+
+
+class Watched:
+    """A running request, and the watch over it."""
+
+    def __init__(self, **kind):
+        self.env = start_relay(**kind)
+        self.board = board(self.env.reactor.seconds, has_configuration=False)
+        self.service = self.env.relay.admitted.service.name
+        self.watch = CutOffWatch(self.board, self.env.context)
+
+    def advance(self, seconds, *, cut_off=False):
+        self.env.reactor.advance(seconds)
+        if cut_off:
+            self.board.reach.record_sample(self.service, accepted=0, asked=4)
+        self.watch.step()
+
+
+# Guards against bookings that wait a second for each lost connection.
+def test_unsent_request_moves_on_even_if_it_may_run_once():
+    watched = Watched(kind=RouteKind.AT_MOST_ONCE, attempts=1)
+    watched.advance(CONNECT_PAUSE_S + 0.1)
+    assert watched.board.reach.due_for_sample(1.0) == [watched.service]
+    watched.advance(0.1, cut_off=True)
+    watched.env.reactor.tcpClients.pop(0)
+    other = watched.env.accept_connection()
+    assert b'X-To: e2' in other.request
+
+
+# Guards against bookings that run twice.
+def test_request_that_was_sent_and_may_run_once_stays():
+    watched = Watched(kind=RouteKind.AT_MOST_ONCE, attempts=1)
+    watched.env.accept_connection()
+    watched.advance(2.0, cut_off=True)
+    assert watched.env.reactor.tcpClients == []
+
+
+def test_stream_without_progress_resumes_elsewhere():
+    watched = Watched(**STREAM)
+    connection = watched.env.accept_connection()
+    connection.start_stream()
+    connection.send_event(1)
+    watched.advance(CUT_OFF_PAUSE_S + 0.1, cut_off=True)
+    assert b'X-After: 1' in watched.env.accept_connection().request
+
+
+# Guards against streams that are cut although their connection lives on.
+def test_stream_with_progress_goes_on():
+    watched = Watched(**STREAM)
+    connection = watched.env.accept_connection()
+    connection.start_stream()
+    for number in range(1, 6):
+        connection.send_event(number)
+        watched.advance(CUT_OFF_PAUSE_S / 2, cut_off=True)
+    connection.end_stream()
+    assert watched.env.caller.finished
+
+
+class ForwardedRelay:
+    """A request that was forwarded to another entry."""
+
+    def __init__(self, **kind):
+        self.watched = Watched(**kind)
+        env = self.watched.env
+        selector = ForwardingSelector(self.watched.board, Random(1))
+        self.watched.board.entries.record_heartbeat(
+            'b', Heartbeat([entry('b'), entry('c')]), env.reactor.seconds()
+        )
+        env.context.selector = selector
+        env.reactor.tcpClients.clear()
+        self.watched.advance(CONNECT_PAUSE_S + 0.1)
+        self.watched.advance(0.1, cut_off=True)
+        self.env = env
+
+
+def test_forwarded_request_is_answered_by_the_other_entry():
+    forwarded = ForwardedRelay()
+    forwarded.env.accept_connection().respond(b'answer')
+    assert forwarded.env.caller.body == b'answer'
+
+
+def test_refusal_of_an_entry_is_true_and_another_one_is_asked():
+    forwarded = ForwardedRelay(kind=RouteKind.AT_MOST_ONCE)
+    forwarded.env.accept_connection().respond(status=503)
+    forwarded.env.accept_connection().respond(b'answer')
+    assert forwarded.env.caller.body == b'answer'
+
+
+# Guards against bookings that run twice.
+def test_entry_that_closes_leaves_the_outcome_unknown():
+    forwarded = ForwardedRelay(kind=RouteKind.AT_MOST_ONCE)
+    forwarded.env.accept_connection().close()
+    assert forwarded.env.reactor.tcpClients == []
+    assert forwarded.env.caller.status == 502
+
+
+def test_silent_entry_is_left():
+    forwarded = ForwardedRelay()
+    forwarded.env.accept_connection()
+    forwarded.watched.advance(FORWARDED_PAUSE_S + 0.1)
+    forwarded.env.accept_connection().respond(b'answer')
+    assert forwarded.env.caller.body == b'answer'
+
+
+# Guards against prompts that are quarantined for the cut of an entry.
+@pytest.mark.parametrize('parts', [(), ('shared', 'own')])
+def test_request_that_an_entry_lost_is_no_evidence_of_a_crash(parts):
+    forwarded = ForwardedRelay(parts=parts)
+    forwarded.env.accept_connection().close()
+    assert forwarded.env.context.prompts.lost == []
+    assert forwarded.env.context.prompts.lost_requests == []
