--- a/foxtailhatch/router/leader_lease.py
+++ b/foxtailhatch/router/leader_lease.py
@@ -105,9 +105,8 @@
         """
         if self._fenced_token >= self.fencing_token:
             return False
-        if self._board.store_epoch > self._epoch:
-            return False
-        if self._board.is_cut_off_from_engines():
+        is_restored = self._board.store_epoch > self._epoch
+        if is_restored or self._board.is_cut_off_from_engines():
             return False
         if not self.is_held:
             return now < self._handover_until
