Break off a resumed attempt that brings no events

Other operators saw the text of an error in the middle of a stream, or a stream that ended as if it were complete. It could happen here: after a stream had begun and broken off, an error of the last endpoint that could be tried was passed on, as is right before the first event, and its body went into the stream that had begun. Ruled out: the framing of the caller's response, which is right for the parts it is given.

Once events were delivered, a response that is not a success with events counts as a failed attempt, whether or not another one is possible. The tests fail before, for three statuses, with and without the type of a stream, and for a success of another kind.

A refusal written once more on a kept connection cannot be taken for another request's: each attempt has a connection of its own and ends with it. Tests show it for refusals after the response, with the own identifier too, and before it; they held before.

--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -16,7 +16,12 @@
     RefusalReason,
     RelayRefusal,
 )
-from foxtailhatch.relay.request import CallerConnection, Dispatch, ResponseKind
+from foxtailhatch.relay.request import (
+    CallerConnection,
+    Dispatch,
+    EndpointResponse,
+    ResponseKind,
+)
 from foxtailhatch.relay.retry_policy import (
     FailureContext,
     FailureKind,
@@ -185,35 +190,42 @@
         """Decide by the status whether to retry or to forward the response."""
         if attempt is not self.attempt:
             return
-        codec = self._context.codec
-        decode = (
-            codec.decode_forwarded_head
-            if attempt.is_forwarded
-            else codec.decode_head
-        )
-        response = decode(head, self.admitted.req)
+        response = self._decode_head(attempt, head)
         attempt.response = response
         self._feedback.record_rate_limit(attempt)
         if response.kind is ResponseKind.NOT_RUN:
             self._on_not_run(attempt)
             return
         self._may_have_run = True
-        if response.kind is ResponseKind.AMBIGUOUS:
-            attempt.cancel()
-            self._on_attempt_failed(
-                attempt, FailureKind.MAY_HAVE_RUN, f'{head.status}'
-            )
-        elif (
-            response.kind is ResponseKind.FAILURE
-            and self._should_retry_failure(attempt)
-        ):
+        failure = self._failure_of(attempt, response)
+        if failure is not None:
             attempt.cancel()
-            self._on_attempt_failed(
-                attempt, FailureKind.FAILED, f'{head.status}'
-            )
+            self._on_attempt_failed(attempt, failure, f'{head.status}')
         elif self.is_started:
             self._caller.set_backpressure_source(attempt.transport)
 
+    def _decode_head(
+        self, attempt: Attempt, head: ResponseHead
+    ) -> EndpointResponse:
+        codec = self._context.codec
+        if attempt.is_forwarded:
+            return codec.decode_forwarded_head(head, self.admitted.req)
+        return codec.decode_head(head, self.admitted.req)
+
+    def _failure_of(
+        self, attempt: Attempt, response: EndpointResponse
+    ) -> FailureKind | None:
+        """Return how an attempt has failed by the head of its response, if so."""
+        if response.kind is ResponseKind.AMBIGUOUS:
+            return FailureKind.MAY_HAVE_RUN
+        if self.is_started and not response.continues_stream:
+            # Its body would become a part of the stream that has begun.
+            return FailureKind.FAILED
+        is_failure = response.kind is ResponseKind.FAILURE
+        if is_failure and self._should_retry_failure(attempt):
+            return FailureKind.FAILED
+        return None
+
     def attempt_body_received(self, attempt: Attempt, chunk: bytes) -> None:
         """Forward complete events, or buffer a small body."""
         response = attempt.response
--- a/foxtailhatch/relay/request.py
+++ b/foxtailhatch/relay/request.py
@@ -130,6 +130,11 @@
     is_event_stream: bool = False
     rate_limit_per_s: float | None = None
 
+    @property
+    def continues_stream(self) -> bool:
+        """Return whether the body may follow events of another response."""
+        return self.kind is ResponseKind.SUCCESS and self.is_event_stream
+
 
 class WireCodec(Protocol):
     """Encode requests to endpoints and decode the heads of their responses.
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -515,3 +515,71 @@
     head = endpoint('e1')
     assert not env.context.rate_limits.record(head, 2.5, 1)
     assert env.context.rate_limits.record(head, None, 2)
+
+
+# Guards against an error of the next endpoint in the middle of a stream.
+@pytest.mark.parametrize('headers', ['', 'Content-Type: text/event-stream\r\n'])
+@pytest.mark.parametrize('status', [400, 500, 502])
+def test_error_of_the_next_endpoint_is_no_part_of_a_stream(status, headers):
+    env = start_relay(**STREAM)
+    first = env.accept_connection()
+    first.start_stream()
+    first.send_event(1)
+    first.close()
+    begun = env.caller.body
+    env.accept_connection().respond(b'broken', status, headers)
+    env.reactor.advance(RESUME_TIMEOUT_S + 0.1)
+    assert env.caller.body == begun
+    assert not env.caller.finished
+
+
+# Guards against a success of another kind that ends a stream as complete.
+def test_success_without_events_is_no_part_of_a_stream():
+    env = start_relay(**STREAM)
+    first = env.accept_connection()
+    first.start_stream()
+    first.send_event(1)
+    first.close()
+    begun = env.caller.body
+    env.accept_connection().respond(b'{}')
+    env.reactor.advance(RESUME_TIMEOUT_S + 0.1)
+    assert (env.caller.body, env.caller.finished) == (begun, False)
+
+
+def test_stream_goes_on_at_a_third_endpoint_after_an_error():
+    env = start_relay(names=('e1', 'e2', 'e3'), **STREAM)
+    first = env.accept_connection()
+    first.start_stream()
+    first.send_event(1)
+    first.close()
+    env.accept_connection().respond(b'broken', 500)
+    third = env.accept_connection()
+    third.start_stream()
+    third.send_event(2)
+    third.end_stream()
+    assert env.caller.finished
+    assert b'broken' not in env.caller.body
+
+
+# Guards against a refusal of an earlier request that is taken for the own one.
+@pytest.mark.parametrize('request_id', ['other', 'request-1'])
+def test_refusal_that_is_written_again_changes_nothing(request_id):
+    """Each attempt has a connection of its own, and ends with it."""
+    env = start_relay(**AT_MOST_ONCE)
+    connection = env.accept_connection()
+    refusal = {'status': 503, 'headers': 'X-Not-Run: 1\r\n'}
+    connection.respond(b'own')
+    connection.respond(request_id=request_id, **refusal)
+    assert (env.caller.status, env.caller.body) == (200, b'own')
+    assert env.reactor.tcpClients == []
+
+
+def test_refusal_of_another_request_before_the_own_response_is_skipped():
+    env = start_relay(**AT_MOST_ONCE)
+    connection = env.accept_connection()
+    connection.respond(
+        status=503, headers='X-Not-Run: 1\r\n', request_id='other'
+    )
+    assert env.caller.status is None
+    connection.respond(b'own')
+    assert env.caller.body == b'own'
