Take no endpoint from a record with a number out of range

Other operators saw machines end, or stop following the list of replicas, by one odd entry of another writer. Tried here on the code before: deep nesting and numbers that JSON cannot hold were refused already; accepted were ports out of range, hosts that are no address, counts beyond 64 bits and layers up to 10**30. A port out of range raises where a request is sent, such layers raise in each plan, so that no layers are placed any more, and such counts cannot be written in a report. 16 of the new cases fail before.

Records of endpoints, reports of engines and what entries tell of themselves are checked at the border; the others in the list hold.

--- a/foxtailhatch/platform/endpoints.py
+++ b/foxtailhatch/platform/endpoints.py
@@ -1,14 +1,22 @@
 """Decode the endpoint records of the store and the engines' reports."""
 
-from typing import Any
+from ipaddress import AddressValueError, IPv4Address
+from typing import Annotated, Any
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from returns.result import Failure, Result, Success
 
 from foxtailhatch.core import LayerRange
 from foxtailhatch.fleet import EndpointState, LiveEndpoint
 from foxtailhatch.placement import EngineReport, StalledRequest
 
+# Numbers beyond these are of no endpoint.  Records are passed on as JSON numbers,
+# which are exact up to 53 bits, and sizes are used as such.
+MAX_COUNT = 9_007_199_254_740_992
+MAX_SLOTS = 1_000_000
+MAX_LAYERS = 1_000_000
+MAX_PORT = 65_535
+_Count = Annotated[int, Field(ge=0, le=MAX_COUNT)]
 _STATES = {
     'ready': EndpointState.READY,
     'draining': EndpointState.DRAINING,
@@ -25,12 +33,12 @@
     service: str
     address: str
     zone: str
-    slots: int = 0
+    slots: Annotated[int, Field(ge=0, le=MAX_SLOTS)] = 0
     state: str
-    born: int = 0
+    born: _Count = 0
     # Number of the heartbeat that wrote the record; in a report the same name
     # holds the number of accepted orders.
-    seq: int = 0
+    seq: _Count = 0
     layers: Any = None
     # Accelerator kind; in a route the same name says whether requests may
     # be repeated.
@@ -45,10 +53,10 @@
 class _Report(_Document):
     busy: bool = False
     # Number of accepted orders; an order repeats it as ``expected``.
-    seq: int = 0
-    born: int = 0
-    queued: int = 0
-    active: int = 0
+    seq: _Count = 0
+    born: _Count = 0
+    queued: _Count = 0
+    active: _Count = 0
     # Both in tokens times layers.
     kv_used: float = 0
     kv_total: float = 0
@@ -69,6 +77,8 @@
         )
     if not _is_host_port(record.address):
         return Failure(f'address: expected host:port, got {record.address!r}')
+    if not _has_plain_layers(record.layers):
+        return Failure(f'layers: expected a range, got {record.layers!r}')
     return Success(
         LiveEndpoint(
             name=name,
@@ -110,17 +120,35 @@
 
 def _layers(document: Any) -> LayerRange | None:
     """Return the layer range from ``from`` to ``to`` (exclusive), if valid."""
-    if not isinstance(document, dict):
+    if not isinstance(document, dict) or not _has_plain_layers(document):
         return None
     first, end = document.get('from'), document.get('to')
-    if not isinstance(first, int) or not isinstance(end, int):
+    if first is None or end is None:
         return None
     return LayerRange(first, end) if end > first else None
 
 
+def _has_plain_layers(document: Any) -> bool:
+    """Return whether the bounds of layers, if there are any, are in range."""
+    if not isinstance(document, dict):
+        return True
+    bounds = (document.get('from', 0), document.get('to', 0))
+    return all(
+        isinstance(bound, int)
+        and not isinstance(bound, bool)
+        and 0 <= bound <= MAX_LAYERS
+        for bound in bounds
+    )
+
+
 def _is_host_port(text: str) -> bool:
     host, _, port = text.rpartition(':')
-    return bool(host) and port.isdigit()
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return False
+    is_number = port.isascii() and port.isdigit()
+    return is_number and 0 < int(port[:6]) <= MAX_PORT
 
 
 def _first_error(exc: ValidationError) -> str:
--- a/foxtailhatch/router/entry_table.py
+++ b/foxtailhatch/router/entry_table.py
@@ -26,6 +26,7 @@
 # recommended as well.
 RECOMMENDED_MIN = 2
 _FIELD_COUNT = 8
+_FIELD_TYPES = (str, str, str, str, str, int | float, bool, list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,8 +70,10 @@
     """
     if not isinstance(fields, list) or len(fields) != _FIELD_COUNT:
         return Failure('expected a list of eight fields')
+    if not all(map(isinstance, fields, _FIELD_TYPES)):
+        return Failure('a field is of another type')
     record = EntryRecord(*fields[:-1])
-    return Success(replace(record, unreached=tuple(fields[-1])))
+    return Success(replace(record, unreached=tuple(map(str, fields[-1]))))
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -178,3 +178,51 @@
 def test_setting_with_a_malformed_number_is_named():
     text = SETTINGS.replace('revoke_ms=5000', 'revoke_ms=soon')
     assert 'bounds.revoke_ms' in decode_settings(text, 0).failure()
+
+
+# Guards against processes that end, or stop following the list, by one odd entry.
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'address': '10.0.0.1:65536'},
+        {'address': '10.0.0.1:99999999999999999999'},
+        {'address': '10.0.0.1:0'},
+        {'address': '10.0.0.1:-80'},
+        {'address': '10.0.0.1:\u00b2'},
+        {'address': '10.0.0.1\x00:80'},
+        {'address': 'host.example:80'},
+        {'address': '10.0.0.256:80'},
+        {'born': 10**40},
+        {'born': -1},
+        {'seq': 2**63},
+        {'slots': 10**30},
+        {'slots': -1},
+        {'layers': {'from': 0, 'to': 10**30}},
+        {'layers': {'from': -5, 'to': 3}},
+        {'layers': {'from': False, 'to': True}},
+    ],
+)
+def test_entry_with_a_number_out_of_range_names_no_endpoint(changes):
+    assert endpoint(**changes).failure()
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [
+        b'[' * 1_000_000,
+        b'{"layers":' + b'[' * 100_000 + b']' * 100_000 + b'}',
+        b'{"a":' * 50_000 + b'1' + b'}' * 50_000,
+        b'{"born":' + b'9' * 100_000 + b'}',
+        b'{"born":1e999}',
+        b'{"service":"\\ud800"}',
+        b'\xff\xfe',
+    ],
+)
+def test_deeply_nested_and_unreadable_entries_are_a_failure(raw):
+    assert decode_endpoint('i-1', raw).failure()
+    assert decode_report(raw).failure()
+
+
+def test_report_with_layers_out_of_range_has_none():
+    raw = json.dumps({'layers': {'from': 0, 'to': 10**30}}).encode()
+    assert decode_report(raw).unwrap().layers is None
--- a/tests/router/test_entry_table.py
+++ b/tests/router/test_entry_table.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -126,3 +127,14 @@
 def test_services_out_of_reach_are_announced():
     cut = replace(entry('a'), unreached=('model',))
     assert decode_entry(cut.fields()).unwrap() == cut
+
+
+# Guards against entries that can no longer be ranked, beside one odd record.
+@pytest.mark.parametrize(
+    ('position', 'odd'),
+    [(0, 7), (1, None), (4, b'a:1'), (5, 'one'), (6, 1), (7, 'model')],
+)
+def test_entry_with_a_field_of_another_type_is_a_failure(position, odd):
+    fields = entry('a').fields()
+    fields[position] = odd
+    assert decode_entry(fields).failure()
