Name the entry that made an observation; forget failures of a cut entry

The log of an entry that took an endpoint for dead did not say by whose report, so that two hypotheses on entries cut off from all engines could not be told apart for each engine. An observation now names its entry.

--- a/foxtailhatch/router/observation_publisher.py
+++ b/foxtailhatch/router/observation_publisher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from dataclasses import replace
 
 from returns.result import Success
 
@@ -56,7 +57,8 @@
     def publish(self, observation: EndpointObservation) -> None:
         """Apply an observation locally, and write it to the log."""
         observation.apply(self._board.endpoints, self._board.clock())
-        self._start(self._write(observation))
+        signed = replace(observation, by=self._board.cfg.instance)
+        self._start(self._write(signed))
 
     def _start(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
--- a/foxtailhatch/router/observations.py
+++ b/foxtailhatch/router/observations.py
@@ -12,19 +12,23 @@
 from foxtailhatch.core import LayerRange
 from foxtailhatch.fleet import EndpointTable
 
-_FIELD_COUNT = 5
-# Endpoint name, incarnation, whether it is dead, first and end layer.
-_FIELD_TYPES = [str, int, bool, int, int]
+_FIELD_COUNT = 6
+# Endpoint name, incarnation, whether it is dead, first and end layer, entry.
+_FIELD_TYPES = [str, int, bool, int, int, str]
 
 
 @dataclass(frozen=True, slots=True)
 class EndpointObservation:
-    """A dead endpoint, or the layers that an endpoint can run now."""
+    """A dead endpoint, or the layers that an endpoint can run now.
+
+    ``by`` is the entry that has observed it.
+    """
 
     endpoint: str
     incarnation: int
     is_dead: bool
     layers: LayerRange | None = None
+    by: str = ''
 
     def apply(self, table: EndpointTable, now: float) -> bool:
         """Update the endpoint table; return whether anything changed."""
@@ -41,7 +45,7 @@
         layers = self.layers
         bounds = [layers.first, layers.end] if layers else [0, 0]
         return orjson.dumps(
-            [self.endpoint, self.incarnation, self.is_dead, *bounds]
+            [self.endpoint, self.incarnation, self.is_dead, *bounds, self.by]
         )
 
 
@@ -52,9 +56,11 @@
     except ValueError as exc:
         return Failure(str(exc))
     if not isinstance(fields, list) or len(fields) != _FIELD_COUNT:
-        return Failure('expected a list of five fields')
+        return Failure('expected a list of six fields')
     if [type(field) for field in fields] != _FIELD_TYPES:
-        return Failure('expected types: str, int, bool, int, int')
-    first, end = fields[3:]
+        return Failure('expected types: str, int, bool, int, int, str')
+    first, end, by = fields[3:]
     layers = LayerRange(first, end) if end > first else None
-    return Success(EndpointObservation(fields[0], fields[1], fields[2], layers))
+    return Success(
+        EndpointObservation(fields[0], fields[1], fields[2], layers, by)
+    )
--- a/foxtailhatch/router/reach_prober.py
+++ b/foxtailhatch/router/reach_prober.py
@@ -184,6 +184,10 @@
         asked = len(sample)
         if not reach.record_sample(service, accepted=accepted, asked=asked):
             return
+        if not reach.is_cut_off(service):
+            # These were failures of this entry.
+            for endpoint in candidates:
+                self._board.endpoints.clear_failures(endpoint.name)
         self._log.write(
             'engines_unreachable'
             if reach.is_cut_off(service)
--- a/foxtailhatch/router/record_applier.py
+++ b/foxtailhatch/router/record_applier.py
@@ -174,13 +174,16 @@
     ) -> None:
         name = observation.endpoint
         if observation.is_dead and self._is_working(name, now):
-            self._log.write('observation_rejected', endpoint=name)
+            self._log.write(
+                'observation_rejected', endpoint=name, by=observation.by
+            )
         elif observation.apply(self._board.endpoints, now):
             self._log.write(
                 'observation_applied',
                 endpoint=name,
                 dead=observation.is_dead,
                 layers=observation.layers,
+                by=observation.by,
             )
 
     def _configure(self, record: KeyedRecord) -> None:
--- a/tests/router/test_observations.py
+++ b/tests/router/test_observations.py
@@ -14,18 +14,22 @@
 
 @pytest.mark.parametrize('layers', [None, LayerRange(3, 9)])
 def test_observation_round_trip(layers):
-    observation = EndpointObservation('e1', 7, is_dead=False, layers=layers)
+    observation = EndpointObservation(
+        'e1', 7, is_dead=False, layers=layers, by='entry'
+    )
     assert decode_observation(observation.encode()).unwrap() == observation
 
 
 @pytest.mark.parametrize(
     'fields',
     [
-        ['e1', 7, True, 'a', 'b'],
-        ['e1', 7.5, True, 0, 0],
-        [None, 7, True, 0, 0],
-        ['e1', 7, 1, 0, 0],
-        ['e1', 7, True, 0],
+        ['e1', 7, True, 'a', 'b', 'entry'],
+        ['e1', 7.5, True, 0, 0, 'entry'],
+        [None, 7, True, 0, 0, 'entry'],
+        ['e1', 7, 1, 0, 0, 'entry'],
+        ['e1', 7, True, 0, 0, None],
+        ['e1', 7, True, 0, 0],
+        ['e1', 7, True, 0, 'entry'],
         {},
     ],
 )
--- a/tests/router/test_reach_prober.py
+++ b/tests/router/test_reach_prober.py
@@ -80,9 +80,12 @@
     env.run(0.2)
     assert env.is_cut_off
     assert env.log.of('engines_unreachable')[0]['asked'] == SAMPLE_SIZE
+    engine_1 = env.board.endpoints.get('e1')
+    env.board.endpoints.record_failure('e1', env.clock.now)
     env.engines.outcomes.clear()
     env.run(0.6)
     assert not env.is_cut_off
+    assert not env.board.endpoints.is_backed_off(engine_1, env.clock.now)
 
 
 # Guards against entries that forward all requests beside one dead engine.
