Try endpoints if no entry has reach; take plain endpoints back by a connection

If every entry finds a service out of reach, the service itself is more likely in trouble, and a refusal of all its requests would make that worse: endpoints are tried as before, and waiting streams are left alone.

A plain service answers no request for a report, so that a dead one could not be taken back; that it accepts a connection suffices.

--- a/foxtailhatch/router/forwarding.py
+++ b/foxtailhatch/router/forwarding.py
@@ -19,6 +19,7 @@
 from foxtailhatch.relay.relay import Relay
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.endpoint_selection import LoadAwareSelector
+from foxtailhatch.router.entry_table import EntryRecord
 
 # A sound endpoint or entry accepts a connection within milliseconds.
 CONNECT_PAUSE_S = 0.25
@@ -44,24 +45,21 @@
         """Return a chain, an endpoint or another entry; ``None`` if none is left.
 
         Load is spread over all entries with reach: those that are left in a
-        zone may be too few for its requests.
+        zone may be too few for its requests.  If nobody has reach, the service
+        itself may be in trouble, and its endpoints are tried.
         """
         service = selection.service.name
         if not self._board.reach.is_cut_off(service):
             return self._direct.select(selection, now)
         if selection.first is not None or selection.req.is_forwarded:
             return None
-        own = self._board.cfg.instance
-        entries = [
-            entry
-            for entry in self._board.entries.ready(now)
-            if entry.name != own
-            and entry.name not in selection.exclude
-            and service not in entry.unreached
-        ]
+        entries = entries_with_reach(self._board, service, now)
         if not entries:
+            return self._direct.select(selection, now)
+        left = [one for one in entries if one.name not in selection.exclude]
+        if not left:
             return None
-        entry = self._random.choice(entries)
+        entry = self._random.choice(left)
         forward_to = LiveEndpoint(
             name=entry.name,
             service=service,
@@ -103,7 +101,11 @@
         service = relay.admitted.service.name
         self._record(attempt, service, is_slow=is_slow)
         is_cut_off = self._board.reach.is_cut_off(service)
-        if is_cut_off and pause_s > CUT_OFF_PAUSE_S:
+        if (
+            is_cut_off
+            and pause_s > CUT_OFF_PAUSE_S
+            and entries_with_reach(self._board, service, now)
+        ):
             relay.move_on('cut off')
 
     def _record(self, attempt: Attempt, service: str, *, is_slow: bool) -> None:
@@ -113,3 +115,14 @@
             reach.record_accepted(service, attempt.head_name, attempt.sent_at)
         elif is_slow:
             reach.record_failed(service, attempt.sent_at)
+
+
+def entries_with_reach(
+    board: Blackboard, service: str, now: float
+) -> list[EntryRecord]:
+    """Return the other entries that reach a service."""
+    return [
+        entry
+        for entry in board.entries.ready(now)
+        if entry.name != board.cfg.instance and service not in entry.unreached
+    ]
--- a/foxtailhatch/router/reach_prober.py
+++ b/foxtailhatch/router/reach_prober.py
@@ -41,6 +41,18 @@
 _UNCONNECTED = frozenset((EngineFault.NOT_CONNECTED, EngineFault.UNCONNECTED))
 
 
+def is_alive(
+    endpoint: LiveEndpoint, report: Result[EngineReport, EngineFault]
+) -> bool:
+    """Return whether an endpoint lives, by the outcome of a request to it.
+
+    A plain service has no report, but takes connections if it lives.
+    """
+    if endpoint.layers is None:
+        return report.swap().value_or(None) not in _UNCONNECTED
+    return isinstance(report, Success)
+
+
 class ReachRecorder:
     """An engine client that records which endpoints accept connections."""
 
@@ -149,10 +161,10 @@
                 endpoint.name,
                 endpoint.incarnation,
                 is_dead=False,
-                layers=report.unwrap().layers if endpoint.layers else None,
+                layers=_held_layers(endpoint, report),
             )
             for endpoint, report in zip(due, reports, strict=True)
-            if isinstance(report, Success)
+            if is_alive(endpoint, report)
         ]
 
     def _due_for_revival(self, now: float) -> list[LiveEndpoint]:
@@ -228,3 +240,12 @@
             by_zone[shuffled.zone].append(shuffled)
         in_turn = chain.from_iterable(zip_longest(*by_zone.values()))
         return list(islice(filter(None, in_turn), SAMPLE_SIZE))
+
+
+def _held_layers(
+    endpoint: LiveEndpoint, report: Result[EngineReport, EngineFault]
+) -> LayerRange | None:
+    """Return the layers that an endpoint reports; none of a plain service."""
+    if endpoint.layers is None or not isinstance(report, Success):
+        return None
+    return report.unwrap().layers
--- a/tests/router/test_forwarding.py
+++ b/tests/router/test_forwarding.py
@@ -7,6 +7,7 @@
 import pytest
 
 from foxtailhatch.relay.context import SelectionRequest
+from foxtailhatch.router.endpoint_selection import LoadAwareSelector
 from foxtailhatch.router.entry_table import Heartbeat
 from foxtailhatch.router.forwarding import (
     CONNECT_PAUSE_S,
@@ -65,6 +66,21 @@
     assert select(selector, replace(request(), is_forwarded=True)) is None
 
 
+# Guards against refusals of all requests while a service is in trouble itself.
+def test_endpoints_are_tried_if_no_entry_has_reach():
+    env, selector = selector_at('a', ['a', 'b'], unreached=['b'])
+    direct = LoadAwareSelector(env, Random(1))
+    selection = SelectionRequest(MODEL, request())
+    assert selector.select(selection, 100.0) == direct.select(selection, 100.0)
+
+
+def test_waiting_stream_is_left_alone_if_no_entry_has_reach():
+    watched = Watched(**STREAM)
+    connection = watched.env.accept_connection()
+    watched.advance(CUT_OFF_PAUSE_S + 0.1, cut_off=True)
+    assert not connection.is_aborted
+
+
 def test_entries_that_failed_a_request_are_left_out():
     _, selector = selector_at('a', ['a', 'b', 'c'])
     assert select(selector, exclude=['b'])[0].endpoint.name == 'c'
@@ -86,11 +102,15 @@
 class Watched:
     """A running request, and the watch over it."""
 
-    def __init__(self, **kind):
+    def __init__(self, peers=(), **kind):
         self.env = start_relay(**kind)
         self.board = board(self.env.reactor.seconds, has_configuration=False)
         self.service = self.env.relay.admitted.service.name
         self.watch = CutOffWatch(self.board, self.env.context)
+        if peers:
+            self.board.entries.record_heartbeat(
+                peers[0], Heartbeat([entry(peer) for peer in peers]), 0
+            )
 
     def advance(self, seconds, *, cut_off=False):
         self.env.reactor.advance(seconds)
@@ -101,7 +121,7 @@
 
 # Guards against bookings that wait a second for each lost connection.
 def test_unsent_request_moves_on_even_if_it_may_run_once():
-    watched = Watched(kind=RouteKind.AT_MOST_ONCE, attempts=1)
+    watched = Watched(['b'], kind=RouteKind.AT_MOST_ONCE, attempts=1)
     watched.advance(CONNECT_PAUSE_S + 0.1)
     assert watched.board.reach.due_for_sample(1.0) == [watched.service]
     watched.advance(0.1, cut_off=True)
@@ -112,14 +132,14 @@
 
 # Guards against bookings that run twice.
 def test_request_that_was_sent_and_may_run_once_stays():
-    watched = Watched(kind=RouteKind.AT_MOST_ONCE, attempts=1)
+    watched = Watched(['b'], kind=RouteKind.AT_MOST_ONCE, attempts=1)
     watched.env.accept_connection()
     watched.advance(2.0, cut_off=True)
     assert watched.env.reactor.tcpClients == []
 
 
 def test_stream_without_progress_resumes_elsewhere():
-    watched = Watched(**STREAM)
+    watched = Watched(['b'], **STREAM)
     connection = watched.env.accept_connection()
     connection.start_stream()
     connection.send_event(1)
@@ -129,7 +149,7 @@
 
 # Guards against streams that are cut although their connection lives on.
 def test_stream_with_progress_goes_on():
-    watched = Watched(**STREAM)
+    watched = Watched(['b'], **STREAM)
     connection = watched.env.accept_connection()
     connection.start_stream()
     for number in range(1, 6):
--- a/tests/router/test_reach_prober.py
+++ b/tests/router/test_reach_prober.py
@@ -140,6 +140,16 @@
     assert not env.board.endpoints.is_dead('e3')
 
 
+def test_plain_endpoint_that_accepts_connections_is_alive_for_all():
+    env = Entry()
+    env.board.endpoints.put(endpoint('desk', 'desk'), 0)
+    env.board.endpoints.mark_dead('desk', 1, env.clock.now)
+    env.silence(EngineFault.MALFORMED, names=['desk'])
+    env.clock.now += REVIVAL_INTERVAL_S
+    (observation,) = asyncio.run(env.prober.revived())
+    assert (observation.endpoint, observation.is_dead) == ('desk', False)
+
+
 def test_dead_engine_that_does_not_answer_stays_dead():
     env = Entry()
     env.board.endpoints.mark_dead('e3', 1, env.clock.now)
