--- a/foxtailhatch/router/reach_prober.py
+++ b/foxtailhatch/router/reach_prober.py
@@ -248,4 +248,5 @@
     """Return the layers that an endpoint reports; none of a plain service."""
     if endpoint.layers is None or not isinstance(report, Success):
         return None
-    return report.unwrap().layers
+    known: EngineReport = report.unwrap()
+    return known.layers
