--- a/foxtailhatch/router/leader_lease.py
+++ b/foxtailhatch/router/leader_lease.py
@@ -27,8 +27,8 @@
 # is longer than the interruption by one failed call, after which a reader asks
 # peers for a while and is a candidate again two seconds later.
 LEAVE_AFTER_S = 4.5
-# A configuration older than this means that no entry reaches the store: it is
-# the age at which entries stop reading from an outdated peer.
+# A configuration older than this means that no entry reaches the store: a reader
+# whose data get old asks its peers well before.
 STORE_OUTAGE_AGE_S = 2.8
 # Bits of a fencing token that hold the generation; the epoch is above them.
 # Engines read tokens as JSON numbers, which are exact up to 53 bits.
