--- a/foxtailhatch/router/keyed_log.py
+++ b/foxtailhatch/router/keyed_log.py
@@ -46,6 +46,11 @@
     key: str
     value: bytes | None
 
+    @property
+    def size_bytes(self) -> int:
+        """Return the size of key and value in bytes, if the key is ASCII."""
+        return len(self.key) + len(self.value or b'')
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class LogPosition:
--- a/foxtailhatch/router/mirror.py
+++ b/foxtailhatch/router/mirror.py
@@ -7,21 +7,24 @@
 
 from foxtailhatch.router.keyed_log import KeyedRecord, LogPosition, Topic
 
-# Records retained of each topic.  A reader that is further behind gets a
-# snapshot.  The number covers some ten seconds of heartbeats of a hundred
-# endpoints.
+# Records retained of each topic, and their size.  A reader that is further
+# behind gets a snapshot.  The number covers some ten seconds of heartbeats of
+# a hundred endpoints.
 RETAINED_RECORDS = 1000
+RETAINED_BYTES = 1_048_576
 
 
 @dataclass(slots=True)
 class TopicMirror:
     """The latest value of each key, and the last records in log order.
 
-    ``confirmed_at`` is the time as of which the copy is known to be complete.
+    ``confirmed_at`` is the time as of which the copy is known to be complete,
+    and ``recent_bytes`` the size of the last records.
     """
 
     latest: dict[str, bytes] = field(default_factory=dict)
     recent: deque[KeyedRecord] = field(default_factory=deque)
+    recent_bytes: int = 0
     end: LogPosition | None = None
     confirmed_at: float | None = None
 
@@ -37,6 +40,7 @@
             if record.value is not None
         }
         self.recent.clear()
+        self.recent_bytes = 0
         self.end = end
 
     def append(
@@ -47,12 +51,12 @@
         """Append the records that follow in the log."""
         for record in records:
             self.recent.append(record)
+            self.recent_bytes += record.size_bytes
             if record.value is None:
                 self.latest.pop(record.key, None)
             else:
                 self.latest[record.key] = record.value
-        while len(self.recent) > RETAINED_RECORDS:
-            self.recent.popleft()
+            self._drop_oldest()
         self.end = end
 
     def since(
@@ -69,6 +73,14 @@
             return [KeyedRecord(*pair) for pair in latest], True
         return list(self.recent)[len(self.recent) - missing :], False
 
+    def _drop_oldest(self) -> None:
+        """Drop the oldest records while there are too many or too large ones."""
+        while (
+            len(self.recent) > RETAINED_RECORDS
+            or self.recent_bytes > RETAINED_BYTES
+        ):
+            self.recent_bytes -= self.recent.popleft().size_bytes
+
     def _count_missing(self, position: LogPosition | None) -> int | None:
         """Return how many of the recent records follow a position."""
         if self.end is None or position is None:
--- a/tests/router/test_mirror.py
+++ b/tests/router/test_mirror.py
@@ -12,7 +12,12 @@
     encode_feed_response,
 )
 from foxtailhatch.router.keyed_log import KeyedRecord, LogPosition, Topic
-from foxtailhatch.router.mirror import RETAINED_RECORDS, Mirror, TopicMirror
+from foxtailhatch.router.mirror import (
+    RETAINED_BYTES,
+    RETAINED_RECORDS,
+    Mirror,
+    TopicMirror,
+)
 from tests.router.test_entry_table import entry
 
 
@@ -51,6 +56,30 @@
     assert len(mirror.recent) == RETAINED_RECORDS
 
 
+def test_size_of_retained_records_is_bounded():
+    """Large configurations in a row exceeded the memory of all entries at once."""
+    mirror = TopicMirror()
+    mirror.reset([], at(0))
+    value = bytes(262_144)
+    for end in range(1, 101):
+        mirror.append([KeyedRecord('config', value)], at(end))
+    kept = sum(len(record.value) for record in mirror.recent)
+    assert 0 < kept <= RETAINED_BYTES
+    behind, is_snapshot = mirror.since(at(1))
+    assert is_snapshot
+    assert [record.key for record in behind] == ['config']
+
+
+def test_record_above_the_bound_is_passed_on_as_a_snapshot():
+    """A single large record left nothing to send to a reader that lacks it."""
+    mirror = TopicMirror()
+    mirror.reset([], at(0))
+    large = KeyedRecord('config', bytes(RETAINED_BYTES + 1))
+    mirror.append([large], at(1))
+    assert mirror.since(at(0)) == ([large], True)
+    assert mirror.since(at(1)) == ([], False)
+
+
 @given(st.lists(st.integers(1, 5), max_size=20), st.data())
 def test_reads_from_any_offset_return_all_later_records(steps, source):
     mirror = TopicMirror()
