--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -37,6 +37,7 @@
 PLACEMENT_PERIOD_S = 0.1
 STALL_CHECK_PERIOD_S = 0.05
 CRASH_WATCH_PERIOD_S = 0.1
+CLEANUP_PERIOD_S = 5.0
 SHUTDOWN_CHECK_PERIOD_S = 0.25
 # Period of the loops of placement and stalls while they have nothing to do.  An
 # entry that idles costs processor time with each step of a loop.
@@ -149,6 +150,7 @@
         self._loops.repeat(
             self._crash_watch_pause_s, components.crash_watch.step
         )
+        every(CLEANUP_PERIOD_S, components.observation_cleanup.step)
         every(SHUTDOWN_CHECK_PERIOD_S, self._check_shutdown)
         self._loops.repeat(
             self._placement_pause_s, components.placement_controller.step
--- a/foxtailhatch/router/components.py
+++ b/foxtailhatch/router/components.py
@@ -18,6 +18,8 @@
 from foxtailhatch.router.heartbeats import Heartbeats
 from foxtailhatch.router.leader_lease import LeaderLease
 from foxtailhatch.router.metrics import RouterMetrics
+from foxtailhatch.router.keyed_log import Topic
+from foxtailhatch.router.observation_cleanup import ObservationCleanup
 from foxtailhatch.router.observation_publisher import ObservationPublisher
 from foxtailhatch.router.placement_controller import PlacementController
 from foxtailhatch.router.reach_prober import ReachProber, ReachRecorder
@@ -50,6 +52,7 @@
     cut_off_watch: CutOffWatch
     prober: ReachProber
     observation_publisher: ObservationPublisher
+    observation_cleanup: ObservationCleanup
     shutdown: GracefulShutdown
 
     async def heartbeat(self) -> None:
@@ -128,6 +131,15 @@
         on_suspect=observation_publisher.confirm_suspect,
     )
     lease = LeaderLease(board, adapter.store, log)
+    state_sync = StateSync(
+        board,
+        adapter,
+        log,
+        board.own_entry,
+        lambda address: FeedClient(reactor, address),
+        lambda name, now: has_recent_progress(relay.running, name, now),
+        crash_watch,
+    )
     return RouterComponents(
         board=board,
         adapter=adapter,
@@ -137,15 +149,7 @@
         ),
         crash_watch=crash_watch,
         pages=StatusPages(board, relay, metrics),
-        state_sync=StateSync(
-            board,
-            adapter,
-            log,
-            board.own_entry,
-            lambda address: FeedClient(reactor, address),
-            lambda name, now: has_recent_progress(relay.running, name, now),
-            crash_watch,
-        ),
+        state_sync=state_sync,
         heartbeats=Heartbeats(board, adapter, log, board.own_entry),
         lease=lease,
         placement_controller=PlacementController(
@@ -165,5 +169,12 @@
         cut_off_watch=CutOffWatch(board, relay),
         prober=prober,
         observation_publisher=observation_publisher,
+        observation_cleanup=ObservationCleanup(
+            board,
+            adapter.store,
+            state_sync.mirror.topics[Topic.OBSERVATIONS],
+            lease,
+            log,
+        ),
         shutdown=GracefulShutdown(board, relay, log),
     )
--- a/foxtailhatch/router/record_applier.py
+++ b/foxtailhatch/router/record_applier.py
@@ -161,9 +161,10 @@
             return
         now = self._board.clock()
         for record in listed:
-            if is_prompt_key(record.key):
+            if is_prompt_key(record.key) or record.value is None:
+                # The observation of an endpoint that has left was deleted.
                 continue
-            decoded = decode_observation(record.value or b'')
+            decoded = decode_observation(record.value)
             if not isinstance(decoded, Success):
                 self._log.write('observation_unreadable', key=record.key)
                 continue
