--- a/foxtailhatch/platform/store.py
+++ b/foxtailhatch/platform/store.py
@@ -64,8 +64,11 @@
             if page.end.epoch != end.epoch:
                 return Failure(StoreFault.HISTORY_GONE)
             records.extend(page.records)
-            if not has_more or not page.records:
+            if not has_more:
                 return Success(KeyedPage(tuple(records), end))
+            if not page.records:
+                # There is no key after which to go on.
+                return Failure(StoreFault.MALFORMED)
             after = records[-1].key
 
     async def read(
@@ -74,7 +77,7 @@
         offset: int,
         wait_s: float,
     ) -> Result[KeyedPage, StoreFault]:
-        """Return the records from ``offset`` on; wait at most ``wait_s``."""
+        """Return a page from ``offset`` on; wait at most ``wait_s``."""
         query = {'topic': _TOPICS[topic], 'part': 0, 'from': offset}
         if wait_s:
             query['wait_ms'] = int(wait_s * MS_IN_S)
@@ -214,9 +217,10 @@
     body = response.body
     if len(body) < _READ_HEAD.size:
         return Failure(StoreFault.MALFORMED)
+    log_end, _ = _READ_HEAD.unpack_from(body)
     records = tuple(_decode_records(body[_READ_HEAD.size :]))
     end = LogPosition(_epoch(response), offset + len(records))
-    return Success(KeyedPage(records, end))
+    return Success(KeyedPage(records, end, end.offset >= log_end))
 
 
 def _decode_records(body: bytes) -> Iterator[KeyedRecord]:
--- a/foxtailhatch/router/feed.py
+++ b/foxtailhatch/router/feed.py
@@ -138,7 +138,21 @@
                 'POST', FEED_PATH.decode(), request.encode(), FEED_TIMEOUT_S
             ),
         )
-        return response.alt(lambda failure: failure.value).bind(_decode_http)
+        return (
+            response.alt(lambda failure: failure.value)
+            .bind(_decode_http)
+            .bind(lambda decoded: check_topics(decoded, request))
+        )
+
+
+def check_topics(
+    response: FeedResponse, request: FeedRequest
+) -> Result[FeedResponse, str]:
+    """Return the response if it has all topics that were requested."""
+    missing = request.positions.keys() - response.topics.keys()
+    if missing:
+        return Failure(f'topics missing: {", ".join(sorted(missing))}')
+    return Success(response)
 
 
 def _decode_http(response: HttpResponse) -> Result[FeedResponse, str]:
--- a/foxtailhatch/router/keyed_log.py
+++ b/foxtailhatch/router/keyed_log.py
@@ -69,10 +69,15 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyedPage:
-    """Records in log order, and the position at which the next read starts."""
+    """Records in log order, and the position at which the next read starts.
+
+    A page has a limited size: unless it ``is_complete``, more records had been
+    written when the store read it.
+    """
 
     records: tuple[KeyedRecord, ...]
     end: LogPosition
+    is_complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,7 +105,7 @@
         offset: int,
         wait_s: float,
     ) -> Result[KeyedPage, StoreFault]:
-        """Return the records from ``offset`` on.
+        """Return the records from ``offset`` on, or the first page of them.
 
         If there are none yet, wait up to ``wait_s`` seconds for the first.
         """
--- a/foxtailhatch/router/topic_follower.py
+++ b/foxtailhatch/router/topic_follower.py
@@ -78,7 +78,23 @@
         return self._needs_snapshot and self._position is not None
 
     async def step(self, wait_s: float = 0) -> bool:
-        """Read the store once; return whether there were new records."""
+        """Read the store up to its end; return whether there were new records.
+
+        A page is not the end if more records had been written than it holds.
+        What is known by then is applied, but not confirmed: a later record may
+        withdraw it.
+        """
+        has_records = False
+        page = await self._read_page(wait_s)
+        while page is not None and page.records:
+            has_records = True
+            if page.is_complete:
+                break
+            page = await self._read_page(wait_s=0)
+        return has_records
+
+    async def _read_page(self, wait_s: float) -> KeyedPage | None:
+        """Read and apply a page; return ``None`` if none could be applied."""
         sent_at = self._clock()
         position = self._position
         is_snapshot = self._needs_snapshot or position is None
@@ -88,19 +104,20 @@
             read = await self._store.read(self._topic, position.offset, wait_s)
         if not isinstance(read, Success):
             self._read_failed(read.failure())
-            return False
+            return None
         page = read.unwrap()
         if self._position != position:
             # A peer's update was applied during the read, so the page may
             # be older than what is known now.
-            return False
+            return None
         self._read_succeeded()
         if not is_snapshot and not self._continues(page):
             self._needs_snapshot = True
-            return False
+            return None
         self._apply(page.records, page.end, is_snapshot)
-        self._confirm(sent_at)
-        return bool(page.records)
+        if page.is_complete:
+            self._confirm(sent_at)
+        return page
 
     def apply_update(self, update: TopicUpdate, sent_at: float) -> None:
         """Apply a peer's response to a request that was sent at ``sent_at``.
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -44,8 +44,8 @@
     return struct.pack('>I', len(content)) + content
 
 
-def page(*records):
-    return struct.pack('>QQ', 9, 0) + b''.join(records)
+def page(*records, end=9):
+    return struct.pack('>QQ', end, 0) + b''.join(records)
 
 
 def listed_page(key, end, *, more):
@@ -93,6 +93,33 @@
     assert keyed_page.end.offset == 5
 
 
+@pytest.mark.parametrize(
+    ('end', 'is_complete'), [(5, True), (6, True), (7, False), (900, False)]
+)
+def test_page_is_complete_if_it_reaches_the_end_of_the_log(end, is_complete):
+    """A page was taken for all that had been written since its offset."""
+    body = page(record(b'a', b'1'), record(b'b', b'2'), end=end)
+    http_client = ScriptedHttpClient((200, body))
+    keyed_page = run(LogStore(http_client).read(Topic.ENDPOINTS, 4, 0)).unwrap()
+    assert keyed_page.is_complete is is_complete
+
+
+def test_truncated_page_is_not_complete():
+    body = page(record(b'a', b'1'), record(b'b', b'2')[:-1], end=6)
+    http_client = ScriptedHttpClient((200, body))
+    keyed_page = run(LogStore(http_client).read(Topic.ENDPOINTS, 4, 0)).unwrap()
+    assert not keyed_page.is_complete
+
+
+def test_announced_page_without_records_is_no_end_of_a_snapshot():
+    empty = json.dumps({'items': [], 'has_more': True, 'end_offset': 5})
+    http_client = ScriptedHttpClient(
+        (200, listed_page('a', 5, more=True)), (200, empty.encode())
+    )
+    read = run(LogStore(http_client).read_latest(Topic.ENDPOINTS))
+    assert read.failure() is StoreFault.MALFORMED
+
+
 def test_read_latest_reads_all_pages_and_returns_the_first_end():
     http_client = ScriptedHttpClient(
         (200, listed_page('a', 5, more=True)),
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -58,13 +58,17 @@
 
 
 class MemoryStore:
-    """A log in memory; calls fail while ``fault`` is set."""
+    """A log in memory; calls fail while ``fault`` is set.
+
+    A page has at most ``page_records`` records.
+    """
 
     def __init__(self):
         self.topics = {}
         self.first = {}
         self.fault = None
         self.epoch = 0
+        self.page_records = None
         self.membership = Membership(1, is_holder=True)
 
     def restore(self, topic, length):
@@ -92,8 +96,9 @@
         records = self.topics.get(topic, [])
         if not self.first.get(topic, 0) <= offset <= len(records):
             return Failure(StoreFault.HISTORY_GONE)
-        end = LogPosition(self.epoch, len(records))
-        return Success(KeyedPage(tuple(records[offset:]), end))
+        page = tuple(records[offset:][: self.page_records])
+        end = LogPosition(self.epoch, offset + len(page))
+        return Success(KeyedPage(page, end, end.offset == len(records)))
 
     async def put(self, topic, key, value):
         return Failure(self.fault) if self.fault else Success(None)
--- a/tests/router/test_mirror.py
+++ b/tests/router/test_mirror.py
@@ -7,6 +7,7 @@
 from foxtailhatch.router.feed import (
     FeedRequest,
     ResponderState,
+    check_topics,
     decode_feed_request,
     decode_feed_response,
     encode_feed_response,
@@ -119,6 +120,21 @@
     assert response.topics[Topic.ENTRIES].age_s is None
 
 
+def test_response_without_a_requested_topic_is_a_failure():
+    """It ended the step of the feed by an exception, without a line."""
+    positions = {Topic.OBSERVATIONS: None, Topic.ENTRIES: at(4)}
+    request = FeedRequest(entry('a'), positions)
+    raw = encode_feed_response(
+        Mirror(),
+        FeedRequest(entry('a'), {Topic.ENTRIES: at(4)}),
+        ResponderState({}, reads_store=True),
+        12.5,
+    )
+    response = decode_feed_response(raw).unwrap()
+    checked = check_topics(response, request)
+    assert checked.failure() == 'topics missing: findings'
+
+
 @given(st.binary())
 def test_arbitrary_bytes_raise_no_exception(raw):
     decode_feed_request(raw)
--- a/tests/router/test_topic_follower.py
+++ b/tests/router/test_topic_follower.py
@@ -174,3 +174,83 @@
     store.fault = StoreFault.UNREACHABLE
     step(follower)
     assert not follower.is_lost
+
+
+class PagedStore(MemoryStore):
+    """Call ``on_read`` before each read, and count the reads."""
+
+    def __init__(self, page_records):
+        super().__init__()
+        self.page_records = page_records
+        self.reads = 0
+        self.on_read = lambda number: None
+
+    async def read(self, topic, offset, wait_s):
+        self.reads += 1
+        self.on_read(self.reads)
+        return await super().read(topic, offset, wait_s)
+
+
+def make_reader_that_is_behind(pages):
+    """Return a follower that lacks as many pages of two records."""
+    clock = Clock(10)
+    store = PagedStore(page_records=2)
+    follower, applied, _ = make_follower(store, clock)
+    step(follower)
+    for number in range(2 * pages):
+        store.add(Topic.ENDPOINTS, KeyedRecord(f'k{number}', b'1'))
+    clock.now = 20
+    return follower, applied, store, clock
+
+
+def test_all_pages_are_read_at_once():
+    follower, applied, store, _ = make_reader_that_is_behind(pages=3)
+    step(follower)
+    assert [keys for keys, _ in applied[1:]] == [
+        ['k0', 'k1'],
+        ['k2', 'k3'],
+        ['k4', 'k5'],
+    ]
+    assert follower.confirmed_at == 20
+
+
+def test_page_that_is_not_the_last_confirms_nothing():
+    """Keys were taken by an old configuration while newer ones were read."""
+    follower, _, store, _ = make_reader_that_is_behind(pages=3)
+    confirmed = []
+    store.on_read = lambda _: confirmed.append(follower.confirmed_at)
+    step(follower)
+    assert confirmed == [10, 10, 10]
+
+
+def test_data_are_not_confirmed_if_a_later_page_is_lost():
+    follower, applied, store, _ = make_reader_that_is_behind(pages=3)
+
+    def fail_third(number):
+        store.fault = StoreFault.UNREACHABLE if number == 3 else None
+
+    store.on_read = fail_third
+    step(follower)
+    assert len(applied) == 3
+    assert follower.confirmed_at == 10
+    step(follower)
+    assert follower.confirmed_at == 20
+
+
+def test_pages_are_confirmed_as_of_the_read_of_the_last_one():
+    follower, _, store, clock = make_reader_that_is_behind(pages=3)
+
+    def pass_time(_):
+        clock.now += 1
+
+    store.on_read = pass_time
+    step(follower)
+    assert follower.confirmed_at == 22
+
+
+def test_store_that_keeps_what_it_announces_is_not_read_without_end():
+    follower, _, store, _ = make_reader_that_is_behind(pages=1)
+    store.page_records = 0
+    step(follower)
+    assert store.reads == 1
+    assert follower.confirmed_at == 10
