--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -15,9 +15,6 @@
 # Back-off after a refusal: the endpoint is alive, and the capacity or layers
 # that it lacks become available within a few batch steps or loads.
 REFUSAL_BACKOFF_S = 0.25
-# Endpoints whose records expired during an outage of the store have written
-# them again by then.
-LAPSE_GRACE_S = 2.0
 # A record that is read this long after an endpoint was marked dead was written
 # after it, since the list lags by less.
 REVIVAL_DELAY_S = 2.0
@@ -29,8 +26,8 @@
 class EndpointTable:
     """Endpoints by name.
 
-    An endpoint whose record expired while the store was unreachable stays
-    usable until ``LAPSE_GRACE_S`` after the store's return.  A restart under
+    An endpoint whose record may have expired while the store was unreachable
+    stays usable until a given time.  A restart under
     the same name is a new incarnation, for which earlier failures and refusals
     do not count.  ``revision`` grows with each change of the table.
     """
@@ -39,7 +36,7 @@
         """Start without endpoints."""
         self._endpoints: dict[str, LiveEndpoint] = {}
         self._heartbeats = LastHeartbeats()
-        self._lapsed_at: dict[str, float] = {}
+        self._lapsed_until: dict[str, float] = {}
         self._failure_backoffs: dict[str, tuple[float, float]] = {}
         self._draining_since: dict[tuple[str, int], float] = {}
         self._dead_since: dict[str, float] = {}
@@ -56,7 +53,7 @@
         """Update an endpoint from its record; return the previous state."""
         self._heartbeats.record(endpoint)
         before = self._endpoints.get(endpoint.name)
-        self._lapsed_at.pop(endpoint.name, None)
+        self._lapsed_until.pop(endpoint.name, None)
         self._revive(endpoint, before, now)
         self._listed_layers[endpoint.name] = endpoint.layers
         endpoint = self._with_observed_layers(endpoint, before, now)
@@ -140,7 +137,7 @@
     def remove(self, name: str, now: float) -> None:
         """Remove an endpoint that has left."""
         self._heartbeats.record_removal(name, now)
-        self._lapsed_at.pop(name, None)
+        self._lapsed_until.pop(name, None)
         self._dead_since.pop(name, None)
         self._observations.remove(name)
         self._listed_layers.pop(name, None)
@@ -149,17 +146,15 @@
         if self._endpoints.pop(name, None) is not None:
             self.revision += 1
 
-    def mark_lapsed(self, name: str, now: float) -> None:
-        """Note that a record expired during an outage of the store."""
+    def mark_lapsed(self, name: str, until: float) -> None:
+        """Note that a record may have expired during an outage of the store."""
         if name in self._endpoints:
-            self._lapsed_at.setdefault(name, now)
+            self._lapsed_until.setdefault(name, until)
 
     def remove_lapsed(self, now: float) -> list[str]:
-        """Remove lapsed endpoints past the grace period; return their names."""
+        """Remove lapsed endpoints whose time is over; return their names."""
         expired = [
-            name
-            for name, since in self._lapsed_at.items()
-            if now - since >= LAPSE_GRACE_S
+            name for name, until in self._lapsed_until.items() if now >= until
         ]
         for name in expired:
             self.remove(name, now)
--- a/foxtailhatch/platform/settings.py
+++ b/foxtailhatch/platform/settings.py
@@ -98,6 +98,7 @@
         stop_grace_s=_number(fields, 'bounds.grace_s', defaults.stop_grace_s),
         stall_s=seconds('stall_ms', defaults.stall_s),
         leaving_s=seconds('drain_ms', defaults.leaving_s),
+        settling_s=seconds('contact_ms', defaults.settling_s),
         advice_max_s=_number(fields, 'bounds.ttl_max_s', defaults.advice_max_s),
         retry_ratio=_number(fields, 'bounds.retry_ratio', defaults.retry_ratio),
         retry_window_s=_number(
--- a/foxtailhatch/router/components.py
+++ b/foxtailhatch/router/components.py
@@ -5,24 +5,25 @@
 from random import Random
 from typing import Any
 
-from foxtailhatch.relay.context import RelayContext
-from foxtailhatch.relay.retry_budget import RetryBudget
 from foxtailhatch.relay.stream_progress import has_recent_progress
 from foxtailhatch.relay.structured_log import RateLimitedLog, StructuredLog
 from foxtailhatch.router.adapter import PlatformAdapter
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.crash_watch import CrashWatch
 from foxtailhatch.router.feed import FeedClient
-from foxtailhatch.router.forwarding import CutOffWatch, ForwardingSelector
+from foxtailhatch.router.forwarding import CutOffWatch
 from foxtailhatch.router.graceful_shutdown import GracefulShutdown
 from foxtailhatch.router.heartbeats import Heartbeats
 from foxtailhatch.router.leader_lease import LeaderLease
 from foxtailhatch.router.metrics import RouterMetrics
-from foxtailhatch.router.keyed_log import Topic
 from foxtailhatch.router.observation_cleanup import ObservationCleanup
 from foxtailhatch.router.observation_publisher import ObservationPublisher
 from foxtailhatch.router.placement_controller import PlacementController
 from foxtailhatch.router.reach_prober import ReachProber, ReachRecorder
+from foxtailhatch.router.relay_context import (
+    RelayObservers,
+    build_relay_context,
+)
 from foxtailhatch.router.request_handler import RequestHandler
 from foxtailhatch.router.stall_detector import StallDetector
 from foxtailhatch.router.state_sync import StateSync
@@ -106,29 +107,17 @@
     adapter = replace(adapter, engines=ReachRecorder(adapter.engines, board))
     prober = ReachProber(board, adapter.engines, log, random)
     observation_publisher = ObservationPublisher(board, adapter, log, prober)
-    bounds = board.cfg.bounds
     crash_watch = CrashWatch(
         board, adapter.store, log, random, lambda: relay.running
     )
-    relay = RelayContext(
-        reactor=reactor,
-        clock=board.clock,
-        codec=adapter.codec,
-        endpoints=board.endpoints,
-        loads=board.loads,
-        rate_limits=board.rate_limits,
-        budget=RetryBudget(
-            bounds.retry_ratio,
-            bounds.retry_slack,
-            bounds.retry_window_s,
-            board.clock(),
+    relay = build_relay_context(
+        board,
+        adapter.codec,
+        reactor,
+        random,
+        RelayObservers(
+            log, metrics, crash_watch, observation_publisher.confirm_suspect
         ),
-        selector=ForwardingSelector(board, random),
-        log=log,
-        metrics=metrics,
-        prompts=crash_watch,
-        entries=lambda: len(board.entries.ready(board.clock())),
-        on_suspect=observation_publisher.confirm_suspect,
     )
     lease = LeaderLease(board, adapter.store, log)
     state_sync = StateSync(
@@ -172,7 +161,7 @@
         observation_cleanup=ObservationCleanup(
             board,
             adapter.store,
-            state_sync.mirror.topics[Topic.OBSERVATIONS],
+            state_sync.mirror,
             lease,
             log,
         ),
--- a/foxtailhatch/router/feed.py
+++ b/foxtailhatch/router/feed.py
@@ -151,7 +151,8 @@
     """Return the response if it has all topics that were requested."""
     missing = request.positions.keys() - response.topics.keys()
     if missing:
-        return Failure(f'topics missing: {", ".join(sorted(missing))}')
+        listed = ', '.join(sorted(missing))
+        return Failure(f'topics missing: {listed}')
     return Success(response)
 
 
--- a/foxtailhatch/router/observation_cleanup.py
+++ b/foxtailhatch/router/observation_cleanup.py
@@ -5,13 +5,15 @@
 one that ever existed.  The holder of the lease deletes them.
 """
 
+import asyncio
+
 from returns.result import Success
 
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.keyed_log import KeyedLog, Topic
 from foxtailhatch.router.leader_lease import LeaderLease
-from foxtailhatch.router.mirror import TopicMirror
+from foxtailhatch.router.mirror import Mirror
 from foxtailhatch.router.prompt_records import is_prompt_key
 
 # An endpoint that is missing for this long has left.  It is longer than an
@@ -28,14 +30,14 @@
         self,
         board: Blackboard,
         store: KeyedLog,
-        mirror: TopicMirror,
+        mirror: Mirror,
         lease: LeaderLease,
         log: StructuredLog,
     ) -> None:
-        """Find the observations in ``mirror``, the copy of their topic."""
+        """Find the observations in ``mirror``."""
         self._board = board
         self._store = store
-        self._mirror = mirror
+        self._mirror = mirror.topics[Topic.OBSERVATIONS]
         self._lease = lease
         self._log = log
         self._absent_since: dict[str, float] = {}
@@ -56,12 +58,11 @@
             for key, since in self._absent_since.items()
             if now - since >= ABSENT_S
         ]
-        for key in due[:MAX_DELETIONS]:
-            deleted = await self._store.put(Topic.OBSERVATIONS, key, None)
-            self._log.write(
-                'observation_deleted',
-                endpoint=key,
-                outcome='deleted'
-                if isinstance(deleted, Success)
-                else deleted.failure().value,
-            )
+        await asyncio.gather(*map(self._delete, due[:MAX_DELETIONS]))
+
+    async def _delete(self, key: str) -> None:
+        deleted = await self._store.put(Topic.OBSERVATIONS, key, None)
+        outcome = 'deleted'
+        if not isinstance(deleted, Success):
+            outcome = deleted.failure().value
+        self._log.write('observation_deleted', endpoint=key, outcome=outcome)
--- a/foxtailhatch/router/record_applier.py
+++ b/foxtailhatch/router/record_applier.py
@@ -19,9 +19,6 @@
 from foxtailhatch.router.prompt_records import is_prompt_key
 from foxtailhatch.routes import RoutingTable
 
-# An endpoint that disappears from the list this soon after a failed read may
-# only have been unable to renew its record during the outage.
-OUTAGE_RECENT_S = 3.0
 # Heartbeats in a snapshot are of unknown age and count as this old: one and a
 # half heartbeat periods.
 UNKNOWN_AGE_S = 2.2
@@ -82,32 +79,28 @@
     def apply_endpoints(
         self,
         records: Iterable[KeyedRecord],
-        failed_at: float | None,
+        lapses_until: float,
         *,
         is_snapshot: bool,
-        is_restored: bool = False,
     ) -> None:
         """Update the endpoints, and drop those that have been deleted.
 
-        ``failed_at`` is the time of the last failed read, if any.  If the
-        store ``is_restored``, it has just returned from an older copy, in
-        which endpoints may be missing that write their records again.
+        Until ``lapses_until`` a missing record may be that of an endpoint
+        which could not renew it during an outage of the store.
         """
         now = self._board.clock()
-        if is_restored:
-            failed_at = now
         table = self._board.endpoints
         seen = set()
         for record in records:
             seen.add(record.key)
             if record.value is None:
-                self._remove_endpoint(record.key, failed_at, now)
+                self._remove_endpoint(record.key, lapses_until, now)
             else:
                 self._update_endpoint(record.key, record.value, now)
         if is_snapshot:
             for name in tuple(table.names()):
                 if name not in seen:
-                    self._remove_endpoint(name, failed_at, now)
+                    self._remove_endpoint(name, lapses_until, now)
 
     def apply_entries(
         self,
@@ -243,14 +236,16 @@
             )
 
     def _remove_endpoint(
-        self, name: str, failed_at: float | None, now: float
+        self, name: str, lapses_until: float, now: float
     ) -> None:
         table = self._board.endpoints
         if table.get(name) is None:
             return
-        if failed_at is not None and now - failed_at < OUTAGE_RECENT_S:
-            table.mark_lapsed(name, now)
-            self._log.write('endpoint_lapsed', name=name)
+        if now < lapses_until:
+            table.mark_lapsed(name, lapses_until)
+            self._log.write(
+                'endpoint_lapsed', name=name, for_s=round(lapses_until - now, 2)
+            )
         else:
             table.remove(name, now)
             self._log.write('endpoint_gone', name=name)
--- /dev/null
+++ b/foxtailhatch/router/relay_context.py
@@ -0,0 +1,58 @@
+"""The context in which the router relays requests."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from foxtailhatch.fleet import LiveEndpoint
+from foxtailhatch.relay.context import PromptWatch, RelayContext, RelayMetrics
+from foxtailhatch.relay.request import WireCodec
+from foxtailhatch.relay.retry_budget import RetryBudget
+from foxtailhatch.relay.structured_log import StructuredLog
+from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.forwarding import ForwardingSelector
+
+
+@dataclass(frozen=True, slots=True)
+class RelayObservers:
+    """Who is told of what happens to requests.
+
+    ``on_suspect`` gets an endpoint that may be dead, and the reason.
+    """
+
+    log: StructuredLog
+    metrics: RelayMetrics
+    prompts: PromptWatch
+    on_suspect: Callable[[LiveEndpoint, str], None]
+
+
+def build_relay_context(
+    board: Blackboard,
+    codec: WireCodec,
+    reactor: Any,
+    random: Random,
+    observers: RelayObservers,
+) -> RelayContext:
+    """Return the context of all requests of this entry."""
+    bounds = board.cfg.bounds
+    return RelayContext(
+        reactor=reactor,
+        clock=board.clock,
+        codec=codec,
+        endpoints=board.endpoints,
+        loads=board.loads,
+        rate_limits=board.rate_limits,
+        budget=RetryBudget(
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_s,
+            board.clock(),
+        ),
+        selector=ForwardingSelector(board, random),
+        log=observers.log,
+        metrics=observers.metrics,
+        prompts=observers.prompts,
+        entries=lambda: len(board.entries.ready(board.clock())),
+        on_suspect=observers.on_suspect,
+    )
--- a/foxtailhatch/router/settings.py
+++ b/foxtailhatch/router/settings.py
@@ -11,9 +11,10 @@
     ``revocation_s`` is how long a key may still be used after its
     revocation, ``change_s`` how long after any other change of the
     configuration the one before may still be applied, and ``leaving_s`` how
-    long an endpoint that leaves may still get requests; ``stop_grace_s`` how long a process may take to stop, and
-    ``stall_s`` how long work waits for a dead endpoint before it is
-    cancelled.  ``advice_max_s`` is the longest time for which callers may
+    long an endpoint that leaves may still get requests; ``settling_s`` how long
+    after an outage the store counts as sound again.  ``stop_grace_s`` is how
+    long a process may take to stop, and ``stall_s`` how long work waits for a
+    dead endpoint before it is cancelled.  ``advice_max_s`` is the longest time for which callers may
     cache advice.  In any ``retry_window_s``, retries of a service may be
     ``retry_ratio`` of its requests plus ``retry_slack``, over all entries.
     """
@@ -23,6 +24,7 @@
     stop_grace_s: float = 8.0
     stall_s: float = 3.0
     leaving_s: float = 2.0
+    settling_s: float = 3.0
     advice_max_s: float = 5.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
--- a/foxtailhatch/router/state_sync.py
+++ b/foxtailhatch/router/state_sync.py
@@ -16,6 +16,7 @@
 from foxtailhatch.router.mirror import Mirror
 from foxtailhatch.router.record_applier import PromptRecords, RecordApplier
 from foxtailhatch.router.source_selector import Source, SourceSelector
+from foxtailhatch.router.store_outage import StoreOutage
 from foxtailhatch.router.topic_follower import OnRecords, TopicFollower
 
 # Wait time of long-polling reads of the store, during which a lost connection
@@ -85,6 +86,7 @@
         self._clients: dict[str, FeedClient] = {}
         self._selector = SourceSelector(own())
         self._limits = AgeLimits.of(board.cfg.bounds)
+        self._outage = StoreOutage(board.cfg.bounds)
         self._waits_s = _limited(WAITS_S, self._limits.poll_s)
         self._periods_s = _limited(PERIODS_S, self._limits.poll_s)
         self._source_name = ''
@@ -132,6 +134,7 @@
             self.mirror.topics[topic],
             on_records,
             self._log,
+            self._outage,
             self._board.clock,
         )
 
@@ -150,9 +153,8 @@
     ) -> None:
         self._applier.apply_endpoints(
             records,
-            self._followers[Topic.ENDPOINTS].failed_at,
+            self._outage.lapses_until(self._board.clock()),
             is_snapshot=is_snapshot,
-            is_restored=self._is_restored(Topic.ENDPOINTS),
         )
 
     def _apply_observations(
--- a/foxtailhatch/router/topic_follower.py
+++ b/foxtailhatch/router/topic_follower.py
@@ -15,6 +15,7 @@
     Topic,
 )
 from foxtailhatch.router.mirror import TopicMirror
+from foxtailhatch.router.store_outage import StoreOutage
 
 # Consecutive failed reads after which the store counts as unreachable.
 FAILURES_MIN = 2
@@ -45,10 +46,10 @@
         mirror: TopicMirror,
         on_records: OnRecords,
         log: StructuredLog,
+        outage: StoreOutage,
         clock: Callable[[], float],
     ) -> None:
         """Start without a position, so that a snapshot is read first."""
-        self.failed_at: float | None = None
         self.restored_at: float | None = None
         self.is_lost = False
         self.failures = 0
@@ -57,6 +58,7 @@
         self._mirror = mirror
         self._on_records = on_records
         self._log = log
+        self._outage = outage
         self._clock = clock
         self._position: LogPosition | None = None
         self._needs_snapshot = True
@@ -103,14 +105,14 @@
         else:
             read = await self._store.read(self._topic, position.offset, wait_s)
         if not isinstance(read, Success):
-            self._read_failed(read.failure())
+            self._read_failed(read.failure(), sent_at)
             return None
-        page = read.unwrap()
+        page: KeyedPage = read.unwrap()
         if self._position != position:
             # A peer's update was applied during the read, so the page may
             # be older than what is known now.
             return None
-        self._read_succeeded()
+        self._read_succeeded(sent_at)
         if not is_snapshot and not self._continues(page):
             self._needs_snapshot = True
             return None
@@ -150,6 +152,7 @@
     ) -> None:
         before = self._position
         self._position = end
+        self._outage.record_epoch(end.epoch, self._clock())
         if before is not None and end.epoch != before.epoch:
             self.restored_at = self._clock()
         if is_snapshot:
@@ -191,14 +194,14 @@
         if known is None or confirmed_at > known:
             self._mirror.confirmed_at = confirmed_at
 
-    def _read_failed(self, fault: StoreFault) -> None:
-        self.failed_at = self._clock()
+    def _read_failed(self, fault: StoreFault, sent_at: float) -> None:
         if fault is StoreFault.HISTORY_GONE:
             # The store is reachable: continue with a snapshot.
-            self._read_succeeded()
+            self._read_succeeded(sent_at)
             self._needs_snapshot = True
             self._log.write('history_gone', topic=self._topic.value)
             return
+        self._outage.record_failure(sent_at)
         self.failures += 1
         if self.failures < FAILURES_MIN:
             # A healthy store may break off a long-polling read.
@@ -216,7 +219,8 @@
                 confirmed_at=self.confirmed_at,
             )
 
-    def _read_succeeded(self) -> None:
+    def _read_succeeded(self, sent_at: float) -> None:
+        self._outage.record_success(sent_at, self._clock())
         self.failures = 0
         if self.is_lost:
             self.is_lost = False
--- a/tests/fleet/test_table.py
+++ b/tests/fleet/test_table.py
@@ -3,7 +3,6 @@
 from foxtailhatch.fleet.observed_layers import LIST_LAG_S, RELEASE_MAX_S
 from foxtailhatch.fleet.table import (
     FAILURE_BACKOFF_S,
-    LAPSE_GRACE_S,
     REFUSAL_BACKOFF_MAX_S,
     REFUSAL_BACKOFF_S,
     REVIVAL_DELAY_S,
@@ -80,18 +79,25 @@
     assert names(table, 10) == ['e1']
 
 
-def test_lapsed_endpoint_is_usable_for_the_grace_period():
+def test_lapsed_endpoint_is_usable_until_its_time_is_over():
     table = table_of(endpoint('e1'))
-    table.mark_lapsed('e1', 10)
-    assert table.remove_lapsed(10 + LAPSE_GRACE_S / 2) == []
+    table.mark_lapsed('e1', 12)
+    assert table.remove_lapsed(11) == []
     assert names(table, 11) == ['e1']
-    assert table.remove_lapsed(10 + LAPSE_GRACE_S) == ['e1']
+    assert table.remove_lapsed(12) == ['e1']
     assert names(table, 12) == []
 
 
+def test_time_of_a_lapsed_endpoint_is_not_extended():
+    table = table_of(endpoint('e1'))
+    table.mark_lapsed('e1', 12)
+    table.mark_lapsed('e1', 14)
+    assert table.remove_lapsed(12) == ['e1']
+
+
 def test_lapsed_endpoint_that_is_listed_again_stays():
     table = table_of(endpoint('e1'))
-    table.mark_lapsed('e1', 10)
+    table.mark_lapsed('e1', 12)
     table.put(endpoint('e1'), 11)
     assert table.remove_lapsed(20) == []
 
--- a/tests/router/entry_network.py
+++ b/tests/router/entry_network.py
@@ -30,6 +30,7 @@
 )
 from foxtailhatch.router.state_sync import StateSync
 from tests.faults.virtual_loop import VirtualLoop
+from tests.fleet.endpoints import endpoint
 from tests.relay.fakes import ListLog
 from tests.router.fakes import SETTINGS
 from tests.routes.configurations import configuration
@@ -153,6 +154,12 @@
             await asyncio.sleep(3600)
 
 
+def decode_endpoint(name, raw):
+    if raw != b'ready':
+        return Failure('of another kind')
+    return Success(endpoint(name))
+
+
 class SimulatedEntry:
     """The part of an entry that follows the store and feeds others."""
 
@@ -169,7 +176,7 @@
             decode_configuration=lambda raw: Success(
                 configuration(version=int(raw))
             ),
-            decode_endpoint=lambda name, raw: Failure('of another kind'),
+            decode_endpoint=decode_endpoint,
         )
         self.state_sync = StateSync(
             self.board,
--- a/tests/router/test_observation_cleanup.py
+++ b/tests/router/test_observation_cleanup.py
@@ -4,7 +4,7 @@
 
 from foxtailhatch.router.keyed_log import KeyedRecord, LogPosition, Topic
 from foxtailhatch.router.leader_lease import LeaderLease
-from foxtailhatch.router.mirror import TopicMirror
+from foxtailhatch.router.mirror import Mirror
 from foxtailhatch.router.observation_cleanup import (
     ABSENT_S,
     MAX_DELETIONS,
@@ -30,14 +30,15 @@
 def make_cleanup(keys, *, is_held=True):
     clock = Clock()
     blackboard = board(clock)
-    mirror = TopicMirror()
+    mirror = Mirror()
+    topic = mirror.topics[Topic.OBSERVATIONS]
     records = [KeyedRecord(key, b'1') for key in keys]
-    mirror.reset(records, LogPosition(0, len(records)))
+    topic.reset(records, LogPosition(0, len(records)))
     store = RecordingStore()
     lease = LeaderLease(blackboard, store, ListLog())
     lease.is_held = is_held
     cleanup = ObservationCleanup(blackboard, store, mirror, lease, ListLog())
-    return cleanup, clock, blackboard, store, mirror
+    return cleanup, clock, blackboard, store, topic
 
 
 def test_observations_of_endpoints_that_left_are_deleted():
@@ -72,7 +73,7 @@
 
 
 def test_writes_of_a_step_are_bounded():
-    cleanup, clock, _, store, mirror = make_cleanup(
+    cleanup, clock, _, store, topic = make_cleanup(
         [f'e-{number}' for number in range(3 * MAX_DELETIONS)]
     )
     asyncio.run(cleanup.step())
@@ -80,6 +81,6 @@
     asyncio.run(cleanup.step())
     assert len(store.deleted) == MAX_DELETIONS
     tombstones = [KeyedRecord(key, None) for key in store.deleted]
-    mirror.append(tombstones, LogPosition(0, 99))
+    topic.append(tombstones, LogPosition(0, 99))
     asyncio.run(cleanup.step())
     assert len(set(store.deleted)) == 2 * MAX_DELETIONS
--- a/tests/router/test_record_applier.py
+++ b/tests/router/test_record_applier.py
@@ -9,6 +9,7 @@
 from foxtailhatch.router.keyed_log import KeyedRecord
 from foxtailhatch.router.observations import EndpointObservation
 from foxtailhatch.router.record_applier import RecordApplier
+from foxtailhatch.router.store_outage import NEVER
 from tests.fleet.endpoints import endpoint
 from tests.relay.fakes import ListLog
 from tests.router.fakes import Clock, board
@@ -50,10 +51,10 @@
     return applier, log
 
 
-def apply_endpoints(applier, *pairs, failed_at=None, **kind):
+def apply_endpoints(applier, *pairs, lapses_until=NEVER, **kind):
     records = [KeyedRecord(*pair) for pair in pairs]
     kind.setdefault('is_snapshot', False)
-    applier.apply_endpoints(records, failed_at, **kind)
+    applier.apply_endpoints(records, lapses_until, **kind)
 
 
 def test_older_configuration_is_ignored():
@@ -101,11 +102,21 @@
     blackboard = board(clock)
     applier, _ = make_applier(blackboard)
     apply_endpoints(applier, ('e1', b'1'))
-    apply_endpoints(applier, ('e1', None), failed_at=clock.now - 1)
+    apply_endpoints(applier, ('e1', None), lapses_until=clock.now + 2)
     assert blackboard.endpoints.get('e1') is not None
+    assert blackboard.endpoints.remove_lapsed(clock.now + 1.9) == []
     assert blackboard.endpoints.remove_lapsed(clock.now + 2) == ['e1']
 
 
+def test_endpoint_deleted_after_the_grace_period_is_removed_at_once():
+    clock = Clock()
+    blackboard = board(clock)
+    applier, _ = make_applier(blackboard)
+    apply_endpoints(applier, ('e1', b'1'))
+    apply_endpoints(applier, ('e1', None), lapses_until=clock.now)
+    assert blackboard.endpoints.get('e1') is None
+
+
 def test_endpoint_missing_from_a_snapshot_is_removed():
     blackboard = board()
     applier, _ = make_applier(blackboard)
@@ -121,8 +132,13 @@
     applier, log = make_applier(blackboard)
     apply_endpoints(applier, ('e1', b'1.7'), ('e2', b'1.7'))
     apply_endpoints(applier, ('e1', None))
-    restored = {'is_snapshot': True, 'is_restored': True}
-    apply_endpoints(applier, ('e1', b'1.4'), ('e2', b'1.4'), **restored)
+    apply_endpoints(
+        applier,
+        ('e1', b'1.4'),
+        ('e2', b'1.4'),
+        is_snapshot=True,
+        lapses_until=blackboard.clock() + 2,
+    )
     assert set(blackboard.endpoints.names()) == {'e2'}
     assert log.of('endpoint_outdated') == [{'name': 'e1'}]
 
@@ -134,7 +150,12 @@
     blackboard = board(clock)
     applier, _ = make_applier(blackboard)
     apply_endpoints(applier, ('e1', b'1.2'), ('e2', b'1.1'))
-    apply_endpoints(applier, ('e1', b'1.1'), is_snapshot=True, is_restored=True)
+    apply_endpoints(
+        applier,
+        ('e1', b'1.1'),
+        is_snapshot=True,
+        lapses_until=clock.now + 2,
+    )
     assert set(blackboard.endpoints.names()) == {'e1', 'e2'}
     apply_endpoints(applier, ('e1', b'1.3'))
     assert blackboard.endpoints.remove_lapsed(clock.now + 2) == ['e2']
--- a/tests/router/test_restored_store.py
+++ b/tests/router/test_restored_store.py
@@ -18,6 +18,8 @@
 )
 from foxtailhatch.router.keyed_log import KeyedRecord, Topic
 from foxtailhatch.router.mirror import Mirror
+from foxtailhatch.router.settings import Bounds
+from foxtailhatch.router.store_outage import StoreOutage
 from foxtailhatch.router.topic_follower import TopicFollower
 from tests.relay.fakes import ListLog
 from tests.router.fakes import Clock, MemoryStore
@@ -39,6 +41,7 @@
             self.mirror.topics[TOPIC],
             self._apply,
             ListLog(),
+            StoreOutage(Bounds()),
             clock,
         )
 
--- a/tests/router/test_topic_follower.py
+++ b/tests/router/test_topic_follower.py
@@ -10,12 +10,14 @@
     Topic,
 )
 from foxtailhatch.router.mirror import TopicMirror
+from foxtailhatch.router.settings import Bounds
+from foxtailhatch.router.store_outage import StoreOutage
 from foxtailhatch.router.topic_follower import FAILURES_MIN, TopicFollower
 from tests.relay.fakes import ListLog
 from tests.router.fakes import Clock, MemoryStore
 
 
-def make_follower(store, clock=None):
+def make_follower(store, clock=None, outage=None):
     applied = []
     log = ListLog()
 
@@ -28,11 +30,24 @@
         TopicMirror(),
         on_records,
         log,
+        outage or StoreOutage(Bounds()),
         clock or Clock(),
     )
     return follower, applied, log
 
 
+class SlowStore(MemoryStore):
+    """A store whose reads take a second, also those that fail."""
+
+    def __init__(self, clock):
+        super().__init__()
+        self.clock = clock
+
+    async def read(self, topic, offset, wait_s):
+        self.clock.now += 1
+        return await super().read(topic, offset, wait_s)
+
+
 def step(follower, times=1):
     for _ in range(times):
         asyncio.run(follower.step())
@@ -108,7 +123,34 @@
     clock.now = 20
     step(follower)
     assert follower.confirmed_at == 10
-    assert follower.failed_at == 20
+
+
+def test_failure_is_dated_by_the_send_of_the_read():
+    """Dated by its timeout, it made an outage look longer than it was."""
+    clock = Clock(10)
+    store = SlowStore(clock)
+    outage = StoreOutage(Bounds())
+    follower, _, _ = make_follower(store, clock, outage)
+    step(follower)
+    store.fault = StoreFault.UNREACHABLE
+    clock.now = 20
+    step(follower)
+    assert clock.now == 21
+    assert outage.failed_at == 20
+    store.fault = None
+    step(follower)
+    assert outage.returned_at == 22
+
+
+def test_lost_history_does_not_date_an_outage():
+    store = MemoryStore()
+    store.add(Topic.ENDPOINTS, KeyedRecord('a', b'1'))
+    outage = StoreOutage(Bounds())
+    follower, _, _ = make_follower(store, outage=outage)
+    step(follower)
+    store.first[Topic.ENDPOINTS] = 5
+    step(follower)
+    assert outage.failed_at is None
 
 
 def update(*keys, end, is_snapshot=False, age_s=0.5):
