--- a/foxtailhatch/router/leader_lease.py
+++ b/foxtailhatch/router/leader_lease.py
@@ -119,6 +119,7 @@
         self._fenced_token = self.fencing_token
 
     async def _join(self) -> None:
+        sent_at = self._board.clock()
         joined = await self._store.join(
             self._board.cfg.instance,
             self._generation,
@@ -126,7 +127,7 @@
         )
         if isinstance(joined, Success):
             self._is_renewal_failing = False
-            self._renewed(joined.unwrap(), self._board.clock())
+            self._renewed(joined.unwrap(), sent_at, self._board.clock())
         elif not self._is_renewal_failing:
             self._is_renewal_failing = True
             self._log.write(
@@ -136,9 +137,16 @@
                 token=self.fencing_token,
             )
 
-    def _renewed(self, membership: Membership, now: float) -> None:
+    def _renewed(
+        self, membership: Membership, sent_at: float, now: float
+    ) -> None:
+        """Apply the answer to a call that was sent at ``sent_at``.
+
+        The store counts the lease from the arrival of the call, which may be
+        long before its answer.
+        """
         lapses_at = self._renewed_at + LEASE_S
-        self._renewed_at = now
+        self._renewed_at = sent_at
         if membership.epoch > self._epoch:
             self._epoch = membership.epoch
             self._generation = 0
--- a/tests/router/test_leader_lease.py
+++ b/tests/router/test_leader_lease.py
@@ -47,6 +47,37 @@
         return self.lease.may_order(self.clock.now)
 
 
+class SlowStore(MemoryStore):
+    """A store that answers a call after ``delay_s``."""
+
+    def __init__(self, clock):
+        super().__init__()
+        self.clock = clock
+        self.delay_s = 0
+
+    async def join(self, member, generation, lease_s):
+        joined = await super().join(member, generation, lease_s)
+        self.clock.now += self.delay_s
+        return joined
+
+
+# Guards against orders after the lease has lapsed, as it was counted from the
+# answer of a slow store.
+def test_lease_is_counted_from_the_send_of_the_renewal():
+    world = World()
+    slow = SlowStore(world.clock)
+    slow.membership = world.store.membership
+    world.lease = LeaderLease(world.board, slow, ListLog())
+    slow.delay_s = 0.9
+    world.maintain()
+    renewed_at = world.clock.now - slow.delay_s
+    world.clock.now = renewed_at + LEASE_S
+    world.board.configuration_confirmed_at = world.clock.now
+    assert world.may_order()
+    world.clock.now += 0.01
+    assert not world.may_order()
+
+
 def test_only_the_holder_may_order():
     assert World().may_order()
     assert not World(holder=False).may_order()
