--- a/foxtailhatch/platform/requests.py
+++ b/foxtailhatch/platform/requests.py
@@ -74,7 +74,7 @@
     id_header = names.REQUEST_ID
 
     def encode(self, req: RelayRequest, dispatch: Dispatch) -> bytes:
-        """Return the HTTP/1.1 request to send to an endpoint."""
+        """Return the head of the HTTP/1.1 request to send to an endpoint."""
         lines = [
             f'{req.method} {req.target} HTTP/1.1'.encode(HEADER_ENCODING),
             b': '.join((b'Host', req.host.encode(HEADER_ENCODING))),
@@ -83,7 +83,7 @@
         lines.extend(b': '.join(pair) for pair in _own_headers(req, dispatch))
         if req.body or req.method in _BODY_METHODS:
             lines.append(b'Content-Length: %d' % len(req.body))
-        return b'\r\n'.join((*lines, b'', req.body))
+        return b'\r\n'.join((*lines, b'', b''))
 
     def decode_forwarded_head(
         self, head: ResponseHead, req: RelayRequest
--- a/foxtailhatch/platform/settings.py
+++ b/foxtailhatch/platform/settings.py
@@ -5,11 +5,16 @@
 
 from returns.result import Failure, Result, Success
 
-from foxtailhatch.router.settings import Bounds, RouterSettings
+from foxtailhatch.router.settings import (
+    DEFAULT_MEMORY_BYTES,
+    Bounds,
+    RouterSettings,
+)
 
 SETTINGS_VARIABLE = 'FOXTAILHATCH_SETTINGS'
 DEFAULT_PATH = '/etc/foxtailhatch/settings.conf'
 MS_IN_S = 1000.0
+BYTES_IN_MB = 1_000_000
 REQUIRED = ('node_name', 'ip', 'zone', 'region', 'platform.address')
 
 
@@ -71,6 +76,7 @@
         cpu_cores=_cpu_cores(fields),
         store_address=fields['platform.address'],
         bounds=_bounds(fields),
+        memory_bytes=_memory_bytes(fields),
     )
 
 
@@ -85,6 +91,11 @@
     return share * _number(fields, 'limits.cores', 1)
 
 
+def _memory_bytes(fields: Mapping[str, str]) -> int:
+    default_mb = DEFAULT_MEMORY_BYTES / BYTES_IN_MB
+    return int(_number(fields, 'limits.memory_mb', default_mb) * BYTES_IN_MB)
+
+
 def _bounds(fields: Mapping[str, str]) -> Bounds:
     defaults = Bounds()
 
--- a/foxtailhatch/relay/attempt.py
+++ b/foxtailhatch/relay/attempt.py
@@ -80,6 +80,7 @@
             self,
             context.codec.id_header,
             outgoing.req.request_id.encode('latin-1'),
+            outgoing.req.body,
         )
         self._exchange: Exchange | None = open_exchange(
             context.reactor,
--- a/foxtailhatch/relay/attempt_history.py
+++ b/foxtailhatch/relay/attempt_history.py
@@ -17,7 +17,7 @@
     ) -> None:
         """Start with no attempts."""
         self.unreached = 0
-        self._admitted = admitted
+        self.admitted = admitted
         self._endpoints = endpoints
         self._sent_to: dict[str, LiveEndpoint] = {}
         self._lost: list[LiveEndpoint] = []
@@ -27,7 +27,7 @@
     @property
     def is_exhausted(self) -> bool:
         """Return whether the limit on attempts is reached."""
-        return len(self._attempted()) >= self._admitted.route.attempts
+        return len(self._attempted()) >= self.admitted.route.attempts
 
     @property
     def lost_heads(self) -> int:
@@ -79,7 +79,7 @@
         Once the limit on attempts is reached, only chain heads that have
         been tried may receive the request again.
         """
-        admitted = self._admitted
+        admitted = self.admitted
         if not self.is_exhausted:
             return SelectionRequest(
                 admitted.service,
--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -11,6 +11,7 @@
     LiveEndpoint,
     RateLimits,
 )
+from foxtailhatch.relay.body_memory import BodyMemory
 from foxtailhatch.relay.request import RelayRequest, WireCodec
 from foxtailhatch.relay.retry_budget import RetryBudget
 from foxtailhatch.relay.structured_log import StructuredLog
@@ -124,6 +125,7 @@
     """The dependencies of relays, and the relays in progress.
 
     ``entries`` returns the number of entries that share the load.
+    ``bodies`` bounds the memory of all requests and responses in progress.
     ``on_suspect`` is called with an endpoint that failed, and the cause.
     """
 
@@ -140,4 +142,5 @@
     prompts: PromptWatch
     entries: Callable[[], int]
     on_suspect: Callable[[LiveEndpoint, str], None]
+    bodies: BodyMemory = field(default_factory=BodyMemory)
     running: set[Any] = field(default_factory=set)
--- a/foxtailhatch/relay/delivery.py
+++ b/foxtailhatch/relay/delivery.py
@@ -40,6 +40,11 @@
         """Return the number of the last forwarded event."""
         return self._sequencer.last
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the part of a body that is not forwarded yet."""
+        return self._buffered_bytes
+
     @property
     def has_gap(self) -> bool:
         """Return whether the current attempt skipped an event."""
@@ -77,8 +82,12 @@
         self._buffered.append(chunk)
         self._buffered_bytes += len(chunk)
         if self._buffered_bytes > MAX_BUFFERED_BODY_BYTES or self.is_started:
-            self.start(response, now)
-            self._flush()
+            self.forward_buffered(response, now)
+
+    def forward_buffered(self, response: EndpointResponse, now: float) -> None:
+        """Forward what is buffered of a body before it is complete."""
+        self.start(response, now)
+        self._flush()
 
     def finish(self, response: EndpointResponse, now: float) -> None:
         """End the caller's response as complete."""
@@ -104,6 +113,7 @@
         for chunk in self._buffered:
             self._caller.write(chunk)
         self._buffered.clear()
+        self._buffered_bytes = 0
 
     def _record_progress(self, now: float) -> None:
         if self.is_started:
--- a/foxtailhatch/relay/event_stream.py
+++ b/foxtailhatch/relay/event_stream.py
@@ -35,6 +35,11 @@
         """Return whether an incomplete event is buffered."""
         return bool(self._partial)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of the incomplete event that is buffered."""
+        return len(self._partial)
+
     @property
     def is_overlong(self) -> bool:
         """Return whether the incomplete event exceeds ``MAX_EVENT_BYTES``."""
--- a/foxtailhatch/relay/http_connection.py
+++ b/foxtailhatch/relay/http_connection.py
@@ -14,7 +14,9 @@
 
 import httptools
 from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import ClientFactory, Protocol
+from zope.interface import implementer
 
 FIRST_FINAL_STATUS = 200
 BODYLESS_STATUSES = frozenset((204, 304))
@@ -24,6 +26,9 @@
 # without end, trailers, or responses to other requests.  A server in trouble
 # may send them without end, and the parser stores some of them.
 MAX_OVERHEAD_BYTES = 262_144
+# A longer body is written in pieces of this size as the peer takes them, so that
+# the transport holds no copy of all of it.
+PIECE_BYTES = 65_536
 
 
 class TransportFailure(StrEnum):
@@ -80,9 +85,14 @@
         listener: ResponseListener,
         id_header: bytes = b'',
         request_id: bytes = b'',
+        body: bytes = b'',
     ) -> None:
-        """Store the first request until the connection is established."""
+        """Store the first request until the connection is established.
+
+        ``request`` is sent as it is, and ``body`` after it.
+        """
         self._request = request
+        self._body = body
         self._listener: ResponseListener | None = listener
         self._id_header = id_header
         self._request_id = request_id
@@ -97,7 +107,13 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Send the first request."""
         self._out.setTcpNoDelay(True)
-        self._out.write(self._request)
+        request, body = self._request, self._body
+        self._drop_request()
+        if len(body) <= PIECE_BYTES:
+            self._out.write(request + body)
+            return
+        self._out.write(request)
+        self._out.registerProducer(BodySender(self._out, body), False)
 
     def send(self, request: bytes, listener: ResponseListener) -> None:
         """Send another request on an idle connection."""
@@ -139,6 +155,7 @@
         """Abort the connection without notifying the listener."""
         self._listener = None
         self.is_reusable = False
+        self._drop_request()
         if self.transport is not None:
             self.transport.abortConnection()
 
@@ -200,6 +217,11 @@
     def _out(self) -> Any:
         return self.transport
 
+    def _drop_request(self) -> None:
+        """Drop the request, which may be large."""
+        self._request = b''
+        self._body = b''
+
     def _fail_malformed(self) -> None:
         self._fail(TransportFailure.MALFORMED)
         self.abort()
@@ -211,6 +233,28 @@
             listener.response_failed(fault)
 
 
+@implementer(IPullProducer)
+class BodySender:
+    """Write a body piece by piece, each when the one before was sent."""
+
+    def __init__(self, transport: Any, body: bytes) -> None:
+        """Start at the beginning of ``body``."""
+        self._transport = transport
+        self._left = memoryview(body)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Write the next piece."""
+        self._transport.write(bytes(self._left[:PIECE_BYTES]))
+        self._left = self._left[PIECE_BYTES:]
+        if not self._left:
+            self._transport.unregisterProducer()
+            self.stopProducing()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Drop what is left."""
+        self._left = memoryview(b'')
+
+
 class HttpConnector(ClientFactory):
     """Open one connection; ``on_failure`` is called if that fails."""
 
--- a/foxtailhatch/relay/refusals.py
+++ b/foxtailhatch/relay/refusals.py
@@ -20,6 +20,7 @@
     NO_ROUTE = 'no_route'
     UNKNOWN_KEY = 'unknown_key'
     BODY_TOO_LARGE = 'body_too_large'
+    BODIES_TOO_LARGE = 'bodies_too_large'
     STOPPING = 'stopping'
     NO_ENDPOINT = 'no_endpoint'
     ENDPOINT_REFUSED = 'endpoint_refused'
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -75,7 +75,6 @@
         now: float,
     ) -> None:
         """Prepare the relay; ``begin`` sends the request."""
-        self.admitted = admitted
         self.attempt: Attempt | None = None
         self.is_over = False
         self._context = context
@@ -91,12 +90,18 @@
         self._feedback = EndpointFeedback(
             context, self._history, self.request_id
         )
+        self._held = context.bodies.hold()
         self._delivery = Delivery(caller, admitted.req.last_event_id, now)
         self._sends = 0
         self._has_waited = False
         self._is_sound = False
         self._may_have_run = False
 
+    @property
+    def admitted(self) -> AdmittedRequest:
+        """Return the request; its body is dropped when it is over."""
+        return self._history.admitted
+
     @property
     def request_id(self) -> str:
         """Return the identifier of the request."""
@@ -231,24 +236,41 @@
         response = attempt.response
         if attempt is not self.attempt or response is None:
             return
-        now = self._context.clock()
         was_started = self.is_started
+        failure = None
         if response.is_event_stream:
-            events = attempt.splitter.feed(chunk)
-            if events and not attempt.event_count:
-                self._context.prompts.record_begun(self.admitted.req, now)
-            attempt.event_count += len(events)
-            self._record_if_sound(attempt, now)
-            self._delivery.deliver_events(response, events, now)
+            failure = self._deliver_events(attempt, response, chunk)
         else:
-            self._delivery.deliver_body(response, chunk, now)
+            self._deliver_body(response, chunk)
         if self.is_started and not was_started:
             self._record_first_byte(attempt)
-        if attempt.splitter.is_overlong or self._delivery.has_gap:
+        if failure is not None:
             attempt.cancel()
-            self._on_attempt_failed(
-                attempt, FailureKind.MAY_HAVE_RUN, 'event missing'
-            )
+            self._on_attempt_failed(attempt, FailureKind.MAY_HAVE_RUN, failure)
+
+    def _deliver_events(
+        self, attempt: Attempt, response: EndpointResponse, chunk: bytes
+    ) -> str | None:
+        """Forward complete events; return why the attempt failed, if so."""
+        now = self._context.clock()
+        events = attempt.splitter.feed(chunk)
+        if events and not attempt.event_count:
+            self._context.prompts.record_begun(self.admitted.req, now)
+        attempt.event_count += len(events)
+        self._record_if_sound(attempt, now)
+        self._delivery.deliver_events(response, events, now)
+        if self._delivery.has_gap:
+            return 'event missing'
+        has_room = self._held.resize(attempt.splitter.partial_bytes)
+        is_overlong = attempt.splitter.is_overlong or not has_room
+        return 'event too long' if is_overlong else None
+
+    def _deliver_body(self, response: EndpointResponse, chunk: bytes) -> None:
+        """Buffer a small body; forward it at once if there is no room."""
+        now = self._context.clock()
+        self._delivery.deliver_body(response, chunk, now)
+        if not self._held.resize(self._delivery.buffered_bytes):
+            self._delivery.forward_buffered(response, now)
 
     def attempt_completed(self, attempt: Attempt) -> None:
         """Finish the caller's response, unless the stream was truncated."""
@@ -304,6 +326,7 @@
             self._history.record_send(endpoints[0])
             self._context.rate_limits.record_send(endpoints[0].name, now)
         self._delivery.start_attempt(now)
+        self._held.release()
         self._sends += 1
         dispatch = Dispatch(
             endpoint=endpoints[0].name,
@@ -643,10 +666,23 @@
         self._timers.cancel_all()
         self._context.prompts.end_turn(self.admitted.req)
         self._context.running.discard(self)
+        self._release_bodies()
         took_s = self._context.clock() - self._arrived_at
         self._context.metrics.record_outcome(outcome, took_s)
         self._log_end(outcome, took_s)
 
+    def _release_bodies(self) -> None:
+        """Drop the bodies, as this object may stay in memory for a while.
+
+        Request, relay, attempt and connection refer to each other, so that
+        only the garbage collector finds them.
+        """
+        self._held.release()
+        admitted = self.admitted
+        self._history.admitted = replace(
+            admitted, req=admitted.req.without_body()
+        )
+
     def _log_end(self, outcome: str, took_s: float) -> None:
         delivery = self._delivery
         first_s = delivery.time_to_first_byte_s
--- a/foxtailhatch/relay/request.py
+++ b/foxtailhatch/relay/request.py
@@ -66,6 +66,10 @@
             return self.shared_parts
         return (*self.shared_parts, request_suspect(self.fingerprint))
 
+    def without_body(self) -> 'RelayRequest':
+        """Return the request without its body, which may be large."""
+        return replace(self, body=b'')
+
     def with_fingerprint(self, account: str | None) -> 'RelayRequest':
         """Return the request with its fingerprint.
 
@@ -146,7 +150,7 @@
     id_header: bytes
 
     def encode(self, req: RelayRequest, dispatch: Dispatch) -> bytes:
-        """Return a request to an endpoint as bytes."""
+        """Return the head of a request to an endpoint, which its body follows."""
 
     def decode_head(
         self, head: ResponseHead, req: RelayRequest
--- a/foxtailhatch/router/http_frontend.py
+++ b/foxtailhatch/router/http_frontend.py
@@ -7,12 +7,21 @@
 from returns.result import Success
 from twisted.web import http
 
+from foxtailhatch.relay.body_memory import BodyMemory
 from foxtailhatch.relay.refusal_response import send_refusal
 from foxtailhatch.relay.refusals import RefusalReason, RelayRefusal
 from foxtailhatch.relay.relay import Relay
 from foxtailhatch.relay.request import CallerConnection, RelayRequest
 from foxtailhatch.router.adapter import DecodeRequest
 
+# Bodies are held for a few tenths of a second, until their requests are answered.
+RETRY_AFTER_BODIES_S = 0.25
+
+BODY_TOO_LARGE = RelayRefusal(RefusalReason.BODY_TOO_LARGE)
+BODIES_TOO_LARGE = RelayRefusal(
+    RefusalReason.BODIES_TOO_LARGE, RETRY_AFTER_BODIES_S
+)
+
 
 class FrontendHandler(Protocol):
     """Handle the requests that the front end receives."""
@@ -21,6 +30,10 @@
     def max_body_bytes(self) -> int:
         """Return the maximum size of a request body in bytes."""
 
+    @property
+    def bodies(self) -> BodyMemory:
+        """Return the memory that bodies may take."""
+
     @property
     def is_stopping(self) -> bool:
         """Return whether connections are closed after a response."""
@@ -49,40 +62,49 @@
         """Start with an empty body and no relay."""
         super().__init__(channel, parsePOSTFormSubmission=False)
         self._body = BytesIO()
+        self._held = self.handler.bodies.hold()
         self._relay: Relay | None = None
-        self._too_large = False
+        self._refusal: RelayRefusal | None = None
         self._has_producer = False
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Buffer the body in memory, unless its length exceeds the limit."""
+        """Buffer the body in memory, unless its length exceeds a limit."""
         self.content = self._body
-        self._too_large = (
-            length is not None and length > self.handler.max_body_bytes
-        )
+        size = length or 0
+        if size > self.handler.max_body_bytes:
+            self._reject_body(BODY_TOO_LARGE)
+        elif not self.handler.bodies.has_room(size):
+            self._reject_body(BODIES_TOO_LARGE)
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802, WPS110
-        """Buffer a chunk of the body, unless the limit is exceeded."""
+        """Buffer a chunk of the body, unless a limit is exceeded."""
+        if self._refusal is not None:
+            return
         size = self._body.tell() + len(data)
-        self._too_large = self._too_large or size > self.handler.max_body_bytes
-        if not self._too_large:
+        if size > self.handler.max_body_bytes:
+            self._reject_body(BODY_TOO_LARGE)
+        elif self._held.resize(size):
             self._body.write(data)
+        else:
+            self._reject_body(BODIES_TOO_LARGE)
 
     def process(self) -> None:
         """Decode the request and relay it, or refuse it."""
         self.notifyFinish().addErrback(self._on_disconnect)
-        if self._too_large:
-            self._refuse(RelayRefusal(RefusalReason.BODY_TOO_LARGE))
-            return
         decoded = self.handler.decode(
             self.method.decode('latin-1'),
             self.uri.decode('latin-1'),
             _raw_headers(self),
             self._body.getvalue(),
         )
-        if isinstance(decoded, Success):
-            self._relay = self.handler.start_relay(decoded.unwrap(), self)
+        if not isinstance(decoded, Success):
+            self._refuse(self._refusal or decoded.failure(), '')
+            return
+        req = decoded.unwrap()
+        if self._refusal is None:
+            self._relay = self.handler.start_relay(req, self)
         else:
-            self._refuse(decoded.failure())
+            self._refuse(self._refusal, req.request_id)
 
     def start(
         self,
@@ -100,6 +122,7 @@
     def finish(self) -> None:
         """End the response as complete."""
         self.set_backpressure_source(None)
+        self._held.release()
         super().finish()  # type: ignore[no-untyped-call]
 
     def abort(self) -> None:
@@ -107,6 +130,11 @@
         self.set_backpressure_source(None)
         self.channel.loseConnection()
 
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Release the body of a request whose connection is gone."""
+        self._held.release()
+        super().connectionLost(reason)  # type: ignore[no-untyped-call]
+
     def set_backpressure_source(self, transport: Any) -> None:
         """Pause and resume ``transport`` at the pace of the caller."""
         if self._has_producer:
@@ -116,8 +144,15 @@
             self._has_producer = True
             self.registerProducer(transport, True)  # type: ignore[no-untyped-call]
 
-    def _refuse(self, refusal: RelayRefusal) -> None:
-        self.handler.record_refusal(refusal, '')
+    def _reject_body(self, refusal: RelayRefusal) -> None:
+        """Drop the body, and refuse the request once all of it has come."""
+        self._refusal = refusal
+        self._held.release()
+        self._body.seek(0)
+        self._body.truncate()
+
+    def _refuse(self, refusal: RelayRefusal, request_id: str) -> None:
+        self.handler.record_refusal(refusal, request_id)
         send_refusal(self, refusal)
 
     def _on_disconnect(self, _: object) -> None:
--- a/foxtailhatch/router/metrics.py
+++ b/foxtailhatch/router/metrics.py
@@ -96,28 +96,27 @@
         running: int,
         store_epoch: int = 0,
         configuration_age_s: float = 0,
+        held_body_bytes: int = 0,
     ) -> bytes:
         """Return all metrics as text.
 
         ``version`` is that of the configuration in force, which was confirmed
         ``configuration_age_s`` ago, ``running`` the number of requests in
-        progress, and ``store_epoch`` the epoch of the store at the last read.
+        progress, whose bodies take ``held_body_bytes``, and ``store_epoch``
+        the epoch of the store at the last read.
         """
         usage = resource.getrusage(resource.RUSAGE_SELF)
-        self._gauges.set({'of': 'configuration_version'}, version)
-        self._gauges.set({'of': 'requests_running'}, running)
-        self._gauges.set({'of': 'store_epoch'}, store_epoch)
-        self._gauges.set(
-            {'of': 'configuration_age_seconds'}, configuration_age_s
-        )
-        self._gauges.set(
-            {'of': 'peak_memory_bytes'},
-            usage.ru_maxrss * KIBIBYTE,
-        )
-        self._gauges.set(
-            {'of': 'cpu_seconds'},
-            usage.ru_utime + usage.ru_stime,
-        )
+        levels = {
+            'configuration_version': version,
+            'requests_running': running,
+            'held_body_bytes': held_body_bytes,
+            'store_epoch': store_epoch,
+            'configuration_age_seconds': configuration_age_s,
+            'peak_memory_bytes': usage.ru_maxrss * KIBIBYTE,
+            'cpu_seconds': usage.ru_utime + usage.ru_stime,
+        }
+        for name, level in levels.items():
+            self._gauges.set({'of': name}, level)
         for invariant, count in check_counts.items():
             self._checks.set({'invariant': invariant.value}, count)
         content, _ = render(self._registry, [])
--- a/foxtailhatch/router/relay_context.py
+++ b/foxtailhatch/router/relay_context.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from foxtailhatch.fleet import LiveEndpoint
+from foxtailhatch.relay.body_memory import BodyMemory
 from foxtailhatch.relay.context import PromptWatch, RelayContext, RelayMetrics
 from foxtailhatch.relay.request import WireCodec
 from foxtailhatch.relay.retry_budget import RetryBudget
@@ -13,6 +14,10 @@
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.forwarding import ForwardingSelector
 
+# Share of the memory of the process for bodies.  The rest is for the program, its
+# state and the buffers of connections.
+BODY_MEMORY_SHARE = 0.25
+
 
 @dataclass(frozen=True, slots=True)
 class RelayObservers:
@@ -55,4 +60,5 @@
         prompts=observers.prompts,
         entries=lambda: len(board.entries.ready(board.clock())),
         on_suspect=observers.on_suspect,
+        bodies=BodyMemory(int(BODY_MEMORY_SHARE * board.cfg.memory_bytes)),
     )
--- a/foxtailhatch/router/request_handler.py
+++ b/foxtailhatch/router/request_handler.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from foxtailhatch.relay.admitted_request import AdmittedRequest
+from foxtailhatch.relay.body_memory import BodyMemory
 from foxtailhatch.relay.context import RelayContext
 from foxtailhatch.relay.refusal_response import send_refusal
 from foxtailhatch.relay.refusals import RefusalReason, RelayRefusal
@@ -48,6 +49,12 @@
             return DEFAULT_MAX_BODY_BYTES
         return table.cfg.limits.body_bytes
 
+    @property
+    def bodies(self) -> BodyMemory:
+        """Return the memory that bodies may take."""
+        bodies: BodyMemory = self._context.bodies
+        return bodies
+
     @property
     def is_stopping(self) -> bool:
         """Return whether a stop was requested."""
--- a/foxtailhatch/router/settings.py
+++ b/foxtailhatch/router/settings.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+DEFAULT_MEMORY_BYTES = 300_000_000
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
@@ -37,7 +39,7 @@
 
     Addresses are ``host:port``; an empty one is not served.
     ``peer_address`` is for other entries, and ``cpu_cores`` the processor
-    share in cores.  ``zones`` maps each availability zone to its region.
+    share in cores.  The process is killed beyond ``memory_bytes``.  ``zones`` maps each availability zone to its region.
     """
 
     instance: str
@@ -52,3 +54,4 @@
     cpu_cores: float
     store_address: str
     bounds: Bounds
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
--- a/foxtailhatch/router/status_pages.py
+++ b/foxtailhatch/router/status_pages.py
@@ -66,4 +66,5 @@
             running,
             self._board.store_epoch,
             self._board.configuration_age(self._board.clock()),
+            self._context.bodies.held_bytes,
         )
--- a/tests/relay/test_http_connection.py
+++ b/tests/relay/test_http_connection.py
@@ -13,6 +13,7 @@
 )
 from foxtailhatch.relay.http_connection import (
     MAX_OVERHEAD_BYTES,
+    PIECE_BYTES,
     HttpConnection,
     TransportFailure,
 )
@@ -212,3 +213,42 @@
 
     def disconnect(self):
         self._task.cancel()
+
+
+def connect_with_body(body):
+    connection = HttpConnection(b'head', Listener(), body=body)
+    transport = StringTransport()
+    transport.setTcpNoDelay = lambda _: None
+    connection.makeConnection(transport)
+    return connection, transport
+
+
+def test_short_body_is_sent_with_its_head():
+    _, transport = connect_with_body(b'body')
+    assert transport.value() == b'headbody'
+    assert transport.producer is None
+
+
+def test_long_body_is_sent_in_pieces_as_the_peer_takes_them():
+    """The transport held up to two more copies of a body."""
+    body = bytes(range(256)) * 1024
+    _, transport = connect_with_body(body)
+    sent = transport.value()
+    assert sent == b'head'
+    while transport.producer is not None:
+        transport.clear()
+        transport.producer.resumeProducing()
+        assert len(transport.value()) <= PIECE_BYTES
+        sent += transport.value()
+    assert sent == b'head' + body
+
+
+def test_cancelled_request_drops_its_body():
+    connection, transport = connect_with_body(bytes(4 * PIECE_BYTES))
+    producer = transport.producer
+    connection.abort()
+    producer.stopProducing()
+    unconnected = HttpConnection(b'head', Listener(), body=bytes(100))
+    unconnected.abort()
+    transport.clear()
+    assert transport.value() == b''
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -11,7 +11,7 @@
 from foxtailhatch.relay.retry_budget import RetryBudget
 from foxtailhatch.routes import RouteKind
 from tests.fleet.endpoints import endpoint
-from tests.relay.fakes import start_relay
+from tests.relay.fakes import REQUEST_ID, start_relay
 from tests.routes.configurations import MODEL
 
 AT_MOST_ONCE = {'kind': RouteKind.AT_MOST_ONCE, 'attempts': 1}
@@ -583,3 +583,43 @@
     assert env.caller.status is None
     connection.respond(b'own')
     assert env.caller.body == b'own'
+
+
+def fill_memory(env):
+    """Let other requests hold all of the memory for bodies."""
+
+    env.context.bodies.held_bytes = 10**12
+
+
+def test_event_without_end_is_not_held_beyond_the_memory_for_bodies():
+    env = start_relay(resumable=True)
+    first = env.accept_connection()
+    first.start_stream()
+    first.send_event(1)
+    fill_memory(env)
+    first.send_chunk(b'id: 2\ndata: and so on')
+    assert first.is_aborted
+    assert env.log.of('attempt_failed')[-1]['cause'] == 'event too long'
+
+
+def test_body_is_forwarded_at_once_if_there_is_no_memory_to_hold_it():
+    env = start_relay()
+    endpoint = env.accept_connection()
+    fill_memory(env)
+    endpoint.send_bytes(
+        f'HTTP/1.1 200 X\r\nX-Id: {REQUEST_ID}\r\n'
+        'Content-Length: 6\r\n\r\nabc'.encode()
+    )
+    assert env.caller.body == b'abc'
+    endpoint.send_bytes(b'def')
+    assert env.caller.body == b'abcdef'
+    assert env.caller.finished
+
+
+def test_memory_for_bodies_is_free_after_the_answer():
+    env = start_relay()
+    endpoint = env.accept_connection()
+    endpoint.respond(body=b'x' * 1000)
+    assert env.caller.finished
+    assert env.context.bodies.held_bytes == 0
+    assert env.relay.admitted.req.body == b''
