--- a/foxtailhatch/router/crash_watch.py
+++ b/foxtailhatch/router/crash_watch.py
@@ -69,6 +69,7 @@
 # takes them; the oldest are dropped.
 REWRITE_S = 1.0
 MAX_UNWRITTEN = 64
+MAX_UNWRITTEN_BYTES = 262_144
 
 
 @dataclass(frozen=True, slots=True)
@@ -540,6 +541,8 @@
             self._rewrite_at = float('-inf')
         else:
             self._unwritten.append((key, raw))
+            while _size_bytes(self._unwritten) > MAX_UNWRITTEN_BYTES:
+                self._unwritten.popleft()
             self._log.write(
                 'observation_not_written',
                 endpoint=key,
@@ -551,6 +554,10 @@
     return endpoint.name, endpoint.incarnation
 
 
+def _size_bytes(records: Iterable[tuple[str, bytes | None]]) -> int:
+    return sum(len(key) + len(raw or b'') for key, raw in records)
+
+
 def _take_due(due: dict[str, float], now: float) -> list[str]:
     """Remove and return the parts whose time has come."""
     taken = [part for part, due_at in due.items() if due_at <= now]
--- a/tests/router/test_crash_watch.py
+++ b/tests/router/test_crash_watch.py
@@ -15,7 +15,12 @@
 from foxtailhatch.recovery.quarantine import TRIAL_PAUSE_S
 from foxtailhatch.relay.context import SelectedStage
 from foxtailhatch.router.blackboard import Blackboard
-from foxtailhatch.router.crash_watch import CONFIRM_S, SPREAD_S, CrashWatch
+from foxtailhatch.router.crash_watch import (
+    CONFIRM_S,
+    MAX_UNWRITTEN_BYTES,
+    SPREAD_S,
+    CrashWatch,
+)
 from foxtailhatch.router.keyed_log import KeyedRecord, StoreFault
 from tests.fleet.endpoints import endpoint
 from tests.relay.fakes import ListLog
@@ -442,3 +447,21 @@
         one.watch.record_begun(prompt('s', 'x'), fleet.clock())
     fleet.advance(0.2)
     assert fleet.blocked('bad', 'x') == [True, True, True]
+
+
+# Guards against memory that grows by the size of each record which a store that
+# is away does not take.
+def test_size_of_unwritten_records_is_bounded():
+    fleet = Fleet(entries=1)
+    entry = fleet.entries[0]
+    fleet.store.is_down = True
+
+    async def write_all():
+        for number in range(64):
+            entry.watch._put(f'lost/{number}', bytes(100_000))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+    asyncio.run(write_all())
+    kept = [len(raw) for _, raw in entry.watch._unwritten]
+    assert 0 < sum(kept) <= MAX_UNWRITTEN_BYTES
