--- a/tests/outside/test_http_client.py
+++ b/tests/outside/test_http_client.py
@@ -46,6 +46,14 @@
     assert _fault(outcome) is PlatformFault.NO_RESPONSE
 
 
+# Guards against a success for an answer that ended in its head or body.
+@pytest.mark.parametrize('sent', range(len(RESPONSE)))
+def test_a_response_that_ends_anywhere_is_no_response(sent):
+    with raw_server({b'GET': RESPONSE[:sent]}) as ports:
+        outcome = run(client().send(ports.address(), GET))
+    assert _fault(outcome) is PlatformFault.NO_RESPONSE
+
+
 def test_a_frozen_server_gives_no_response():
     standin = LogStandIn()
     standin.faults.freeze = True
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -623,3 +623,44 @@
     assert env.caller.finished
     assert env.context.bodies.held_bytes == 0
     assert env.relay.admitted.req.body == b''
+
+
+HEAD = f'HTTP/1.1 200 OK\r\nX-Id: {REQUEST_ID}\r\nX-Seal: 3e1b\r\n'.encode()
+RESPONSES = {
+    'length': HEAD + b'Content-Length: 5\r\n\r\nhello',
+    'chunks': HEAD
+    + b'Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n',
+    'connection': HEAD + b'\r\nhello',
+    'stream': HEAD
+    + b'Content-Type: text/event-stream\r\n\r\nid: 1\ndata: t\n\n',
+}
+
+
+# Guards against a 200 with an empty or short body for an answer of which the
+# endpoint has sent a part of the head only.
+@pytest.mark.parametrize('clean', [True, False])
+@pytest.mark.parametrize('kind', RESPONSES)
+def test_answer_that_ends_in_its_head_is_no_success(kind, clean):
+    raw = RESPONSES[kind]
+    for cut in range(raw.index(b'\r\n\r\n') + 4):
+        env = start_relay(
+            names=('e1',), kind=RouteKind.AT_MOST_ONCE, attempts=1
+        )
+        endpoint = env.accept_connection()
+        if cut:
+            endpoint.send_bytes(raw[:cut])
+        endpoint.close(clean=clean)
+        assert env.caller.status == 502, cut
+
+
+@pytest.mark.parametrize('kind', ['length', 'chunks'])
+def test_answer_that_ends_in_its_body_is_no_success(kind):
+    raw = RESPONSES[kind]
+    for cut in range(raw.index(b'\r\n\r\n') + 4, len(raw)):
+        env = start_relay(
+            names=('e1',), kind=RouteKind.AT_MOST_ONCE, attempts=1
+        )
+        endpoint = env.accept_connection()
+        endpoint.send_bytes(raw[:cut])
+        endpoint.close()
+        assert env.caller.status == 502, cut
