--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -34,6 +34,8 @@
 # retries after this time is likely to be served.
 RETRY_AFTER_NO_ENDPOINT_S = 1.0
 RETRY_AFTER_REFUSED_S = 0.5
+# Another entry can take the request at once.
+RETRY_AFTER_STOPPING_S = 0.05
 # Pause before a quarantined part of a prompt is first tried again.
 RETRY_AFTER_QUARANTINED_S = 10.0
 # Limit on the wait of a request for capacity: half of the usual target for the
@@ -135,6 +137,19 @@
         """Cancel the request, as its caller has disconnected."""
         self._end('caller_left')
 
+    def end_for_stop(self) -> None:
+        """End the request with an answer, as this process is about to end."""
+        attempt = self.attempt
+        if attempt is not None and not attempt.is_over:
+            self._may_have_run = self._may_have_run or attempt.is_connected
+        if self.is_started:
+            self._caller.abort()
+            self._end('broken_off')
+        elif self._may_have_run:
+            self._refuse(RefusalReason.OUTCOME_UNKNOWN)
+        else:
+            self._refuse(RefusalReason.STOPPING, RETRY_AFTER_STOPPING_S)
+
     def exclude(self, name: str) -> None:
         """Exclude an endpoint from later attempts of this request."""
         self._history.exclude(name)
--- a/foxtailhatch/router/admission.py
+++ b/foxtailhatch/router/admission.py
@@ -17,6 +17,8 @@
 # A stopping entry accepts requests for this long: callers keep its address for a
 # while, and a response can still be completed within the grace period of a stop.
 STOP_ACCEPT_S = 2.5
+# Part of the grace period for which a stopping entry accepts requests at most.
+STOP_ACCEPT_SHARE = 0.3125
 RETRY_AFTER_ELSEWHERE_S = 0.05
 RETRY_AFTER_UNCONFIGURED_S = 0.5
 
@@ -59,7 +61,10 @@
             RefusalReason.NO_CONFIGURATION, RETRY_AFTER_UNCONFIGURED_S
         )
     requested_at = board.stop_requested_at
-    if requested_at is not None and now - requested_at > STOP_ACCEPT_S:
+    accept_s = min(
+        STOP_ACCEPT_S, STOP_ACCEPT_SHARE * board.cfg.bounds.stop_grace_s
+    )
+    if requested_at is not None and now - requested_at > accept_s:
         return RelayRefusal(RefusalReason.STOPPING, RETRY_AFTER_ELSEWHERE_S)
     return None
 
--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -39,6 +39,7 @@
 CRASH_WATCH_PERIOD_S = 0.1
 CLEANUP_PERIOD_S = 5.0
 SHUTDOWN_CHECK_PERIOD_S = 0.25
+STOPPING_CHECK_PERIOD_S = 0.05
 # Period of the loops of placement and stalls while they have nothing to do.  An
 # entry that idles costs processor time with each step of a loop.
 IDLE_PERIOD_S = 0.2
@@ -151,7 +152,7 @@
             self._crash_watch_pause_s, components.crash_watch.step
         )
         every(CLEANUP_PERIOD_S, components.observation_cleanup.step)
-        every(SHUTDOWN_CHECK_PERIOD_S, self._check_shutdown)
+        self._loops.repeat(self._shutdown_pause_s, self._check_shutdown)
         self._loops.repeat(
             self._placement_pause_s, components.placement_controller.step
         )
@@ -161,6 +162,12 @@
         may_order = self._components.lease.may_order(boot_time_clock())
         return PLACEMENT_PERIOD_S if may_order else IDLE_PERIOD_S
 
+    def _shutdown_pause_s(self) -> float:
+        is_stopping = self._components.board.stop_requested_at is not None
+        return (
+            STOPPING_CHECK_PERIOD_S if is_stopping else SHUTDOWN_CHECK_PERIOD_S
+        )
+
     def _stall_check_pause_s(self) -> float:
         is_busy = self._components.stall_detector.has_streams
         return STALL_CHECK_PERIOD_S if is_busy else IDLE_PERIOD_S
--- a/foxtailhatch/router/graceful_shutdown.py
+++ b/foxtailhatch/router/graceful_shutdown.py
@@ -6,8 +6,10 @@
 
 # A stopping entry runs for at least this long, for callers that still connect.
 MIN_STOP_S = 2.5
-# The process ends this long before the end of the grace period.
-GRACE_MARGIN_S = 0.4
+# Before the end of the grace period requests in progress are answered that they
+# end here, and then the process ends.
+ANSWER_MARGIN_S = 0.5
+EXIT_MARGIN_S = 0.25
 
 
 class GracefulShutdown:
@@ -39,8 +41,15 @@
         if requested_at is None:
             return
         elapsed_s = now - requested_at
-        latest_s = self._board.cfg.bounds.stop_grace_s - GRACE_MARGIN_S
+        left_s = self._board.cfg.bounds.stop_grace_s - elapsed_s
+        if left_s <= ANSWER_MARGIN_S:
+            self._end_running()
         is_idle = not self._context.running and elapsed_s >= MIN_STOP_S
-        if is_idle or elapsed_s >= latest_s:
+        if left_s <= EXIT_MARGIN_S or (is_idle and left_s > ANSWER_MARGIN_S):
             self._log.write('stop', running=len(self._context.running))
             self.is_over = True
+
+    def _end_running(self) -> None:
+        """Answer the requests in progress while their callers can be told."""
+        for relay in tuple(self._context.running):
+            relay.end_for_stop()
--- a/tests/router/test_admission.py
+++ b/tests/router/test_admission.py
@@ -1,3 +1,4 @@
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -104,3 +105,18 @@
     assert admission_result(env).map(lambda _: True).value_or(False)
     late = 99 + STOP_ACCEPT_S + 0.1
     assert refusal_reason(env, now=late) is RefusalReason.STOPPING
+
+
+# Guards against requests that are taken when too little is left of the grace
+# period to answer them.
+@pytest.mark.parametrize('grace_s', [1.0, 3.0, 8.0, 30.0])
+def test_stopping_entry_accepts_in_the_first_part_of_its_grace_period(grace_s):
+    env = board(Clock(), CFG)
+    bounds = replace(SETTINGS.bounds, stop_grace_s=grace_s)
+    env.cfg = replace(SETTINGS, bounds=bounds)
+    env.stop_requested_at = 100.0
+    accept_s = min(STOP_ACCEPT_S, grace_s / 3)
+    late = 100 + accept_s + 0.01
+    assert refusal_reason(env, now=late) is RefusalReason.STOPPING
+    early = admission_result(env, now=100 + accept_s / 2)
+    assert early.map(lambda _: True).value_or(False)
