--- a/foxtailhatch/router/stall_detector.py
+++ b/foxtailhatch/router/stall_detector.py
@@ -98,20 +98,25 @@
             self._reroute_around_dead()
 
     def _reroute_around_dead(self) -> None:
-        """Reroute all streams over dead or draining endpoints."""
+        """Reroute all streams over a dead endpoint or a draining stage."""
         for relay in filter(_is_chain, tuple(self._context.running)):
             if self._crosses_unusable(relay):
                 self._start_reroute(relay)
 
     def _crosses_unusable(self, relay: Relay) -> bool:
+        """Return whether another chain from the same head would be better.
+
+        A head that drains does not count: it serves its streams on, and no
+        other chain from it avoids it.
+        """
         endpoints = self._context.endpoints
         attempt = relay.attempt
         if attempt is None or attempt.usable_revision == endpoints.revision:
             return False
         is_unusable = any(
             endpoints.is_dead(stage.endpoint.name)
-            or not endpoints.accepts_work(stage.endpoint)
-            for stage in attempt.chosen
+            or (position and not endpoints.accepts_work(stage.endpoint))
+            for position, stage in enumerate(attempt.chosen)
         )
         if not is_unusable:
             attempt.usable_revision = endpoints.revision
--- a/tests/router/test_stall_detector.py
+++ b/tests/router/test_stall_detector.py
@@ -1,9 +1,13 @@
 """Detection of stalled streams, and rerouting around the cause."""
 
 import asyncio
+from dataclasses import replace
 
+from foxtailhatch.core import LayerRange
+from foxtailhatch.fleet import EndpointState
 from foxtailhatch.placement.protocols import OrderOutcome, RerouteReply
 from foxtailhatch.placement.reports import EngineReport, StalledRequest
+from foxtailhatch.relay.context import SelectedStage
 from foxtailhatch.router.stall_detector import STALL_AFTER_S, StallDetector
 from foxtailhatch.routes import RouteKind
 from tests.relay.fakes import start_relay
@@ -173,6 +177,52 @@
     assert is_moved or is_abandoned
 
 
+def drain(env, name):
+    endpoints = env.context.endpoints
+    draining = replace(endpoints.get(name), state=EndpointState.DRAINING)
+    endpoints.put(draining, env.context.clock())
+
+
+def make_chain_of_two(env, others):
+    """Let the stream run over ``e1`` and ``e2``, with ``others`` to go on."""
+    endpoints = env.context.endpoints
+    head = SelectedStage(endpoints.get('e1'), LayerRange(0, 40))
+    chains = {
+        name: (head, SelectedStage(endpoints.get(name), LayerRange(40, 80)))
+        for name in ('e2', *others)
+    }
+    env.relay.attempt.switch_chain(chains['e2'])
+
+    def select(selection, now):
+        names = [name for name in others if name not in selection.exclude]
+        return chains[names[0]] if selection.first and names else None
+
+    env.context.selector.select = select
+
+
+# Guards against streams that are moved every 50 ms as long as their head drains:
+# each time all other stages read the whole prompt again, so none got on.
+def test_stream_whose_head_drains_is_not_moved():
+    env = stalled_setup(('e1', 'e2', 'e3'))
+    make_chain_of_two(env, others=['e3', 'e2'])
+    drain(env, 'e1')
+    for _ in range(20):
+        env.reactor.advance(0.2)
+        step(env)
+    assert env.engines.moves == []
+    assert not env.relay.attempt.is_over
+
+
+def test_stream_over_a_draining_stage_is_moved_once():
+    env = stalled_setup(('e1', 'e2', 'e3'))
+    make_chain_of_two(env, others=['e3'])
+    drain(env, 'e2')
+    for _ in range(20):
+        env.reactor.advance(0.05)
+        step(env)
+    assert len(env.engines.moves) == 1
+
+
 def test_entry_without_requests_checks_nothing():
     env = stalled_setup()
     env.relay.caller_disconnected()
