--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -42,9 +42,6 @@
 # first event, so that the target can still be met.
 MAX_CAPACITY_WAIT_S = 0.25
 CAPACITY_RETRY_S = 0.1
-# A response that has started can be resumed for this long: its caller
-# disconnects after a gap of two seconds.
-RESUME_TIMEOUT_S = 1.6
 # Delay after a refusal, longer than the above as each retry counts against the
 # retry budget.
 REFUSED_RETRY_S = 0.4
@@ -515,9 +512,12 @@
             self._refuse(RefusalReason.OUTCOME_UNKNOWN)
 
     def _wait_to_resume(self, now: float) -> None:
-        """Wait until the response can be resumed, or break it off."""
-        pause_s = now - self._delivery.last_progress_at
-        if not self.admitted.route.is_resumable or pause_s > RESUME_TIMEOUT_S:
+        """Wait until the response can be resumed.
+
+        How long a pause may be is up to the caller: it disconnects, or its
+        deadline passes.
+        """
+        if not self.admitted.route.is_resumable or now >= self._deadline_at:
             self._caller.abort()
             self._end('broken_off')
             return
