--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -174,15 +174,38 @@
             self._may_have_run = True
         self._refuse_blocked()
 
-    def abandon_attempt(self, cause: str) -> None:
-        """Cancel an attempt without progress, and retry if possible."""
-        if self.attempt is None or self.attempt.is_over or self.is_over:
-            return
+    def abandon_attempt(self, cause: str) -> bool:
+        """Replace an attempt without progress; return whether it was.
+
+        It is kept until another endpoint can take its place: it may come back,
+        and a cancelled one cannot.
+        """
+        attempt = self.attempt
+        if attempt is None or attempt.is_over or self.is_over:
+            return False
+        if not self._can_replace(attempt):
+            return False
         self._context.log.write(
             'attempt_given_up', id=self.request_id, why=cause
         )
-        self.attempt.cancel()
-        self._on_attempt_failed(self.attempt, FailureKind.MAY_HAVE_RUN, cause)
+        attempt.cancel()
+        self._on_attempt_failed(attempt, FailureKind.MAY_HAVE_RUN, cause)
+        return True
+
+    def _can_replace(self, attempt: Attempt) -> bool:
+        """Return whether another endpoint can take the place of an attempt."""
+        now = self._context.clock()
+        failure_context = replace(
+            self._failure_context(FailureKind.MAY_HAVE_RUN, now),
+            may_have_run=True,
+        )
+        if action_after_failure(failure_context) is not RetryAction.RETRY:
+            return False
+        selection = self._history.selection()
+        without = replace(
+            selection, exclude=selection.exclude | {attempt.head_name}
+        )
+        return self._context.selector.select(without, now) is not None
 
     def move_on(self, cause: str) -> None:
         """Leave an attempt whose endpoint or entry is out of reach.
--- a/foxtailhatch/router/stall_detector.py
+++ b/foxtailhatch/router/stall_detector.py
@@ -45,6 +45,8 @@
 DRAINING_WAIT_S = 1.6
 # Delay after a reroute was refused for lack of capacity, as each order has a cost.
 REROUTE_RETRY_S = 0.3
+# Delay after no other endpoint could take the place of a dead chain head.
+REPLACE_RETRY_S = 0.1
 
 
 class StallDetector:
@@ -69,7 +71,7 @@
             has_witness,
         )
         self._rerouting: set[str] = set()
-        self._refused_at: WeakKeyDictionary[Relay, float] = WeakKeyDictionary()
+        self._retry_at: WeakKeyDictionary[Relay, float] = WeakKeyDictionary()
 
     @property
     def has_streams(self) -> bool:
@@ -124,8 +126,7 @@
 
     def _start_reroute(self, relay: Relay) -> None:
         now = self._context.clock()
-        refused_at = self._refused_at.get(relay)
-        is_early = refused_at is not None and now - refused_at < REROUTE_RETRY_S
+        is_early = now < self._retry_at.get(relay, now)
         if relay.request_id in self._rerouting or is_early:
             return
         self._rerouting.add(relay.request_id)
@@ -235,15 +236,17 @@
             return
         head = attempt.chosen[0].endpoint
         if self._context.endpoints.is_dead(head.name):
-            relay.abandon_attempt('dead chain head')
+            if not relay.abandon_attempt('dead chain head'):
+                self._retry_at[relay] = now + REPLACE_RETRY_S
             return
         chosen = relay.select_reroute(now)
         if chosen is not None and self._should_wait_for_zone(
             relay, chosen, now
         ):
             return
-        if self._should_restart_elsewhere(relay, chosen):
-            relay.abandon_attempt('dead in its zone')
+        if self._should_restart_elsewhere(
+            relay, chosen
+        ) and relay.abandon_attempt('dead in its zone'):
             return
         if chosen is not None:
             await self._send_reroute(relay, head, chosen)
@@ -307,7 +310,7 @@
             if relay.attempt is not None:
                 relay.attempt.switch_chain(chosen)
             return
-        self._refused_at[relay] = self._context.clock()
+        self._retry_at[relay] = self._context.clock() + REROUTE_RETRY_S
         if reply.outcome is OrderOutcome.CONFLICT and reply.address:
             conflicting = self._context.endpoints.by_address(reply.address)
             if conflicting is not None:
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -446,6 +446,42 @@
     assert len(env.log.of('attempt_failed')) == 1
 
 
+# Guards against streams that are cut at a sound endpoint which was silent for a
+# second, while no other endpoint could go on with them.
+def test_attempt_is_kept_until_another_endpoint_can_take_its_place():
+    env = start_relay(('e1',), **STREAM)
+    first = env.accept_connection()
+    first.start_stream()
+    first.send_event(1)
+    assert not env.relay.abandon_attempt('dead chain head')
+    assert not first.is_aborted
+    first.send_event(2)
+    assert b'id: 2' in env.caller.body
+    env.context.endpoints.put(endpoint('e2'), 0)
+    assert env.relay.abandon_attempt('dead chain head')
+    assert first.is_aborted
+    assert b'X-After: 2' in env.accept_connection().request
+
+
+# Guards against an end of a request that may not be repeated, by its endpoint's
+# silence alone.
+def test_attempt_that_may_not_be_repeated_is_kept():
+    env = start_relay(**AT_MOST_ONCE)
+    first = env.accept_connection()
+    assert not env.relay.abandon_attempt('dead chain head')
+    first.respond()
+    assert env.caller.status == 200
+
+
+def test_attempt_is_kept_without_budget_for_another():
+    env = start_relay(('e1', 'e2'), **STREAM, slack=0.0)
+    first = env.accept_connection()
+    first.start_stream()
+    first.send_event(1)
+    assert not env.relay.abandon_attempt('dead chain head')
+    assert not first.is_aborted
+
+
 UNFRAMED = (
     b'HTTP/1.1 200 OK\r\nX-Id: request-1\r\n'
     b'Content-Type: text/event-stream\r\n\r\n'
