--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -15,6 +15,9 @@
 # Back-off after a refusal: the endpoint is alive, and the capacity or layers
 # that it lacks become available within a few batch steps or loads.
 REFUSAL_BACKOFF_S = 0.25
+# A sound endpoint may be silent for a second or so.  One that is silent for longer,
+# by every probe, is taken for dead.
+SOUND_SILENCE_S = 1.5
 # A record that is read this long after an endpoint was marked dead was written
 # after it, since the list lags by less.
 REVIVAL_DELAY_S = 2.0
@@ -29,7 +32,8 @@
     An endpoint whose record may have expired while the store was unreachable
     stays usable until a given time.  A restart under
     the same name is a new incarnation, for which earlier failures and refusals
-    do not count.  ``revision`` grows with each change of the table.
+    do not count.  One that is silent gets no work that another one can take, and
+    is either dead or heard of again soon.  ``revision`` grows with each change of the table.
     """
 
     def __init__(self) -> None:
@@ -40,6 +44,7 @@
         self._failure_backoffs: dict[str, tuple[float, float]] = {}
         self._draining_since: dict[tuple[str, int], float] = {}
         self._dead_since: dict[str, float] = {}
+        self._silent: set[str] = set()
         self._observations = ObservedLayers()
         self._listed_layers: dict[str, LayerRange | None] = {}
         self._refusal_backoffs: dict[str, tuple[float, float]] = {}
@@ -61,6 +66,7 @@
             return before
         if before is not None and before.incarnation != endpoint.incarnation:
             self.clear_failures(endpoint.name)
+            self._silent.discard(endpoint.name)
         if endpoint.state is EndpointState.DRAINING:
             self._draining_since.setdefault(
                 (endpoint.name, endpoint.incarnation), now
@@ -106,6 +112,7 @@
         ):
             return False
         self._dead_since[name] = now
+        self._silent.discard(name)
         self.revision += 1
         return True
 
@@ -113,6 +120,29 @@
         """Return whether an endpoint is marked dead."""
         return name in self._dead_since
 
+    def mark_silent(self, name: str, incarnation: int) -> bool:
+        """Mark an incarnation silent; return whether it is newly marked."""
+        known = self._endpoints.get(name)
+        if (
+            known is None
+            or known.incarnation != incarnation
+            or self.is_lost(name)
+        ):
+            return False
+        self._silent.add(name)
+        self.revision += 1
+        return True
+
+    def clear_silence(self, name: str) -> None:
+        """Note that an endpoint was heard of, or that nothing is known of it."""
+        if name in self._silent:
+            self._silent.discard(name)
+            self.revision += 1
+
+    def is_lost(self, name: str) -> bool:
+        """Return whether an endpoint is marked dead or silent."""
+        return name in self._dead_since or name in self._silent
+
     def revive(self, name: str, incarnation: int) -> bool:
         """Withdraw that an incarnation is dead; return whether it was."""
         known = self._endpoints.get(name)
@@ -139,6 +169,7 @@
         self._heartbeats.record_removal(name, now)
         self._lapsed_until.pop(name, None)
         self._dead_since.pop(name, None)
+        self._silent.discard(name)
         self._observations.remove(name)
         self._listed_layers.pop(name, None)
         self._refusal_backoffs.pop(name, None)
@@ -192,11 +223,11 @@
         ]
 
     def alive(self, service: str) -> list[LiveEndpoint]:
-        """Return the endpoints that are neither draining nor dead."""
+        """Return the endpoints that are neither draining, dead nor silent."""
         return [
             endpoint
             for endpoint in self.of_service(service)
-            if self.is_available(endpoint)
+            if self.is_available(endpoint) and endpoint.name not in self._silent
         ]
 
     def is_available(self, endpoint: LiveEndpoint) -> bool:
--- a/foxtailhatch/relay/stream_progress.py
+++ b/foxtailhatch/relay/stream_progress.py
@@ -9,7 +9,19 @@
 
 
 class AttemptView(Protocol):
-    """The endpoints that an attempt uses."""
+    """The endpoints that an attempt uses, and its connection to the first."""
+
+    @property
+    def head_name(self) -> str:
+        """Return the name of the chain's head."""
+
+    @property
+    def is_connected(self) -> bool:
+        """Return whether the head has accepted the connection."""
+
+    @property
+    def is_over(self) -> bool:
+        """Return whether the connection was closed."""
 
     def uses(self, name: str) -> bool:
         """Return whether an endpoint is part of the attempt's chain."""
@@ -46,3 +58,19 @@
         and stream.attempt.uses(name)
         for stream in streams
     )
+
+
+def has_open_connection(streams: Iterable[StreamView], name: str) -> bool:
+    """Return whether a stream has an open connection to an endpoint.
+
+    The end of a process closes all its connections, so an endpoint that refuses
+    another one has run out of them.
+    """
+    attempts = [stream.attempt for stream in streams]
+    return any(
+        attempt.head_name == name
+        and attempt.is_connected
+        and not attempt.is_over
+        for attempt in attempts
+        if attempt is not None
+    )
--- a/foxtailhatch/router/components.py
+++ b/foxtailhatch/router/components.py
@@ -5,7 +5,10 @@
 from random import Random
 from typing import Any
 
-from foxtailhatch.relay.stream_progress import has_recent_progress
+from foxtailhatch.relay.stream_progress import (
+    has_open_connection,
+    has_recent_progress,
+)
 from foxtailhatch.relay.structured_log import RateLimitedLog, StructuredLog
 from foxtailhatch.router.adapter import PlatformAdapter
 from foxtailhatch.router.blackboard import Blackboard
@@ -106,7 +109,13 @@
     metrics = RouterMetrics(board.cfg.instance)
     adapter = replace(adapter, engines=ReachRecorder(adapter.engines, board))
     prober = ReachProber(board, adapter.engines, log, random)
-    observation_publisher = ObservationPublisher(board, adapter, log, prober)
+    observation_publisher = ObservationPublisher(
+        board,
+        adapter,
+        log,
+        prober,
+        lambda name: has_open_connection(relay.running, name),
+    )
     crash_watch = CrashWatch(
         board, adapter.store, log, random, lambda: relay.running
     )
--- a/foxtailhatch/router/observation_publisher.py
+++ b/foxtailhatch/router/observation_publisher.py
@@ -1,19 +1,23 @@
 """Publish observations of endpoints to the other entries."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import replace
 
 from returns.result import Success
 
 from foxtailhatch.fleet import LiveEndpoint
+from foxtailhatch.fleet.table import SOUND_SILENCE_S
 from foxtailhatch.placement.protocols import EngineFault
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.adapter import PlatformAdapter
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.keyed_log import Topic
 from foxtailhatch.router.observations import EndpointObservation
-from foxtailhatch.router.reach_prober import ReachProber
+from foxtailhatch.router.reach_prober import ReachProber, is_alive
+
+# Pause between the probes of an endpoint that is silent.
+PROBE_PAUSE_S = 0.1
 
 
 class ObservationPublisher:
@@ -25,17 +29,22 @@
         adapter: PlatformAdapter,
         log: StructuredLog,
         prober: ReachProber,
+        has_connection: Callable[[str], bool],
     ) -> None:
-        """Create a publisher; ``prober`` finds witnesses for deaths."""
+        """Create a publisher; ``prober`` finds witnesses for deaths.
+
+        ``has_connection`` returns whether a connection to an endpoint is open.
+        """
         self._board = board
         self._adapter = adapter
         self._log = log
         self._prober = prober
+        self._has_connection = has_connection
         self._tasks: set[asyncio.Future[None]] = set()
         self._probed: set[str] = set()
 
     def confirm_suspect(self, endpoint: LiveEndpoint, why: str) -> None:
-        """Publish that an endpoint is dead, after a probe if it is not certain."""
+        """Publish that an endpoint is dead, if probes confirm it."""
         if endpoint.name in self._probed:
             return
         if self._board.endpoints.is_dead(endpoint.name):
@@ -67,23 +76,19 @@
 
     async def _probe(self, endpoint: LiveEndpoint, why: str) -> None:
         since = self._board.clock()
-        report = await self._adapter.engines.report(endpoint)
-        is_alive = isinstance(report, Success)
-        if endpoint.layers is None:
-            # A plain service has no report, but takes connections if it lives.
-            is_alive = report.swap().value_or(None) is not (
-                EngineFault.NOT_CONNECTED
-            )
+        is_alive = await self._is_heard(endpoint, since)
         has_witness = is_alive or await self._prober.has_witness(
             [endpoint], since
         )
         self._probed.discard(endpoint.name)
+        self._board.endpoints.clear_silence(endpoint.name)
         self._log.write(
             'suspect_probed',
             endpoint=endpoint.name,
             why=why,
             alive=is_alive,
             has_witness=has_witness,
+            after_s=round(self._board.clock() - since, 2),
         )
         if not is_alive and has_witness:
             self.publish(
@@ -92,6 +97,24 @@
                 )
             )
 
+    async def _is_heard(self, endpoint: LiveEndpoint, since: float) -> bool:
+        """Probe an endpoint until it is heard of, or silent for too long.
+
+        One that refuses connections has ended, unless another is open.
+        """
+        while True:
+            asked_at = self._board.clock()
+            report = await self._adapter.engines.report(endpoint)
+            if is_alive(endpoint, report):
+                return True
+            is_refused = report.failure() is EngineFault.NOT_CONNECTED
+            if is_refused and self._has_connection(endpoint.name):
+                return True
+            is_silent = asked_at - since >= SOUND_SILENCE_S
+            if is_refused or is_silent:
+                return False
+            await asyncio.sleep(PROBE_PAUSE_S)
+
     async def _write(self, observation: EndpointObservation) -> None:
         written = await self._adapter.store.put(
             Topic.OBSERVATIONS,
--- a/foxtailhatch/router/placement_controller.py
+++ b/foxtailhatch/router/placement_controller.py
@@ -17,6 +17,7 @@
 
 from foxtailhatch.core import LayerRange
 from foxtailhatch.fleet import LiveEndpoint, WorkEstimate
+from foxtailhatch.fleet.table import SOUND_SILENCE_S
 from foxtailhatch.placement import (
     Accelerator,
     ModelReplicas,
@@ -25,7 +26,11 @@
     other_replicas_in_zone,
     plan_placement,
 )
-from foxtailhatch.placement.protocols import EngineClient, OrderOutcome
+from foxtailhatch.placement.protocols import (
+    EngineClient,
+    EngineFault,
+    OrderOutcome,
+)
 from foxtailhatch.placement.reports import EngineReport
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
@@ -56,7 +61,8 @@
 
     It is sent at once, or at ``check_at`` if ``is_announced``.  ``order`` is
     ``None`` if another entry gave it; ``held`` is then what the engine holds
-    until the order is completed.
+    until the order is completed.  ``silent_since`` is when the first of the
+    last reports was requested that all brought no answer.
     """
 
     endpoint: LiveEndpoint
@@ -65,6 +71,7 @@
     check_at: float
     is_announced: bool = False
     held: LayerRange | None = None
+    silent_since: float | None = None
 
     @property
     def layers(self) -> LayerRange | None:
@@ -358,11 +365,16 @@
         report = await self._engines.report(pending.endpoint)
         pending.check_at = self._board.clock() + ORDER_CHECK_PERIOD_S
         if isinstance(report, Success):
+            pending.silent_since = None
             self._handle_report(pending, report.unwrap())
-        else:
-            await self._handle_silence(
-                pending.endpoint, report.failure().value, asked_at
-            )
+            return
+        fault = report.failure()
+        if pending.silent_since is None:
+            pending.silent_since = asked_at
+        silence_s = asked_at - pending.silent_since
+        is_refused = fault is EngineFault.NOT_CONNECTED
+        if is_refused or silence_s >= SOUND_SILENCE_S:
+            await self._handle_silence(pending.endpoint, fault.value, asked_at)
 
     def _handle_report(
         self, pending: PendingOrder, report: EngineReport
--- a/foxtailhatch/router/stall_detector.py
+++ b/foxtailhatch/router/stall_detector.py
@@ -45,7 +45,7 @@
 DRAINING_WAIT_S = 1.6
 # Delay after a reroute was refused for lack of capacity, as each order has a cost.
 REROUTE_RETRY_S = 0.3
-# Delay after no other endpoint could take the place of a dead chain head.
+# Delay after no other endpoint could take the place of a lost chain head.
 REPLACE_RETRY_S = 0.1
 
 
@@ -65,7 +65,7 @@
         self._queried_at: dict[str, float] = {}
         self._groups = GroupStallDetector(
             engines,
-            self._declare_dead,
+            self._suspect,
             context.log,
             probe_delay_s,
             has_witness,
@@ -86,7 +86,7 @@
         await self._groups.check(chains, self._context.clock())
         now = self._context.clock()
         stalled: dict[str, list[Relay]] = defaultdict(list)
-        self._reroute_around_dead()
+        self._reroute_around_lost()
         for relay in filter(_is_chain, tuple(self._context.running)):
             if not self._crosses_unusable(relay) and _is_stalled(relay, now):
                 stalled[relay.attempt.head_name].append(relay)
@@ -97,10 +97,10 @@
         ]
         await asyncio.gather(*queries)
         if queries:
-            self._reroute_around_dead()
+            self._reroute_around_lost()
 
-    def _reroute_around_dead(self) -> None:
-        """Reroute all streams over a dead endpoint or a draining stage."""
+    def _reroute_around_lost(self) -> None:
+        """Reroute all streams over a lost endpoint or a draining stage."""
         for relay in filter(_is_chain, tuple(self._context.running)):
             if self._crosses_unusable(relay):
                 self._start_reroute(relay)
@@ -116,7 +116,7 @@
         if attempt is None or attempt.usable_revision == endpoints.revision:
             return False
         is_unusable = any(
-            endpoints.is_dead(stage.endpoint.name)
+            endpoints.is_lost(stage.endpoint.name)
             or (position and not endpoints.accepts_work(stage.endpoint))
             for position, stage in enumerate(attempt.chosen)
         )
@@ -151,9 +151,7 @@
         if isinstance(outcome, Success):
             await self._probe_stalled(outcome.unwrap(), relays)
         elif endpoint in await self._unresponsive_near(relays[0]):
-            self._declare_dead(endpoint, 'unresponsive chain head')
-            for relay in relays:
-                relay.abandon_attempt('unresponsive chain head')
+            self._suspect(endpoint, 'unresponsive chain head')
 
     async def _unresponsive_near(self, relay: Relay) -> list[LiveEndpoint]:
         """Return the unresponsive endpoints of a chain and of its controls."""
@@ -182,7 +180,7 @@
         by_name = {
             endpoint.name: endpoint
             for endpoint in named
-            if endpoint and not table.is_dead(endpoint.name)
+            if endpoint and not table.is_lost(endpoint.name)
         }
         endpoints = list(by_name.values())
         outcomes = await asyncio.gather(
@@ -195,7 +193,7 @@
             if isinstance(outcome, Success):
                 self._route_around(endpoint, relays)
             else:
-                self._declare_dead(endpoint, 'stalled work')
+                self._suspect(endpoint, 'stalled work')
 
     def _route_around(
         self, endpoint: LiveEndpoint, relays: list[Relay]
@@ -216,17 +214,21 @@
             relay.exclude(endpoint.name)
             self._start_reroute(relay)
 
-    def _declare_dead(self, endpoint: LiveEndpoint, why: str) -> None:
+    def _suspect(self, endpoint: LiveEndpoint, why: str) -> None:
+        """Mark an endpoint silent, until probes show whether it is dead.
+
+        Its streams are moved where others can take them; the rest wait.
+        """
         now = self._context.clock()
         if has_recent_progress(self._context.running, endpoint.name, now):
             self._context.log.write(
                 'death_report_rejected', endpoint=endpoint.name, why=why
             )
             return
-        if self._context.endpoints.mark_dead(
-            endpoint.name, endpoint.incarnation, now
+        if self._context.endpoints.mark_silent(
+            endpoint.name, endpoint.incarnation
         ):
-            self._context.log.write('dead', endpoint=endpoint.name, why=why)
+            self._context.log.write('silent', endpoint=endpoint.name, why=why)
             self._context.on_suspect(endpoint, why)
 
     async def _reroute(self, relay: Relay) -> None:
@@ -235,8 +237,8 @@
         if attempt is None or relay.is_over:
             return
         head = attempt.chosen[0].endpoint
-        if self._context.endpoints.is_dead(head.name):
-            if not relay.abandon_attempt('dead chain head'):
+        if self._context.endpoints.is_lost(head.name):
+            if not relay.abandon_attempt('lost chain head'):
                 self._retry_at[relay] = now + REPLACE_RETRY_S
             return
         chosen = relay.select_reroute(now)
@@ -246,7 +248,7 @@
             return
         if self._should_restart_elsewhere(
             relay, chosen
-        ) and relay.abandon_attempt('dead in its zone'):
+        ) and relay.abandon_attempt('lost in its zone'):
             return
         if chosen is not None:
             await self._send_reroute(relay, head, chosen)
@@ -269,7 +271,7 @@
             return False
         endpoints = self._context.endpoints
         names = [stage.endpoint.name for stage in attempt.chosen]
-        if not any(map(endpoints.is_dead, names)):
+        if not any(map(endpoints.is_lost, names)):
             return False
         return chosen is None or len(_zones(chosen)) > 1
 
@@ -281,7 +283,7 @@
             return False
         endpoints = self._context.endpoints
         used = () if relay.attempt is None else relay.attempt.chosen
-        if any(endpoints.is_dead(stage.endpoint.name) for stage in used):
+        if any(endpoints.is_lost(stage.endpoint.name) for stage in used):
             return False
         waits = [endpoints.draining_for(stage.endpoint, now) for stage in used]
         longest = max((wait for wait in waits if wait is not None), default=0)
--- a/tests/fleet/test_table.py
+++ b/tests/fleet/test_table.py
@@ -167,3 +167,20 @@
     assert table.record_refusal('e1', later) == later + REFUSAL_BACKOFF_S
     table.clear_failures('e1')
     assert table.record_refusal('e1', later) == later + REFUSAL_BACKOFF_S
+
+
+def test_silent_endpoint_gets_no_work_until_it_is_heard_of():
+    table = table_of(endpoint('e1'), endpoint('e2'))
+    assert table.mark_silent('e1', 1)
+    assert not table.mark_silent('e1', 1)
+    assert names(table) == ['e2']
+    assert table.is_available(table.get('e1'))
+    table.clear_silence('e1')
+    assert names(table) == ['e1', 'e2']
+
+
+def test_silence_ends_with_the_incarnation():
+    table = table_of(endpoint('e1'))
+    table.mark_silent('e1', 1)
+    table.put(endpoint('e1', incarnation=2), 11)
+    assert not table.is_lost('e1')
--- a/tests/router/test_placement_controller.py
+++ b/tests/router/test_placement_controller.py
@@ -7,7 +7,7 @@
 from foxtailhatch.core import LayerRange
 from foxtailhatch.fleet import Work
 from foxtailhatch.placement.layout import uncovered_ranges
-from foxtailhatch.placement.protocols import OrderOutcome
+from foxtailhatch.placement.protocols import EngineFault, OrderOutcome
 from foxtailhatch.placement.reports import EngineReport
 from foxtailhatch.router.keyed_log import Membership, StoreFault
 from foxtailhatch.router.leader_lease import LeaderLease
@@ -190,6 +190,21 @@
     ] == ['e03']
 
 
+# Guards against a death by one report that did not come.
+def test_engine_that_is_silent_for_a_second_after_an_order_is_not_dead():
+    world = World(*make_zone())
+    world.engines.fault = EngineFault.NO_RESPONSE
+    world.join()
+    while not world.engines.orders:
+        world.run(0.25)
+    ordered = world.engines.orders[0][0]
+    world.engines.outcomes[ordered] = OrderOutcome.NO_ANSWER
+    world.run(1.0)
+    world.engines.outcomes.clear()
+    world.run(4)
+    assert [seen for seen in world.observations if seen.is_dead] == []
+
+
 def test_order_with_a_lost_answer_is_not_repeated():
     world = placed_world()
     place = world.engines.place
