--- a/foxtailhatch/router/stall_detector.py
+++ b/foxtailhatch/router/stall_detector.py
@@ -43,6 +43,9 @@
 # waits this long for a chain inside its zone, as chains that cross zones share one
 # link.
 DRAINING_WAIT_S = 1.6
+# Reroutes that this entry sends to one chain head at a time, each on a connection of
+# its own: a head resets those beyond what it takes from all entries together.
+MAX_HEAD_REROUTES = 4
 # Delay after a reroute was refused for lack of capacity, as each order has a cost.
 REROUTE_RETRY_S = 0.3
 # Delay after no other endpoint could take the place of a lost chain head.
@@ -70,7 +73,8 @@
             probe_delay_s,
             has_witness,
         )
-        self._rerouting: set[str] = set()
+        # The chain head of each request that is being rerouted.
+        self._rerouting: dict[str, str] = {}
         self._retry_at: WeakKeyDictionary[Relay, float] = WeakKeyDictionary()
 
     @property
@@ -127,12 +131,16 @@
     def _start_reroute(self, relay: Relay) -> None:
         now = self._context.clock()
         is_early = now < self._retry_at.get(relay, now)
-        if relay.request_id in self._rerouting or is_early:
+        attempt = relay.attempt
+        if attempt is None or relay.request_id in self._rerouting or is_early:
+            return
+        head = attempt.head_name
+        if list(self._rerouting.values()).count(head) >= MAX_HEAD_REROUTES:
             return
-        self._rerouting.add(relay.request_id)
+        self._rerouting[relay.request_id] = head
         task = asyncio.ensure_future(self._reroute(relay))
         task.add_done_callback(
-            lambda _: self._rerouting.discard(relay.request_id),
+            lambda _: self._rerouting.pop(relay.request_id, None),
         )
 
     async def _query_head(self, head: str, relays: list[Relay]) -> None:
--- a/tests/router/test_stall_detector.py
+++ b/tests/router/test_stall_detector.py
@@ -8,10 +8,15 @@
 from foxtailhatch.placement.protocols import OrderOutcome, RerouteReply
 from foxtailhatch.placement.reports import EngineReport, StalledRequest
 from foxtailhatch.relay.context import SelectedStage
-from foxtailhatch.router.stall_detector import STALL_AFTER_S, StallDetector
+from foxtailhatch.router.stall_detector import (
+    MAX_HEAD_REROUTES,
+    STALL_AFTER_S,
+    StallDetector,
+)
 from foxtailhatch.routes import RouteKind
 from tests.relay.fakes import start_relay
 from tests.router.fakes import MemoryEngines
+from tests.router.test_group_stall_detector import Stream
 
 
 def stalled_setup(names=('e1', 'e2')):
@@ -157,7 +162,7 @@
         env.detector._send_reroute(env.relay, chosen[0].endpoint, chosen)
     )
     env.detector._start_reroute(env.relay)
-    assert env.detector._rerouting == set()
+    assert not env.detector._rerouting
 
 
 def test_refused_reroute_excludes_the_conflicting_endpoint():
@@ -242,6 +247,37 @@
     assert len(env.engines.moves) == 1
 
 
+# Guards against entries that use up the connections of a chain head by asking it to
+# move all of its streams at once, and take its resets for its death.
+def test_reroutes_to_one_chain_head_are_few_at_a_time():
+    env = stalled_setup(('e1', 'e2', 'e3'))
+    make_chain_of_two(env, others=['e3'])
+    drain(env, 'e2')
+    asked = []
+
+    async def reroute(head, order):
+        asked.append(order.request_id)
+        await asyncio.sleep(3600)
+
+    env.engines.reroute = reroute
+    others = [
+        Stream(
+            request_id=f'other-{number}',
+            admitted=env.relay.admitted,
+            attempt=env.relay.attempt,
+            is_over=False,
+            is_started=True,
+            last_progress_at=env.context.clock(),
+            select_reroute=env.relay.select_reroute,
+            can_restart_elsewhere=lambda: False,
+        )
+        for number in range(20)
+    ]
+    env.context.running.update(others)
+    step(env)
+    assert 0 < len(asked) <= MAX_HEAD_REROUTES
+
+
 def test_entry_without_requests_checks_nothing():
     env = stalled_setup()
     env.relay.caller_disconnected()
