--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -230,12 +230,19 @@
             if self.is_available(endpoint) and endpoint.name not in self._silent
         ]
 
-    def is_available(self, endpoint: LiveEndpoint) -> bool:
-        """Return whether an incarnation is neither gone, draining nor dead."""
+    def is_running(self, endpoint: LiveEndpoint) -> bool:
+        """Return whether an incarnation is listed and not dead.
+
+        One that drains is running too.
+        """
         known = self._endpoints.get(endpoint.name)
         if known is None or known.incarnation != endpoint.incarnation:
             return False
-        return self.accepts_work(endpoint) and not self.is_dead(endpoint.name)
+        return not self.is_dead(endpoint.name)
+
+    def is_available(self, endpoint: LiveEndpoint) -> bool:
+        """Return whether an incarnation is neither gone, draining nor dead."""
+        return self.accepts_work(endpoint) and self.is_running(endpoint)
 
     def draining_for(self, endpoint: LiveEndpoint, now: float) -> float | None:
         """Return for how many seconds an endpoint is known to drain."""
--- a/foxtailhatch/relay/attempt_history.py
+++ b/foxtailhatch/relay/attempt_history.py
@@ -9,7 +9,7 @@
     """The chain heads that one request has been sent to.
 
     The limit on attempts is a limit on distinct chain heads.  Endpoints that
-    are gone or could not be reached do not count.
+    are gone or could not be reached do not count; those that drain do.
     """
 
     def __init__(
@@ -98,5 +98,5 @@
         return {
             name
             for name, endpoint in self._sent_to.items()
-            if self._endpoints.is_available(endpoint)
+            if self._endpoints.is_running(endpoint)
         }
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from foxtailhatch.fleet import EndpointState
 from foxtailhatch.fleet.table import REFUSAL_BACKOFF_S
 from foxtailhatch.relay.relay import (
     CAPACITY_RETRY_S,
@@ -720,3 +721,14 @@
         endpoint.send_bytes(raw[:cut])
         endpoint.close()
         assert env.caller.status == 502, cut
+
+
+# Guards against more attempts than the route allows, as an endpoint that drains
+# after it has run the request did not count.
+def test_attempt_at_an_endpoint_that_drains_counts():
+    env = start_relay(('e1', 'e2'), attempts=1)
+    draining = endpoint('e1', state=EndpointState.DRAINING)
+    env.context.endpoints.put(draining, 0)
+    env.accept_connection().respond(b'broken', 500)
+    assert env.caller.status == 500
+    assert not env.reactor.tcpClients
