--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -18,6 +18,9 @@
 # A sound endpoint may be silent for a second or so.  One that is silent for longer,
 # by every probe, is taken for dead.
 SOUND_SILENCE_S = 1.5
+# Draining incarnations that are remembered, so that no older record of one brings
+# it work again.
+MAX_DRAINING = 4096
 # A record that is read this long after an endpoint was marked dead was written
 # after it, since the list lags by less.
 REVIVAL_DELAY_S = 2.0
@@ -71,6 +74,7 @@
             self._draining_since.setdefault(
                 (endpoint.name, endpoint.incarnation), now
             )
+            self._forget_drained()
         self._endpoints[endpoint.name] = endpoint
         self.revision += 1
         return before
@@ -120,6 +124,20 @@
         """Return whether an endpoint is marked dead."""
         return name in self._dead_since
 
+    def mark_leaving(self, name: str, incarnation: int, now: float) -> bool:
+        """Note that an incarnation has said that it leaves.
+
+        It stays so whatever the list says of it later.  Return whether that
+        was news.
+        """
+        known = (name, incarnation)
+        if known in self._draining_since:
+            return False
+        self._draining_since[known] = now
+        self._forget_drained()
+        self.revision += 1
+        return True
+
     def mark_silent(self, name: str, incarnation: int) -> bool:
         """Mark an incarnation silent; return whether it is newly marked."""
         known = self._endpoints.get(name)
@@ -297,6 +315,19 @@
         refused_until, _ = self._refusal_backoffs.get(endpoint.name, (0, 0))
         return now < max(until, refused_until)
 
+    def _forget_drained(self) -> None:
+        """Forget the oldest endpoints that drained and are no longer listed."""
+        while len(self._draining_since) > MAX_DRAINING:
+            gone = (
+                known
+                for known in self._draining_since
+                if known[0] not in self._endpoints
+            )
+            oldest = next(gone, None)
+            if oldest is None:
+                return
+            self._draining_since.pop(oldest)
+
     def _with_observed_layers(
         self,
         endpoint: LiveEndpoint,
--- a/foxtailhatch/placement/protocols.py
+++ b/foxtailhatch/placement/protocols.py
@@ -1,5 +1,6 @@
 """Interface for calls to model engines."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
@@ -62,9 +63,16 @@
     reason: str | None = None
 
 
+# Called with an endpoint that says in an answer that it leaves.
+OnLeaving = Callable[[LiveEndpoint], None]
+
+
 class EngineClient(Protocol):
     """Calls to model engines."""
 
+    def notify_leaving(self, on_leaving: OnLeaving) -> None:
+        """Call ``on_leaving`` for each answer of an engine that leaves."""
+
     async def report(
         self,
         endpoint: LiveEndpoint,
--- a/foxtailhatch/platform/engines.py
+++ b/foxtailhatch/platform/engines.py
@@ -11,12 +11,14 @@
 from foxtailhatch.placement.protocols import (
     REPORT_TIMEOUT_S,
     EngineFault,
+    OnLeaving,
     OrderOutcome,
     Reroute,
     RerouteReply,
 )
 from foxtailhatch.platform import names
 from foxtailhatch.platform.endpoints import decode_report
+from foxtailhatch.platform.requests import is_leaving
 from foxtailhatch.relay.http_client import HttpCall, HttpClient, HttpResponse
 from foxtailhatch.relay.http_connection import TransportFailure
 
@@ -41,6 +43,11 @@
     def __init__(self, reactor: Any) -> None:
         """Open connections with ``reactor``."""
         self._reactor = reactor
+        self._on_leaving: OnLeaving | None = None
+
+    def notify_leaving(self, on_leaving: OnLeaving) -> None:
+        """Call ``on_leaving`` for each answer of an engine that leaves."""
+        self._on_leaving = on_leaving
 
     async def report(
         self,
@@ -124,7 +131,14 @@
         call: HttpCall,
     ) -> Result[HttpResponse, TransportFailure]:
         http_client = HttpClient(self._reactor, endpoint.address, max_idle=0)
-        return await http_client.call(call)
+        outcome = await http_client.call(call)
+        if (
+            self._on_leaving is not None
+            and isinstance(outcome, Success)
+            and is_leaving(outcome.unwrap().head)
+        ):
+            self._on_leaving(endpoint)
+        return outcome
 
 
 def _outcome(outcome: Result[HttpResponse, TransportFailure]) -> OrderOutcome:
--- a/foxtailhatch/platform/names.py
+++ b/foxtailhatch/platform/names.py
@@ -16,6 +16,8 @@
 PROMPT_PARTS = b'foxtailhatch-prefix-hash'
 # Requests a second that an endpoint in need takes from all entries together.
 RATE_LIMIT = b'server-limit'
+# "1" in all answers of an endpoint that leaves.
+LEAVING = b'server-leaving'
 # In all answers of the store; rises by one each time the store returns from an
 # older copy.
 STORE_EPOCH = b'store-era'
--- a/foxtailhatch/platform/requests.py
+++ b/foxtailhatch/platform/requests.py
@@ -113,9 +113,18 @@
             else None,
             is_event_stream=content_type.startswith(b'text/event-stream'),
             rate_limit_per_s=_number(head.get(names.RATE_LIMIT)),
+            is_leaving=is_leaving(head),
         )
 
 
+def is_leaving(head: ResponseHead) -> bool:
+    """Return whether an endpoint says in its answer that it leaves.
+
+    Any value but ``1`` says nothing.
+    """
+    return (head.get(names.LEAVING) or b'').strip() == b'1'
+
+
 def decode_request(
     method: str,
     target: str,
--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -144,3 +144,19 @@
     on_suspect: Callable[[LiveEndpoint, str], None]
     bodies: BodyMemory = field(default_factory=BodyMemory)
     running: set[Any] = field(default_factory=set)
+
+    def note_leaving(
+        self, endpoint: LiveEndpoint, request_id: str = ''
+    ) -> None:
+        """Give an endpoint no more work that has said that it leaves."""
+        is_news = self.endpoints.mark_leaving(
+            endpoint.name, endpoint.incarnation, self.clock()
+        )
+        if is_news:
+            self.log.write(
+                'endpoint_leaves',
+                id=request_id,
+                endpoint=endpoint.name,
+                born=endpoint.incarnation,
+                list_revision=self.endpoints.revision,
+            )
--- a/foxtailhatch/relay/endpoint_feedback.py
+++ b/foxtailhatch/relay/endpoint_feedback.py
@@ -67,6 +67,25 @@
         )
         return name
 
+    def record_leaving(self, attempt: Attempt) -> None:
+        """Note that the endpoint which answered leaves, if it says so.
+
+        It is the one that the answer names, and else the head of the chain.  An
+        answer that may be of another origin tells nothing.
+        """
+        response = attempt.response
+        if response is None or not response.is_leaving or attempt.is_forwarded:
+            return
+        if response.kind is ResponseKind.AMBIGUOUS:
+            return
+        named = (
+            stage.endpoint
+            for stage in attempt.chosen
+            if stage.endpoint.address == response.failed_address
+        )
+        endpoint = next(named, attempt.chosen[0].endpoint)
+        self._context.note_leaving(endpoint, self._request_id)
+
     def record_rate_limit(self, attempt: Attempt) -> None:
         """Record the limit that the head of the chain names, or that it ends.
 
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -233,6 +233,7 @@
         response = self._decode_head(attempt, head)
         attempt.response = response
         self._feedback.record_rate_limit(attempt)
+        self._feedback.record_leaving(attempt)
         if response.kind is ResponseKind.NOT_RUN:
             self._on_not_run(attempt)
             return
--- a/foxtailhatch/relay/request.py
+++ b/foxtailhatch/relay/request.py
@@ -124,7 +124,8 @@
     ``failed_address`` is the address of the endpoint of the chain that
     failed or refused, if the response names it.  ``headers`` are those to
     forward.  ``rate_limit_per_s`` is the number of requests a second that the
-    endpoint takes from all entries together, if it names one.
+    endpoint takes from all entries together, if it names one.  One that
+    ``is_leaving`` wants no new request.
     """
 
     kind: ResponseKind
@@ -133,6 +134,7 @@
     failed_address: str | None = None
     is_event_stream: bool = False
     rate_limit_per_s: float | None = None
+    is_leaving: bool = False
 
     @property
     def continues_stream(self) -> bool:
--- a/foxtailhatch/router/reach_prober.py
+++ b/foxtailhatch/router/reach_prober.py
@@ -19,6 +19,7 @@
     REPORT_TIMEOUT_S,
     EngineClient,
     EngineFault,
+    OnLeaving,
     OrderOutcome,
     Reroute,
     RerouteReply,
@@ -61,6 +62,10 @@
         self._engines = engines
         self._board = board
 
+    def notify_leaving(self, on_leaving: OnLeaving) -> None:
+        """Call ``on_leaving`` for each answer of an engine that leaves."""
+        self._engines.notify_leaving(on_leaving)
+
     async def report(
         self, endpoint: LiveEndpoint, timeout_s: float = REPORT_TIMEOUT_S
     ) -> Result[EngineReport, EngineFault]:
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -5,6 +5,7 @@
 import pytest
 from returns.result import Failure, Success
 
+from foxtailhatch.core import LayerRange
 from foxtailhatch.placement.protocols import OrderOutcome, Reroute
 from foxtailhatch.platform.engines import HttpEngineClient
 from foxtailhatch.relay.http_client import HttpResponse
@@ -51,3 +52,40 @@
     reply = reroute_reply(Failure(TransportFailure.CLOSED))
     assert reply.outcome is OrderOutcome.NO_ANSWER
     assert reply.reason == TransportFailure.CLOSED.value
+
+
+def make_client(headers, monkeypatch):
+    """Return a client whose engine answers, and a list of those that leave."""
+    response = HttpResponse(ResponseHead(503, headers), b'')
+
+    class Http:
+        def __init__(self, *_, **kwargs):
+            """Open no connection."""
+
+        async def call(self, call):
+            return Success(response)
+
+    monkeypatch.setattr('foxtailhatch.platform.engines.HttpClient', Http)
+    calls = HttpEngineClient(reactor=None)
+    leaving = []
+    calls.notify_leaving(lambda one: leaving.append(one.name))
+    return calls, leaving
+
+
+@pytest.mark.parametrize(
+    ('value', 'expected'), [(b'1', ['e1']), (b'0', []), (b'yes', [])]
+)
+def test_each_answer_tells_whether_an_engine_leaves(
+    monkeypatch, value, expected
+):
+    headers = ((b'server-leaving', value),)
+    one = endpoint('e1')
+    for call in ('report', 'place', 'reroute'):
+        calls, leaving = make_client(headers, monkeypatch)
+        further = {
+            'report': (),
+            'place': (LayerRange(0, 4), 1, 0),
+            'reroute': (Reroute('id-1', ()),),
+        }
+        asyncio.run(getattr(calls, call)(one, *further[call]))
+        assert leaving == expected
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -131,6 +131,7 @@
             faulty.decode() if faulty else None,
             head.get(b'content-type') == b'text/event-stream',
             float(head.get(b'x-limit') or 0) or None,
+            head.get(b'x-leaving') == b'1',
         )
 
 
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -124,6 +124,9 @@
         self.moves = []
         self.move_answer = RerouteReply(OrderOutcome.STARTED)
 
+    def notify_leaving(self, on_leaving):
+        self.on_leaving = on_leaving
+
     async def report(self, target, timeout_s=0.4):
         if target.name in self.outcomes:
             return Failure(self.fault)
