--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -7,6 +7,7 @@
 from foxtailhatch.fleet.endpoint import EndpointState, LiveEndpoint
 from foxtailhatch.fleet.last_heartbeats import LastHeartbeats
 from foxtailhatch.fleet.observed_layers import ObservedLayers
+from foxtailhatch.fleet.pauses import EndpointPauses
 
 # Back-off after a failure, which doubles with each consecutive one.  The first
 # is as long as the shortest outage of a crashed endpoint in the fault model.
@@ -48,6 +49,7 @@
         self._draining_since: dict[tuple[str, int], float] = {}
         self._dead_since: dict[str, float] = {}
         self._silent: set[str] = set()
+        self.pauses = EndpointPauses()
         self._observations = ObservedLayers()
         self._listed_layers: dict[str, LayerRange | None] = {}
         self._refusal_backoffs: dict[str, tuple[float, float]] = {}
@@ -188,10 +190,10 @@
         self._lapsed_until.pop(name, None)
         self._dead_since.pop(name, None)
         self._silent.discard(name)
+        self.pauses.remove(name)
         self._observations.remove(name)
         self._listed_layers.pop(name, None)
-        self._refusal_backoffs.pop(name, None)
-        self._failure_backoffs.pop(name, None)
+        self.clear_failures(name)
         if self._endpoints.pop(name, None) is not None:
             self.revision += 1
 
@@ -240,6 +242,27 @@
             if not self.is_backed_off(endpoint, now)
         ]
 
+    def paused(self, service: str, now: float) -> list[LiveEndpoint]:
+        """Return the endpoints that want nothing from this entry now."""
+        return [
+            endpoint
+            for endpoint in self.alive(service)
+            if self.pauses.is_paused(endpoint, now)
+        ]
+
+    def shortest_pause_s(self, service: str, now: float) -> float:
+        """Return after how many seconds the first endpoint may get work.
+
+        It is 0 unless all endpoints of the service asked for a pause.
+        """
+        return min(
+            (
+                self.pauses.left_s(endpoint, now)
+                for endpoint in self.alive(service)
+            ),
+            default=0,
+        )
+
     def alive(self, service: str) -> list[LiveEndpoint]:
         """Return the endpoints that are neither draining, dead nor silent."""
         return [
--- a/foxtailhatch/placement/protocols.py
+++ b/foxtailhatch/placement/protocols.py
@@ -9,6 +9,7 @@
 
 from foxtailhatch.core import LayerRange
 from foxtailhatch.fleet import LiveEndpoint
+from foxtailhatch.fleet.pauses import EndpointNotice
 from foxtailhatch.placement.reports import EngineReport
 
 # A healthy engine answers within milliseconds, an unreachable one never does.
@@ -30,13 +31,14 @@
     """Why no report could be obtained from an engine.
 
     ``NOT_CONNECTED`` is a connection that was refused, and ``UNCONNECTED`` one
-    that was not accepted in time.
+    that was not accepted in time.  Nothing is sent to a ``PAUSED`` engine.
     """
 
     NOT_CONNECTED = 'not_connected'
     UNCONNECTED = 'unconnected'
     NO_RESPONSE = 'silent'
     MALFORMED = 'malformed'
+    PAUSED = 'paused'
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,15 +65,15 @@
     reason: str | None = None
 
 
-# Called with an endpoint that says in an answer that it leaves.
-OnLeaving = Callable[[LiveEndpoint], None]
+# Called with an endpoint and what it says of itself in an answer.
+OnNotice = Callable[[LiveEndpoint, EndpointNotice], None]
 
 
 class EngineClient(Protocol):
     """Calls to model engines."""
 
-    def notify_leaving(self, on_leaving: OnLeaving) -> None:
-        """Call ``on_leaving`` for each answer of an engine that leaves."""
+    def notify(self, on_notice: OnNotice) -> None:
+        """Call ``on_notice`` with what engines say of themselves."""
 
     async def report(
         self,
--- a/foxtailhatch/platform/engines.py
+++ b/foxtailhatch/platform/engines.py
@@ -11,14 +11,14 @@
 from foxtailhatch.placement.protocols import (
     REPORT_TIMEOUT_S,
     EngineFault,
-    OnLeaving,
+    OnNotice,
     OrderOutcome,
     Reroute,
     RerouteReply,
 )
 from foxtailhatch.platform import names
 from foxtailhatch.platform.endpoints import decode_report
-from foxtailhatch.platform.requests import is_leaving
+from foxtailhatch.platform.requests import decode_notice
 from foxtailhatch.relay.http_client import HttpCall, HttpClient, HttpResponse
 from foxtailhatch.relay.http_connection import TransportFailure
 
@@ -43,11 +43,11 @@
     def __init__(self, reactor: Any) -> None:
         """Open connections with ``reactor``."""
         self._reactor = reactor
-        self._on_leaving: OnLeaving | None = None
+        self._on_notice: OnNotice | None = None
 
-    def notify_leaving(self, on_leaving: OnLeaving) -> None:
-        """Call ``on_leaving`` for each answer of an engine that leaves."""
-        self._on_leaving = on_leaving
+    def notify(self, on_notice: OnNotice) -> None:
+        """Call ``on_notice`` with what engines say of themselves."""
+        self._on_notice = on_notice
 
     async def report(
         self,
@@ -132,12 +132,8 @@
     ) -> Result[HttpResponse, TransportFailure]:
         http_client = HttpClient(self._reactor, endpoint.address, max_idle=0)
         outcome = await http_client.call(call)
-        if (
-            self._on_leaving is not None
-            and isinstance(outcome, Success)
-            and is_leaving(outcome.unwrap().head)
-        ):
-            self._on_leaving(endpoint)
+        if self._on_notice is not None and isinstance(outcome, Success):
+            self._on_notice(endpoint, decode_notice(outcome.unwrap().head))
         return outcome
 
 
--- a/foxtailhatch/platform/requests.py
+++ b/foxtailhatch/platform/requests.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
+from foxtailhatch.fleet.pauses import EndpointNotice
 from foxtailhatch.platform import names
 from foxtailhatch.relay.http_connection import ResponseHead
 from foxtailhatch.relay.refusals import RefusalReason, RelayRefusal
@@ -21,6 +22,7 @@
 # Maps each byte of a header field to one character.
 HEADER_ENCODING = 'latin-1'
 MISDIRECTED = 421
+UNAVAILABLE = 503
 FIRST_REDIRECT = 300
 FIRST_SUCCESS = 200
 # Statuses by which a caller knows that the request has not run.
@@ -113,16 +115,27 @@
             else None,
             is_event_stream=content_type.startswith(b'text/event-stream'),
             rate_limit_per_s=_number(head.get(names.RATE_LIMIT)),
-            is_leaving=is_leaving(head),
+            notice=decode_notice(head),
         )
 
 
-def is_leaving(head: ResponseHead) -> bool:
-    """Return whether an endpoint says in its answer that it leaves.
+def decode_notice(head: ResponseHead) -> EndpointNotice:
+    """Return what an endpoint says of itself in the head of an answer.
 
-    Any value but ``1`` says nothing.
+    It leaves if the header says ``1``.  A pause comes with status 503; it is the
+    longest that is named, in seconds and fractions of them.  A date, zero, or
+    what is no number asks for none.
     """
-    return (head.get(names.LEAVING) or b'').strip() == b'1'
+    waits = [
+        _number(field)
+        for name, field in head.headers
+        if name == names.RETRY_AFTER
+    ]
+    pause_s = max((wait for wait in waits if wait), default=None)
+    return EndpointNotice(
+        is_leaving=(head.get(names.LEAVING) or b'').strip() == b'1',
+        pause_s=pause_s if head.status == UNAVAILABLE else None,
+    )
 
 
 def decode_request(
--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -11,6 +11,7 @@
     LiveEndpoint,
     RateLimits,
 )
+from foxtailhatch.fleet.pauses import EndpointNotice
 from foxtailhatch.relay.body_memory import BodyMemory
 from foxtailhatch.relay.request import RelayRequest, WireCodec
 from foxtailhatch.relay.retry_budget import RetryBudget
@@ -145,18 +146,26 @@
     bodies: BodyMemory = field(default_factory=BodyMemory)
     running: set[Any] = field(default_factory=set)
 
-    def note_leaving(
-        self, endpoint: LiveEndpoint, request_id: str = ''
+    def record_notice(
+        self,
+        endpoint: LiveEndpoint,
+        notice: EndpointNotice,
+        request_id: str = '',
     ) -> None:
-        """Give an endpoint no more work that has said that it leaves."""
-        is_news = self.endpoints.mark_leaving(
-            endpoint.name, endpoint.incarnation, self.clock()
-        )
-        if is_news:
+        """Apply what an endpoint says of itself in an answer to this entry."""
+        now = self.clock()
+        name, born = endpoint.name, endpoint.incarnation
+        if notice.is_leaving and self.endpoints.mark_leaving(name, born, now):
             self.log.write(
-                'endpoint_leaves',
+                'endpoint_leaves', id=request_id, endpoint=name, born=born
+            )
+        pauses = self.endpoints.pauses
+        if notice.pause_s is None:
+            pauses.record_answer(name, now)
+        elif pauses.record(endpoint, notice.pause_s, now):
+            self.log.write(
+                'endpoint_pauses',
                 id=request_id,
-                endpoint=endpoint.name,
-                born=endpoint.incarnation,
-                list_revision=self.endpoints.revision,
+                endpoint=name,
+                for_s=notice.pause_s,
             )
--- a/foxtailhatch/relay/endpoint_feedback.py
+++ b/foxtailhatch/relay/endpoint_feedback.py
@@ -5,6 +5,8 @@
 from foxtailhatch.relay.context import RelayContext
 from foxtailhatch.relay.request import ResponseKind
 
+FIRST_ERROR_STATUS = 400
+
 
 class EndpointFeedback:
     """Record the outcomes of one request's attempts at its endpoints.
@@ -67,16 +69,17 @@
         )
         return name
 
-    def record_leaving(self, attempt: Attempt) -> None:
-        """Note that the endpoint which answered leaves, if it says so.
+    def record_notice(self, attempt: Attempt) -> None:
+        """Note what the endpoint which answered says of itself.
 
-        It is the one that the answer names, and else the head of the chain.  An
-        answer that may be of another origin tells nothing.
+        It is the one that the answer names, and else the head of the chain.  A
+        success that may be of another origin tells nothing.
         """
         response = attempt.response
-        if response is None or not response.is_leaving or attempt.is_forwarded:
+        if response is None or attempt.is_forwarded:
             return
-        if response.kind is ResponseKind.AMBIGUOUS:
+        is_doubtful = response.kind is ResponseKind.AMBIGUOUS
+        if is_doubtful and response.status < FIRST_ERROR_STATUS:
             return
         named = (
             stage.endpoint
@@ -84,7 +87,7 @@
             if stage.endpoint.address == response.failed_address
         )
         endpoint = next(named, attempt.chosen[0].endpoint)
-        self._context.note_leaving(endpoint, self._request_id)
+        self._context.record_notice(endpoint, response.notice, self._request_id)
 
     def record_rate_limit(self, attempt: Attempt) -> None:
         """Record the limit that the head of the chain names, or that it ends.
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -233,7 +233,7 @@
         response = self._decode_head(attempt, head)
         attempt.response = response
         self._feedback.record_rate_limit(attempt)
-        self._feedback.record_leaving(attempt)
+        self._feedback.record_notice(attempt)
         if response.kind is ResponseKind.NOT_RUN:
             self._on_not_run(attempt)
             return
@@ -361,6 +361,7 @@
         if not is_forwarded:
             self._history.record_send(endpoints[0])
             self._context.rate_limits.record_send(endpoints[0].name, now)
+            self._context.endpoints.pauses.record_sends(endpoints, now)
         self._delivery.start_attempt(now)
         self._held.release()
         self._sends += 1
@@ -587,6 +588,11 @@
         self, reason: RefusalReason, retry_after_s: float
     ) -> None:
         """Try again after a delay, or refuse if the wait was too long."""
+        service = self.admitted.service.name
+        pause_s = self._context.endpoints.shortest_pause_s(
+            service, self._context.clock()
+        )
+        retry_after_s = max(retry_after_s, pause_s)
         wait_s = self._context.clock() + CAPACITY_RETRY_S - self._arrived_at
         is_model = self.admitted.service.engine is not None
         if (
--- a/foxtailhatch/relay/request.py
+++ b/foxtailhatch/relay/request.py
@@ -5,6 +5,7 @@
 from hashlib import blake2b
 from typing import Protocol
 
+from foxtailhatch.fleet.pauses import EndpointNotice
 from foxtailhatch.recovery.crashing_requests import request_suspect
 from foxtailhatch.relay.http_connection import ResponseHead
 
@@ -124,8 +125,8 @@
     ``failed_address`` is the address of the endpoint of the chain that
     failed or refused, if the response names it.  ``headers`` are those to
     forward.  ``rate_limit_per_s`` is the number of requests a second that the
-    endpoint takes from all entries together, if it names one.  One that
-    ``is_leaving`` wants no new request.
+    endpoint takes from all entries together, if it names one, and ``notice``
+    what else it says of itself.
     """
 
     kind: ResponseKind
@@ -134,7 +135,7 @@
     failed_address: str | None = None
     is_event_stream: bool = False
     rate_limit_per_s: float | None = None
-    is_leaving: bool = False
+    notice: EndpointNotice = EndpointNotice()
 
     @property
     def continues_stream(self) -> bool:
--- a/foxtailhatch/router/components.py
+++ b/foxtailhatch/router/components.py
@@ -128,7 +128,7 @@
             log, metrics, crash_watch, observation_publisher.confirm_suspect
         ),
     )
-    adapter.engines.notify_leaving(relay.note_leaving)
+    adapter.engines.notify(relay.record_notice)
     lease = LeaderLease(board, adapter.store, log)
     state_sync = StateSync(
         board,
--- a/foxtailhatch/router/endpoint_selection.py
+++ b/foxtailhatch/router/endpoint_selection.py
@@ -44,6 +44,9 @@
         """
         endpoints = self._board.endpoints
         name = selection.service.name
+        paused = {one.name for one in endpoints.paused(name, now)}
+        if paused:
+            selection = replace(selection, exclude=selection.exclude | paused)
         alive = endpoints.alive(name)
         heads = self._admitting_heads(selection, alive, now)
         if heads is not None:
--- a/foxtailhatch/router/group_stall_detector.py
+++ b/foxtailhatch/router/group_stall_detector.py
@@ -166,6 +166,7 @@
             (endpoint, report.failure())
             for endpoint, report in zip(endpoints, reports, strict=True)
             if not isinstance(report, Success)
+            and report.failure() is not EngineFault.PAUSED
         ]
 
 
--- a/foxtailhatch/router/placement_controller.py
+++ b/foxtailhatch/router/placement_controller.py
@@ -369,6 +369,8 @@
             self._handle_report(pending, report.unwrap())
             return
         fault = report.failure()
+        if fault is EngineFault.PAUSED:
+            return
         if pending.silent_since is None:
             pending.silent_since = asked_at
         silence_s = asked_at - pending.silent_since
--- a/foxtailhatch/router/reach_prober.py
+++ b/foxtailhatch/router/reach_prober.py
@@ -11,7 +11,7 @@
 from itertools import chain, islice, zip_longest
 from random import Random
 
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from foxtailhatch.core import LayerRange
 from foxtailhatch.fleet import LiveEndpoint
@@ -19,7 +19,7 @@
     REPORT_TIMEOUT_S,
     EngineClient,
     EngineFault,
-    OnLeaving,
+    OnNotice,
     OrderOutcome,
     Reroute,
     RerouteReply,
@@ -40,6 +40,8 @@
 # platform removes one that has really died from the list within seconds.
 REVIVAL_INTERVAL_S = 1.0
 _UNCONNECTED = frozenset((EngineFault.NOT_CONNECTED, EngineFault.UNCONNECTED))
+# Outcomes that do not show that this entry reaches an endpoint.
+_NO_WITNESS = _UNCONNECTED | {EngineFault.PAUSED}
 
 
 def is_alive(
@@ -47,8 +49,11 @@
 ) -> bool:
     """Return whether an endpoint lives, by the outcome of a request to it.
 
-    A plain service has no report, but takes connections if it lives.
+    A plain service has no report, but takes connections if it lives.  One that
+    asked for a pause has answered.
     """
+    if report.swap().value_or(None) is EngineFault.PAUSED:
+        return True
     if endpoint.layers is None:
         return report.swap().value_or(None) not in _UNCONNECTED
     return isinstance(report, Success)
@@ -62,15 +67,17 @@
         self._engines = engines
         self._board = board
 
-    def notify_leaving(self, on_leaving: OnLeaving) -> None:
-        """Call ``on_leaving`` for each answer of an engine that leaves."""
-        self._engines.notify_leaving(on_leaving)
+    def notify(self, on_notice: OnNotice) -> None:
+        """Call ``on_notice`` with what engines say of themselves."""
+        self._engines.notify(on_notice)
 
     async def report(
         self, endpoint: LiveEndpoint, timeout_s: float = REPORT_TIMEOUT_S
     ) -> Result[EngineReport, EngineFault]:
         """Request the state of an engine."""
         began_at = self._board.clock()
+        if self._board.endpoints.pauses.is_paused(endpoint, began_at):
+            return Failure(EngineFault.PAUSED)
         outcome = await self._engines.report(endpoint, timeout_s)
         is_reached = outcome.swap().value_or(None) not in _UNCONNECTED
         self._record(endpoint, began_at, is_reached=is_reached)
@@ -85,6 +92,8 @@
     ) -> OrderOutcome:
         """Order an engine to hold exactly these layers."""
         began_at = self._board.clock()
+        if self._board.endpoints.pauses.is_paused(endpoint, began_at):
+            return OrderOutcome.REFUSED
         outcome = await self._engines.place(
             endpoint, layers, fence, expected_orders
         )
@@ -96,6 +105,10 @@
         self, head: LiveEndpoint, reroute: Reroute
     ) -> RerouteReply:
         """Order the head of a chain to continue a request elsewhere."""
+        pauses = self._board.endpoints.pauses
+        if pauses.is_paused(head, self._board.clock()):
+            fault = EngineFault.PAUSED
+            return RerouteReply(OrderOutcome.REFUSED, reason=fault.value)
         return await self._engines.reroute(head, reroute)
 
     def _record(
@@ -222,7 +235,7 @@
             *(self._engines.report(one, timeout_s) for one in endpoints)
         )
         return sum(
-            report.swap().value_or(None) not in _UNCONNECTED
+            report.swap().value_or(None) not in _NO_WITNESS
             for report in reports
         )
 
--- a/foxtailhatch/router/stall_detector.py
+++ b/foxtailhatch/router/stall_detector.py
@@ -25,6 +25,7 @@
     HasWitness,
     ProbeDelay,
 )
+from foxtailhatch.router.reach_prober import is_alive
 
 # One and a half times the longest pause between two events that is still on
 # time, so it is longer than any batch takes.
@@ -198,7 +199,7 @@
             )
         )
         for endpoint, outcome in zip(endpoints, outcomes, strict=True):
-            if isinstance(outcome, Success):
+            if is_alive(endpoint, outcome):
                 self._route_around(endpoint, relays)
             else:
                 self._suspect(endpoint, 'stalled work')
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -68,7 +68,9 @@
     monkeypatch.setattr('foxtailhatch.platform.engines.HttpClient', Http)
     calls = HttpEngineClient(reactor=None)
     leaving = []
-    calls.notify_leaving(lambda one: leaving.append(one.name))
+    calls.notify(
+        lambda one, notice: leaving.extend([one.name] * notice.is_leaving)
+    )
     return calls, leaving
 
 
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -2,7 +2,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from foxtailhatch.platform.requests import PlatformCodec, decode_request
+from foxtailhatch.platform.requests import (
+    PlatformCodec,
+    decode_notice,
+    decode_request,
+)
 from foxtailhatch.relay.http_connection import ResponseHead
 from foxtailhatch.relay.request import Dispatch, ResponseKind
 
@@ -239,3 +243,37 @@
     head = ResponseHead(status, ())
     decoded = PlatformCodec().decode_forwarded_head(head, request())
     assert decoded.kind is ResponseKind.NOT_RUN
+
+
+def notice(status, *pairs):
+    return decode_notice(ResponseHead(status, pairs))
+
+
+@pytest.mark.parametrize(
+    ('fields', 'pause_s'),
+    [
+        ([b'2'], 2),
+        ([b'0.25'], 0.25),
+        ([b' 1.5 '], 1.5),
+        ([b'0.2', b'3', b'1'], 3),
+        ([b'soon', b'3'], 3),
+        ([b'0'], None),
+        ([b'-1'], None),
+        ([b'inf'], None),
+        ([b'nan'], None),
+        ([b'soon'], None),
+        ([b'Sat, 05 Dec 2026 10:00:00 GMT'], None),
+        ([], None),
+    ],
+)
+def test_pause_is_the_longest_number_of_seconds_that_is_named(fields, pause_s):
+    pairs = [(b'retry-after', field) for field in fields]
+    assert notice(503, *pairs).pause_s == pause_s
+    assert notice(429, *pairs).pause_s is None
+
+
+@pytest.mark.parametrize('status', [200, 421, 503])
+def test_endpoint_may_say_in_any_answer_that_it_leaves(status):
+    assert notice(status, (b'server-leaving', b'1')).is_leaving
+    assert not notice(status, (b'server-leaving', b'0')).is_leaving
+    assert not notice(status).is_leaving
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -9,6 +9,7 @@
 
 from foxtailhatch.core import LayerRange
 from foxtailhatch.fleet import EndpointLoads, EndpointTable, RateLimits
+from foxtailhatch.fleet.pauses import EndpointNotice
 from foxtailhatch.relay.admitted_request import AdmittedRequest
 from foxtailhatch.relay.context import RelayContext, SelectedStage
 from foxtailhatch.relay.relay import Relay
@@ -131,7 +132,10 @@
             faulty.decode() if faulty else None,
             head.get(b'content-type') == b'text/event-stream',
             float(head.get(b'x-limit') or 0) or None,
-            head.get(b'x-leaving') == b'1',
+            EndpointNotice(
+                head.get(b'x-leaving') == b'1',
+                float(head.get(b'x-pause') or 0) or None,
+            ),
         )
 
 
--- a/tests/relay/test_leaving_endpoints.py
+++ b/tests/relay/test_leaving_endpoints.py
@@ -1,4 +1,4 @@
-"""Endpoints that say in their answers that they leave."""
+"""Endpoints that say in their answers that they leave, or want a pause."""
 
 import pytest
 
@@ -107,3 +107,37 @@
         endpoints.mark_leaving(f'gone-{number}', 1, 0)
     assert not endpoints.accepts_work(endpoints.get('e1'))
     assert len(endpoints._draining_since) == MAX_DRAINING
+
+
+PAUSE = 'X-Not-Run: 1\r\nX-Pause: 2.5\r\n'
+
+
+def test_refusal_with_a_pause_closes_the_endpoint():
+    env = start_relay()
+    env.accept_connection().respond(status=503, headers=PAUSE)
+    pauses = env.context.endpoints.pauses
+    assert pauses.left_s(endpoint('e1'), env.context.clock()) == 2.5
+    assert env.log.of('endpoint_pauses')[0]['for_s'] == 2.5
+    assert b'X-To: e2' in env.accept_connection().request
+
+
+def test_caller_is_told_to_return_after_the_pause_of_all_endpoints():
+    env = start_relay(names=('e1',))
+    env.accept_connection().respond(status=503, headers=PAUSE)
+    assert env.caller.status == 503
+    assert env.caller.headers[b'retry-after'] == b'2.50'
+
+
+def test_stage_that_an_answer_names_is_the_one_that_pauses():
+    env = start_relay(kind=RouteKind.STREAM, resumable=True)
+    endpoints = env.context.endpoints
+    stages = tuple(
+        SelectedStage(endpoints.get(name), LayerRange(first, first + 40))
+        for name, first in (('e1', 0), ('e2', 40))
+    )
+    env.relay.attempt.switch_chain(stages)
+    address = endpoints.get('e2').address
+    env.accept_connection().respond(
+        status=503, headers=f'X-At: {address}\r\n{PAUSE}'
+    )
+    assert [one.name for one in endpoints.paused('plain', 0)] == ['e2']
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -124,8 +124,8 @@
         self.moves = []
         self.move_answer = RerouteReply(OrderOutcome.STARTED)
 
-    def notify_leaving(self, on_leaving):
-        self.on_leaving = on_leaving
+    def notify(self, on_notice):
+        self.on_notice = on_notice
 
     async def report(self, target, timeout_s=0.4):
         if target.name in self.outcomes:
