--- a/foxtailhatch/fleet/pauses.py
+++ b/foxtailhatch/fleet/pauses.py
@@ -42,6 +42,10 @@
         """Start without pauses."""
         self._pauses: dict[str, _Pause] = {}
 
+    def __len__(self) -> int:
+        """Return the number of endpoints that asked for a pause lately."""
+        return len(self._pauses)
+
     def record(
         self, endpoint: LiveEndpoint, pause_s: float, now: float
     ) -> bool:
--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -244,6 +244,8 @@
 
     def paused(self, service: str, now: float) -> list[LiveEndpoint]:
         """Return the endpoints that want nothing from this entry now."""
+        if not self.pauses:
+            return []
         return [
             endpoint
             for endpoint in self.alive(service)
