--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -29,6 +29,7 @@
 
 EXIT_OK = 0
 EXIT_INVARIANT = 3
+EXIT_LISTEN = 4
 # Periods of the loops.  A heartbeat is due every 1.5 s and sooner after a change;
 # the leader lease lapses after three failed calls.
 HEARTBEAT_CHECK_PERIOD_S = 0.25
@@ -100,7 +101,14 @@
         log_twisted_errors(self._log, self._on_invariant_broken)
         # Connections may wait from the moment at which a listener is open.
         self._install_signal_handlers()
-        self._open_listeners(self._components)
+        try:
+            self._open_listeners(self._components)
+        except OSError as exc:
+            # Whoever restarts the process can tell; half of its addresses
+            # would refuse all requests for good.
+            self._log.write('listen_failed', why=str(exc))
+            self._stop(EXIT_LISTEN)
+            return
         self._start_loops(self._components)
         start_collecting_garbage()
         self._log.write('start', pid=os.getpid(), zone=self._cfg.zone)
@@ -213,6 +221,9 @@
             invariant=exc.invariant.value,
             evidence=exc.evidence,
         )
-        self.exit_code = EXIT_INVARIANT
+        self._stop(EXIT_INVARIANT)
+
+    def _stop(self, exit_code: int) -> None:
+        self.exit_code = exit_code
         self._output.flush()
         self._reactor.stop()
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -7,6 +7,7 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -14,6 +15,7 @@
 
 import pytest
 
+from foxtailhatch.router.app import EXIT_LISTEN
 from tests.soak_router.world import free_port
 
 ROOT = Path(__file__).parent.parent
@@ -110,3 +112,30 @@
     time.sleep(random.Random(seed).uniform(0, 0.8))
     process.send_signal(signal.SIGTERM)
     assert process.wait(WAIT_S) == 0
+
+
+SETTINGS = """
+node_name=entry-1
+ip=127.0.0.1
+zone=z1
+region=here
+platform.address=127.0.0.1:{store}
+listen.front=127.0.0.1:{front}
+listen.ready=127.0.0.1:{ready}
+"""
+
+
+# Guards against a router that lives on without one of its ports, and refuses all
+# requests at the others for good.
+@pytest.mark.parametrize('part', ['front', 'ready'])
+def test_router_that_cannot_listen_ends(tmp_path, part):
+    ports = {name: free_port() for name in ('store', 'front', 'ready')}
+    settings = tmp_path / 'settings.conf'
+    settings.write_text(SETTINGS.format(**ports))
+    with socket.create_server(('127.0.0.1', ports[part])):
+        process = start(
+            ('foxtailhatch.platform',),
+            tmp_path,
+            FOXTAILHATCH_SETTINGS=str(settings),
+        )
+        assert process.wait(WAIT_S) == EXIT_LISTEN
