--- a/foxtailhatch/fleet/pauses.py
+++ b/foxtailhatch/fleet/pauses.py
@@ -12,6 +12,9 @@
 
 # A longer pause is taken for a mistake.
 MAX_PAUSE_S = 3600.0
+# Pauses are remembered for this time after their end.  They outlast a record in the
+# list, which may be missing for a while.
+KEPT_S = 60.0
 # Time between two requests after a pause, until one of them is answered.
 RETURN_INTERVAL_S = 0.2
 
@@ -53,6 +56,7 @@
 
         A shorter one does not end a longer one.
         """
+        self._expire(now)
         until = now + min(pause_s, MAX_PAUSE_S)
         known = self._pauses.get(endpoint.name)
         if known is not None and known.incarnation == endpoint.incarnation:
@@ -87,12 +91,19 @@
                 next_at = now + RETURN_INTERVAL_S
                 known.next_send_at = max(known.next_send_at, next_at)
 
-    def record_answer(self, name: str, now: float) -> None:
-        """Note that an endpoint has taken a request after its pause."""
-        known = self._pauses.get(name)
-        if known is not None and now >= known.until:
-            self._pauses.pop(name)
-
-    def remove(self, name: str) -> None:
-        """Forget the pause of an endpoint that is no longer listed."""
-        self._pauses.pop(name, None)
+    def record_answers(
+        self, endpoints: Iterable[LiveEndpoint], now: float
+    ) -> None:
+        """Note that endpoints have taken a request after their pauses."""
+        for endpoint in endpoints:
+            known = self._pauses.get(endpoint.name)
+            if known is not None and now >= known.until:
+                self._pauses.pop(endpoint.name)
+
+    def _expire(self, now: float) -> None:
+        """Forget the pauses of endpoints that did not return."""
+        self._pauses = {
+            name: known
+            for name, known in self._pauses.items()
+            if now - known.until < KEPT_S
+        }
--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -36,8 +36,8 @@
     An endpoint whose record may have expired while the store was unreachable
     stays usable until a given time.  A restart under
     the same name is a new incarnation, for which earlier failures and refusals
-    do not count.  One that is silent gets no work that another one can take, and
-    is either dead or heard of again soon.  ``revision`` grows with each change of the table.
+    do not count.  One that is silent gets no work, and is either dead or heard of
+    again soon.  ``revision`` grows with each change of the table.
     """
 
     def __init__(self) -> None:
@@ -190,7 +190,6 @@
         self._lapsed_until.pop(name, None)
         self._dead_since.pop(name, None)
         self._silent.discard(name)
-        self.pauses.remove(name)
         self._observations.remove(name)
         self._listed_layers.pop(name, None)
         self.clear_failures(name)
--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -161,7 +161,7 @@
             )
         pauses = self.endpoints.pauses
         if notice.pause_s is None:
-            pauses.record_answer(name, now)
+            pauses.record_answers([endpoint], now)
         elif pauses.record(endpoint, notice.pause_s, now):
             self.log.write(
                 'endpoint_pauses',
--- a/foxtailhatch/relay/endpoint_feedback.py
+++ b/foxtailhatch/relay/endpoint_feedback.py
@@ -81,6 +81,11 @@
         is_doubtful = response.kind is ResponseKind.AMBIGUOUS
         if is_doubtful and response.status < FIRST_ERROR_STATUS:
             return
+        if response.kind is ResponseKind.SUCCESS:
+            self._context.endpoints.pauses.record_answers(
+                (stage.endpoint for stage in attempt.chosen),
+                self._context.clock(),
+            )
         named = (
             stage.endpoint
             for stage in attempt.chosen
--- a/tests/fleet/test_pauses.py
+++ b/tests/fleet/test_pauses.py
@@ -31,7 +31,7 @@
 def test_answer_during_a_pause_does_not_end_it():
     pauses = EndpointPauses()
     pauses.record(E1, 5, 10)
-    pauses.record_answer('e1', 11)
+    pauses.record_answers([E1], 11)
     assert pauses.is_paused(E1, 14.9)
 
 
@@ -58,7 +58,7 @@
     assert pauses.is_paused(E1, 11 + RETURN_INTERVAL_S / 2)
     assert not pauses.is_paused(E1, 11 + RETURN_INTERVAL_S)
     pauses.record_sends([E1], 11 + RETURN_INTERVAL_S)
-    pauses.record_answer('e1', 11 + 1.1 * RETURN_INTERVAL_S)
+    pauses.record_answers([E1], 11 + 1.1 * RETURN_INTERVAL_S)
     assert not pauses.is_paused(E1, 11 + 1.2 * RETURN_INTERVAL_S)
 
 
@@ -71,3 +71,19 @@
     if second:
         table.pauses.record(endpoint('e2'), second, 10)
     assert table.shortest_pause_s('plain', 10) == expected
+
+
+def test_pause_outlasts_a_record_that_is_missing_for_a_while():
+    table = EndpointTable()
+    table.put(endpoint('e1'), 10)
+    table.pauses.record(endpoint('e1'), 5, 10)
+    table.remove('e1', 11)
+    table.put(endpoint('e1'), 12)
+    assert [one.name for one in table.paused('plain', 13)] == ['e1']
+
+
+def test_pauses_of_endpoints_that_did_not_return_are_forgotten():
+    pauses = EndpointPauses()
+    for number in range(100):
+        pauses.record(endpoint(f'e{number}'), 1, 100 * number)
+    assert len(pauses) == 1
--- a/tests/relay/test_leaving_endpoints.py
+++ b/tests/relay/test_leaving_endpoints.py
@@ -141,3 +141,17 @@
         status=503, headers=f'X-At: {address}\r\n{PAUSE}'
     )
     assert [one.name for one in endpoints.paused('plain', 0)] == ['e2']
+
+
+# Guards against stages that get five requests a second for good after a pause.
+def test_success_of_a_chain_ends_the_return_of_all_its_stages():
+    env = start_relay(kind=RouteKind.STREAM, resumable=True)
+    endpoints = env.context.endpoints
+    endpoints.pauses.record(endpoint('e2'), 0.1, -1)
+    stages = tuple(
+        SelectedStage(endpoints.get(name), LayerRange(first, first + 40))
+        for name, first in (('e1', 0), ('e2', 40))
+    )
+    env.relay.attempt.switch_chain(stages)
+    env.accept_connection().start_stream()
+    assert len(endpoints.pauses) == 0
