Wait in a planned stop for what callers have not got

What callers saw: an answer that ended early, a body that got neither an answer nor a refusal, and a second request on a connection that got nothing, all after a stop signal and with exit code 0.

Cause: the stop counted relays. A relay has ended when its answer is written to the transport, begins when the body is whole, and does not exist for a request that is read behind another one; the reactor dropped what the transport held.

Ruled out: the system dropping what it had taken (answers of up to 3 MB arrived on the old code), and changes of the configuration.

Change: the front end's connections are on the blackboard, and the stop ends when nothing is outstanding on them. When no more requests are accepted, those whose bodies are incomplete are refused (503, not run) and idle connections are closed. A connection is closed for writing first and read on, so that unread bytes of the caller do not reset it before it has the answer. An answer closes its connection only if nothing was read behind its request. The log tells answers that callers did not get (answer_undelivered), and so does a counter.

--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -117,6 +117,9 @@
     def record_retry(self, cause: str) -> None:
         """Count a retry by cause."""
 
+    def record_undelivered(self, cause: str) -> None:
+        """Count a request whose caller did not get all of an answer."""
+
     def record_failed_attempt(self, kind: str, *, has_begun: bool) -> None:
         """Count a failed attempt, and whether it had brought an event."""
 
--- a/foxtailhatch/router/admission.py
+++ b/foxtailhatch/router/admission.py
@@ -22,6 +22,17 @@
 RETRY_AFTER_ELSEWHERE_S = 0.05
 RETRY_AFTER_UNCONFIGURED_S = 0.5
 
+STOPPING_REFUSAL = RelayRefusal(RefusalReason.STOPPING, RETRY_AFTER_ELSEWHERE_S)
+
+
+def stop_accept_s(stop_grace_s: float) -> float:
+    """Return how long a stopping entry accepts requests, in seconds.
+
+    >>> stop_accept_s(8.0), stop_accept_s(4.0)
+    (2.5, 1.25)
+    """
+    return min(STOP_ACCEPT_S, STOP_ACCEPT_SHARE * stop_grace_s)
+
 
 def admit(
     board: Blackboard,
@@ -61,11 +72,9 @@
             RefusalReason.NO_CONFIGURATION, RETRY_AFTER_UNCONFIGURED_S
         )
     requested_at = board.stop_requested_at
-    accept_s = min(
-        STOP_ACCEPT_S, STOP_ACCEPT_SHARE * board.cfg.bounds.stop_grace_s
-    )
+    accept_s = stop_accept_s(board.cfg.bounds.stop_grace_s)
     if requested_at is not None and now - requested_at > accept_s:
-        return RelayRefusal(RefusalReason.STOPPING, RETRY_AFTER_ELSEWHERE_S)
+        return STOPPING_REFUSAL
     return None
 
 
--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -221,6 +221,7 @@
             invariant=exc.invariant.value,
             evidence=exc.evidence,
         )
+        self._components.shutdown.log_pending('invariant_broken')
         self._stop(EXIT_INVARIANT)
 
     def _stop(self, exit_code: int) -> None:
--- a/foxtailhatch/router/blackboard.py
+++ b/foxtailhatch/router/blackboard.py
@@ -13,6 +13,7 @@
 )
 from foxtailhatch.fleet.estimate import WorkByEndpoint
 from foxtailhatch.recovery.quarantine import Quarantine
+from foxtailhatch.router.caller_channels import CallerChannels
 from foxtailhatch.router.entry_table import EntryRecord, EntryTable
 from foxtailhatch.router.settings import RouterSettings
 from foxtailhatch.router.work_totals import sum_work
@@ -42,6 +43,7 @@
     rate_limits: RateLimits = field(default_factory=RateLimits)
     reach: EndpointReach = field(default_factory=EndpointReach)
     quarantine: Quarantine = field(default_factory=Quarantine)
+    channels: CallerChannels = field(default_factory=CallerChannels)
 
     def is_ready(self) -> bool:
         """Return whether this entry can serve callers now."""
--- a/foxtailhatch/router/graceful_shutdown.py
+++ b/foxtailhatch/router/graceful_shutdown.py
@@ -1,7 +1,13 @@
-"""Graceful shutdown: stop being recommended, drain requests, then exit."""
+"""Graceful shutdown: stop being recommended, drain requests, then exit.
+
+What a caller has got counts, not what a relay has decided: the process runs on
+while a request is received in part, and while the transport holds a part of an
+answer.
+"""
 
 from foxtailhatch.relay.context import RelayContext
 from foxtailhatch.relay.structured_log import StructuredLog
+from foxtailhatch.router.admission import STOPPING_REFUSAL, stop_accept_s
 from foxtailhatch.router.blackboard import Blackboard
 
 # A stopping entry runs for at least this long, for callers that still connect.
@@ -13,7 +19,7 @@
 
 
 class GracefulShutdown:
-    """Wait for the running requests to end, within the grace period."""
+    """Wait until callers have their answers, within the grace period."""
 
     def __init__(
         self,
@@ -32,23 +38,42 @@
         if self._board.stop_requested_at is not None:
             return False
         self._board.stop_requested_at = self._board.clock()
-        self._log.write('stop_asked', running=len(self._context.running))
+        self._log.write('stop_asked', running=self._running)
         return True
 
     def check(self, now: float) -> None:
-        """Complete the stop if no request runs, or the grace is used up."""
+        """Complete the stop if nothing is pending, or the grace is used up."""
         requested_at = self._board.stop_requested_at
         if requested_at is None:
             return
         elapsed_s = now - requested_at
-        left_s = self._board.cfg.bounds.stop_grace_s - elapsed_s
+        grace_s = self._board.cfg.bounds.stop_grace_s
+        left_s = grace_s - elapsed_s
+        channels = self._board.channels
+        if elapsed_s > stop_accept_s(grace_s):
+            channels.refuse_partial(STOPPING_REFUSAL)
+            channels.close_idle()
         if left_s <= ANSWER_MARGIN_S:
             self._end_running()
-        is_idle = not self._context.running and elapsed_s >= MIN_STOP_S
-        if left_s <= EXIT_MARGIN_S or (is_idle and left_s > ANSWER_MARGIN_S):
-            self._log.write('stop', running=len(self._context.running))
+        has_pending = self._context.running or channels.has_outstanding
+        is_drained = elapsed_s >= MIN_STOP_S and not has_pending
+        if is_drained or left_s <= EXIT_MARGIN_S:
+            self.log_pending('stop')
+            self._log.write('stop', running=self._running)
             self.is_over = True
 
+    def log_pending(self, why: str) -> None:
+        """Log the requests that the end of this process cuts off."""
+        for request_id, stage in self._board.channels.pending_requests():
+            self._context.metrics.record_undelivered(why)
+            self._log.write(
+                'answer_undelivered', id=request_id, why=why, stage=stage.value
+            )
+
+    @property
+    def _running(self) -> int:
+        return len(self._context.running)
+
     def _end_running(self) -> None:
         """Answer the requests in progress while their callers can be told."""
         for relay in tuple(self._context.running):
--- a/foxtailhatch/router/http_frontend.py
+++ b/foxtailhatch/router/http_frontend.py
@@ -13,6 +13,11 @@
 from foxtailhatch.relay.relay import Relay
 from foxtailhatch.relay.request import CallerConnection, RelayRequest
 from foxtailhatch.router.adapter import DecodeRequest
+from foxtailhatch.router.caller_channel import (
+    CallerChannel,
+    ChannelObserver,
+    RequestStage,
+)
 
 # Bodies are held for a few tenths of a second, until their requests are answered.
 RETRY_AFTER_BODIES_S = 0.25
@@ -23,7 +28,7 @@
 )
 
 
-class FrontendHandler(Protocol):
+class FrontendHandler(ChannelObserver, Protocol):
     """Handle the requests that the front end receives."""
 
     @property
@@ -34,10 +39,6 @@
     def bodies(self) -> BodyMemory:
         """Return the memory that bodies may take."""
 
-    @property
-    def is_stopping(self) -> bool:
-        """Return whether connections are closed after a response."""
-
     @property
     def decode(self) -> DecodeRequest:
         """Return the decoder of requests."""
@@ -57,19 +58,24 @@
     """One request of a caller, and the connection for its response."""
 
     handler: FrontendHandler
+    channel: Any
 
     def __init__(self, channel: Any, _: object = None) -> None:
         """Start with an empty body and no relay."""
         super().__init__(channel, parsePOSTFormSubmission=False)
+        self.request_id = ''
+        self.stage = RequestStage.RECEIVING
         self._body = BytesIO()
         self._held = self.handler.bodies.hold()
         self._relay: Relay | None = None
         self._refusal: RelayRefusal | None = None
         self._has_producer = False
+        self._has_length = False
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Buffer the body in memory, unless its length exceeds a limit."""
         self.content = self._body
+        self._has_length = True
         size = length or 0
         if size > self.handler.max_body_bytes:
             self._reject_body(BODY_TOO_LARGE)
@@ -90,6 +96,7 @@
 
     def process(self) -> None:
         """Decode the request and relay it, or refuse it."""
+        self.stage = RequestStage.RELAYING
         self.notifyFinish().addErrback(self._on_disconnect)
         decoded = self.handler.decode(
             self.method.decode('latin-1'),
@@ -101,11 +108,22 @@
             self._refuse(self._refusal or decoded.failure(), '')
             return
         req = decoded.unwrap()
+        self.request_id = req.request_id
         if self._refusal is None:
             self._relay = self.handler.start_relay(req, self)
         else:
             self._refuse(self._refusal, req.request_id)
 
+    def refuse_partial(self, refusal: RelayRefusal) -> None:
+        """Refuse the request if its head has come and its body has not."""
+        if self.stage is RequestStage.RECEIVING and self._has_length:
+            method, target, version = self.channel.request_line
+            self.method = method
+            self.uri = target
+            self.clientproto = version
+            self._reject_body(refusal)
+            self.process()
+
     def start(
         self,
         status: int,
@@ -115,7 +133,7 @@
         self.setResponseCode(status)
         for name, header_value in headers:
             self.responseHeaders.addRawHeader(name, header_value)
-        if self.handler.is_stopping:
+        if self.handler.is_stopping and not self.channel.has_more_input:
             self.responseHeaders.setRawHeaders(b'connection', [b'close'])
             self.channel.persistent = False
 
@@ -123,6 +141,8 @@
         """End the response as complete."""
         self.set_backpressure_source(None)
         self._held.release()
+        self.stage = RequestStage.SENDING
+        self.channel.request_answered(self.request_id)
         super().finish()  # type: ignore[no-untyped-call]
 
     def abort(self) -> None:
@@ -165,10 +185,12 @@
     """Create the protocol for each connection of a caller."""
 
     noisy = False
+    protocol: Any = CallerChannel
 
     def __init__(self, handler: FrontendHandler, idle_timeout_s: float) -> None:
         """Close connections that are idle for longer than the timeout."""
         super().__init__(timeout=idle_timeout_s)
+        self._handler = handler
         self._request_type = type(
             'BoundFrontendRequest', (FrontendRequest,), {'handler': handler}
         )
@@ -177,6 +199,7 @@
         """Return the protocol of one connection."""
         channel: Any = super().buildProtocol(addr)
         channel.requestFactory = self._request_type
+        channel.observer = self._handler
         return channel
 
 
--- a/foxtailhatch/router/metrics.py
+++ b/foxtailhatch/router/metrics.py
@@ -45,6 +45,12 @@
             const_labels=labels,
             registry=registry,
         )
+        self._undelivered = Counter(
+            'answers_undelivered',
+            'Requests whose callers did not get all of an answer, by cause',
+            const_labels=labels,
+            registry=registry,
+        )
         self._checks = Counter(
             'invariant_checks',
             'Checks that held',
@@ -85,6 +91,10 @@
         """Count a retry by cause."""
         self._retries.inc({'cause': cause})
 
+    def record_undelivered(self, cause: str) -> None:
+        """Count a request whose caller did not get all of an answer."""
+        self._undelivered.inc({'cause': cause})
+
     def record_failed_attempt(self, kind: str, *, has_begun: bool) -> None:
         """Count a failed attempt, and whether it had brought an event."""
         begun = 'yes' if has_begun else 'no'
--- a/foxtailhatch/router/request_handler.py
+++ b/foxtailhatch/router/request_handler.py
@@ -15,6 +15,7 @@
 from foxtailhatch.router.adapter import DecodeRequest
 from foxtailhatch.router.admission import admit
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.caller_channel import CallerChannel
 from foxtailhatch.router.crash_watch import CrashWatch
 
 # Used until a configuration is known; the usual configured limit.
@@ -60,6 +61,21 @@
         """Return whether a stop was requested."""
         return self._board.stop_requested_at is not None
 
+    def channel_opened(self, channel: CallerChannel) -> None:
+        """Add a new connection."""
+        self._board.channels.add(channel)
+
+    def channel_closed(self, channel: CallerChannel) -> None:
+        """Remove a connection that has ended."""
+        self._board.channels.discard(channel)
+
+    def record_undelivered(self, request_id: str) -> None:
+        """Count and log an answer of which a part was not sent."""
+        self._context.metrics.record_undelivered('caller_left')
+        self._context.log.write(
+            'answer_undelivered', id=request_id, why='caller_left'
+        )
+
     def start_relay(
         self, req: RelayRequest, caller: CallerConnection
     ) -> Relay | None:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -43,7 +43,8 @@
     a crashing part or path arrived; ``crashed_at`` are those at which endpoints crashed
     on one.  ``on_crash`` is called with the endpoint.  An endpoint in
     ``limits_per_s`` names its limit in each response, and ``arrivals`` holds
-    the times at which requests reached it.
+    the times at which requests reached it.  ``bodies`` are those that plain
+    services answer with, by path.
     """
 
     log: PlatformLog
@@ -57,6 +58,7 @@
     on_crash: Callable[['StubEndpoint'], None] | None = None
     limits_per_s: dict[str, float] = field(default_factory=dict)
     arrivals: dict[str, list[float]] = field(default_factory=dict)
+    bodies: dict[str, bytes] = field(default_factory=dict)
 
     def check_layers(self, request_id: str, stages: list[ChainStage]) -> None:
         """Record a violation unless each layer runs once and in order."""
@@ -166,7 +168,8 @@
             return None
         request_id = req.headers['foxtailhatch-request-id']
         self._pool.runs[request_id] += 1
-        return MiniResponse(body=b'done', headers=_seal_headers(request_id))
+        body = self._pool.bodies.get(req.path, b'done')
+        return MiniResponse(body=body, headers=_seal_headers(request_id))
 
     async def _run_chain(
         self,
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -47,6 +47,7 @@
         self.outcomes = []
         self.retries = []
         self.failed_attempts = []
+        self.undelivered = []
 
     def record_outcome(self, outcome, seconds):
         self.outcomes.append(outcome)
@@ -57,6 +58,9 @@
     def record_retry(self, cause):
         self.retries.append(cause)
 
+    def record_undelivered(self, cause):
+        self.undelivered.append(cause)
+
     def record_failed_attempt(self, kind, *, has_begun):
         self.failed_attempts.append((kind, has_begun))
 
--- /dev/null
+++ b/tests/router/test_caller_channel.py
@@ -0,0 +1,261 @@
+"""Connections of callers: what is outstanding, and how they are closed."""
+
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from foxtailhatch.relay.refusals import RefusalReason, RelayRefusal
+from foxtailhatch.router.caller_channel import LINGER_S, RequestStage
+from foxtailhatch.router.http_frontend import FrontendFactory
+from tests.router.test_http_frontend import Handler
+
+REFUSAL = RelayRefusal(RefusalReason.STOPPING, 0.05)
+GET = b'GET /a/b HTTP/1.1\r\nHost: host.example\r\n\r\n'
+
+
+class HeldTransport(StringTransport):
+    """A transport that hands over what is written only when told to."""
+
+    def __init__(self):
+        super().__init__()
+        self.closes = []
+
+    def loseWriteConnection(self):  # noqa: N802
+        self.closes.append('write')
+
+    def loseConnection(self):  # noqa: N802
+        self.closes.append('both')
+
+    def abortConnection(self):  # noqa: N802
+        self.closes.append('abort')
+
+    def hand_over(self, channel):
+        """Hand over all that is written, and close what is to be closed."""
+        if self.closes[-1] == 'write':
+            channel.writeConnectionLost()
+        else:
+            self.end(channel, ConnectionDone())
+
+    def end(self, channel, reason):
+        channel.connectionLost(Failure(reason))
+
+
+def connect(handler):
+    timers = Clock()
+    channel = FrontendFactory(handler, 60.0).buildProtocol(None)
+    channel.callLater = timers.callLater
+    transport = HeldTransport()
+    channel.makeConnection(transport)
+    return SimpleNamespace(channel=channel, transport=transport, timers=timers)
+
+
+def post(length):
+    head = b'POST /a/b HTTP/1.1\r\nHost: host.example\r\n'
+    return head + b'Content-Length: %d\r\n\r\n' % length
+
+
+def answer(client, handler):
+    client.channel.dataReceived(GET)
+    handler.accept().respond()
+
+
+def running(handler):
+    return len(handler.env.context.running - {handler.env.relay})
+
+
+def sent(client):
+    return client.transport.value()
+
+
+@pytest.fixture
+def handler():
+    return Handler()
+
+
+# Guards against a stop that counts an answer as given once it is written.
+def test_answer_is_outstanding_until_the_transport_has_handed_it_over(handler):
+    client = connect(handler)
+    handler.is_stopping = True
+    answer(client, handler)
+    assert sent(client).endswith(b'ok')
+    assert running(handler) == 0
+    assert handler.channels.has_outstanding
+    assert list(handler.channels.pending_requests()) == [
+        ('request-1', RequestStage.SENDING)
+    ]
+    client.transport.hand_over(client.channel)
+    assert list(handler.channels.pending_requests()) == []
+    client.channel.readConnectionLost()
+    assert client.transport.closes == ['write', 'both']
+    client.transport.hand_over(client.channel)
+    assert not handler.channels.has_outstanding
+
+
+# Guards against the tail of an answer on a kept connection: the stop can tell
+# that it was handed over only by closing the connection.
+def test_answer_before_the_stop_is_outstanding_until_the_connection_ends(
+    handler,
+):
+    client = connect(handler)
+    answer(client, handler)
+    assert handler.channels.has_outstanding
+    handler.is_stopping = True
+    handler.channels.close_idle()
+    assert client.transport.closes == []
+    handler.channels.close_idle()
+    assert client.transport.closes == ['both']
+    assert handler.channels.has_outstanding
+    client.transport.hand_over(client.channel)
+    assert not handler.channels.has_outstanding
+
+
+def test_connection_without_a_request_holds_up_no_stop(handler):
+    connect(handler)
+    assert not handler.channels.has_outstanding
+
+
+def test_connection_in_use_is_not_closed_as_idle(handler):
+    client = connect(handler)
+    client.channel.dataReceived(GET)
+    for _ in range(3):
+        handler.channels.close_idle()
+    assert client.transport.closes == []
+
+
+# Guards against a request that is read behind another one and then dropped.
+def test_request_behind_another_one_is_answered_in_a_stop(handler):
+    client = connect(handler)
+    handler.is_stopping = True
+    client.channel.dataReceived(GET + GET)
+    handler.accept().respond()
+    assert b'connection: close' not in sent(client).lower()
+    assert client.transport.closes == []
+    handler.accept().respond()
+    assert sent(client).count(b'ok') == 2
+    assert sent(client).lower().count(b'connection: close') == 1
+    assert client.transport.closes == ['write']
+
+
+def test_bytes_after_the_last_answer_are_no_request(handler):
+    client = connect(handler)
+    handler.is_stopping = True
+    answer(client, handler)
+    client.channel.dataReceived(GET)
+    assert not handler.env.reactor.tcpClients
+    assert sent(client).count(b'HTTP/1.1 200') == 1
+
+
+# Guards against bodies that are cut off with neither an answer nor a refusal.
+@pytest.mark.parametrize('part', [0, 1, 999])
+def test_incomplete_body_is_refused_and_read_on(handler, part):
+    client = connect(handler)
+    client.channel.dataReceived(post(1000) + b'x' * part)
+    handler.is_stopping = True
+    assert handler.channels.has_outstanding
+    handler.channels.refuse_partial(REFUSAL)
+    assert sent(client).startswith(b'HTTP/1.1 503')
+    assert b'{"error":"stopping"}' in sent(client)
+    assert handler.refusals == [('stopping', 'request-1')]
+    client.transport.hand_over(client.channel)
+    client.channel.dataReceived(b'x' * (1000 - part))
+    assert client.transport.closes == ['write']
+    client.channel.readConnectionLost()
+    assert client.transport.closes == ['write', 'both']
+    assert not handler.env.reactor.tcpClients
+    assert handler.bodies.held_bytes == 0
+
+
+def test_incomplete_chunked_body_is_refused(handler):
+    client = connect(handler)
+    client.channel.dataReceived(
+        b'POST /a/b HTTP/1.1\r\nHost: host.example\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n'
+    )
+    handler.is_stopping = True
+    handler.channels.refuse_partial(REFUSAL)
+    assert b' 503 ' in sent(client).split(b'\r\n')[0]
+    before = sent(client)
+    client.channel.dataReceived(b'not a chunk\r\n')
+    assert sent(client) == before
+    assert client.transport.closes == ['write', 'abort']
+
+
+def test_request_is_refused_only_once(handler):
+    client = connect(handler)
+    client.channel.dataReceived(post(1000))
+    handler.is_stopping = True
+    for _ in range(3):
+        handler.channels.refuse_partial(REFUSAL)
+    assert sent(client).count(b'HTTP/1.1') == 1
+
+
+def test_request_in_progress_is_not_refused_as_incomplete(handler):
+    client = connect(handler)
+    client.channel.dataReceived(GET)
+    handler.is_stopping = True
+    handler.channels.refuse_partial(REFUSAL)
+    assert sent(client) == b''
+
+
+def test_connection_that_the_caller_leaves_open_is_closed(handler):
+    client = connect(handler)
+    handler.is_stopping = True
+    answer(client, handler)
+    client.timers.advance(10 * LINGER_S)
+    assert client.transport.closes == ['write']
+    client.transport.hand_over(client.channel)
+    client.timers.advance(LINGER_S)
+    assert client.transport.closes == ['write', 'both']
+
+
+def test_caller_that_sends_on_is_read_on(handler):
+    client = connect(handler)
+    client.channel.dataReceived(post(1000))
+    handler.is_stopping = True
+    handler.channels.refuse_partial(REFUSAL)
+    client.transport.hand_over(client.channel)
+    for _ in range(4):
+        client.timers.advance(0.9 * LINGER_S)
+        client.channel.dataReceived(b'x')
+    assert client.transport.closes == ['write']
+
+
+# Guards against logs that show an answer as given which its caller did not get.
+def test_answer_that_was_cut_is_recorded(handler):
+    client = connect(handler)
+    handler.is_stopping = True
+    answer(client, handler)
+    client.transport.end(client.channel, ConnectionLost())
+    assert handler.undelivered == ['request-1']
+
+
+def test_answer_that_the_transport_holds_back_is_recorded_when_cut(handler):
+    client = connect(handler)
+    client.channel.dataReceived(GET)
+    client.channel.pauseProducing()
+    handler.accept().respond()
+    client.transport.end(client.channel, ConnectionLost())
+    assert handler.undelivered == ['request-1']
+
+
+def test_delivered_answer_is_not_recorded_as_cut(handler):
+    client = connect(handler)
+    handler.is_stopping = True
+    answer(client, handler)
+    client.transport.hand_over(client.channel)
+    client.transport.end(client.channel, ConnectionLost())
+    assert handler.undelivered == []
+
+
+def test_caller_that_leaves_during_its_request_ends_it(handler):
+    client = connect(handler)
+    client.channel.dataReceived(GET)
+    client.channel.readConnectionLost()
+    assert client.transport.closes == ['abort']
+    assert running(handler) == 1
+    client.transport.end(client.channel, ConnectionLost())
+    assert running(handler) == 0
--- a/tests/router/test_graceful_shutdown.py
+++ b/tests/router/test_graceful_shutdown.py
@@ -1,8 +1,10 @@
 from types import SimpleNamespace
 
+from foxtailhatch.router.admission import stop_accept_s
+from foxtailhatch.router.caller_channel import RequestStage
 from foxtailhatch.router.graceful_shutdown import MIN_STOP_S, GracefulShutdown
 from foxtailhatch.routes import RouteKind
-from tests.relay.fakes import ListLog, start_relay
+from tests.relay.fakes import CountingMetrics, ListLog, start_relay
 from tests.router.fakes import Clock, board
 from tests.routes.configurations import MODEL
 
@@ -20,8 +22,11 @@
 def start_shutdown(running=()):
     clock = Clock()
     env = board(clock)
-    context = SimpleNamespace(running=set(running))
-    return GracefulShutdown(env, context, ListLog()), env, clock, context
+    context = SimpleNamespace(
+        running=set(running), log=ListLog(), metrics=CountingMetrics()
+    )
+    shutdown = GracefulShutdown(env, context, context.log)
+    return shutdown, env, clock, context
 
 
 def test_idle_entry_runs_for_a_minimum_time():
@@ -56,6 +61,64 @@
     assert shutdown.is_over
 
 
+class OutstandingChannel:
+    """A connection that a stop has to wait for, and what it was told."""
+
+    is_outstanding = True
+
+    def __init__(self):
+        self.refusals = []
+        self.idle_checks = 0
+
+    def refuse_partial(self, refusal):
+        self.refusals.append(refusal.reason.value)
+
+    def close_if_idle(self):
+        self.idle_checks += 1
+
+    def pending_requests(self):
+        return [('q1', RequestStage.SENDING)]
+
+
+# Guards against a stop that counts what was decided, not what callers got.
+def test_stop_waits_for_answers_that_are_not_handed_over():
+    shutdown, env, clock, _ = start_shutdown()
+    channel = OutstandingChannel()
+    env.channels.add(channel)
+    shutdown.request_stop()
+    shutdown.check(clock.now + 6)
+    assert not shutdown.is_over
+    env.channels.discard(channel)
+    shutdown.check(clock.now + 6.1)
+    assert shutdown.is_over
+
+
+def test_incomplete_requests_are_refused_when_no_more_are_accepted():
+    shutdown, env, clock, _ = start_shutdown()
+    channel = OutstandingChannel()
+    env.channels.add(channel)
+    shutdown.request_stop()
+    shutdown.check(clock.now + stop_accept_s(env.cfg.bounds.stop_grace_s))
+    assert channel.refusals == []
+    shutdown.check(clock.now + 2.6)
+    assert channel.refusals == ['stopping']
+    assert channel.idle_checks == 1
+
+
+# Guards against logs in which a request that the end of the process cuts off looks
+# like one that was answered.
+def test_requests_that_the_end_of_the_grace_cuts_off_are_logged():
+    shutdown, env, clock, context = start_shutdown()
+    env.channels.add(OutstandingChannel())
+    shutdown.request_stop()
+    shutdown.check(clock.now + 7.75)
+    assert shutdown.is_over
+    assert context.log.of('answer_undelivered') == [
+        {'id': 'q1', 'why': 'stop', 'stage': RequestStage.SENDING.value}
+    ]
+    assert context.metrics.undelivered == ['stop']
+
+
 # Guards against requests that are cut without an answer, as the process ends.
 def test_request_that_may_have_run_is_answered_before_the_process_ends():
     env = start_relay(kind=RouteKind.AT_MOST_ONCE)
--- a/tests/router/test_http_frontend.py
+++ b/tests/router/test_http_frontend.py
@@ -13,6 +13,7 @@
 from foxtailhatch.relay.body_memory import BodyMemory
 from foxtailhatch.relay.relay import Relay
 from foxtailhatch.relay.request import RelayRequest
+from foxtailhatch.router.caller_channels import CallerChannels
 from foxtailhatch.router.http_frontend import FrontendFactory
 from tests.relay.fakes import FakeEndpointConnection, start_relay
 
@@ -33,6 +34,17 @@
         self.bodies = BodyMemory(limit_bytes)
         self.env.context.bodies = self.bodies
         self.refusals = []
+        self.undelivered = []
+        self.channels = CallerChannels()
+
+    def channel_opened(self, channel):
+        self.channels.add(channel)
+
+    def channel_closed(self, channel):
+        self.channels.discard(channel)
+
+    def record_undelivered(self, request_id):
+        self.undelivered.append(request_id)
 
     def decode(self, method, target, headers, body):
         return Success(
