Keep a stopping entry until the store has its records

What callers could see: a request or a part of a prompt that crashes endpoints crashes further ones, as the entry that found it is stopped in the same moment and its report reaches nobody. Found by looking for the cause of the answers that a planned stop dropped: what was decided counted, not what others got.

Ruled out: heartbeats and the leader lease, which others can do without.

Change: the stop waits for records of crashes and observations that are being written or due, within the grace; the line of the stop tells what is unwritten.

Measured: test_stop_waits_until_the_store_has_taken_records needs an argument that the code before does not have; with the new condition taken out it fails.

--- a/foxtailhatch/router/components.py
+++ b/foxtailhatch/router/components.py
@@ -175,5 +175,13 @@
             lease,
             log,
         ),
-        shutdown=GracefulShutdown(board, relay, log),
+        shutdown=GracefulShutdown(
+            board,
+            relay,
+            log,
+            lambda: (
+                crash_watch.has_unwritten_records
+                or observation_publisher.has_unwritten_records
+            ),
+        ),
     )
--- a/foxtailhatch/router/crash_watch.py
+++ b/foxtailhatch/router/crash_watch.py
@@ -131,6 +131,12 @@
         )
         self._rewrite_at = float('-inf')
 
+    @property
+    def has_unwritten_records(self) -> bool:
+        """Return whether the store lacks a quarantine or its end."""
+        due = (self._parts_due, self._releases_due)
+        return any(due) or bool(self._unwritten) or bool(self._tasks)
+
     @property
     def is_idle(self) -> bool:
         """Return whether there is nothing to confirm, decide or write."""
--- a/foxtailhatch/router/graceful_shutdown.py
+++ b/foxtailhatch/router/graceful_shutdown.py
@@ -1,10 +1,12 @@
 """Graceful shutdown: stop being recommended, drain requests, then exit.
 
 What a caller has got counts, not what a relay has decided: the process runs on
-while a request is received in part, and while the transport holds a part of an
-answer.
+while a request is received in part, while the transport holds a part of an
+answer, and while records that other entries need are not in the store.
 """
 
+from collections.abc import Callable
+
 from foxtailhatch.relay.context import RelayContext
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.admission import STOPPING_REFUSAL, stop_accept_s
@@ -26,12 +28,14 @@
         board: Blackboard,
         context: RelayContext,
         log: StructuredLog,
+        has_unwritten_records: Callable[[], bool],
     ) -> None:
         """Wait for a stop request; ``is_over`` is set when it is complete."""
         self.is_over = False
         self._board = board
         self._context = context
         self._log = log
+        self._has_unwritten_records = has_unwritten_records
 
     def request_stop(self) -> bool:
         """Begin to stop; return whether this was the first request."""
@@ -55,11 +59,14 @@
             channels.close_idle()
         if left_s <= ANSWER_MARGIN_S:
             self._end_running()
-        has_pending = self._context.running or channels.has_outstanding
-        is_drained = elapsed_s >= MIN_STOP_S and not has_pending
+        is_drained = elapsed_s >= MIN_STOP_S and not self._has_pending()
         if is_drained or left_s <= EXIT_MARGIN_S:
             self.log_pending('stop')
-            self._log.write('stop', running=self._running)
+            self._log.write(
+                'stop',
+                running=self._running,
+                unwritten=self._has_unwritten_records(),
+            )
             self.is_over = True
 
     def log_pending(self, why: str) -> None:
@@ -74,6 +81,13 @@
     def _running(self) -> int:
         return len(self._context.running)
 
+    def _has_pending(self) -> bool:
+        return (
+            bool(self._context.running)
+            or self._board.channels.has_outstanding
+            or self._has_unwritten_records()
+        )
+
     def _end_running(self) -> None:
         """Answer the requests in progress while their callers can be told."""
         for relay in tuple(self._context.running):
--- a/foxtailhatch/router/observation_publisher.py
+++ b/foxtailhatch/router/observation_publisher.py
@@ -43,6 +43,11 @@
         self._tasks: set[asyncio.Future[None]] = set()
         self._probed: set[str] = set()
 
+    @property
+    def has_unwritten_records(self) -> bool:
+        """Return whether a probe runs, or an observation is being written."""
+        return bool(self._tasks)
+
     def confirm_suspect(self, endpoint: LiveEndpoint, why: str) -> None:
         """Publish that an endpoint is dead, if probes confirm it."""
         if endpoint.name in self._probed:
--- a/tests/router/test_crash_watch.py
+++ b/tests/router/test_crash_watch.py
@@ -338,6 +338,20 @@
     assert all(one.watch.is_blocked(sent('bad')) for one in fleet.entries)
 
 
+# Guards against a process that ends while only it knows of a crash.
+def test_reports_that_the_store_has_not_taken_are_unwritten():
+    fleet = Fleet()
+    watch = fleet.entries[0].watch
+    assert not watch.has_unwritten_records
+    fleet.store.is_down = True
+    lose_request(fleet, 0, 'e0', 'bad')
+    fleet.advance(1)
+    assert watch.has_unwritten_records
+    fleet.store.is_down = False
+    fleet.advance(5)
+    assert not watch.has_unwritten_records
+
+
 def test_store_that_is_away_gets_one_record_a_second():
     fleet = Fleet(entries=1)
     fleet.store.is_down = True
--- a/tests/router/test_graceful_shutdown.py
+++ b/tests/router/test_graceful_shutdown.py
@@ -19,13 +19,15 @@
         self.is_ended = True
 
 
-def start_shutdown(running=()):
+def start_shutdown(running=(), records=()):
     clock = Clock()
     env = board(clock)
     context = SimpleNamespace(
         running=set(running), log=ListLog(), metrics=CountingMetrics()
     )
-    shutdown = GracefulShutdown(env, context, context.log)
+    shutdown = GracefulShutdown(
+        env, context, context.log, lambda: bool(records)
+    )
     return shutdown, env, clock, context
 
 
@@ -93,6 +95,27 @@
     assert shutdown.is_over
 
 
+# Guards against a quarantine that other entries never hear of, as the entry that
+# found the cause of a crash is replaced at that moment.
+def test_stop_waits_until_the_store_has_taken_records():
+    records = ['part']
+    shutdown, _, clock, _ = start_shutdown(records=records)
+    shutdown.request_stop()
+    shutdown.check(clock.now + 6)
+    assert not shutdown.is_over
+    records.clear()
+    shutdown.check(clock.now + 6.1)
+    assert shutdown.is_over
+
+
+def test_store_that_is_away_holds_up_no_stop_beyond_the_grace():
+    shutdown, _, clock, context = start_shutdown(records=['part'])
+    shutdown.request_stop()
+    shutdown.check(clock.now + 7.75)
+    assert shutdown.is_over
+    assert context.log.of('stop') == [{'running': 0, 'unwritten': True}]
+
+
 def test_incomplete_requests_are_refused_when_no_more_are_accepted():
     shutdown, env, clock, _ = start_shutdown()
     channel = OutstandingChannel()
