Refuse new requests well before the limit of a planned stop

Callers of an entry whose planned_stop_s is shorter than the time for which it is still advised were served until the limit, and cut there: it went from serving straight to the exit, without the phase that refuses.

New requests are refused after half of the limit at the latest, and waits_for_incomplete says until when those still arriving are waited for, three quarters of it. Without a limit nothing changes.

test_requests_are_refused_well_before_a_short_limit and test_incomplete_requests_are_waited_for_during_a_part_of_the_limit failed on the code before; tests/membership passes.

--- a/foxtailhatch/membership/planned_stop.py
+++ b/foxtailhatch/membership/planned_stop.py
@@ -2,8 +2,10 @@
 
 Callers cache the addresses of entries.  A stopping entry is therefore first
 removed from the recommended addresses while it continues to serve, then
-refuses new requests, and exits when no request is in progress.  The operator
-may limit the wait; requests that are aborted at the limit are reported.
+refuses new requests, and exits when every caller has its answer.  The operator
+may limit the wait: then it refuses new requests after a part of the limit, and
+those still arriving after a larger part, so that their callers get an answer.
+Requests that are aborted at the limit are reported.
 """
 
 from collections.abc import Sequence
@@ -13,6 +15,9 @@
 from foxtailhatch.core import ErrorCode, Invariant, Refusal, check_invariant
 
 ADVICE_MARGIN_S = 10.0
+# Parts of the operator's limit.
+REFUSE_AFTER = 0.5
+REFUSE_INCOMPLETE_AFTER = 0.75
 
 
 class StopPhase(StrEnum):
@@ -66,6 +71,8 @@
         """Create with no stop requested."""
         self._serving_s = address_ttl_s + margin_s
         self._wait_max_s = timeout_s
+        if timeout_s is not None:
+            self._serving_s = min(self._serving_s, timeout_s * REFUSE_AFTER)
         self._requested_at: float | None = None
 
     def request(self, now: float) -> bool:
@@ -84,6 +91,13 @@
         requested_at = self._requested_at
         return requested_at is None or now < requested_at + self._serving_s
 
+    def waits_for_incomplete(self, now: float) -> bool:
+        """Return whether requests may go on arriving that are incomplete."""
+        if self._requested_at is None or self._wait_max_s is None:
+            return True
+        wait_s = self._wait_max_s * REFUSE_INCOMPLETE_AFTER
+        return now < self._requested_at + wait_s
+
     def refusal(
         self,
         others: Sequence[str],
@@ -102,11 +116,17 @@
             address=next(iter(others), None),
         )
 
+    def is_timed_out(self, now: float) -> bool:
+        """Return whether the operator's limit is over."""
+        if self._requested_at is None or self._wait_max_s is None:
+            return False
+        return now >= self._requested_at + self._wait_max_s
+
     def status(self, running: int, now: float) -> StopStatus:
         """Return the status, given ``running`` requests in progress."""
         if self._requested_at is None:
             return StopStatus(StopPhase.SERVING, running)
-        is_timed_out = self._is_timed_out(now)
+        is_timed_out = self.is_timed_out(now)
         if self.accepts_requests(now) and not is_timed_out:
             return StopStatus(StopPhase.UNADVISED, running)
         if running and not is_timed_out:
@@ -121,11 +141,6 @@
         """
         check_invariant(
             Invariant.SHUTDOWN_ABORTS_NOTHING,
-            running == 0 or self._is_timed_out(now),
+            running == 0 or self.is_timed_out(now),
             f'exit with {running} requests in progress at {now}',
         )
-
-    def _is_timed_out(self, now: float) -> bool:
-        if self._requested_at is None or self._wait_max_s is None:
-            return False
-        return now >= self._requested_at + self._wait_max_s
--- a/tests/membership/test_planned_stop.py
+++ b/tests/membership/test_planned_stop.py
@@ -55,3 +55,24 @@
     stop = PlannedStop(address_ttl_s=30.0)
     assert stop.status(0, 1e9).phase is StopPhase.SERVING
     assert stop.refusal([], 1e9) is None
+
+
+# An entry with a short limit accepted requests until it cut them.
+def test_requests_are_refused_well_before_a_short_limit():
+    stop = requested_stop(timeout_s=20.0)
+    assert stop.accepts_requests(9.9)
+    assert stop.refusal(['b:80'], 10.0).code is ErrorCode.SHUTTING_DOWN
+    assert stop.status(1, 10.0).phase is StopPhase.REFUSING
+    assert stop.status(0, 10.0).may_exit
+
+
+def test_long_limit_leaves_the_advice_time_as_it_is():
+    assert requested_stop(timeout_s=200.0).accepts_requests(39.9)
+
+
+def test_incomplete_requests_are_waited_for_during_a_part_of_the_limit():
+    stop = requested_stop(timeout_s=20.0)
+    assert stop.waits_for_incomplete(14.9)
+    assert not stop.waits_for_incomplete(15.0)
+    assert requested_stop().waits_for_incomplete(1e9)
+    assert PlannedStop(30.0, timeout_s=20.0).waits_for_incomplete(1e9)
