Let a planned stop wait for what callers have sent and not yet got

Callers of an entry of serve lost requests in a planned stop: an answer of 12 MB that was read slowly broke off, a request whose body was still arriving ended with its connection, and the log named neither.

Cause: the stop asked how many answers and calls were running. An answer ended there when it was written to the transport, a request began when it was whole, and the reactor dropped the rest. Ruled out: other entries' answers, as serve forwards none; a request read behind another one was answered before as well, though without Connection: close, and on a connection that the exit could cut.

CallerConnections now knows of each connection the requests that were begun and the answers that the transport still holds, and the stop waits for it. From the refusals on an answer is the last one of its connection, unless another request was read behind it. A connection is closed in two steps, and read for up to 2 s in between, so that unread input does not reset it; this takes the place of the fixed delay after the refusal of a body. The event answer_delivered says that the transport has taken all of an answer, and the log line request_cut that it has not, or that the request got no answer.

--- a/foxtailhatch/callers/limited_request.py
+++ b/foxtailhatch/callers/limited_request.py
@@ -1,33 +1,26 @@
 """HTTP requests with limits on the body size and the receive time."""
 
-from http import HTTPStatus
 from typing import cast
 
-from twisted.internet.tcp import Connection
 from twisted.python.failure import Failure
 from twisted.web import server
-from twisted.web.http import HTTPChannel
 
 from foxtailhatch.callers.api_context import ApiContext
 from foxtailhatch.callers.async_reply import internal_error
-from foxtailhatch.callers.errors import HTTP_STATUSES, error_body
-from foxtailhatch.callers.replies import refusal_reply, send
+from foxtailhatch.callers.channel import CallerChannel
+from foxtailhatch.callers.replies import raw_reply, refusal_reply, send
 from foxtailhatch.core import ErrorCode, InvariantViolation, Refusal
 from foxtailhatch.core.reactor_clock import DelayedCall
 
-LINGER_S = 2
-
 
 class LimitedRequest(server.Request):
     """A request that is refused if its body is too large or too slow.
 
-    The refusal is written at once.  Further input is discarded for
-    ``LINGER_S`` before the connection is closed: closing it with unread input
-    would reset it, and the caller could lose the refusal.
+    The refusal is written at once, and the rest of the request is discarded.
     """
 
     def __init__(
-        self, context: ApiContext, channel: HTTPChannel, *_: object
+        self, context: ApiContext, channel: CallerChannel, *_: object
     ) -> None:
         """Start the timeout for the arrival of headers and body."""
         server.Request.__init__(self, channel)
@@ -84,50 +77,34 @@
             send(self, refusal_reply(internal_error()))
         return reason
 
-    def _refuse_large_body(self) -> None:
-        limit = self._context.limits.body_bytes
-        message = f'The body is larger than {limit} bytes.'
-        self._refuse(Refusal(ErrorCode.BODY_TOO_LARGE, message))
-
-    def _refuse_slow_request(self) -> None:
-        self._timeout = None
-        seconds = self._context.limits.body_timeout_s
-        message = f'The request did not arrive within {seconds} seconds.'
-        self._refuse(Refusal(ErrorCode.BODY_TOO_SLOW, message))
+    def answer_id(self) -> str:
+        """Return the id that the answer bears, or an empty string."""
+        ids = self.responseHeaders.getRawHeaders(b'X-Request-Id', [b''])
+        return ids[-1].decode()
 
-    def _refuse(self, refusal: Refusal) -> None:
+    def refuse(self, refusal: Refusal) -> None:
+        """Refuse the request before it is complete."""
         # Twisted needs the method to reply, and sets it only after the body.
         self._refused = True
         # Otherwise the channel sends 100 Continue after the refusal.
         self.requestHeaders.removeHeader(b'Expect')
         self._cancel_timeout()
         self._context.observability.record_request_outcome(refusal.code)
-        self._connection().write(raw_reply(refusal))
-        self._timeout = self._context.clock.callLater(
-            LINGER_S, self._close_connection
-        )
+        channel = cast(CallerChannel, self.channel)
+        channel.send_last(raw_reply(refusal))
 
-    def _close_connection(self) -> None:
-        self._timeout = None
-        self._connection().loseConnection()
+    def _refuse_large_body(self) -> None:
+        limit = self._context.limits.body_bytes
+        message = f'The body is larger than {limit} bytes.'
+        self.refuse(Refusal(ErrorCode.BODY_TOO_LARGE, message))
 
-    def _connection(self) -> Connection:
-        return cast(Connection, self.channel.transport)
+    def _refuse_slow_request(self) -> None:
+        self._timeout = None
+        seconds = self._context.limits.body_timeout_s
+        message = f'The request did not arrive within {seconds} seconds.'
+        self.refuse(Refusal(ErrorCode.BODY_TOO_SLOW, message))
 
     def _cancel_timeout(self) -> None:
         if self._timeout is not None:
             self._timeout.cancel()
             self._timeout = None
-
-
-def raw_reply(refusal: Refusal) -> bytes:
-    """Return a complete HTTP response with ``Connection: close``."""
-    status = HTTPStatus(HTTP_STATUSES[refusal.code])
-    body = error_body(refusal)
-    head = (
-        f'HTTP/1.1 {status.value} {status.phrase}\r\n'
-        'Content-Type: application/json\r\n'
-        f'Content-Length: {len(body)}\r\n'
-        'Connection: close\r\n\r\n'
-    )
-    return head.encode() + body
--- a/foxtailhatch/callers/replies.py
+++ b/foxtailhatch/callers/replies.py
@@ -66,6 +66,19 @@
     req.finish()
 
 
+def raw_reply(refusal: Refusal) -> bytes:
+    """Return a complete HTTP response with ``Connection: close``."""
+    status = HTTPStatus(HTTP_STATUSES[refusal.code])
+    body = error_body(refusal)
+    head = (
+        f'HTTP/1.1 {status.value} {status.phrase}\r\n'
+        'Content-Type: application/json\r\n'
+        f'Content-Length: {len(body)}\r\n'
+        'Connection: close\r\n\r\n'
+    )
+    return head.encode() + body
+
+
 def header_text(req: Request, name: bytes) -> str | None:
     """Return the last value of a header; invalid UTF-8 becomes U+FFFD."""
     header: bytes | None = req.getHeader(name)
--- a/foxtailhatch/callers/site.py
+++ b/foxtailhatch/callers/site.py
@@ -23,6 +23,8 @@
     Observability,
 )
 from foxtailhatch.callers.base import UnknownPath
+from foxtailhatch.callers.channel import CallerChannel
+from foxtailhatch.callers.connections import CallerConnections
 from foxtailhatch.callers.gateway import Gateway
 from foxtailhatch.callers.limited_request import LimitedRequest
 from foxtailhatch.callers.listings import (
@@ -45,7 +47,12 @@
 class ApiSite(Site):
     """A site without an access log."""
 
-    def __init__(self, root: Resource, context: ApiContext) -> None:
+    def __init__(
+        self,
+        root: Resource,
+        context: ApiContext,
+        connections: CallerConnections,
+    ) -> None:
         """Serve ``root`` with the request limits of ``context``."""
         Site.__init__(
             self,
@@ -54,6 +61,9 @@
             reactor=context.clock,
             parsePOSTFormSubmission=False,
         )
+        # The attribute's declared type names only Twisted's own channels.
+        site: Any = self
+        site.protocol = partial(CallerChannel, connections, context.clock)
 
     def log(self, request: Request) -> None:
         """Write no log line; requests are counted in the metrics."""
@@ -64,6 +74,7 @@
     observability: Observability,
     limits: HttpLimits,
     clock: ReactorClock,
+    connections: CallerConnections,
     operators: OperatorAccess | None = None,
 ) -> Site:
     """Return the site; ``clock`` is the reactor that serves it."""
@@ -77,12 +88,7 @@
         new_request_id=random_request_id,
         operators=operators,
     )
-    return build_context_site(context)
-
-
-def build_context_site(context: ApiContext) -> Site:
-    """Return the site of all resources that use ``context``."""
-    return ApiSite(_root_resource(context), context)
+    return ApiSite(_root_resource(context), context, connections)
 
 
 def random_request_id() -> str:
--- a/foxtailhatch/core/timeline.py
+++ b/foxtailhatch/core/timeline.py
@@ -19,6 +19,8 @@
     REQUEST_REFUSED = 'request_refused'
     REQUEST_FINISHED = 'request_finished'
     REQUEST_CANCELLED = 'request_cancelled'
+    REQUEST_CUT = 'request_cut'
+    ANSWER_DELIVERED = 'answer_delivered'
     CHAIN_SELECTED = 'chain_chosen'
     ANSWER_RECOVERED = 'answer_recovered'
     SERVICE_SENT = 'service_sent'
--- a/foxtailhatch/daemon/app.py
+++ b/foxtailhatch/daemon/app.py
@@ -112,7 +112,9 @@
             node.counters,
             self._reactor,
         )
-        serve_site(self._reactor, listener, site)
+        components.connections.listen_with(
+            serve_site(self._reactor, listener, site)
+        )
         self._start(components, configuration, inbox)
 
     def _handle_open_result(self, opening: 'asyncio.Task[None]') -> None:
@@ -151,6 +153,7 @@
             components.running,
             reactor.seconds,
             reactor.stop,
+            components.connections,
             components.placement.release,
         )
         loops = Loops(components.guard.invariant_broken)
--- a/foxtailhatch/daemon/assembly.py
+++ b/foxtailhatch/daemon/assembly.py
@@ -124,7 +124,12 @@
         cfg.timeouts.first_token_s,
     )
     return build_site(
-        components.gateway, observability, limits, reactor, operators
+        components.gateway,
+        observability,
+        limits,
+        reactor,
+        components.connections,
+        operators,
     )
 
 
--- a/foxtailhatch/daemon/entry.py
+++ b/foxtailhatch/daemon/entry.py
@@ -11,6 +11,7 @@
 from foxtailhatch.daemon.claimed_answers import ClaimedAnswers
 from foxtailhatch.daemon.claimed_calls import ClaimedCalls
 from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
+from foxtailhatch.daemon.deliveries import EntryConnections
 from foxtailhatch.daemon.endpoint_monitor import EndpointMonitor
 from foxtailhatch.daemon.external_systems import ExternalSystems
 from foxtailhatch.daemon.gateway import DaemonGateway
@@ -25,10 +26,10 @@
 from foxtailhatch.durable import (
     ClaimManager,
     ClaimSettings,
+    LeaseHolder,
     LogAvailability,
     LogFollower,
 )
-from foxtailhatch.durable.lease_holder import LeaseHolder
 from foxtailhatch.routing import ShortestPathChooser, prompt_blocks
 
 CONFIGURATION_STEP_S = 0.1
@@ -58,10 +59,12 @@
     claims: ClaimLoop
     placement: PlacementLoop
     gateway: DaemonGateway
+    connections: EntryConnections
 
     def running(self) -> int:
-        """Return the number of requests that a shutdown has to wait for.
+        """Return the number of requests in progress.
 
+        Those that only the callers' connections know of are not among them.
         Outcomes that are not yet in the log count while the log is
         available, because a repeated call with the same key needs them.
         """
@@ -109,6 +112,7 @@
             prompt_blocks,
             partial(clock.callLater, 0),
         ),
+        EntryConnections(board),
     )
 
 
--- a/foxtailhatch/daemon/listening.py
+++ b/foxtailhatch/daemon/listening.py
@@ -1,6 +1,7 @@
 """The reactor and the listening sockets of a process."""
 
 import socket
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import asyncioreactor
@@ -33,7 +34,14 @@
     return listener
 
 
-def serve_site(reactor: Any, listener: socket.socket, site: Site) -> None:
-    """Serve ``site`` on a listening socket and close the original handle."""
-    reactor.adoptStreamPort(listener.fileno(), listener.family, site)
+def serve_site(
+    reactor: Any, listener: socket.socket, site: Site
+) -> Callable[[], object]:
+    """Serve ``site`` on a listening socket and close the original handle.
+
+    Return the function that stops listening.
+    """
+    port = reactor.adoptStreamPort(listener.fileno(), listener.family, site)
     listener.close()
+    stop_listening: Callable[[], object] = port.stopListening
+    return stop_listening
--- a/foxtailhatch/daemon/logs.py
+++ b/foxtailhatch/daemon/logs.py
@@ -14,6 +14,7 @@
         EventKind.STARTED,
         EventKind.STOP_REQUESTED,
         EventKind.STOPPED,
+        EventKind.REQUEST_CUT,
         EventKind.CONFIGURATION_IN_FORCE,
         EventKind.PUBLICATION_REFUSED,
         EventKind.LOG_UNAVAILABLE,
--- a/tests/callers/http.py
+++ b/tests/callers/http.py
@@ -16,6 +16,7 @@
     ReachableModel,
     build_site,
 )
+from foxtailhatch.callers.connections import CallerConnections
 from foxtailhatch.core import Caller, ErrorCode, Refusal
 from foxtailhatch.core.timeline_json import events_to_json
 from foxtailhatch.outside import ServiceResponse
@@ -140,16 +141,26 @@
         self.clock = Clock()
         self.gateway = FakeGateway()
         self.observability = FakeObservability()
+        self.delivered = []
+        self.cut = []
+        self.connections = CallerConnections(self)
         site = build_site(
             self.gateway,
             self.observability,
             LIMITS,
             self.clock,
+            self.connections,
             operators,
         )
         self.listening = reactor.listenTCP(0, site, interface='127.0.0.1')
         self.port = self.listening.getHost().port
 
+    def record_delivered(self, request_id):
+        self.delivered.append(request_id)
+
+    def record_cut(self, subject, reason, cause):
+        self.cut.append((subject, reason, cause))
+
     def abort_connections(self):
         """Reset every connection, as the end of the process does."""
         for reader in self.reactor.getReaders():
--- a/tests/faults/entry.py
+++ b/tests/faults/entry.py
@@ -144,7 +144,11 @@
         )
         self.operations = EntryOperations(board, self.configuration)
         self.shutdown = ShutdownController(
-            board, self.components.running, clock.seconds, self._exit
+            board,
+            self.components.running,
+            clock.seconds,
+            self._exit,
+            self.components.connections,
         )
         gossip = Gossip(board.entries, board.random, sim.seeds())
         peers = PeerLoop(
