Log what an exit without a planned stop cuts

A broken invariant ends the process at once. The log named the invariant, but none of the requests that were cut with it, and neither this exit nor the limit of a planned stop said that records of requests that must not repeat had not reached the log.

Such an exit now writes request_cut for each request that its caller has begun and not got an answer to, as does a start that fails once the entry listens. Each exit writes outcomes_unsent if records are left. The exit still does not wait.

--- a/foxtailhatch/core/timeline.py
+++ b/foxtailhatch/core/timeline.py
@@ -26,6 +26,7 @@
     SERVICE_SENT = 'service_sent'
     SERVICE_ANSWERED = 'service_answered'
     CLAIM_DECIDED = 'claim_decided'
+    OUTCOMES_UNSENT = 'outcomes_unsent'
     CONFIGURATION_IN_FORCE = 'configuration_in_force'
     PUBLICATION_REFUSED = 'publication_refused'
     RECORDS_LOST = 'records_lost'
--- a/foxtailhatch/daemon/app.py
+++ b/foxtailhatch/daemon/app.py
@@ -71,6 +71,7 @@
         self._cfg = cfg
         self._secrets = secrets
         self._reactor = reactor
+        self._components: EntryComponents | None = None
 
     def start(self) -> None:
         """Open all sockets, then print their addresses as one line of JSON."""
@@ -121,8 +122,7 @@
         failure = opening.exception()
         if failure is not None:
             sys.stderr.write(f'{failure}\n')
-            self.exit_code = EXIT_SETTINGS
-            self._reactor.stop()
+            self._abort(EXIT_SETTINGS, 'start failed')
 
     def _build_components(
         self,
@@ -133,6 +133,7 @@
         external = connect_external_systems(cfg, self._reactor)
         clock = GuardedClock(self._reactor, guard)
         components = build_components(cfg, board, external, guard, clock)
+        self._components = components
         configuration = configuration_loop(
             cfg,
             components,
@@ -152,7 +153,7 @@
             components.board,
             components.running,
             reactor.seconds,
-            reactor.stop,
+            self._stop_reactor,
             components.connections,
             components.placement.release,
         )
@@ -170,7 +171,17 @@
         start_collecting_garbage()
 
     def _stop_on_invariant_violation(self) -> None:
-        self.exit_code = EXIT_INVARIANT
+        self._abort(EXIT_INVARIANT, 'invariant broken')
+
+    def _abort(self, exit_code: int, cause: str) -> None:
+        self.exit_code = exit_code
+        if self._components is not None:
+            self._components.connections.cut(cause)
+        self._stop_reactor()
+
+    def _stop_reactor(self) -> None:
+        if self._components is not None:
+            self._components.record_unsent_outcomes()
         self._reactor.stop()
 
 
--- a/foxtailhatch/daemon/entry.py
+++ b/foxtailhatch/daemon/entry.py
@@ -73,6 +73,14 @@
             unsent = self.claims.manager.pending_record_count
         return len(self.answers) + self.gateway.running_calls() + unsent
 
+    def record_unsent_outcomes(self) -> None:
+        """Record at the exit how many outcomes the log has not taken."""
+        unsent = self.claims.manager.pending_record_count
+        if unsent:
+            self.board.record(
+                EventKind.OUTCOMES_UNSENT, self.board.name, f'{unsent} records'
+            )
+
 
 def build_components(
     cfg: Settings,
--- a/foxtailhatch/daemon/logs.py
+++ b/foxtailhatch/daemon/logs.py
@@ -15,6 +15,7 @@
         EventKind.STOP_REQUESTED,
         EventKind.STOPPED,
         EventKind.REQUEST_CUT,
+        EventKind.OUTCOMES_UNSENT,
         EventKind.CONFIGURATION_IN_FORCE,
         EventKind.PUBLICATION_REFUSED,
         EventKind.LOG_UNAVAILABLE,
