Take away no last copy of a layer by an order

Cause: a plan is right as a whole, but engines give up layers when they accept an order and serve the new ones only once they have loaded them. Nothing looked at the time between.

Change: each order is admitted where it is sent, against what engines that stay serve at that moment (ServedLayers). A zone with a whole copy keeps one, and all zones together keep a chain. An order that would take the last copy becomes one to load as many of the new layers as fit beside the old ones, or waits for a later plan (order_deferred). A release that was announced is admitted again before it is sent, and withdrawn if the other copy is gone.

--- a/foxtailhatch/placement/layout.py
+++ b/foxtailhatch/placement/layout.py
@@ -74,6 +74,14 @@
     )
 
 
+def layers_max(memory_mb: float, engine: Engine, min_capacity: float) -> int:
+    """Return how many layers leave a KV capacity of ``min_capacity`` tokens."""
+    return sum(
+        engine.kv_tokens(memory_mb, count) >= min_capacity
+        for count in range(1, engine.layer_count + 1)
+    )
+
+
 def pooled_kv_capacity(
     accelerator: Accelerator,
     holding: Sequence[Accelerator],
--- a/foxtailhatch/router/placement_controller.py
+++ b/foxtailhatch/router/placement_controller.py
@@ -11,7 +11,6 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from returns.result import Success
 
@@ -26,6 +25,13 @@
     other_replicas_in_zone,
     plan_placement,
 )
+from foxtailhatch.placement.coverage import (
+    ServedLayers,
+    admit,
+    common_layers,
+)
+from foxtailhatch.placement.layout import layers_max
+from foxtailhatch.placement.plan import KV_TOKENS_MIN
 from foxtailhatch.placement.protocols import (
     EngineClient,
     EngineFault,
@@ -37,6 +43,11 @@
 from foxtailhatch.router.group_stall_detector import HasWitness
 from foxtailhatch.router.leader_lease import LeaderLease
 from foxtailhatch.router.observations import EndpointObservation
+from foxtailhatch.router.pending_orders import (
+    PendingOrder,
+    releases_layers,
+    served_layers,
+)
 from foxtailhatch.routes import Engine, Service
 
 # The number of endpoints must be unchanged for this long before the first plan.
@@ -55,30 +66,6 @@
 RELEASE_NOTICE_S = 0.6
 
 
-@dataclass(slots=True)
-class PendingOrder:
-    """An order that is planned or in progress.
-
-    It is sent at once, or at ``check_at`` if ``is_announced``.  ``order`` is
-    ``None`` if another entry gave it; ``held`` is then what the engine holds
-    until the order is completed.  ``silent_since`` is when the first of the
-    last reports was requested that all brought no answer.
-    """
-
-    endpoint: LiveEndpoint
-    order: PlacementOrder | None
-    planned_at: float
-    check_at: float
-    is_announced: bool = False
-    held: LayerRange | None = None
-    silent_since: float | None = None
-
-    @property
-    def layers(self) -> LayerRange | None:
-        """Return the layers to plan with."""
-        return self.held if self.order is None else self.order.layers
-
-
 class PlacementController:
     """Plan and send orders while this entry holds the leader lease."""
 
@@ -101,6 +88,7 @@
         self._acquisitions = 0
         self._replicas: dict[str, ModelReplicas] = defaultdict(ModelReplicas)
         self._pending: dict[str, PendingOrder] = {}
+        self._deferred: dict[str, LayerRange] = {}
         self._order_counts: dict[tuple[str, int], int] = {}
         self._endpoint_count = -1
         self._settling_since = float('-inf')
@@ -236,23 +224,108 @@
             return False
         return endpoints.accepts_work(endpoint)
 
-    async def _submit(self, order: PlacementOrder) -> None:
-        """Send an order, or announce it first if it releases layers."""
-        endpoint = self._board.endpoints.get(order.endpoint)
+    async def _submit(self, planned: PlacementOrder) -> None:
+        """Send an order, or announce it first if it releases layers.
+
+        One that would take away the last copy of a layer is changed or left
+        to a later plan.
+        """
+        endpoint = self._board.endpoints.get(planned.endpoint)
         if endpoint is None:
             return
+        served = self._served_layers(endpoint)
+        order = self._admit(endpoint, planned, served)
+        if order is None:
+            return
         now = self._board.clock()
         pending = PendingOrder(endpoint, order, now, now + ORDER_CHECK_PERIOD_S)
         self._pending[endpoint.name] = pending
-        if order.reason == OrderReason.REBALANCING and _releases_layers(
-            endpoint, order
-        ):
+        is_needed = order.reason == OrderReason.REBALANCING or served.is_whole(
+            endpoint.zone
+        )
+        if is_needed and releases_layers(endpoint, order):
             pending.is_announced = True
             pending.check_at = now + RELEASE_NOTICE_S
             self._publish(_layers_during_order(endpoint, order.layers))
         else:
             await self._send(endpoint, order)
 
+    def _served_layers(self, endpoint: LiveEndpoint) -> ServedLayers:
+        """Return what the engines of an endpoint's service can run now."""
+        engine = self._engine_of(endpoint)
+        return served_layers(
+            self._board.endpoints,
+            endpoint.service,
+            engine.layer_count if engine else 0,
+            self._pending,
+        )
+
+    def _engine_of(self, endpoint: LiveEndpoint) -> Engine | None:
+        table = self._board.table
+        if table is None or endpoint.service not in table.services:
+            return None
+        return table.services[endpoint.service].engine
+
+    def _admit(
+        self,
+        endpoint: LiveEndpoint,
+        planned: PlacementOrder,
+        served: ServedLayers,
+    ) -> PlacementOrder | None:
+        """Return the order that may be sent now, if any."""
+        engine = self._engine_of(endpoint)
+        if engine is None:
+            return None
+        kind = engine.accelerators.get(endpoint.accelerator_kind)
+        memory_mb = 0 if kind is None else kind.memory_mb
+        most = layers_max(memory_mb, engine, KV_TOKENS_MIN)
+        order = admit(planned, served, most)
+        if order is None or order.layers != planned.layers:
+            self._log_deferred(endpoint, planned, served)
+        else:
+            self._deferred.pop(endpoint.name, None)
+        return order
+
+    def _log_deferred(
+        self,
+        endpoint: LiveEndpoint,
+        planned: PlacementOrder,
+        served: ServedLayers,
+    ) -> None:
+        """Write once that an order would take away a last copy."""
+        if self._deferred.get(endpoint.name) == planned.layers:
+            return
+        self._deferred[endpoint.name] = planned.layers
+        last_copies = served.last_copies(endpoint.name, planned.layers)
+        self._log.write(
+            'order_deferred',
+            endpoint=endpoint.name,
+            layers=_bounds(planned.layers),
+            held=_bounds(endpoint.layers),
+            why=planned.reason,
+            last_copies=sorted(last_copies),
+        )
+
+    async def _send_announced(
+        self, endpoint: LiveEndpoint, order: PlacementOrder
+    ) -> None:
+        """Send an order whose release is known to the other entries.
+
+        If copies were lost since, the engine serves its layers again.
+        """
+        served = self._served_layers(endpoint).holding(
+            endpoint.name, endpoint.layers
+        )
+        if self._admit(endpoint, order, served) == order:
+            await self._send(endpoint, order)
+            return
+        self._pending.pop(endpoint.name, None)
+        self._publish(
+            EndpointObservation(
+                endpoint.name, endpoint.incarnation, False, endpoint.layers
+            )
+        )
+
     async def _send(
         self, endpoint: LiveEndpoint, order: PlacementOrder
     ) -> None:
@@ -359,7 +432,7 @@
         if pending.is_announced and pending.order is not None:
             pending.is_announced = False
             pending.check_at = now + ORDER_CHECK_PERIOD_S
-            await self._send(pending.endpoint, pending.order)
+            await self._send_announced(pending.endpoint, pending.order)
             return
         asked_at = self._board.clock()
         report = await self._engines.report(pending.endpoint)
@@ -424,21 +497,13 @@
 
     These are the layers that it both holds now and is ordered to hold.
     """
-    held = endpoint.layers
-    kept = None
-    if held is not None:
-        first = max(held.first, ordered.first)
-        end = min(held.end, ordered.end)
-        kept = LayerRange(first, end) if end > first else None
     return EndpointObservation(
-        endpoint.name, endpoint.incarnation, is_dead=False, layers=kept
+        endpoint.name,
+        endpoint.incarnation,
+        is_dead=False,
+        layers=common_layers(endpoint.layers, ordered),
     )
 
 
-def _releases_layers(endpoint: LiveEndpoint, order: PlacementOrder) -> bool:
-    held = endpoint.layers
-    return held is not None and not order.layers.covers(held)
-
-
 def _bounds(layers: LayerRange | None) -> list[int] | None:
     return None if layers is None else [layers.first, layers.end]
