Mend a gap by moving the few boundaries around it

Where the two engines beside lost layers lacked the memory for them, the whole replica was laid out anew, with a load on every engine, although a few engines around the gap had room for a layer or two each.

--- a/foxtailhatch/placement/plan.py
+++ b/foxtailhatch/placement/plan.py
@@ -4,7 +4,8 @@
 chain's first endpoint admits a bounded number of requests, so the first layers
 are placed on two accelerators where memory allows.  Later plans change as
 little as possible: lost layers go to accelerators that are empty or redundant,
-and to those that hold the adjacent layers.  If these lack the memory and no
+and to those that hold the adjacent layers, which pass layers on to the next ones if
+they lack the memory.  If that does not suffice and no
 other replica holds the layers, the group cannot serve in any case and is laid
 out again as a whole.  While no layer is missing, empty accelerators of the
 working set and neighbours with more KV capacity take layers from those with
@@ -12,6 +13,7 @@
 """
 
 from collections.abc import Sequence
+from dataclasses import replace
 
 from foxtailhatch.core import LayerRange
 from foxtailhatch.placement.accelerators import (
@@ -23,17 +25,22 @@
 from foxtailhatch.placement.layout import (
     Placement,
     lay_out,
+    min_kv_capacity,
     pooled_kv_capacity,
     uncovered_ranges,
 )
 from foxtailhatch.placement.rebalancing import rebalancing_steps, split_range
 from foxtailhatch.placement.stage_groups import stage_groups_of
+from foxtailhatch.placement.window_repair import fill_gap_by_window
 from foxtailhatch.placement.working_set import working_set
 from foxtailhatch.routes import Engine
 
 # KV capacity that must be left on an accelerator that loads layers: about ten
 # requests of usual size.
 KV_TOKENS_MIN = 8000.0
+# Boundaries around a gap are moved if that leaves this share of the KV capacity
+# that a new layout of all accelerators would have.
+WINDOW_CAPACITY_SHARE = 0.7
 
 
 def plan_placement(
@@ -95,7 +102,15 @@
     stages_left = engine.max_stages - len(stage_groups_of(holding))
     available = [*spares[:stages_left], *redundant(holding)]
     for gap in gaps:
-        placements = fill_gap(gap, holding, available, engine, KV_TOKENS_MIN)
+        placements = fill_gap(
+            gap, holding, available, engine, KV_TOKENS_MIN
+        ) or fill_gap_by_window(
+            gap,
+            _with_orders(holding, orders),
+            [spare for spare in available if spare.layers is None],
+            engine,
+            _useful_capacity(accelerators, engine),
+        )
         if not placements:
             continue
         available = [
@@ -109,6 +124,33 @@
     return orders
 
 
+def _useful_capacity(
+    accelerators: Sequence[Accelerator], engine: Engine
+) -> float:
+    """Return the KV capacity that mending a layout should leave, in tokens."""
+    usual = engine.typical_prompt_tokens + engine.typical_output_tokens
+    replaced = min_kv_capacity(lay_out(accelerators, engine), engine)
+    useful = min(replaced, engine.slots * usual)
+    return max(KV_TOKENS_MIN, WINDOW_CAPACITY_SHARE * useful)
+
+
+def _with_orders(
+    accelerators: Sequence[Accelerator], orders: Sequence[PlacementOrder]
+) -> list[Accelerator]:
+    """Return accelerators as they are while orders are in progress."""
+    ordered = {order.endpoint: order.layers for order in orders}
+    return [
+        replace(
+            accelerator,
+            layers=ordered[accelerator.endpoint],
+            has_pending_order=True,
+        )
+        if accelerator.endpoint in ordered
+        else accelerator
+        for accelerator in accelerators
+    ]
+
+
 def _are_held(
     gaps: Sequence[LayerRange], accelerators: Sequence[Accelerator]
 ) -> bool:
