Take over what the holder of the lease before has begun

Cause: what a holder knew of engines' orders ended with its tenure, and the list shows only what engines hold.

Change: a new holder asks the engines for a report before its first plan, and once more when the handover of the one before is over. Engines that are busy are left alone with what they keep, and plans of their group wait up to 2 s for them; those whose report differs from the list are asked again. Until the second survey no order takes layers from an engine; neither does one of a holder that has lost the lease. The count of accepted orders follows each order that begins, so that a report from before it does not complete it; a report of another incarnation is no report.

Weighed: telling the ordered layers in the observations.

One test is changed: test_new_holder_replaces_layers_at_once_while_the_list_changes had engines whose reports said that they hold nothing while the list showed their layers; the reports now say what the engines hold, and the bound of 0.25 s stays.

--- a/foxtailhatch/placement/reports.py
+++ b/foxtailhatch/placement/reports.py
@@ -17,7 +17,8 @@
 class EngineReport:
     """State of an engine, some tenths of a second old.
 
-    ``orders`` is the number of orders accepted since the engine's start.
+    ``orders`` is the number of orders accepted since the engine's start, and
+    ``incarnation`` that of the engine, 0 if it is not told.
     ``kv_used`` and ``kv_total`` count tokens once for each layer held.
     """
 
@@ -29,3 +30,4 @@
     kv_used: float = 0
     kv_total: float = 0
     stalled: tuple[StalledRequest, ...] = ()
+    incarnation: int = 0
--- a/foxtailhatch/platform/endpoints.py
+++ b/foxtailhatch/platform/endpoints.py
@@ -114,6 +114,7 @@
                 StalledRequest(request.id, request.address)
                 for request in report.stalled
             ),
+            incarnation=report.born,
         )
     )
 
--- a/foxtailhatch/router/pending_orders.py
+++ b/foxtailhatch/router/pending_orders.py
@@ -18,9 +18,12 @@
     """An order that is planned or in progress.
 
     It is sent at once, or at ``check_at`` if ``is_announced``.  ``order`` is
-    ``None`` if another entry gave it; ``held`` is then what the engine holds
-    until the order is completed.  ``silent_since`` is when the first of the
-    last reports was requested that all brought no answer.
+    ``None`` if another entry gave it or may have given one; ``held`` is then
+    what the engine holds until the order is completed, and ``is_of_other`` is
+    set if the engine has said that it carries one out.  ``number`` is how many
+    orders the engine has accepted with this one, 0 until then.
+    ``silent_since`` is when the first of the last reports was requested that
+    all brought no answer.
     """
 
     endpoint: LiveEndpoint
@@ -30,6 +33,8 @@
     is_announced: bool = False
     held: LayerRange | None = None
     silent_since: float | None = None
+    is_of_other: bool = False
+    number: int = 0
 
     @property
     def layers(self) -> LayerRange | None:
--- a/foxtailhatch/router/placement_controller.py
+++ b/foxtailhatch/router/placement_controller.py
@@ -4,7 +4,9 @@
 engine that has seen a higher token refuses an order.  Each order also names
 how many orders the engine has accepted before, so that an order is refused if
 others were accepted since it was planned, for example while its sender was
-paused.  While the store is unreachable the holder goes on: its orders are
+paused.  Who acquires the lease asks all engines first what they hold and how
+many orders they have accepted, so that what the holder before has begun is part
+of its plans.  While the store is unreachable the holder goes on: its orders are
 protected in the same way, and lost layers are replaced without the store.
 """
 
@@ -28,6 +30,7 @@
 from foxtailhatch.placement.coverage import (
     ServedLayers,
     admit,
+    beside,
     common_layers,
 )
 from foxtailhatch.placement.layout import layers_max
@@ -41,7 +44,7 @@
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.group_stall_detector import HasWitness
-from foxtailhatch.router.leader_lease import LeaderLease
+from foxtailhatch.router.leader_lease import HANDOVER_S, LeaderLease
 from foxtailhatch.router.observations import EndpointObservation
 from foxtailhatch.router.pending_orders import (
     PendingOrder,
@@ -64,6 +67,15 @@
 # so that no request is on its way to them.  The time covers the wait of a feed
 # request and one call.
 RELEASE_NOTICE_S = 0.6
+# The holder before may give orders until its handover is over, and what they
+# release is known everywhere after the time of a notice.  Until then a new
+# holder lets no engine give up layers.
+TAKEOVER_S = HANDOVER_S + RELEASE_NOTICE_S
+# Plans wait this long for orders of the holder before whose layers are unknown:
+# about as long as a load takes.
+OTHER_ORDER_WAIT_S = 2.0
+# Engines that are asked for a report at the same time.
+SURVEY_CALLS_MAX = 64
 
 
 class PlacementController:
@@ -86,8 +98,11 @@
         self._publish = publish
         self._has_witness = has_witness
         self._acquisitions = 0
+        self._acquired_at = float('-inf')
+        self._is_handover = False
         self._replicas: dict[str, ModelReplicas] = defaultdict(ModelReplicas)
         self._pending: dict[str, PendingOrder] = {}
+        self._earlier: dict[str, PendingOrder] = {}
         self._deferred: dict[str, LayerRange] = {}
         self._order_counts: dict[tuple[str, int], int] = {}
         self._endpoint_count = -1
@@ -99,8 +114,17 @@
         if not self._lease.may_order(now):
             return
         if self._acquisitions != self._lease.acquisitions:
-            self._reset()
+            self._take_over(now)
+        elif self._is_handover and now - self._acquired_at >= TAKEOVER_S:
+            # The holder before may have given orders since the first survey.
+            self._is_handover = False
+            self._order_counts = {
+                known: count
+                for known, count in self._order_counts.items()
+                if known[0] in self._pending
+            }
         await self._check_due(now)
+        await self._survey()
         await asyncio.gather(
             *(
                 self._plan(service, self._board.clock())
@@ -108,11 +132,64 @@
             )
         )
 
-    def _reset(self) -> None:
-        """Drop plans made before other entries may have given orders."""
+    def _take_over(self, now: float) -> None:
+        """Drop what was known before other entries may have given orders."""
         self._acquisitions = self._lease.acquisitions
+        self._acquired_at = now
+        self._is_handover = True
         self._replicas.clear()
-        self._pending.clear()
+        self._deferred.clear()
+        self._order_counts.clear()
+        # Orders of an earlier tenure that engines still carry out are kept
+        # when their reports show so.
+        self._earlier = self._pending
+        self._pending = {}
+
+    async def _survey(self) -> None:
+        """Ask the engines that this holder knows nothing of for a report."""
+        endpoints = self._board.endpoints
+        unknown = [
+            endpoint
+            for service in self._model_services()
+            for endpoint in endpoints.of_service(service.name)
+            if self._is_usable(endpoint)
+            and endpoint.name not in self._pending
+            and (endpoint.name, endpoint.incarnation) not in self._order_counts
+        ]
+        slots = asyncio.Semaphore(SURVEY_CALLS_MAX)
+        await asyncio.gather(
+            *(self._survey_one(endpoint, slots) for endpoint in unknown)
+        )
+
+    async def _survey_one(
+        self, endpoint: LiveEndpoint, slots: asyncio.Semaphore
+    ) -> None:
+        async with slots:
+            report = await self._engines.report(endpoint)
+        self._learn(endpoint, report.value_or(None))
+
+    def _learn(
+        self, endpoint: LiveEndpoint, report: EngineReport | None
+    ) -> None:
+        """Note what an engine holds and whether it carries out an order.
+
+        One that gives no report, or another than the list, is left alone until
+        it is asked again.
+        """
+        earlier = self._earlier.pop(endpoint.name, None)
+        if report is None or _is_of_other_incarnation(endpoint, report):
+            self._await_other_order(endpoint, endpoint.layers)
+            return
+        key = (endpoint.name, endpoint.incarnation)
+        self._order_counts[key] = report.orders
+        if not report.is_busy and report.layers == endpoint.layers:
+            return
+        if report.is_busy and earlier and earlier.number == report.orders:
+            self._pending[endpoint.name] = earlier
+            return
+        self._await_other_order(
+            endpoint, report.layers, is_of_other=report.is_busy
+        )
 
     def _model_services(self) -> list[Service]:
         table = self._board.table
@@ -135,6 +212,7 @@
         orders = [
             order
             for group in groups
+            if not self._awaits_other_orders(group, now)
             for order in plan_placement(
                 group,
                 engine,
@@ -146,6 +224,17 @@
         ]
         await asyncio.gather(*(self._submit(order) for order in orders))
 
+    def _awaits_other_orders(
+        self, group: list[Accelerator], now: float
+    ) -> bool:
+        """Return whether engines load layers that this entry does not know."""
+        return any(
+            pending.is_of_other
+            and now - pending.planned_at < OTHER_ORDER_WAIT_S
+            for accelerator in group
+            if (pending := self._pending.get(accelerator.endpoint))
+        )
+
     def _is_crowded(
         self, group: list[Accelerator], engine: Engine, now: float
     ) -> bool:
@@ -279,13 +368,28 @@
         kind = engine.accelerators.get(endpoint.accelerator_kind)
         memory_mb = 0 if kind is None else kind.memory_mb
         most = layers_max(memory_mb, engine, KV_TOKENS_MIN)
-        order = admit(planned, served, most)
+        if self._may_release(endpoint, planned):
+            order = admit(planned, served, most)
+        else:
+            order = beside(planned, served.held_by(endpoint.name), most)
         if order is None or order.layers != planned.layers:
             self._log_deferred(endpoint, planned, served)
         else:
             self._deferred.pop(endpoint.name, None)
         return order
 
+    def _may_release(
+        self, endpoint: LiveEndpoint, planned: PlacementOrder
+    ) -> bool:
+        """Return whether an order may take layers from an engine now.
+
+        Who has just acquired the lease may not know all orders yet, and who
+        has lost it does not know those of the next holder.
+        """
+        if not releases_layers(endpoint, planned):
+            return True
+        return self._lease.is_held and not self._is_handover
+
     def _log_deferred(
         self,
         endpoint: LiveEndpoint,
@@ -353,11 +457,13 @@
         if not isinstance(outcome, Success):
             return False
         report: EngineReport = outcome.unwrap()
-        if report.orders == self._order_counts.get(key, 0):
+        is_known = report.orders == self._order_counts.get(key, 0)
+        if is_known or _is_of_other_incarnation(endpoint, report):
             return False
         self._order_counts[key] = report.orders
         if report.is_busy:
-            self._await_other_order(endpoint, report)
+            self._log.write('order_of_another', endpoint=endpoint.name)
+            self._await_other_order(endpoint, report.layers, is_of_other=True)
             return False
         if report.layers == endpoint.layers:
             return True
@@ -370,17 +476,21 @@
         return False
 
     def _await_other_order(
-        self, endpoint: LiveEndpoint, report: EngineReport
+        self,
+        endpoint: LiveEndpoint,
+        held: LayerRange | None,
+        *,
+        is_of_other: bool = False,
     ) -> None:
-        """Exclude an engine from plans while it executes another's order."""
+        """Exclude an engine from plans until its next report."""
         now = self._board.clock()
-        self._log.write('order_of_another', endpoint=endpoint.name)
         self._pending[endpoint.name] = PendingOrder(
             endpoint,
             None,
             now,
             now + ORDER_CHECK_PERIOD_S,
-            held=report.layers,
+            held=held,
+            is_of_other=is_of_other,
         )
 
     async def _place(
@@ -388,15 +498,17 @@
         endpoint: LiveEndpoint,
         order: PlacementOrder,
     ) -> OrderOutcome:
-        expected = self._order_counts.get(
-            (endpoint.name, endpoint.incarnation), 0
-        )
+        key = (endpoint.name, endpoint.incarnation)
+        expected = self._order_counts.get(key, 0)
         outcome = await self._engines.place(
             endpoint,
             order.layers,
             self._lease.fencing_token,
             expected,
         )
+        if outcome is OrderOutcome.STARTED:
+            self._order_counts[key] = expected + 1
+            self._note_number(endpoint.name, expected + 1)
         self._log.write(
             'order',
             endpoint=endpoint.name,
@@ -410,6 +522,11 @@
         )
         return outcome
 
+    def _note_number(self, name: str, number: int) -> None:
+        pending = self._pending.get(name)
+        if pending is not None:
+            pending.number = number
+
     async def _check_due(self, now: float) -> None:
         due = [
             pending
@@ -426,9 +543,12 @@
             current is None
             or current.incarnation != pending.endpoint.incarnation
         )
-        if is_gone or now - pending.planned_at > ORDER_TIMEOUT_S:
+        if is_gone:
             self._pending.pop(name, None)
             return
+        if now - pending.planned_at > ORDER_TIMEOUT_S:
+            self._go_on_without(pending)
+            return
         if pending.is_announced and pending.order is not None:
             pending.is_announced = False
             pending.check_at = now + ORDER_CHECK_PERIOD_S
@@ -451,11 +571,35 @@
         if is_refused or silence_s >= SOUND_SILENCE_S:
             await self._handle_silence(pending.endpoint, fault.value, asked_at)
 
+    def _go_on_without(self, pending: PendingOrder) -> None:
+        """Plan with what an engine holds that does not complete its order."""
+        endpoint = pending.endpoint
+        self._log.write(
+            'order_overdue',
+            endpoint=endpoint.name,
+            layers=_bounds(pending.layers),
+            kept=_bounds(pending.kept),
+        )
+        if pending.order is None:
+            # Its next report shows what has become of it.
+            key = (endpoint.name, endpoint.incarnation)
+            self._order_counts.pop(key, None)
+            self._pending.pop(endpoint.name, None)
+        else:
+            self._await_other_order(endpoint, pending.kept)
+
     def _handle_report(
         self, pending: PendingOrder, report: EngineReport
     ) -> None:
         endpoint = pending.endpoint
-        self._order_counts[endpoint.name, endpoint.incarnation] = report.orders
+        key = (endpoint.name, endpoint.incarnation)
+        if _is_of_other_incarnation(endpoint, report):
+            self._pending.pop(endpoint.name, None)
+            return
+        if report.orders < self._order_counts.get(key, 0):
+            # It was written before the engine accepted the order.
+            return
+        self._order_counts[key] = report.orders
         if report.is_busy:
             return
         self._pending.pop(endpoint.name, None)
@@ -505,5 +649,14 @@
     )
 
 
+def _is_of_other_incarnation(
+    endpoint: LiveEndpoint, report: EngineReport
+) -> bool:
+    """Return whether an engine has started again since its record."""
+    if not report.incarnation or not endpoint.incarnation:
+        return False
+    return report.incarnation != endpoint.incarnation
+
+
 def _bounds(layers: LayerRange | None) -> list[int] | None:
     return None if layers is None else [layers.first, layers.end]
--- a/tests/router/test_placement_controller.py
+++ b/tests/router/test_placement_controller.py
@@ -272,6 +272,7 @@
             if name != 'e05'
         ),
     )
+    world.engines.reports = first.engines.reports
     world.run(0.25)
     assert world.engines.orders
 
