Order an engine between two gaps once in a plan

Cause: the second gap was mended as if the orders for the first were not there.

Change: the accelerators that an earlier gap uses count as having a pending order.

Result: the new test failed before (two orders for one of three engines).

--- a/foxtailhatch/placement/plan.py
+++ b/foxtailhatch/placement/plan.py
@@ -102,11 +102,12 @@
     stages_left = engine.max_stages - len(stage_groups_of(holding))
     available = [*spares[:stages_left], *redundant(holding)]
     for gap in gaps:
+        free = _with_orders(holding, orders)
         placements = fill_gap(
-            gap, holding, available, engine, KV_TOKENS_MIN
+            gap, free, available, engine, KV_TOKENS_MIN
         ) or fill_gap_by_window(
             gap,
-            _with_orders(holding, orders),
+            free,
             [spare for spare in available if spare.layers is None],
             engine,
             _useful_capacity(accelerators, engine),
--- a/tests/placement/test_plan.py
+++ b/tests/placement/test_plan.py
@@ -1,5 +1,7 @@
 """Plans for accelerators that are added, are lost or run out of memory."""
 
+from itertools import pairwise
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -229,3 +231,18 @@
     orders = plan_placement(accelerators, ENGINE)
     ranges = sorted({order.layers for order in orders})
     assert is_partition(ranges, 80)
+
+
+# Guards against two orders of one plan for the engine between two gaps; engines
+# refused the second.
+def test_engine_between_two_gaps_gets_one_order():
+    bounds = [0, 5, 9, 14, 18, 25, 29, 36, 43, 50, 57, 64, 71, 80]
+    accelerators = [
+        make_accelerator(f'e{index:02}', 'middle', layers)
+        for index, layers in enumerate(pairwise(bounds))
+        if index not in (2, 4)
+    ]
+    orders = plan_placement(accelerators, ENGINE)
+    ordered = [order.endpoint for order in orders]
+    assert ordered
+    assert len(set(ordered)) == len(ordered)
