Show copies of layers by zone; look at all layers for releases only

Operators could not see which zone lacked a layer and for how long. The holder of the lease writes a line (layer_copies) whenever the least number of copies in a zone changes, with the time for which it was none.

Orders that release nothing are no longer compared with what all engines serve, which takes time that grows with the number of engines.

--- a/foxtailhatch/router/placement_controller.py
+++ b/foxtailhatch/router/placement_controller.py
@@ -43,6 +43,7 @@
 from foxtailhatch.placement.reports import EngineReport
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.copy_watch import CopyWatch
 from foxtailhatch.router.group_stall_detector import HasWitness
 from foxtailhatch.router.leader_lease import HANDOVER_S, LeaderLease
 from foxtailhatch.router.observations import EndpointObservation
@@ -102,6 +103,7 @@
         self._is_handover = False
         self._replicas: dict[str, ModelReplicas] = defaultdict(ModelReplicas)
         self._pending: dict[str, PendingOrder] = {}
+        self._copy_watch = CopyWatch(log)
         self._earlier: dict[str, PendingOrder] = {}
         self._deferred: dict[str, LayerRange] = {}
         self._order_counts: dict[tuple[str, int], int] = {}
@@ -208,6 +210,14 @@
         accelerators = self._accelerators(service.name, engine)
         if not self._is_settled(accelerators, now):
             return
+        if self._copy_watch.is_due(service.name, now):
+            served = served_layers(
+                self._board.endpoints,
+                service.name,
+                engine.layer_count,
+                self._pending,
+            )
+            self._copy_watch.observe(service.name, served, now)
         groups = self._replicas[service.name].groups(accelerators, engine)
         orders = [
             order
@@ -322,23 +332,29 @@
         endpoint = self._board.endpoints.get(planned.endpoint)
         if endpoint is None:
             return
-        served = self._served_layers(endpoint)
-        order = self._admit(endpoint, planned, served)
+        order = self._admit(endpoint, planned)
         if order is None:
             return
         now = self._board.clock()
         pending = PendingOrder(endpoint, order, now, now + ORDER_CHECK_PERIOD_S)
         self._pending[endpoint.name] = pending
-        is_needed = order.reason == OrderReason.REBALANCING or served.is_whole(
-            endpoint.zone
-        )
-        if is_needed and releases_layers(endpoint, order):
+        if self._is_notice_needed(endpoint, order):
             pending.is_announced = True
             pending.check_at = now + RELEASE_NOTICE_S
             self._publish(_layers_during_order(endpoint, order.layers))
         else:
             await self._send(endpoint, order)
 
+    def _is_notice_needed(
+        self, endpoint: LiveEndpoint, order: PlacementOrder
+    ) -> bool:
+        """Return whether other entries may use layers that are given up."""
+        if not releases_layers(endpoint, order):
+            return False
+        if order.reason == OrderReason.REBALANCING:
+            return True
+        return self._served_layers(endpoint).is_whole(endpoint.zone)
+
     def _served_layers(self, endpoint: LiveEndpoint) -> ServedLayers:
         """Return what the engines of an endpoint's service can run now."""
         engine = self._engine_of(endpoint)
@@ -356,38 +372,35 @@
         return table.services[endpoint.service].engine
 
     def _admit(
-        self,
-        endpoint: LiveEndpoint,
-        planned: PlacementOrder,
-        served: ServedLayers,
+        self, endpoint: LiveEndpoint, planned: PlacementOrder
     ) -> PlacementOrder | None:
         """Return the order that may be sent now, if any."""
         engine = self._engine_of(endpoint)
-        if engine is None:
-            return None
+        if engine is None or not releases_layers(endpoint, planned):
+            return planned
         kind = engine.accelerators.get(endpoint.accelerator_kind)
         memory_mb = 0 if kind is None else kind.memory_mb
         most = layers_max(memory_mb, engine, KV_TOKENS_MIN)
-        if self._may_release(endpoint, planned):
+        # An announced release is not counted out before it is sent.
+        served = self._served_layers(endpoint).holding(
+            endpoint.name, endpoint.layers
+        )
+        if self._may_release():
             order = admit(planned, served, most)
         else:
-            order = beside(planned, served.held_by(endpoint.name), most)
+            order = beside(planned, endpoint.layers, most)
         if order is None or order.layers != planned.layers:
             self._log_deferred(endpoint, planned, served)
         else:
             self._deferred.pop(endpoint.name, None)
         return order
 
-    def _may_release(
-        self, endpoint: LiveEndpoint, planned: PlacementOrder
-    ) -> bool:
-        """Return whether an order may take layers from an engine now.
+    def _may_release(self) -> bool:
+        """Return whether orders may take layers from engines now.
 
         Who has just acquired the lease may not know all orders yet, and who
         has lost it does not know those of the next holder.
         """
-        if not releases_layers(endpoint, planned):
-            return True
         return self._lease.is_held and not self._is_handover
 
     def _log_deferred(
@@ -417,10 +430,7 @@
 
         If copies were lost since, the engine serves its layers again.
         """
-        served = self._served_layers(endpoint).holding(
-            endpoint.name, endpoint.layers
-        )
-        if self._admit(endpoint, order, served) == order:
+        if self._admit(endpoint, order) == order:
             await self._send(endpoint, order)
             return
         self._pending.pop(endpoint.name, None)
