--- a/foxtailhatch/router/placement_controller.py
+++ b/foxtailhatch/router/placement_controller.py
@@ -4,14 +4,15 @@
 engine that has seen a higher token refuses an order.  Each order also names
 how many orders the engine has accepted before, so that an order is refused if
 others were accepted since it was planned, for example while its sender was
-paused.  While the store is unreachable the holder goes on: its orders are
+paused.  Who acquires the lease asks all engines first what they hold and how
+many orders they have accepted, so that what the holder before has begun is part
+of its plans.  While the store is unreachable the holder goes on: its orders are
 protected in the same way, and lost layers are replaced without the store.
 """
 
 import asyncio
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from returns.result import Success
 
@@ -26,6 +27,14 @@
     other_replicas_in_zone,
     plan_placement,
 )
+from foxtailhatch.placement.coverage import (
+    ServedLayers,
+    admit,
+    beside,
+    common_layers,
+)
+from foxtailhatch.placement.layout import layers_max
+from foxtailhatch.placement.plan import KV_TOKENS_MIN
 from foxtailhatch.placement.protocols import (
     EngineClient,
     EngineFault,
@@ -34,9 +43,15 @@
 from foxtailhatch.placement.reports import EngineReport
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.copy_watch import CopyWatch
 from foxtailhatch.router.group_stall_detector import HasWitness
-from foxtailhatch.router.leader_lease import LeaderLease
+from foxtailhatch.router.leader_lease import HANDOVER_S, LeaderLease
 from foxtailhatch.router.observations import EndpointObservation
+from foxtailhatch.router.pending_orders import (
+    PendingOrder,
+    releases_layers,
+    served_layers,
+)
 from foxtailhatch.routes import Engine, Service
 
 # The number of endpoints must be unchanged for this long before the first plan.
@@ -53,30 +68,15 @@
 # so that no request is on its way to them.  The time covers the wait of a feed
 # request and one call.
 RELEASE_NOTICE_S = 0.6
-
-
-@dataclass(slots=True)
-class PendingOrder:
-    """An order that is planned or in progress.
-
-    It is sent at once, or at ``check_at`` if ``is_announced``.  ``order`` is
-    ``None`` if another entry gave it; ``held`` is then what the engine holds
-    until the order is completed.  ``silent_since`` is when the first of the
-    last reports was requested that all brought no answer.
-    """
-
-    endpoint: LiveEndpoint
-    order: PlacementOrder | None
-    planned_at: float
-    check_at: float
-    is_announced: bool = False
-    held: LayerRange | None = None
-    silent_since: float | None = None
-
-    @property
-    def layers(self) -> LayerRange | None:
-        """Return the layers to plan with."""
-        return self.held if self.order is None else self.order.layers
+# The holder before may give orders until its handover is over, and what they
+# release is known everywhere after the time of a notice.  Until then a new
+# holder lets no engine give up layers.
+TAKEOVER_S = HANDOVER_S + RELEASE_NOTICE_S
+# Plans wait this long for orders of the holder before whose layers are unknown:
+# about as long as a load takes.
+OTHER_ORDER_WAIT_S = 2.0
+# Engines that are asked for a report at the same time.
+SURVEY_CALLS_MAX = 64
 
 
 class PlacementController:
@@ -99,8 +99,13 @@
         self._publish = publish
         self._has_witness = has_witness
         self._acquisitions = 0
+        self._acquired_at = float('-inf')
+        self._is_handover = False
         self._replicas: dict[str, ModelReplicas] = defaultdict(ModelReplicas)
         self._pending: dict[str, PendingOrder] = {}
+        self._copy_watch = CopyWatch(log)
+        self._earlier: dict[str, PendingOrder] = {}
+        self._deferred: dict[str, LayerRange] = {}
         self._order_counts: dict[tuple[str, int], int] = {}
         self._endpoint_count = -1
         self._settling_since = float('-inf')
@@ -111,8 +116,17 @@
         if not self._lease.may_order(now):
             return
         if self._acquisitions != self._lease.acquisitions:
-            self._reset()
+            self._take_over(now)
+        elif self._is_handover and now - self._acquired_at >= TAKEOVER_S:
+            # The holder before may have given orders since the first survey.
+            self._is_handover = False
+            self._order_counts = {
+                known: count
+                for known, count in self._order_counts.items()
+                if known[0] in self._pending
+            }
         await self._check_due(now)
+        await self._survey()
         await asyncio.gather(
             *(
                 self._plan(service, self._board.clock())
@@ -120,11 +134,64 @@
             )
         )
 
-    def _reset(self) -> None:
-        """Drop plans made before other entries may have given orders."""
+    def _take_over(self, now: float) -> None:
+        """Drop what was known before other entries may have given orders."""
         self._acquisitions = self._lease.acquisitions
+        self._acquired_at = now
+        self._is_handover = True
         self._replicas.clear()
-        self._pending.clear()
+        self._deferred.clear()
+        self._order_counts.clear()
+        # Orders of an earlier tenure that engines still carry out are kept
+        # when their reports show so.
+        self._earlier = self._pending
+        self._pending = {}
+
+    async def _survey(self) -> None:
+        """Ask the engines that this holder knows nothing of for a report."""
+        endpoints = self._board.endpoints
+        unknown = [
+            endpoint
+            for service in self._model_services()
+            for endpoint in endpoints.of_service(service.name)
+            if self._is_usable(endpoint)
+            and endpoint.name not in self._pending
+            and (endpoint.name, endpoint.incarnation) not in self._order_counts
+        ]
+        slots = asyncio.Semaphore(SURVEY_CALLS_MAX)
+        await asyncio.gather(
+            *(self._survey_one(endpoint, slots) for endpoint in unknown)
+        )
+
+    async def _survey_one(
+        self, endpoint: LiveEndpoint, slots: asyncio.Semaphore
+    ) -> None:
+        async with slots:
+            report = await self._engines.report(endpoint)
+        self._learn(endpoint, report.value_or(None))
+
+    def _learn(
+        self, endpoint: LiveEndpoint, report: EngineReport | None
+    ) -> None:
+        """Note what an engine holds and whether it carries out an order.
+
+        One that gives no report, or another than the list, is left alone until
+        it is asked again.
+        """
+        earlier = self._earlier.pop(endpoint.name, None)
+        if report is None or _is_of_other_incarnation(endpoint, report):
+            self._await_other_order(endpoint, endpoint.layers)
+            return
+        key = (endpoint.name, endpoint.incarnation)
+        self._order_counts[key] = report.orders
+        if not report.is_busy and report.layers == endpoint.layers:
+            return
+        if report.is_busy and earlier and earlier.number == report.orders:
+            self._pending[endpoint.name] = earlier
+            return
+        self._await_other_order(
+            endpoint, report.layers, is_of_other=report.is_busy
+        )
 
     def _model_services(self) -> list[Service]:
         table = self._board.table
@@ -143,10 +210,19 @@
         accelerators = self._accelerators(service.name, engine)
         if not self._is_settled(accelerators, now):
             return
+        if self._copy_watch.is_due(service.name, now):
+            served = served_layers(
+                self._board.endpoints,
+                service.name,
+                engine.layer_count,
+                self._pending,
+            )
+            self._copy_watch.observe(service.name, served, now)
         groups = self._replicas[service.name].groups(accelerators, engine)
         orders = [
             order
             for group in groups
+            if not self._awaits_other_orders(group, now)
             for order in plan_placement(
                 group,
                 engine,
@@ -158,6 +234,17 @@
         ]
         await asyncio.gather(*(self._submit(order) for order in orders))
 
+    def _awaits_other_orders(
+        self, group: list[Accelerator], now: float
+    ) -> bool:
+        """Return whether engines load layers that this entry does not know."""
+        return any(
+            pending.is_of_other
+            and now - pending.planned_at < OTHER_ORDER_WAIT_S
+            for accelerator in group
+            if (pending := self._pending.get(accelerator.endpoint))
+        )
+
     def _is_crowded(
         self, group: list[Accelerator], engine: Engine, now: float
     ) -> bool:
@@ -236,23 +323,123 @@
             return False
         return endpoints.accepts_work(endpoint)
 
-    async def _submit(self, order: PlacementOrder) -> None:
-        """Send an order, or announce it first if it releases layers."""
-        endpoint = self._board.endpoints.get(order.endpoint)
+    async def _submit(self, planned: PlacementOrder) -> None:
+        """Send an order, or announce it first if it releases layers.
+
+        One that would take away the last copy of a layer is changed or left
+        to a later plan.
+        """
+        endpoint = self._board.endpoints.get(planned.endpoint)
         if endpoint is None:
             return
+        order = self._admit(endpoint, planned)
+        if order is None:
+            return
         now = self._board.clock()
         pending = PendingOrder(endpoint, order, now, now + ORDER_CHECK_PERIOD_S)
         self._pending[endpoint.name] = pending
-        if order.reason == OrderReason.REBALANCING and _releases_layers(
-            endpoint, order
-        ):
+        if self._is_notice_needed(endpoint, order):
             pending.is_announced = True
             pending.check_at = now + RELEASE_NOTICE_S
             self._publish(_layers_during_order(endpoint, order.layers))
         else:
             await self._send(endpoint, order)
 
+    def _is_notice_needed(
+        self, endpoint: LiveEndpoint, order: PlacementOrder
+    ) -> bool:
+        """Return whether other entries may use layers that are given up."""
+        if not releases_layers(endpoint, order):
+            return False
+        if order.reason == OrderReason.REBALANCING:
+            return True
+        return self._served_layers(endpoint).is_whole(endpoint.zone)
+
+    def _served_layers(self, endpoint: LiveEndpoint) -> ServedLayers:
+        """Return what the engines of an endpoint's service can run now."""
+        engine = self._engine_of(endpoint)
+        return served_layers(
+            self._board.endpoints,
+            endpoint.service,
+            engine.layer_count if engine else 0,
+            self._pending,
+        )
+
+    def _engine_of(self, endpoint: LiveEndpoint) -> Engine | None:
+        table = self._board.table
+        if table is None or endpoint.service not in table.services:
+            return None
+        return table.services[endpoint.service].engine
+
+    def _admit(
+        self, endpoint: LiveEndpoint, planned: PlacementOrder
+    ) -> PlacementOrder | None:
+        """Return the order that may be sent now, if any."""
+        engine = self._engine_of(endpoint)
+        if engine is None or not releases_layers(endpoint, planned):
+            return planned
+        kind = engine.accelerators.get(endpoint.accelerator_kind)
+        memory_mb = 0 if kind is None else kind.memory_mb
+        most = layers_max(memory_mb, engine, KV_TOKENS_MIN)
+        # An announced release is not counted out before it is sent.
+        served = self._served_layers(endpoint).holding(
+            endpoint.name, endpoint.layers
+        )
+        if self._may_release():
+            order = admit(planned, served, most)
+        else:
+            order = beside(planned, endpoint.layers, most)
+        if order is None or order.layers != planned.layers:
+            self._log_deferred(endpoint, planned, served)
+        else:
+            self._deferred.pop(endpoint.name, None)
+        return order
+
+    def _may_release(self) -> bool:
+        """Return whether orders may take layers from engines now.
+
+        Who has just acquired the lease may not know all orders yet, and who
+        has lost it does not know those of the next holder.
+        """
+        return self._lease.is_held and not self._is_handover
+
+    def _log_deferred(
+        self,
+        endpoint: LiveEndpoint,
+        planned: PlacementOrder,
+        served: ServedLayers,
+    ) -> None:
+        """Write once that an order would take away a last copy."""
+        if self._deferred.get(endpoint.name) == planned.layers:
+            return
+        self._deferred[endpoint.name] = planned.layers
+        last_copies = served.last_copies(endpoint.name, planned.layers)
+        self._log.write(
+            'order_deferred',
+            endpoint=endpoint.name,
+            layers=_bounds(planned.layers),
+            held=_bounds(endpoint.layers),
+            why=planned.reason,
+            last_copies=sorted(last_copies),
+        )
+
+    async def _send_announced(
+        self, endpoint: LiveEndpoint, order: PlacementOrder
+    ) -> None:
+        """Send an order whose release is known to the other entries.
+
+        If copies were lost since, the engine serves its layers again.
+        """
+        if self._admit(endpoint, order) == order:
+            await self._send(endpoint, order)
+            return
+        self._pending.pop(endpoint.name, None)
+        self._publish(
+            EndpointObservation(
+                endpoint.name, endpoint.incarnation, False, endpoint.layers
+            )
+        )
+
     async def _send(
         self, endpoint: LiveEndpoint, order: PlacementOrder
     ) -> None:
@@ -280,11 +467,13 @@
         if not isinstance(outcome, Success):
             return False
         report: EngineReport = outcome.unwrap()
-        if report.orders == self._order_counts.get(key, 0):
+        is_known = report.orders == self._order_counts.get(key, 0)
+        if is_known or _is_of_other_incarnation(endpoint, report):
             return False
         self._order_counts[key] = report.orders
         if report.is_busy:
-            self._await_other_order(endpoint, report)
+            self._log.write('order_of_another', endpoint=endpoint.name)
+            self._await_other_order(endpoint, report.layers, is_of_other=True)
             return False
         if report.layers == endpoint.layers:
             return True
@@ -297,17 +486,21 @@
         return False
 
     def _await_other_order(
-        self, endpoint: LiveEndpoint, report: EngineReport
+        self,
+        endpoint: LiveEndpoint,
+        held: LayerRange | None,
+        *,
+        is_of_other: bool = False,
     ) -> None:
-        """Exclude an engine from plans while it executes another's order."""
+        """Exclude an engine from plans until its next report."""
         now = self._board.clock()
-        self._log.write('order_of_another', endpoint=endpoint.name)
         self._pending[endpoint.name] = PendingOrder(
             endpoint,
             None,
             now,
             now + ORDER_CHECK_PERIOD_S,
-            held=report.layers,
+            held=held,
+            is_of_other=is_of_other,
         )
 
     async def _place(
@@ -315,15 +508,17 @@
         endpoint: LiveEndpoint,
         order: PlacementOrder,
     ) -> OrderOutcome:
-        expected = self._order_counts.get(
-            (endpoint.name, endpoint.incarnation), 0
-        )
+        key = (endpoint.name, endpoint.incarnation)
+        expected = self._order_counts.get(key, 0)
         outcome = await self._engines.place(
             endpoint,
             order.layers,
             self._lease.fencing_token,
             expected,
         )
+        if outcome is OrderOutcome.STARTED:
+            self._order_counts[key] = expected + 1
+            self._note_number(endpoint.name, expected + 1)
         self._log.write(
             'order',
             endpoint=endpoint.name,
@@ -337,6 +532,11 @@
         )
         return outcome
 
+    def _note_number(self, name: str, number: int) -> None:
+        pending = self._pending.get(name)
+        if pending is not None:
+            pending.number = number
+
     async def _check_due(self, now: float) -> None:
         due = [
             pending
@@ -353,13 +553,16 @@
             current is None
             or current.incarnation != pending.endpoint.incarnation
         )
-        if is_gone or now - pending.planned_at > ORDER_TIMEOUT_S:
+        if is_gone:
             self._pending.pop(name, None)
             return
+        if now - pending.planned_at > ORDER_TIMEOUT_S:
+            self._go_on_without(pending)
+            return
         if pending.is_announced and pending.order is not None:
             pending.is_announced = False
             pending.check_at = now + ORDER_CHECK_PERIOD_S
-            await self._send(pending.endpoint, pending.order)
+            await self._send_announced(pending.endpoint, pending.order)
             return
         asked_at = self._board.clock()
         report = await self._engines.report(pending.endpoint)
@@ -378,11 +581,35 @@
         if is_refused or silence_s >= SOUND_SILENCE_S:
             await self._handle_silence(pending.endpoint, fault.value, asked_at)
 
+    def _go_on_without(self, pending: PendingOrder) -> None:
+        """Plan with what an engine holds that does not complete its order."""
+        endpoint = pending.endpoint
+        self._log.write(
+            'order_overdue',
+            endpoint=endpoint.name,
+            layers=_bounds(pending.layers),
+            kept=_bounds(pending.kept),
+        )
+        if pending.order is None:
+            # Its next report shows what has become of it.
+            key = (endpoint.name, endpoint.incarnation)
+            self._order_counts.pop(key, None)
+            self._pending.pop(endpoint.name, None)
+        else:
+            self._await_other_order(endpoint, pending.kept)
+
     def _handle_report(
         self, pending: PendingOrder, report: EngineReport
     ) -> None:
         endpoint = pending.endpoint
-        self._order_counts[endpoint.name, endpoint.incarnation] = report.orders
+        key = (endpoint.name, endpoint.incarnation)
+        if _is_of_other_incarnation(endpoint, report):
+            self._pending.pop(endpoint.name, None)
+            return
+        if report.orders < self._order_counts.get(key, 0):
+            # It was written before the engine accepted the order.
+            return
+        self._order_counts[key] = report.orders
         if report.is_busy:
             return
         self._pending.pop(endpoint.name, None)
@@ -424,20 +651,21 @@
 
     These are the layers that it both holds now and is ordered to hold.
     """
-    held = endpoint.layers
-    kept = None
-    if held is not None:
-        first = max(held.first, ordered.first)
-        end = min(held.end, ordered.end)
-        kept = LayerRange(first, end) if end > first else None
     return EndpointObservation(
-        endpoint.name, endpoint.incarnation, is_dead=False, layers=kept
+        endpoint.name,
+        endpoint.incarnation,
+        is_dead=False,
+        layers=common_layers(endpoint.layers, ordered),
     )
 
 
-def _releases_layers(endpoint: LiveEndpoint, order: PlacementOrder) -> bool:
-    held = endpoint.layers
-    return held is not None and not order.layers.covers(held)
+def _is_of_other_incarnation(
+    endpoint: LiveEndpoint, report: EngineReport
+) -> bool:
+    """Return whether an engine has started again since its record."""
+    if not report.incarnation or not endpoint.incarnation:
+        return False
+    return report.incarnation != endpoint.incarnation
 
 
 def _bounds(layers: LayerRange | None) -> list[int] | None:
