Keep the leader lease with its holder, and hand it over before a planned stop

Cause: each reader of the store was a member of the group that grants the lease, so each start and stop of an entry changed the members, and the store moved the lease to another one. A stop of the holder left it with nobody, as the other members were stopping as well.

Ruled out: one standby in the group, to which the store may move the lease when it joins or when it deals anew; a record of our own that names the holder, which a writer that was paused overwrites.

Now the holder alone is a member. The others look who holds the lease, and join one after the other when nobody does.

--- a/foxtailhatch/platform/store.py
+++ b/foxtailhatch/platform/store.py
@@ -126,6 +126,14 @@
         called = await self._post('/log-leave', fields)
         return called.map(lambda _: None)
 
+    async def holder(self) -> Result[str, StoreFault]:
+        """Return the member that holds the leader lease, or an empty name."""
+        query = urlencode({'group': names.LEASE_GROUP})
+        called = await self._call(
+            HttpCall('GET', f'/log-owners?{query}', timeout_s=CALL_TIMEOUT_S)
+        )
+        return called.bind(_decode_holder)
+
     async def _post(
         self, path: str, fields: Any
     ) -> Result[HttpResponse, StoreFault]:
@@ -211,6 +219,25 @@
     )
 
 
+def _decode_holder(response: HttpResponse) -> Result[str, StoreFault]:
+    try:
+        return Success(_read_holder(orjson.loads(response.body)))
+    except (ValueError, TypeError, LookupError):
+        return Failure(StoreFault.MALFORMED)
+
+
+def _read_holder(document: Any) -> str:
+    """Return the owner of partition 0 in rows of topic, partition and owner.
+
+    The rows are the only list in the document, or the document itself.
+    """
+    lists = [document]
+    if isinstance(document, dict):
+        lists = [one for one in document.values() if isinstance(one, list)]
+    owners = [row[2] for row in lists[0] if row[:2] == [names.LEASE_TOPIC, 0]]
+    return str(owners[0] or '') if owners else ''
+
+
 def _decode_page(
     response: HttpResponse, offset: int
 ) -> Result[KeyedPage, StoreFault]:
--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -211,9 +211,11 @@
             asyncio.ensure_future(self._announce_stop())
 
     async def _announce_stop(self) -> None:
-        await self._components.heartbeat()
-        if self._components.lease.is_held:
-            await self._components.lease.release()
+        # The store may be slow to take the heartbeat.
+        await asyncio.gather(
+            self._components.heartbeat(),
+            self._components.lease.hand_over(),
+        )
 
     def _on_invariant_broken(self, exc: InvariantViolation) -> None:
         self._log.write(
--- a/foxtailhatch/router/keyed_log.py
+++ b/foxtailhatch/router/keyed_log.py
@@ -128,3 +128,6 @@
 
     async def leave(self, member: str) -> Result[None, StoreFault]:
         """Leave the lease group; a lease that the member holds is released."""
+
+    async def holder(self) -> Result[str, StoreFault]:
+        """Return the name of the member that holds the lease, if any, or ''."""
--- a/foxtailhatch/router/leader_lease.py
+++ b/foxtailhatch/router/leader_lease.py
@@ -1,10 +1,13 @@
 """The lease whose holder controls the placement of layers.
 
 The store's group grants the lease to one of its members, with a generation
-that serves as fencing token.  Members join and leave at any time, and each
-change may move the lease.  To keep the time without a leader short, an entry
-that loses the lease goes on for ``HANDOVER_S`` with its old token, but not
-beyond the time at which its lease lapses; orders of the next holder take
+that serves as fencing token.  Each change of members may move the lease, so an
+entry joins only when nobody holds it or the holder offers it
+(:mod:`.lease_watch`), and leaves when another one has it.  A holder that stops
+offers the lease to another entry and leaves when that one has joined.
+
+An entry that loses the lease goes on for ``HANDOVER_S`` with its old token, but
+not beyond the time at which its lease lapses; orders of the next holder take
 precedence by their higher token.  One that cannot renew the lease goes on only
 while others confirm that the store is away for them too
 (:mod:`.outage_confirmation`).
@@ -20,12 +23,15 @@
 
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.entry_table import EntryRecord
 from foxtailhatch.router.keyed_log import KeyedLog, Membership
 from foxtailhatch.router.lease_peers import (
     HttpLeasePeers,
     LeasePeers,
     NoPeers,
 )
+from foxtailhatch.router.lease_site import UP_TO_DATE_S
+from foxtailhatch.router.lease_watch import LeaseWatch
 from foxtailhatch.router.outage_confirmation import OutageConfirmation
 
 # The lease expires this long after the holder's last call, which allows for
@@ -38,6 +44,18 @@
 # is longer than the interruption by one failed call, after which a reader asks
 # peers for a while and is a candidate again two seconds later.
 LEAVE_AFTER_S = 4.5
+# A member without the lease leaves the group after this time if another one
+# holds it: what the store moves to it takes two calls of the former holder.
+MEMBER_S = 1.5
+# For this time after an offer an entry tries to get the lease.
+OFFER_S = 2.0
+# An entry that stops keeps the lease for this long while nobody takes it over.
+# It runs for longer.
+OFFERING_S = 2.2
+# Pause before the lease is offered to the next entry.
+OFFER_RETRY_S = 0.15
+# Period of calls during a hand-over.
+OFFER_CALL_PERIOD_S = 0.05
 # Period at which others are asked during a call that the store does not answer.
 ASK_PERIOD_S = 0.4
 # Bits of a fencing token that hold the generation; the epoch is above them.
@@ -71,10 +89,12 @@
         self._board = board
         self._store = store
         self._log = log
-        self._outage = OutageConfirmation(board, peers or NoPeers(), log)
+        self._peers = peers or NoPeers()
+        self._outage = OutageConfirmation(board, self._peers, log)
+        self._watch = LeaseWatch(board.cfg.instance)
         self._epoch = 0
         self._generation = 0
-        self._has_joined = False
+        self._joined_at: float | None = None
         self._is_renewal_failing = False
         self._candidate_at = float('-inf')
         self._renewed_at = float('-inf')
@@ -87,25 +107,32 @@
             return
         if self._board.is_cut_off_from_engines():
             # Another entry can give orders to the engines.
-            if self._has_joined:
-                await self.release()
+            if self._joined_at is not None:
+                await self.hand_over()
             return
         now = self._board.clock()
         if is_candidate:
             self._candidate_at = now
-            self._has_joined = True
-        is_leaving = now - self._candidate_at >= LEAVE_AFTER_S
-        if self.is_held or (self._has_joined and not is_leaving):
+        if self._is_offered(now):
+            await self._take_over()
+        elif self.is_held:
             await self._renew()
-        elif self._has_joined:
+        else:
+            await self._watch_holder(now, is_candidate=is_candidate)
+
+    async def hand_over(self) -> None:
+        """Leave the group, and before that let another entry join it."""
+        await self._find_successor()
+        if self._joined_at is not None:
             await self.release()
 
     async def release(self) -> None:
         """Leave the group, so that another entry can get the lease at once."""
-        self._has_joined = False
-        self.is_held = False
+        held_s = self._held_s()
+        self._joined_at = None
+        self._set_held(is_held=False)
         left = await self._store.leave(self._board.cfg.instance)
-        self._log.write('lease_released', outcome=str(left))
+        self._log.write('lease_released', outcome=str(left), held_s=held_s)
 
     def may_order(self, now: float) -> bool:
         """Return whether this entry may give orders to engines.
@@ -129,6 +156,105 @@
         """Stop giving orders: an engine has seen a higher fencing token."""
         self._fenced_token = self.fencing_token
 
+    def _is_offered(self, now: float) -> bool:
+        offered_at = self._board.lease_offered_at
+        return (
+            offered_at is not None
+            and not self.is_held
+            and now - offered_at < OFFER_S
+            and self._board.stop_requested_at is None
+        )
+
+    async def _take_over(self) -> None:
+        """Join, and renew often until the entry that offers has left."""
+        while self._is_offered(self._board.clock()):
+            await self._join()
+            await asyncio.sleep(OFFER_CALL_PERIOD_S)
+        self._board.lease_offered_at = None
+
+    async def _find_successor(self) -> None:
+        """Offer the lease, and renew it, until another entry has joined.
+
+        An entry that stops may give orders meanwhile.  One that is cut off from
+        the engines has no use for the lease, and offers it once.
+        """
+        until = self._board.clock() + OFFERING_S
+        generation = self._generation
+        is_accepted = False
+        attempt = 0
+        while self._awaits_successor(generation, until):
+            is_accepted = is_accepted or await self._offer(attempt)
+            attempt += 1
+            if not is_accepted and self._board.stop_requested_at is None:
+                break
+            await asyncio.sleep(
+                OFFER_CALL_PERIOD_S if is_accepted else OFFER_RETRY_S
+            )
+            await self._join()
+
+    def _awaits_successor(self, generation: int, until: float) -> bool:
+        """Return whether the group has not changed since a generation."""
+        is_unchanged = self.is_held and self._generation == generation
+        return is_unchanged and self._board.clock() < until
+
+    async def _offer(self, attempt: int) -> bool:
+        """Offer the lease to one of the others; return whether it accepts."""
+        peers = self._successors()
+        if not peers:
+            return False
+        peer = peers[attempt % len(peers)]
+        is_accepted = await self._peers.offer(peer)
+        self._log.write(
+            'lease_offered',
+            peer=peer.name,
+            accepted=is_accepted,
+            held_s=self._held_s(),
+        )
+        self._board.lease_handovers += is_accepted
+        return is_accepted
+
+    def _successors(self) -> list[EntryRecord]:
+        """Return who may take over, readers of the store first."""
+        now = self._board.clock()
+        entries = self._board.entries
+        listed = [*entries.readers(now), *entries.ready(now)]
+        by_name = {entry.name: entry for entry in listed}
+        by_name.pop(self._board.cfg.instance, None)
+        return [entry for entry in by_name.values() if not entry.unreached]
+
+    async def _watch_holder(self, now: float, *, is_candidate: bool) -> None:
+        """Join if nobody holds the lease, and leave if another one does."""
+        readers = self._board.entries.readers(now)
+        if is_candidate and self._watch.is_due(readers, now):
+            await self._look(now)
+        if self._joined_at is None:
+            if is_candidate and self._watch.should_join(readers, now):
+                await self._join()
+        elif self._should_leave(now):
+            await self.release()
+        else:
+            await self._join()
+
+    async def _look(self, now: float) -> None:
+        looked = await self._store.holder()
+        if isinstance(looked, Success):
+            holder = looked.unwrap()
+            entries = self._board.entries.ready(now)
+            is_listed = holder in {entry.name for entry in entries}
+            if holder != self._watch.holder:
+                self._log.write('lease_holder', holder=holder)
+            self._watch.record_holder(holder, now, is_listed=is_listed)
+        elif self._board.configuration_age(now) <= UP_TO_DATE_S:
+            self._watch.record_failure(now)
+
+    def _should_leave(self, now: float) -> bool:
+        """Return whether this entry, a member without the lease, should leave."""
+        if now - self._candidate_at >= LEAVE_AFTER_S:
+            return True
+        joined_at = self._joined_at
+        is_settled = joined_at is not None and now - joined_at >= MEMBER_S
+        return is_settled and self._watch.is_held_by_another()
+
     async def _renew(self) -> None:
         """Renew the lease, and ask others while the store does not answer."""
         self._outage.note_peers()
@@ -144,11 +270,16 @@
 
     async def _join(self) -> None:
         sent_at = self._board.clock()
+        if self._joined_at is None:
+            self._joined_at = sent_at
         joined = await self._store.join(
             self._board.cfg.instance,
             self._generation,
             LEASE_S,
         )
+        if self._joined_at is None:
+            # This entry has left in the meantime.
+            return
         if isinstance(joined, Success):
             self._is_renewal_failing = False
             self._outage.reset()
@@ -180,9 +311,11 @@
             self.fencing_token = fencing_token(self._epoch, self._generation)
         if membership.is_holder == self.is_held:
             return
-        self.is_held = membership.is_holder
+        held_s = self._held_s()
+        self._set_held(is_held=membership.is_holder)
         if self.is_held:
             self.acquisitions += 1
+            self._board.lease_acquisitions += 1
         else:
             # Who learns of the loss after the lease has lapsed, as it was cut
             # off or paused, must not act: the next holder has by then.
@@ -191,8 +324,18 @@
             'lease_acquired' if self.is_held else 'lease_lost',
             generation=membership.generation,
             epoch=membership.epoch,
+            held_s=held_s,
         )
 
+    def _set_held(self, *, is_held: bool) -> None:
+        self.is_held = is_held
+        self._board.lease_held_since = self._board.clock() if is_held else None
+
+    def _held_s(self) -> float:
+        """Return for how long this entry has held the lease, in seconds."""
+        since = self._board.lease_held_since
+        return 0 if since is None else round(self._board.clock() - since, 2)
+
 
 def build_lease(
     board: Blackboard, store: KeyedLog, log: StructuredLog, reactor: Any
--- a/foxtailhatch/router/metrics.py
+++ b/foxtailhatch/router/metrics.py
@@ -1,6 +1,7 @@
 """Counters and histograms of the router, in the Prometheus text format."""
 
 import resource
+from collections.abc import Mapping
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
@@ -97,13 +98,15 @@
         store_epoch: int = 0,
         configuration_age_s: float = 0,
         held_body_bytes: int = 0,
+        lease: Mapping[str, float] | None = None,
     ) -> bytes:
         """Return all metrics as text.
 
         ``version`` is that of the configuration in force, which was confirmed
         ``configuration_age_s`` ago, ``running`` the number of requests in
         progress, whose bodies take ``held_body_bytes``, and ``store_epoch``
-        the epoch of the store at the last read.
+        the epoch of the store at the last read.  ``lease`` has the levels that
+        concern the leader lease.
         """
         usage = resource.getrusage(resource.RUSAGE_SELF)
         levels = {
@@ -114,6 +117,7 @@
             'configuration_age_seconds': configuration_age_s,
             'peak_memory_bytes': usage.ru_maxrss * KIBIBYTE,
             'cpu_seconds': usage.ru_utime + usage.ru_stime,
+            **(lease or {}),
         }
         for name, level in levels.items():
             self._gauges.set({'of': name}, level)
--- a/foxtailhatch/router/status_pages.py
+++ b/foxtailhatch/router/status_pages.py
@@ -67,4 +67,15 @@
             self._board.store_epoch,
             self._board.configuration_age(self._board.clock()),
             self._context.bodies.held_bytes,
+            _lease_levels(self._board),
         )
+
+
+def _lease_levels(board: Blackboard) -> Mapping[str, float]:
+    """Return for how long the lease is held here, and how often it moved."""
+    since = board.lease_held_since
+    return {
+        'lease_held_seconds': 0 if since is None else board.clock() - since,
+        'lease_acquisitions': board.lease_acquisitions,
+        'lease_handovers': board.lease_handovers,
+    }
--- a/standins/platform_log.py
+++ b/standins/platform_log.py
@@ -78,6 +78,7 @@
             '/log-append': self._append,
             '/log-join': self._join,
             '/log-leave': self._leave,
+            '/log-owners': self._owners,
         }
         return answers[req.path](req)
 
@@ -150,6 +151,11 @@
             self._generation += 1
         return _json({'generation': self._generation})
 
+    def _owners(self, _: MiniRequest) -> MiniResponse:
+        self._expire_members(asyncio.get_running_loop().time())
+        rows = [['placement', 0, member, 0] for member in self._members]
+        return _json({'parts': rows[:1]})
+
     def _expire_members(self, now: float) -> None:
         """Drop the members that have not joined again in time."""
         lapsed = [
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -184,3 +184,29 @@
     store = LogStore(ScriptedHttpClient((200, body)))
     membership = run(store.join('e1', 0, 3)).unwrap()
     assert (membership.generation, membership.is_holder) == (4, holder)
+
+
+OWNERS = [['placement', 0, 'e2', 7], ['placement', 1, 'e1', 0]]
+
+
+@pytest.mark.parametrize('document', [OWNERS, {'parts': OWNERS}])
+def test_holder_is_the_owner_of_the_first_partition(document):
+    http_client = ScriptedHttpClient((200, json.dumps(document).encode()))
+    assert run(LogStore(http_client).holder()) == Success('e2')
+    assert http_client.query() == {'group': ['placement']}
+
+
+@pytest.mark.parametrize('rows', [[], [['placement', 0, None, 0]]])
+def test_partition_without_an_owner_is_held_by_nobody(rows):
+    http_client = ScriptedHttpClient(
+        (200, json.dumps({'parts': rows}).encode())
+    )
+    assert run(LogStore(http_client).holder()) == Success('')
+
+
+@pytest.mark.parametrize(
+    'body', [b'?', b'{}', b'5', b'[5]', b'[["placement", 0]]']
+)
+def test_unreadable_owners_are_malformed(body):
+    http_client = ScriptedHttpClient((200, body))
+    assert run(LogStore(http_client).holder()) == Failure(StoreFault.MALFORMED)
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -70,6 +70,7 @@
         self.epoch = 0
         self.page_records = None
         self.membership = Membership(1, is_holder=True)
+        self.owner = ''
 
     def restore(self, topic, length):
         """Return to an older copy, in which a topic has ``length`` records."""
@@ -111,6 +112,9 @@
     async def leave(self, member):
         return Success(None)
 
+    async def holder(self):
+        return Failure(self.fault) if self.fault else Success(self.owner)
+
 
 class MemoryEngines:
     """Engines that carry out orders at once."""
