Tell the entry that forwarded a request which endpoint leaves

What callers saw: nothing yet. An entry that is cut off forwards requests through another one and passes on answers with the word that an endpoint leaves. The word was not noted, as the answer did not name its endpoint, so once in reach again the entry could send that endpoint new work for as long as the list did not tell.

Cause: answers of entries were left out of the notices. Ruled out: taking the header out of such answers, since the rule binds who passes the answer on, whether or not the word is in it; telling all entries, as a word that is passed on beside an answer may be old.

Change: answers to forwarded requests name the endpoint and its incarnation in a further header. The entry before takes it out and marks the endpoint. Older entries neither send nor read it; then the word is logged without an endpoint.

--- a/foxtailhatch/platform/names.py
+++ b/foxtailhatch/platform/names.py
@@ -18,6 +18,9 @@
 RATE_LIMIT = b'server-limit'
 # "1" in all answers of an endpoint that leaves.
 LEAVING = b'server-leaving'
+# Set by an entry on responses to forwarded requests: the incarnation and name of
+# the endpoint that said that it leaves.
+LEAVING_ENDPOINT = b'foxtailhatch-leaving-endpoint'
 # Seconds for which an endpoint that answers 503 wants nothing from this entry.
 RETRY_AFTER = b'retry-after'
 # In all answers of the store; rises by one each time the store returns from an
--- a/foxtailhatch/platform/requests.py
+++ b/foxtailhatch/platform/requests.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
 from math import isfinite
+from urllib.parse import quote, unquote
 
 from returns.result import Failure, Result, Success
 
@@ -12,6 +13,7 @@
 from foxtailhatch.relay.refusals import RefusalReason, RelayRefusal
 from foxtailhatch.relay.request import (
     Dispatch,
+    EndpointIdentity,
     EndpointResponse,
     RelayRequest,
     ResponseKind,
@@ -31,6 +33,8 @@
 # Bounds on what is kept of the parts of a prompt.
 MAX_PROMPT_PARTS = 64
 MAX_PART_ID_LENGTH = 64
+# Bound on the name and incarnation of an endpoint in a header.
+MAX_IDENTITY_BYTES = 1024
 _CONNECTION_HEADERS = frozenset(
     (
         b'connection',
@@ -95,11 +99,18 @@
         An entry passes no refusal of an endpoint on as it is, so one that it
         sends is its own, and true.
         """
-        response = self.decode_head(head, req)
+        response = replace(
+            self.decode_head(head, req), leaving=_leaving_endpoint(head)
+        )
         if head.status in NOT_RUN_STATUSES:
             return replace(response, kind=ResponseKind.NOT_RUN)
         return response
 
+    def leaving_header(self, endpoint: EndpointIdentity) -> tuple[bytes, bytes]:
+        """Return the header that tells another entry which endpoint leaves."""
+        text = f'{endpoint.incarnation} {quote(endpoint.name, safe="")}'
+        return names.LEAVING_ENDPOINT, text.encode()
+
     def decode_head(
         self, head: ResponseHead, req: RelayRequest
     ) -> EndpointResponse:
@@ -109,7 +120,11 @@
         return EndpointResponse(
             kind=_kind(head, req),
             status=head.status,
-            headers=_end_to_end(head.headers),
+            headers=tuple(
+                pair
+                for pair in _end_to_end(head.headers)
+                if pair[0] != names.LEAVING_ENDPOINT
+            ),
             failed_address=at_fault.decode(HEADER_ENCODING)
             if at_fault
             else None,
@@ -138,6 +153,22 @@
     )
 
 
+def _leaving_endpoint(head: ResponseHead) -> EndpointIdentity | None:
+    """Return the endpoint that an entry says leaves.
+
+    More than one, or a malformed one, is none.
+    """
+    listed = [
+        field for name, field in head.headers if name == names.LEAVING_ENDPOINT
+    ]
+    if len(listed) != 1 or len(listed[0]) > MAX_IDENTITY_BYTES:
+        return None
+    born, _, name = _text(listed[0]).partition(' ')
+    if not name or not born.isdecimal():
+        return None
+    return EndpointIdentity(unquote(name), int(born))
+
+
 def decode_request(
     method: str,
     target: str,
--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -13,7 +13,11 @@
 )
 from foxtailhatch.fleet.pauses import EndpointNotice
 from foxtailhatch.relay.body_memory import BodyMemory
-from foxtailhatch.relay.request import RelayRequest, WireCodec
+from foxtailhatch.relay.request import (
+    EndpointIdentity,
+    RelayRequest,
+    WireCodec,
+)
 from foxtailhatch.relay.retry_budget import RetryBudget
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.routes import Service
@@ -154,11 +158,9 @@
     ) -> None:
         """Apply what an endpoint says of itself in an answer to this entry."""
         now = self.clock()
-        name, born = endpoint.name, endpoint.incarnation
-        if notice.is_leaving and self.endpoints.mark_leaving(name, born, now):
-            self.log.write(
-                'endpoint_leaves', id=request_id, endpoint=name, born=born
-            )
+        if notice.is_leaving:
+            identity = EndpointIdentity(endpoint.name, endpoint.incarnation)
+            self.record_leaving(identity, request_id)
         pauses = self.endpoints.pauses
         if notice.pause_s is None:
             pauses.record_answers([endpoint], now)
@@ -166,6 +168,20 @@
             self.log.write(
                 'endpoint_pauses',
                 id=request_id,
-                endpoint=name,
+                endpoint=endpoint.name,
                 for_s=notice.pause_s,
             )
+
+    def record_leaving(
+        self, endpoint: EndpointIdentity, request_id: str, by: str = ''
+    ) -> None:
+        """Note that an endpoint leaves, told by itself or ``by`` an entry."""
+        name, born = endpoint.name, endpoint.incarnation
+        if self.endpoints.mark_leaving(name, born, self.clock()):
+            self.log.write(
+                'endpoint_leaves',
+                id=request_id,
+                endpoint=name,
+                born=born,
+                by=by,
+            )
--- a/foxtailhatch/relay/endpoint_feedback.py
+++ b/foxtailhatch/relay/endpoint_feedback.py
@@ -1,9 +1,16 @@
 """Feedback from the attempts of a request to the endpoint table."""
 
+from dataclasses import replace
+
+from foxtailhatch.fleet import LiveEndpoint
 from foxtailhatch.relay.attempt import Attempt
 from foxtailhatch.relay.attempt_history import AttemptHistory
 from foxtailhatch.relay.context import RelayContext
-from foxtailhatch.relay.request import ResponseKind
+from foxtailhatch.relay.request import (
+    EndpointIdentity,
+    EndpointResponse,
+    ResponseKind,
+)
 
 FIRST_ERROR_STATUS = 400
 
@@ -76,11 +83,14 @@
         success that may be of another origin tells nothing.
         """
         response = attempt.response
-        if response is None or attempt.is_forwarded:
+        if response is None:
             return
         is_doubtful = response.kind is ResponseKind.AMBIGUOUS
         if is_doubtful and response.status < FIRST_ERROR_STATUS:
             return
+        if attempt.is_forwarded:
+            self._record_forwarded_notice(attempt.head_name, response)
+            return
         if response.kind is ResponseKind.SUCCESS:
             self._context.endpoints.pauses.record_answers(
                 (stage.endpoint for stage in attempt.chosen),
@@ -93,6 +103,8 @@
         )
         endpoint = next(named, attempt.chosen[0].endpoint)
         self._context.record_notice(endpoint, response.notice, self._request_id)
+        if response.notice.is_leaving and self._is_for_entry:
+            attempt.response = self._with_name(response, endpoint)
 
     def record_rate_limit(self, attempt: Attempt) -> None:
         """Record the limit that the head of the chain names, or that it ends.
@@ -120,3 +132,36 @@
         """Clear the failures of the endpoints of a successful attempt."""
         for stage in attempt.chosen:
             self._context.endpoints.clear_failures(stage.endpoint.name)
+
+    @property
+    def _is_for_entry(self) -> bool:
+        """Return whether another entry passes the response on to its caller."""
+        return self._history.admitted.req.is_forwarded
+
+    def _with_name(
+        self, response: EndpointResponse, endpoint: LiveEndpoint
+    ) -> EndpointResponse:
+        """Return a response that names the endpoint which leaves."""
+        identity = EndpointIdentity(endpoint.name, endpoint.incarnation)
+        header = self._context.codec.leaving_header(identity)
+        return replace(response, headers=(*response.headers, header))
+
+    def _record_forwarded_notice(
+        self, entry: str, response: EndpointResponse
+    ) -> None:
+        """Note that the endpoint behind the response of an entry leaves.
+
+        An older entry does not name it.  One that is listed for another service
+        has not answered.
+        """
+        if not response.notice.is_leaving:
+            return
+        leaving = response.leaving
+        known = leaving and self._context.endpoints.get(leaving.name)
+        service = self._history.admitted.service.name
+        if leaving is None or (known and known.service != service):
+            self._context.log.write(
+                'leaving_unnamed', id=self._request_id, by=entry
+            )
+        else:
+            self._context.record_leaving(leaving, self._request_id, entry)
--- a/foxtailhatch/relay/request.py
+++ b/foxtailhatch/relay/request.py
@@ -118,6 +118,14 @@
     AMBIGUOUS = 'ambiguous'
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointIdentity:
+    """Name and incarnation of an endpoint, as all entries know it."""
+
+    name: str
+    incarnation: int
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointResponse:
     """The decoded head of an endpoint's response.
@@ -126,7 +134,8 @@
     failed or refused, if the response names it.  ``headers`` are those to
     forward.  ``rate_limit_per_s`` is the number of requests a second that the
     endpoint takes from all entries together, if it names one, and ``notice``
-    what else it says of itself.
+    what else it says of itself.  ``leaving`` is the endpoint which says that it
+    leaves, where the response came through another entry that names it.
     """
 
     kind: ResponseKind
@@ -136,6 +145,7 @@
     is_event_stream: bool = False
     rate_limit_per_s: float | None = None
     notice: EndpointNotice = EndpointNotice()
+    leaving: EndpointIdentity | None = None
 
     @property
     def continues_stream(self) -> bool:
@@ -165,6 +175,9 @@
     ) -> EndpointResponse:
         """Classify the head of another entry's response."""
 
+    def leaving_header(self, endpoint: EndpointIdentity) -> tuple[bytes, bytes]:
+        """Return the header that tells another entry which endpoint leaves."""
+
 
 class CallerConnection(Protocol):
     """The caller's connection, limited to one response."""
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -8,7 +8,11 @@
     decode_request,
 )
 from foxtailhatch.relay.http_connection import ResponseHead
-from foxtailhatch.relay.request import Dispatch, ResponseKind
+from foxtailhatch.relay.request import (
+    Dispatch,
+    EndpointIdentity,
+    ResponseKind,
+)
 
 HEADERS = (
     (b'Host', b'host.example'),
@@ -277,3 +281,52 @@
     assert notice(status, (b'server-leaving', b'1')).is_leaving
     assert not notice(status, (b'server-leaving', b'0')).is_leaving
     assert not notice(status).is_leaving
+
+
+WHO = b'foxtailhatch-leaving-endpoint'
+
+
+def forwarded(*pairs):
+    head = ResponseHead(200, (*pairs, (b'server-leaving', b'1')))
+    return PlatformCodec().decode_forwarded_head(head, request())
+
+
+@pytest.mark.parametrize('name', ['i-4', 'a b', 'näme', 'x\r\ny', '7'])
+def test_endpoint_that_leaves_is_named_between_entries(name):
+    endpoint = EndpointIdentity(name, 12)
+    header, field = PlatformCodec().leaving_header(endpoint)
+    assert field.isascii()
+    assert not set(field) & set(b'\r\n')
+    response = forwarded((header, field))
+    assert response.leaving == endpoint
+    assert response.headers == ((b'server-leaving', b'1'),)
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        [],
+        [b''],
+        [b'i-4'],
+        [b'12'],
+        [b'-1 i-4'],
+        [b'1.5 i-4'],
+        [b'x i-4'],
+        [b'\xb2 i-4'],
+        [b'12 i-4', b'12 i-5'],
+        [b'12 ' + b'i' * 2000],
+        [b'9' * 2000 + b' i-4'],
+    ],
+)
+def test_malformed_name_of_an_endpoint_that_leaves_is_none(fields):
+    response = forwarded(*((WHO, field) for field in fields))
+    assert response.leaving is None
+    assert response.notice.is_leaving
+
+
+# Guards against an endpoint that has another one taken out of service.
+def test_endpoint_cannot_say_that_another_one_leaves():
+    head = ResponseHead(200, ((WHO, b'1 i-9'), (b'server-leaving', b'1')))
+    response = PlatformCodec().decode_head(head, request())
+    assert response.leaving is None
+    assert WHO not in dict(response.headers)
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -14,6 +14,7 @@
 from foxtailhatch.relay.context import RelayContext, SelectedStage
 from foxtailhatch.relay.relay import Relay
 from foxtailhatch.relay.request import (
+    EndpointIdentity,
     EndpointResponse,
     RelayRequest,
     ResponseKind,
@@ -111,8 +112,15 @@
             head += f'X-After: {resume}\r\n'
         return f'{head}\r\n'.encode()
 
+    def leaving_header(self, endpoint):
+        return b'x-who', f'{endpoint.name}/{endpoint.incarnation}'.encode()
+
     def decode_forwarded_head(self, head, req):
         response = self.decode_head(head, req)
+        name, _, born = (head.get(b'x-who') or b'').decode().partition('/')
+        if name:
+            leaving = EndpointIdentity(name, int(born))
+            response = replace(response, leaving=leaving)
         if head.status == 503:
             return replace(response, kind=ResponseKind.NOT_RUN)
         return response
@@ -253,6 +261,7 @@
     budget=None,
     parts=(),
     fingerprint='',
+    is_forwarded=False,
 ):
     """Return a started relay with its dependencies, caller and endpoints."""
     reactor = MemoryReactorClock()
@@ -290,6 +299,7 @@
         last_event_id=None,
         prompt_parts=parts,
         fingerprint=fingerprint,
+        is_forwarded=is_forwarded,
     )
     relay_route = route(
         kind=kind,
--- a/tests/router/test_forwarding.py
+++ b/tests/router/test_forwarding.py
@@ -17,6 +17,7 @@
     ForwardingSelector,
 )
 from foxtailhatch.routes import RouteKind
+from tests.fleet.endpoints import endpoint
 from tests.relay.fakes import start_relay
 from tests.router.fakes import Clock, board, engine
 from tests.router.test_admission import request
@@ -197,6 +198,89 @@
     assert forwarded.env.caller.status == 502
 
 
+LEAVING = 'X-Leaving: 1\r\n'
+
+
+# Guards against new work, at an entry that is in reach again, for an endpoint whose
+# answer it has passed on with the word that it leaves.
+@pytest.mark.parametrize('status', [200, 404])
+def test_endpoint_that_leaves_behind_an_entry_gets_no_work(status):
+    forwarded = ForwardedRelay()
+    endpoints = forwarded.env.context.endpoints
+    forwarded.env.accept_connection().respond(
+        status=status, headers=f'{LEAVING}X-Who: e1/1\r\n'
+    )
+    assert not endpoints.accepts_work(endpoints.get('e1'))
+    assert endpoints.accepts_work(endpoints.get('e2'))
+    line = forwarded.env.log.of('endpoint_leaves')[0]
+    assert (line['endpoint'], line['by']) in {('e1', 'b'), ('e1', 'c')}
+
+
+def test_endpoint_that_leaves_behind_an_entry_is_known_before_it_is_listed():
+    forwarded = ForwardedRelay()
+    endpoints = forwarded.env.context.endpoints
+    forwarded.env.accept_connection().respond(
+        headers=f'{LEAVING}X-Who: e9/7\r\n'
+    )
+    endpoints.put(endpoint('e9', incarnation=7), 1)
+    assert not endpoints.accepts_work(endpoints.get('e9'))
+    endpoints.put(endpoint('e9', incarnation=8), 2)
+    assert endpoints.accepts_work(endpoints.get('e9'))
+
+
+@pytest.mark.parametrize(
+    'headers',
+    [LEAVING, f'{LEAVING}X-Who: other/1\r\n', 'X-Who: e1/1\r\n'],
+    ids=['older entry', 'other service', 'no word of the endpoint'],
+)
+def test_word_of_an_entry_without_an_endpoint_that_may_have_answered(headers):
+    forwarded = ForwardedRelay()
+    endpoints = forwarded.env.context.endpoints
+    endpoints.put(endpoint('other', service='another'), 0)
+    forwarded.env.accept_connection().respond(headers=headers)
+    assert all(
+        endpoints.accepts_work(endpoints.get(name))
+        for name in endpoints.names()
+    )
+    assert forwarded.env.log.of('endpoint_leaves') == []
+    unnamed = forwarded.env.log.of('leaving_unnamed')
+    assert len(unnamed) == headers.startswith(LEAVING)
+
+
+def test_pause_in_the_refusal_of_an_entry_is_for_callers():
+    forwarded = ForwardedRelay()
+    endpoints = forwarded.env.context.endpoints
+    forwarded.env.accept_connection().respond(
+        status=503, headers='X-Pause: 3\r\n'
+    )
+    assert len(endpoints.pauses) == 0
+
+
+# Guards against entries that do not tell the one before them who leaves.
+def test_answer_to_a_forwarded_request_names_the_endpoint_that_leaves():
+    env = start_relay(is_forwarded=True)
+    env.accept_connection().respond(headers=LEAVING)
+    assert env.caller.headers[b'x-who'] == b'e1/1'
+    assert env.caller.headers[b'x-leaving'] == b'1'
+
+
+def test_stream_for_another_entry_names_the_endpoint_that_leaves():
+    env = start_relay(kind=RouteKind.STREAM, resumable=True, is_forwarded=True)
+    stream = env.accept_connection()
+    stream.start_stream(headers=LEAVING)
+    stream.send_event(1)
+    assert env.caller.headers[b'x-who'] == b'e1/1'
+
+
+@pytest.mark.parametrize(
+    ('is_forwarded', 'headers'), [(False, LEAVING), (True, '')]
+)
+def test_no_endpoint_is_named_to_callers_or_without_need(is_forwarded, headers):
+    env = start_relay(is_forwarded=is_forwarded)
+    env.accept_connection().respond(headers=headers)
+    assert b'x-who' not in env.caller.headers
+
+
 def test_silent_entry_is_left():
     forwarded = ForwardedRelay()
     forwarded.env.accept_connection()
