Count endpoints that leave and pause, and say why one gets no work

What operators saw: an endpoint without work, and only the lines of the log to tell why; no figure showed how many endpoints had said that they leave or asked for a pause.

Change: fleet/availability.py names the one reason for which a listed endpoint gets no work from this entry. The gauge `endpoints` counts them by this state, and the counter `endpoint_notices` the notices that were news.

New behaviour without a fault before it: its tests were not seen to fail.

--- a/foxtailhatch/fleet/__init__.py
+++ b/foxtailhatch/fleet/__init__.py
@@ -1,5 +1,6 @@
 """State of the endpoints that this entry relays requests to."""
 
+from foxtailhatch.fleet.availability import Availability, count_availability
 from foxtailhatch.fleet.endpoint import EndpointState, LiveEndpoint
 from foxtailhatch.fleet.estimate import PeerWork, WorkEstimate
 from foxtailhatch.fleet.loads import EndpointLoads, Work
@@ -8,6 +9,7 @@
 from foxtailhatch.fleet.table import EndpointTable
 
 __all__ = [
+    'Availability',
     'LiveEndpoint',
     'EndpointLoads',
     'EndpointReach',
@@ -18,4 +20,5 @@
     'RateLimits',
     'Work',
     'WorkEstimate',
+    'count_availability',
 ]
--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -47,6 +47,7 @@
         self._lapsed_until: dict[str, float] = {}
         self._failure_backoffs: dict[str, tuple[float, float]] = {}
         self._draining_since: dict[tuple[str, int], float] = {}
+        self._said_leaving: set[tuple[str, int]] = set()
         self._dead_since: dict[str, float] = {}
         self._silent: set[str] = set()
         self.pauses = EndpointPauses()
@@ -133,6 +134,7 @@
         was news.
         """
         known = (name, incarnation)
+        self._said_leaving.add(known)
         if known in self._draining_since:
             return False
         self._draining_since[known] = now
@@ -140,6 +142,10 @@
         self.revision += 1
         return True
 
+    def has_said_leaving(self, endpoint: LiveEndpoint) -> bool:
+        """Return whether an incarnation has said in an answer that it leaves."""
+        return (endpoint.name, endpoint.incarnation) in self._said_leaving
+
     def mark_silent(self, name: str, incarnation: int) -> bool:
         """Mark an incarnation silent; return whether it is newly marked."""
         known = self._endpoints.get(name)
@@ -351,6 +357,7 @@
             if oldest is None:
                 return
             self._draining_since.pop(oldest)
+            self._said_leaving.discard(oldest)
 
     def _with_observed_layers(
         self,
--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -124,6 +124,9 @@
     def record_failed_attempt(self, kind: str, *, has_begun: bool) -> None:
         """Count a failed attempt, and whether it had brought an event."""
 
+    def record_notice(self, kind: str) -> None:
+        """Count a notice of an endpoint that was news: leaving or a pause."""
+
 
 @dataclass(slots=True)
 class RelayContext:
@@ -165,6 +168,7 @@
         if notice.pause_s is None:
             pauses.record_answers([endpoint], now)
         elif pauses.record(endpoint, notice.pause_s, now):
+            self.metrics.record_notice('pause')
             self.log.write(
                 'endpoint_pauses',
                 id=request_id,
@@ -178,6 +182,7 @@
         """Note that an endpoint leaves, told by itself or ``by`` an entry."""
         name, born = endpoint.name, endpoint.incarnation
         if self.endpoints.mark_leaving(name, born, self.clock()):
+            self.metrics.record_notice('leaving')
             self.log.write(
                 'endpoint_leaves',
                 id=request_id,
--- a/foxtailhatch/router/metrics.py
+++ b/foxtailhatch/router/metrics.py
@@ -1,11 +1,13 @@
 """Counters and histograms of the router, in the Prometheus text format."""
 
 import resource
+from collections.abc import Mapping
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
 from foxtailhatch.core import check_counts
+from foxtailhatch.fleet import Availability
 
 INFINITY = float('inf')
 FIRST_BYTE_BUCKETS_S = [0.05, 0.1, 0.2, 0.3, 0.5, 0.54, 1, 2, 5, INFINITY]
@@ -45,6 +47,18 @@
             const_labels=labels,
             registry=registry,
         )
+        self._notices = Counter(
+            'endpoint_notices',
+            'Endpoints that said that they leave, or asked for a pause',
+            const_labels=labels,
+            registry=registry,
+        )
+        self._endpoints = Gauge(
+            'endpoints',
+            'Listed endpoints by whether they get work from this entry',
+            const_labels=labels,
+            registry=registry,
+        )
         self._checks = Counter(
             'invariant_checks',
             'Checks that held',
@@ -90,6 +104,15 @@
         begun = 'yes' if has_begun else 'no'
         self._failed_attempts.inc({'kind': kind, 'begun': begun})
 
+    def record_notice(self, kind: str) -> None:
+        """Count a notice of an endpoint that was news: leaving or a pause."""
+        self._notices.inc({'kind': kind})
+
+    def record_endpoints(self, counts: Mapping[Availability, int]) -> None:
+        """Record the number of listed endpoints in each state."""
+        for state, count in counts.items():
+            self._endpoints.set({'state': state.value}, count)
+
     def render(
         self,
         version: int,
--- a/foxtailhatch/router/status_pages.py
+++ b/foxtailhatch/router/status_pages.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from foxtailhatch.fleet import count_availability
 from foxtailhatch.relay.context import RelayContext
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.metrics import RouterMetrics
@@ -61,10 +62,14 @@
         table = self._board.table
         version = 0 if table is None else table.version
         running = len(self._context.running)
+        now = self._board.clock()
+        self._metrics.record_endpoints(
+            count_availability(self._board.endpoints, now)
+        )
         return self._metrics.render(
             version,
             running,
             self._board.store_epoch,
-            self._board.configuration_age(self._board.clock()),
+            self._board.configuration_age(now),
             self._context.bodies.held_bytes,
         )
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -48,6 +48,7 @@
         self.outcomes = []
         self.retries = []
         self.failed_attempts = []
+        self.notices = []
 
     def record_outcome(self, outcome, seconds):
         self.outcomes.append(outcome)
@@ -61,6 +62,9 @@
     def record_failed_attempt(self, kind, *, has_begun):
         self.failed_attempts.append((kind, has_begun))
 
+    def record_notice(self, kind):
+        self.notices.append(kind)
+
 
 class RecordingPrompts:
     """A watch for harmful prompts that records what it is told."""
--- a/tests/relay/test_leaving_endpoints.py
+++ b/tests/relay/test_leaving_endpoints.py
@@ -4,6 +4,7 @@
 
 from foxtailhatch.core import LayerRange
 from foxtailhatch.fleet import EndpointState
+from foxtailhatch.fleet.pauses import EndpointNotice
 from foxtailhatch.fleet.table import MAX_DRAINING
 from foxtailhatch.relay.context import SelectedStage
 from foxtailhatch.relay.relay import Relay
@@ -121,6 +122,17 @@
     assert b'X-To: e2' in env.accept_connection().request
 
 
+def test_each_notice_that_is_news_is_counted_once():
+    env = start_relay()
+    env.accept_connection().respond(status=503, headers=PAUSE)
+    env.accept_connection().respond(headers=LEAVING)
+    one = env.context.endpoints.get('e2')
+    env.context.record_notice(one, EndpointNotice(is_leaving=True))
+    one = env.context.endpoints.get('e1')
+    env.context.record_notice(one, EndpointNotice(pause_s=5))
+    assert env.metrics.notices == ['pause', 'leaving']
+
+
 def test_caller_is_told_to_return_after_the_pause_of_all_endpoints():
     env = start_relay(names=('e1',))
     env.accept_connection().respond(status=503, headers=PAUSE)
