Take the word of leaving in a chain's answer for the head's own

A head that leaves and refuses for another stage (At-Server) said with its answer that it leaves, and that other stage was marked instead: a sound endpoint got no work until its next start, and the head got new requests.

Cause: one notice spoke for the endpoint that the answer names. The users' words give only the pause to that one; an endpoint that leaves says so in all its answers, and a chain's answer is its head's. Ruled out: marking both, which takes a sound endpoint out of service in either case.

Test: test_stage_that_an_answer_names_is_the_one_that_leaves asserted the former reading, and is replaced by test_head_that_answers_is_the_one_that_leaves_whatever_stage_it_names, with the same answer and both endpoints checked, which failed before the change.

--- a/foxtailhatch/relay/endpoint_feedback.py
+++ b/foxtailhatch/relay/endpoint_feedback.py
@@ -2,7 +2,6 @@
 
 from dataclasses import replace
 
-from foxtailhatch.fleet import LiveEndpoint
 from foxtailhatch.relay.attempt import Attempt
 from foxtailhatch.relay.attempt_history import AttemptHistory
 from foxtailhatch.relay.context import RelayContext
@@ -79,8 +78,9 @@
     def record_notice(self, attempt: Attempt) -> None:
         """Note what the endpoint which answered says of itself.
 
-        It is the one that the answer names, and else the head of the chain.  A
-        success that may be of another origin tells nothing.
+        The head of the chain answers, so it is the one that leaves.  The one that
+        wants a pause is named by the answer, and else the head too.  A success
+        that may be of another origin tells nothing.
         """
         response = attempt.response
         if response is None:
@@ -101,10 +101,17 @@
             for stage in attempt.chosen
             if stage.endpoint.address == response.failed_address
         )
-        endpoint = next(named, attempt.chosen[0].endpoint)
-        self._context.record_notice(endpoint, response.notice, self._request_id)
-        if response.notice.is_leaving and self._is_for_entry:
-            attempt.response = self._with_name(response, endpoint)
+        head = attempt.chosen[0].endpoint
+        self._context.record_notice(
+            next(named, head),
+            replace(response.notice, is_leaving=False),
+            self._request_id,
+        )
+        if response.notice.is_leaving:
+            identity = EndpointIdentity(head.name, head.incarnation)
+            self._context.record_leaving(identity, self._request_id)
+            if self._is_for_entry:
+                attempt.response = self._with_name(response, identity)
 
     def record_rate_limit(self, attempt: Attempt) -> None:
         """Record the limit that the head of the chain names, or that it ends.
@@ -139,11 +146,10 @@
         return self._history.admitted.req.is_forwarded
 
     def _with_name(
-        self, response: EndpointResponse, endpoint: LiveEndpoint
+        self, response: EndpointResponse, leaving: EndpointIdentity
     ) -> EndpointResponse:
         """Return a response that names the endpoint which leaves."""
-        identity = EndpointIdentity(endpoint.name, endpoint.incarnation)
-        header = self._context.codec.leaving_header(identity)
+        header = self._context.codec.leaving_header(leaving)
         return replace(response, headers=(*response.headers, header))
 
     def _record_forwarded_notice(
