Let the stand-ins say that they leave or pause, and check what follows

What was seen: nothing checked over sockets that entries heed the words of endpoints, so the defence could have been lost without a red run.

Change: stand-in endpoints that leave say so in all their answers, and can refuse with a pause. standins/notice_watch.py takes for a broken promise a request or a stage that comes 2 s after the word, or more than two of anything within a pause. Routers of the soak connect from a host of their own, by which they are told apart; a restart or a freeze excuses one.

Words in reports and order answers do not count now.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -10,7 +10,7 @@
 import asyncio
 import json
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from standins.mini_http import (
@@ -24,6 +24,7 @@
     MiniResponse,
     MiniServer,
 )
+from standins.notice_watch import NoticeWatch
 from standins.platform_log import PlatformLog
 
 EVENT_INTERVAL_S = 0.02
@@ -32,6 +33,9 @@
 LOAD_DURATION_S = 0.2
 LAYER_COUNT = 80
 
+_CALL_PATHS = frozenset(('/report', '/order'))
+_LEAVING_HEADERS = {'Server-Leaving': '1'}
+
 ChainStage = tuple[str, int, int]
 
 
@@ -43,7 +47,8 @@
     a crashing part or path arrived; ``crashed_at`` are those at which endpoints crashed
     on one.  ``on_crash`` is called with the endpoint.  An endpoint in
     ``limits_per_s`` names its limit in each response, and ``arrivals`` holds
-    the times at which requests reached it.
+    the times at which requests reached it.  ``notices`` checks what entries send
+    to endpoints that leave or asked for a pause.
     """
 
     log: PlatformLog
@@ -57,6 +62,11 @@
     on_crash: Callable[['StubEndpoint'], None] | None = None
     limits_per_s: dict[str, float] = field(default_factory=dict)
     arrivals: dict[str, list[float]] = field(default_factory=dict)
+    notices: NoticeWatch = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Let the watch append to the violations of this pool."""
+        self.notices = NoticeWatch(self.violations)
 
     def check_layers(self, request_id: str, stages: list[ChainStage]) -> None:
         """Record a violation unless each layer runs once and in order."""
@@ -70,7 +80,11 @@
 
 
 class StubEndpoint:
-    """An endpoint; an engine if it has an accelerator kind."""
+    """An endpoint; an engine if it has an accelerator kind.
+
+    One that ``is_leaving`` says so in all its answers.  Until ``paused_until`` it
+    refuses requests, and asks for the rest of the time as a pause.
+    """
 
     def __init__(
         self, pool: EndpointPool, name: str, service: str, zone: str
@@ -82,7 +96,9 @@
         self.accelerator_kind = ''
         self.layers: tuple[int, int] | None = None
         self.is_draining = False
+        self.is_leaving = False
         self.is_dead = False
+        self.paused_until = float('-inf')
         self.orders = 0
         self.fence = 0
         self.paths: dict[str, list[ChainStage]] = {}
@@ -130,8 +146,9 @@
         self.server.stop()
 
     def start_draining(self) -> None:
-        """Announce in the store that this endpoint is draining."""
+        """Announce in the store and in answers that this endpoint leaves."""
         self.is_draining = True
+        self.is_leaving = True
         self.write_record()
 
     def holds(self, first: int, end: int) -> bool:
@@ -145,26 +162,74 @@
         req: MiniRequest,
         writer: asyncio.StreamWriter,
     ) -> MiniResponse | None:
+        response = await self._handle(req, writer)
+        if response is not None and self.is_leaving:
+            response.headers |= _LEAVING_HEADERS
+            # An entry that waits for a report or an order may have given it up.
+            if req.path not in _CALL_PATHS:
+                self._record_leaving(_entry(writer))
+        return response
+
+    async def _handle(
+        self,
+        req: MiniRequest,
+        writer: asyncio.StreamWriter,
+    ) -> MiniResponse | None:
+        if req.path in _CALL_PATHS:
+            now = asyncio.get_running_loop().time()
+            entry = _entry(writer)
+            self._pool.notices.record_call(self.name, entry, req.path, now)
         if req.path == '/report':
             return self._report()
         if req.path == '/order':
-            return self._order(json.loads(req.body))
+            return self._order(json.loads(req.body), _entry(writer))
         expected = req.headers.get('foxtailhatch-expect-instance')
         if expected != self.name:
             return MiniResponse(MISDIRECTED)
         if not self.accelerator_kind:
-            return await self._run_plain(req)
+            return await self._run_plain(req, _entry(writer))
         return await self._run_chain(req, writer)
 
     def _is_crashing(self, req: MiniRequest) -> bool:
         has_part = bool(self._pool.crashing_parts & _parts(req))
         return has_part or req.path in self._pool.crashing_paths
 
-    async def _run_plain(self, req: MiniRequest) -> MiniResponse | None:
+    def _record_leaving(self, entry: str) -> None:
+        """Record that an entry is told that this endpoint leaves."""
+        now = asyncio.get_running_loop().time()
+        self._pool.notices.record_leaving(self.name, entry, now)
+
+    def _check_pause(
+        self, endpoints: Iterable['StubEndpoint'], entry: str, what: str
+    ) -> MiniResponse | None:
+        """Record a request, and refuse it if one of its endpoints is paused."""
+        now = asyncio.get_running_loop().time()
+        notices = self._pool.notices
+        endpoints = tuple(endpoints)
+        for endpoint in endpoints:
+            notices.record_request(endpoint.name, entry, what, now)
+        paused = [one for one in endpoints if now < one.paused_until]
+        if not paused:
+            return None
+        pause_s = paused[0].paused_until - now
+        notices.record_pause(paused[0].name, entry, pause_s, now)
+        headers = {
+            'Foxtailhatch-Not-Executed': '1',
+            'At-Server': paused[0].server.address,
+            'Retry-After': f'{pause_s:.3f}',
+        }
+        return MiniResponse(UNAVAILABLE, headers=headers)
+
+    async def _run_plain(
+        self, req: MiniRequest, entry: str
+    ) -> MiniResponse | None:
+        request_id = req.headers['foxtailhatch-request-id']
+        refusal = self._check_pause([self], entry, request_id)
+        if refusal is not None:
+            return refusal
         if self._is_crashing(req):
             await self._crash_on_prompt()
             return None
-        request_id = req.headers['foxtailhatch-request-id']
         self._pool.runs[request_id] += 1
         return MiniResponse(body=b'done', headers=_seal_headers(request_id))
 
@@ -175,6 +240,10 @@
     ) -> MiniResponse | None:
         request_id = req.headers['foxtailhatch-request-id']
         stages = _parse_stages(req.headers.get('foxtailhatch-hops', ''))
+        entry = _entry(writer)
+        refusal = self._check_pause(self._nodes_of(stages), entry, request_id)
+        if refusal is not None:
+            return refusal
         unavailable = self._first_unavailable(stages)
         if unavailable is not None:
             headers = {
@@ -186,10 +255,13 @@
             await self._crash_on_prompt()
             return None
         self._pool.runs[request_id] += 1
-        limit_headers = self._record_arrival()
+        headers = self._record_arrival()
+        if self.is_leaving:
+            headers |= _LEAVING_HEADERS
+            self._record_leaving(entry)
         last_event_id = int(req.headers.get('last-event-id', 0))
         with _ActivePath(self.paths, request_id, stages):
-            writer.write(_stream_head(request_id, limit_headers))
+            writer.write(_stream_head(request_id, headers))
             await self._stream(request_id, last_event_id, writer)
         return None
 
@@ -231,6 +303,11 @@
         writer.write(b'0\r\n\r\n')
         await writer.drain()
 
+    def _nodes_of(self, stages: list[ChainStage]) -> list['StubEndpoint']:
+        """Return the known endpoints of a chain."""
+        nodes = (self._pool.nodes.get(address) for address, _, _ in stages)
+        return [node for node in nodes if node is not None]
+
     def _first_unavailable(self, stages: list[ChainStage]) -> str | None:
         for address, first, end in stages:
             node = self._pool.nodes.get(address)
@@ -254,9 +331,9 @@
             document['layers'] = {'from': first, 'to': end}
         return MiniResponse(body=json.dumps(document).encode())
 
-    def _order(self, order: dict[str, object]) -> MiniResponse:
+    def _order(self, order: dict[str, object], entry: str) -> MiniResponse:
         if order['op'] == 'repath':
-            return self._repath(str(order['id']), str(order['path']))
+            return self._repath(str(order['id']), str(order['path']), entry)
         fence = order.get('fencing_token', 0)
         if isinstance(fence, int) and fence < self.fence:
             return MiniResponse(PRECONDITION_FAILED)
@@ -278,10 +355,17 @@
         self._busy = False
         self.write_record()
 
-    def _repath(self, request_id: str, path: str) -> MiniResponse:
+    def _repath(self, request_id: str, path: str, entry: str) -> MiniResponse:
         if request_id not in self.paths:
             return MiniResponse(NOT_FOUND)
         stages = _parse_stages(path)
+        now = asyncio.get_running_loop().time()
+        known = self._nodes_of(self.paths[request_id])
+        for node in self._nodes_of(stages):
+            if node not in known:
+                self._pool.notices.record_request(
+                    node.name, entry, f'{request_id} as a new stage', now
+                )
         unavailable = self._first_unavailable(stages)
         if unavailable is not None:
             body = json.dumps({'address': unavailable}).encode()
@@ -310,6 +394,12 @@
         self._paths.pop(self._request_id, None)
 
 
+def _entry(writer: asyncio.StreamWriter) -> str:
+    """Return the host of the entry at the other end of a connection."""
+    peer = writer.get_extra_info('peername')
+    return str(peer[0]) if peer else ''
+
+
 def _parts(req: MiniRequest) -> set[str]:
     listed = req.headers.get('foxtailhatch-prefix-hash', '').split(',')
     return {part.partition(':')[0] for part in listed}
--- a/tests/soak_router/__main__.py
+++ b/tests/soak_router/__main__.py
@@ -13,14 +13,19 @@
 @click.option('--seed', default=1, help='The first seed.')
 @click.option('--seeds', default=1, help='Number of seeds.')
 @click.option('--steps', default=12, help='Number of faults in each run.')
-def main(seed, seeds, steps):
+@click.option(
+    '--notices/--no-notices',
+    default=True,
+    help='Whether endpoints leave by their own word and ask for pauses.',
+)
+def main(seed, seeds, steps, notices):
     """Run seeds and print the result of each; logs of failed runs are kept."""
     failed = []
     for number in range(seed, seed + seeds):
         folder = tempfile.mkdtemp(prefix=f'soak-{number}-')
         started = time.monotonic()
         try:
-            run = asyncio.run(soak(folder, number, steps))
+            run = asyncio.run(soak(folder, number, steps, has_notices=notices))
             violations = run.violations
             outcomes = dict(run.outcomes)
         except AssertionError as exc:
--- a/tests/soak_router/soak.py
+++ b/tests/soak_router/soak.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from tests.soak_router.client import send_request
+from tests.soak_router.notices import Notices
 from tests.soak_router.test_router import all_serve
 from tests.soak_router.world import ZONES, World, wait_until
 
@@ -23,7 +24,8 @@
 class Soak:
     """A run whose faults and requests follow from a seed."""
 
-    def __init__(self, world, seed):
+    def __init__(self, world, seed, notices=None):
+        self.notices = notices
         self.random = Random(seed)
         # A source of its own keeps the faults of older seeds as they were.
         self._restores = Random(f'restore-{seed}')
@@ -42,6 +44,8 @@
         ]
         for _ in range(steps):
             await self._inject_fault()
+            if self.notices is not None:
+                await self.notices.step()
             await asyncio.sleep(self.random.uniform(0.1, 1.0))
         await self._heal()
         await wait_until(
@@ -196,13 +200,18 @@
             self.violations.append(f'{request_id} got a wrong stream')
 
 
-async def soak(folder, seed, steps):
-    """Run one seed, and return the run with the violations it found."""
+async def soak(folder, seed, steps, *, has_notices=False):
+    """Run one seed, and return the run with the violations it found.
+
+    If it ``has_notices``, endpoints also leave by their own word and ask for pauses.
+    The other faults of a seed depend on that, as endpoints take others' places.
+    """
     world = World(folder)
     try:
         await world.start(3)
         await wait_until(lambda: all_serve(world), 'the routers do not serve')
-        run = Soak(world, seed)
+        notices = Notices(world, seed) if has_notices else None
+        run = Soak(world, seed, notices)
         await run.run(steps)
         return run
     finally:
--- a/tests/soak_router/world.py
+++ b/tests/soak_router/world.py
@@ -29,6 +29,9 @@
 }
 
 
+LAUNCHER = Path(__file__).parent / 'launch.py'
+
+
 # These are below the ephemeral ports of the system.  An ephemeral port could be
 # assigned to a connection before a router has bound it.
 PORTS = range(15_000, 31_000)
@@ -72,10 +75,15 @@
 
 
 class Router:
-    """A router process, its settings and its proxy to the store."""
+    """A router process, its settings and its proxy to the store.
 
-    def __init__(self, world, name, zone, folder):
+    It connects to endpoints from ``host``, by which they know it.
+    """
+
+    def __init__(self, world, name, zone, folder, host):
         self.name = name
+        self.host = host
+        self._notices = world.pool.notices
         self.zone = zone
         self.ports = {part: free_port() for part in ('front', 'ready', 'peer')}
         self.proxy = Proxy(world.log.server.address)
@@ -91,12 +99,16 @@
         return f'127.0.0.1:{self.ports["ready"]}'
 
     def start(self):
-        """Start the process; its log is appended to a file."""
+        """Start the process; its log is appended to a file.
+
+        It knows nothing of what endpoints said before.
+        """
+        self._notices.excuse(self.host)
         settings = self._folder / f'{self.name}.conf'
         settings.write_text(self._settings())
         log = (self._folder / f'{self.name}.log').open('ab')
         self.process = subprocess.Popen(
-            [sys.executable, '-m', 'foxtailhatch.platform'],
+            [sys.executable, str(LAUNCHER), self.host],
             env=os.environ | {'FOXTAILHATCH_SETTINGS': str(settings)},
             stdout=log,
             stderr=log,
@@ -113,8 +125,10 @@
         return json.loads(lines[-1])['version'] if lines else None
 
     def signal(self, number):
+        """Send a signal, since which the endpoints' notices may be lost."""
         if self.process.poll() is None:
             self.process.send_signal(number)
+            self._notices.excuse(self.host)
 
     def _settings(self):
         fields = {
@@ -150,7 +164,8 @@
             await self.add_desk(zone)
         for index in range(routers):
             zone = ZONES[index % len(ZONES)]
-            router = Router(self, f'r{index}', zone, self._folder)
+            host = f'127.0.0.{index + 11}'
+            router = Router(self, f'r{index}', zone, self._folder, host)
             await router.proxy.start()
             router.start()
             self.routers.append(router)
@@ -193,6 +208,7 @@
             if node.service == service
             and not node.is_dead
             and not node.is_draining
+            and not node.is_leaving
         ]
 
     def stop(self):
