--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -13,7 +13,11 @@
 )
 from foxtailhatch.fleet.pauses import EndpointNotice
 from foxtailhatch.relay.body_memory import BodyMemory
-from foxtailhatch.relay.request import RelayRequest, WireCodec
+from foxtailhatch.relay.request import (
+    EndpointIdentity,
+    RelayRequest,
+    WireCodec,
+)
 from foxtailhatch.relay.retry_budget import RetryBudget
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.routes import Service
@@ -123,6 +127,9 @@
     def record_failed_attempt(self, kind: str, *, has_begun: bool) -> None:
         """Count a failed attempt, and whether it had brought an event."""
 
+    def record_notice(self, kind: str) -> None:
+        """Count a notice of an endpoint that was news: leaving or a pause."""
+
 
 @dataclass(slots=True)
 class RelayContext:
@@ -157,18 +164,32 @@
     ) -> None:
         """Apply what an endpoint says of itself in an answer to this entry."""
         now = self.clock()
-        name, born = endpoint.name, endpoint.incarnation
-        if notice.is_leaving and self.endpoints.mark_leaving(name, born, now):
-            self.log.write(
-                'endpoint_leaves', id=request_id, endpoint=name, born=born
-            )
+        if notice.is_leaving:
+            identity = EndpointIdentity(endpoint.name, endpoint.incarnation)
+            self.record_leaving(identity, request_id)
         pauses = self.endpoints.pauses
         if notice.pause_s is None:
             pauses.record_answers([endpoint], now)
         elif pauses.record(endpoint, notice.pause_s, now):
+            self.metrics.record_notice('pause')
             self.log.write(
                 'endpoint_pauses',
                 id=request_id,
-                endpoint=name,
+                endpoint=endpoint.name,
                 for_s=notice.pause_s,
             )
+
+    def record_leaving(
+        self, endpoint: EndpointIdentity, request_id: str, by: str = ''
+    ) -> None:
+        """Note that an endpoint leaves, told by itself or ``by`` an entry."""
+        name, born = endpoint.name, endpoint.incarnation
+        if self.endpoints.mark_leaving(name, born, self.clock()):
+            self.metrics.record_notice('leaving')
+            self.log.write(
+                'endpoint_leaves',
+                id=request_id,
+                endpoint=name,
+                born=born,
+                by=by,
+            )
--- a/foxtailhatch/relay/endpoint_feedback.py
+++ b/foxtailhatch/relay/endpoint_feedback.py
@@ -1,9 +1,15 @@
 """Feedback from the attempts of a request to the endpoint table."""
 
+from dataclasses import replace
+
 from foxtailhatch.relay.attempt import Attempt
 from foxtailhatch.relay.attempt_history import AttemptHistory
 from foxtailhatch.relay.context import RelayContext
-from foxtailhatch.relay.request import ResponseKind
+from foxtailhatch.relay.request import (
+    EndpointIdentity,
+    EndpointResponse,
+    ResponseKind,
+)
 
 FIRST_ERROR_STATUS = 400
 
@@ -72,15 +78,19 @@
     def record_notice(self, attempt: Attempt) -> None:
         """Note what the endpoint which answered says of itself.
 
-        It is the one that the answer names, and else the head of the chain.  A
-        success that may be of another origin tells nothing.
+        The head of the chain answers, so it is the one that leaves.  The one that
+        wants a pause is named by the answer, and else the head too.  A success
+        that may be of another origin tells nothing.
         """
         response = attempt.response
-        if response is None or attempt.is_forwarded:
+        if response is None:
             return
         is_doubtful = response.kind is ResponseKind.AMBIGUOUS
         if is_doubtful and response.status < FIRST_ERROR_STATUS:
             return
+        if attempt.is_forwarded:
+            self._record_forwarded_notice(attempt.head_name, response)
+            return
         if response.kind is ResponseKind.SUCCESS:
             self._context.endpoints.pauses.record_answers(
                 (stage.endpoint for stage in attempt.chosen),
@@ -91,8 +101,17 @@
             for stage in attempt.chosen
             if stage.endpoint.address == response.failed_address
         )
-        endpoint = next(named, attempt.chosen[0].endpoint)
-        self._context.record_notice(endpoint, response.notice, self._request_id)
+        head = attempt.chosen[0].endpoint
+        self._context.record_notice(
+            next(named, head),
+            replace(response.notice, is_leaving=False),
+            self._request_id,
+        )
+        if response.notice.is_leaving:
+            identity = EndpointIdentity(head.name, head.incarnation)
+            self._context.record_leaving(identity, self._request_id)
+            if self._is_for_entry:
+                attempt.response = self._with_name(response, identity)
 
     def record_rate_limit(self, attempt: Attempt) -> None:
         """Record the limit that the head of the chain names, or that it ends.
@@ -120,3 +139,35 @@
         """Clear the failures of the endpoints of a successful attempt."""
         for stage in attempt.chosen:
             self._context.endpoints.clear_failures(stage.endpoint.name)
+
+    @property
+    def _is_for_entry(self) -> bool:
+        """Return whether another entry passes the response on to its caller."""
+        return self._history.admitted.req.is_forwarded
+
+    def _with_name(
+        self, response: EndpointResponse, leaving: EndpointIdentity
+    ) -> EndpointResponse:
+        """Return a response that names the endpoint which leaves."""
+        header = self._context.codec.leaving_header(leaving)
+        return replace(response, headers=(*response.headers, header))
+
+    def _record_forwarded_notice(
+        self, entry: str, response: EndpointResponse
+    ) -> None:
+        """Note that the endpoint behind the response of an entry leaves.
+
+        An older entry does not name it.  One that is listed for another service
+        has not answered.
+        """
+        if not response.notice.is_leaving:
+            return
+        leaving = response.leaving
+        known = leaving and self._context.endpoints.get(leaving.name)
+        service = self._history.admitted.service.name
+        if leaving is None or (known and known.service != service):
+            self._context.log.write(
+                'leaving_unnamed', id=self._request_id, by=entry
+            )
+        else:
+            self._context.record_leaving(leaving, self._request_id, entry)
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -14,6 +14,7 @@
 from foxtailhatch.relay.context import RelayContext, SelectedStage
 from foxtailhatch.relay.relay import Relay
 from foxtailhatch.relay.request import (
+    EndpointIdentity,
     EndpointResponse,
     RelayRequest,
     ResponseKind,
@@ -48,6 +49,7 @@
         self.retries = []
         self.failed_attempts = []
         self.undelivered = []
+        self.notices = []
 
     def record_outcome(self, outcome, seconds):
         self.outcomes.append(outcome)
@@ -64,6 +66,9 @@
     def record_failed_attempt(self, kind, *, has_begun):
         self.failed_attempts.append((kind, has_begun))
 
+    def record_notice(self, kind):
+        self.notices.append(kind)
+
 
 class RecordingPrompts:
     """A watch for harmful prompts that records what it is told."""
@@ -115,8 +120,15 @@
             head += f'X-After: {resume}\r\n'
         return f'{head}\r\n'.encode()
 
+    def leaving_header(self, endpoint):
+        return b'x-who', f'{endpoint.name}/{endpoint.incarnation}'.encode()
+
     def decode_forwarded_head(self, head, req):
         response = self.decode_head(head, req)
+        name, _, born = (head.get(b'x-who') or b'').decode().partition('/')
+        if name:
+            leaving = EndpointIdentity(name, int(born))
+            response = replace(response, leaving=leaving)
         if head.status == 503:
             return replace(response, kind=ResponseKind.NOT_RUN)
         return response
@@ -257,6 +269,7 @@
     budget=None,
     parts=(),
     fingerprint='',
+    is_forwarded=False,
 ):
     """Return a started relay with its dependencies, caller and endpoints."""
     reactor = MemoryReactorClock()
@@ -294,6 +307,7 @@
         last_event_id=None,
         prompt_parts=parts,
         fingerprint=fingerprint,
+        is_forwarded=is_forwarded,
     )
     relay_route = route(
         kind=kind,
