Mend connections that reset, drop or hold up answers

Cause: that an answer is handed over was concluded from the closing of a connection. Now the transport tells when it holds nothing, for answers of any size, and each close but that of a caller's own goes through one method that reads on.

A request behind an answer that is broken off at the end of the grace still gets nothing, as HTTP/1.1 has no place for its answer; it has a line now.

--- a/foxtailhatch/router/caller_channel.py
+++ b/foxtailhatch/router/caller_channel.py
@@ -7,7 +7,10 @@
 from enum import StrEnum
 from typing import Any, Protocol
 
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.internet.protocol import connectionDone
+from twisted.python.failure import Failure
 from twisted.web import http
 from zope.interface import implementer
 
@@ -21,11 +24,12 @@
 class RequestStage(StrEnum):
     """How far the exchange of a request has come.
 
-    A request is ``RECEIVING`` until its body is whole, then ``RELAYING`` until
-    its answer is complete, and then ``SENDING`` until the transport has handed
-    all of the answer to the system.
+    A request is ``UNREAD`` while it is behind another one, ``RECEIVING`` until
+    its body is whole, then ``RELAYING`` until its answer is complete, and then
+    ``SENDING`` until the transport has handed all of the answer to the system.
     """
 
+    UNREAD = 'unread'
     RECEIVING = 'receiving'
     RELAYING = 'relaying'
     SENDING = 'sending'
@@ -44,8 +48,11 @@
     def channel_closed(self, channel: 'CallerChannel') -> None:
         """Record the end of a connection."""
 
-    def record_undelivered(self, request_id: str) -> None:
-        """Record that a connection ended before all of an answer was sent."""
+    def record_undelivered(self, request_id: str, why: str) -> None:
+        """Record that a caller does not get all of an answer.
+
+        The identifier is empty for a request that was not parsed.
+        """
 
 
 @implementer(IHalfCloseableProtocol)
@@ -55,6 +62,7 @@
     observer: ChannelObserver
     transport: Any
     _path: Any
+    _networkProducer: Any
 
     def __init__(self) -> None:
         """Start without a request."""
@@ -63,12 +71,13 @@
         self._is_lingering = False
         self._is_delivered = False
         self._was_idle = False
-        self._answered_id: str | None = None
+        # The identifiers of answers that the transport still holds in part.
+        self._undelivered: list[str] = []
 
     @property
     def has_more_input(self) -> bool:
         """Return whether bytes were read behind the current request."""
-        return any(self._dataBuffer)
+        return bool(self._buffer) or any(self._dataBuffer)
 
     @property
     def request_line(self) -> tuple[bytes, bytes, bytes]:
@@ -77,54 +86,59 @@
 
     @property
     def is_outstanding(self) -> bool:
-        """Return whether a request or a part of an answer may be pending.
-
-        After an answer this holds until the connection is closed, as only then
-        all of it is known to be handed over.
-        """
-        return bool(
-            self.requests or self.is_closing or self._answered_id is not None
-        )
+        """Return whether a request or a part of an answer is pending."""
+        return bool(self.requests or self.is_closing or self._undelivered)
 
     def pending_requests(self) -> list[tuple[str, RequestStage]]:
         """Return the requests without a delivered answer, with their stages."""
-        pending = [(req.request_id, req.stage) for req in self.requests]
-        if self.is_closing and not self._is_delivered:
-            answered_id = self._answered_id
-            if answered_id is not None:
-                pending.append((answered_id, RequestStage.SENDING))
+        pending = [
+            (request_id, RequestStage.SENDING)
+            for request_id in self._undelivered
+        ]
+        pending.extend((req.request_id, req.stage) for req in self.requests)
+        if self.requests and self.has_more_input and not self.is_closing:
+            pending.append(('', RequestStage.UNREAD))
         return pending
 
     def request_answered(self, request_id: str) -> None:
         """Record that the answer of a request was written."""
-        self._answered_id = request_id
+        self._undelivered.append(request_id)
+        # A paused producer is resumed once the transport holds nothing.
+        self.transport.producerPaused = True
 
     def close_if_idle(self) -> None:
         """Close a connection that was idle in two calls in a row."""
-        is_idle = not self.requests and not self.is_closing
+        is_idle = not self.is_outstanding
         if is_idle and self._was_idle:
-            # Without a half-close: a request that crosses it must stay unread.
-            self.is_closing = True
-            self._networkProducer.unregisterProducer()
-            self.transport.loseConnection()
+            self.loseConnection()
         self._was_idle = is_idle
 
     def refuse_partial(self, refusal: RelayRefusal) -> None:
-        """Refuse a request whose body is incomplete."""
-        if self.requests and not self.is_closing:
-            self.requests[-1].refuse_partial(refusal)
+        """Refuse a request whose body is incomplete.
+
+        A connection with an incomplete head is closed.
+        """
+        if not self.requests or self.is_closing:
+            return
+        req = self.requests[-1]
+        if req.stage is not RequestStage.RECEIVING:
+            return
+        if req.has_head:
+            req.refuse_partial(refusal)
+        else:
+            self.loseConnection()
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register the connection."""
         super().connectionMade()  # type: ignore[no-untyped-call]
         self.observer.channel_opened(self)
 
-    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Record an answer that was not sent completely."""
-        is_paused = self._waitingForTransport and not self._is_delivered
-        is_cut = self._is_lingering and not self._is_delivered
-        if self._answered_id is not None and (is_paused or is_cut):
-            self.observer.record_undelivered(self._answered_id)
+        is_flushed = self.is_closing and reason.check(ConnectionDone)
+        if not is_flushed:
+            for request_id in self._undelivered:
+                self.observer.record_undelivered(request_id, 'caller_left')
         self.observer.channel_closed(self)
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
 
@@ -135,6 +149,16 @@
             return
         super().dataReceived(data)  # type: ignore[no-untyped-call]
 
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Parse a line, unless the connection is being closed."""
+        if not self.is_closing:
+            super().lineReceived(line)  # type: ignore[no-untyped-call]
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Note that the transport has handed over all that was written."""
+        self._undelivered.clear()
+        super().resumeProducing()  # type: ignore[no-untyped-call]
+
     def allContentReceived(self) -> None:  # noqa: N802
         """Handle a request, unless it was refused before it was whole."""
         if self._is_lingering:
@@ -151,6 +175,8 @@
         if self.is_closing:
             return
         self.is_closing = True
+        if self.requests and self.has_more_input:
+            self.observer.record_undelivered('', 'behind_cut_answer')
         is_partial = self._transferDecoder is not None
         if not is_partial and not self.observer.is_stopping:
             super().loseConnection()  # type: ignore[no-untyped-call]
@@ -158,19 +184,29 @@
         self._is_lingering = True
         self.setTimeout(None)  # type: ignore[no-untyped-call]
         self._networkProducer.unregisterProducer()
+        # Input may be paused behind the request that was answered last.
+        self._networkProducer.resumeProducing()
         self.transport.loseWriteConnection()
 
     def writeConnectionLost(self) -> None:  # noqa: N802
         """Wait for the caller to close its end, as all was handed over."""
         self._is_delivered = True
+        self._undelivered.clear()
         self.setTimeout(LINGER_S)  # type: ignore[no-untyped-call]
 
     def readConnectionLost(self) -> None:  # noqa: N802
-        """Close the connection, as the caller has closed its end."""
-        if self._is_delivered:
-            self.transport.loseConnection()
-        else:
-            self.transport.abortConnection()
+        """Close the connection, as the caller has closed its end.
+
+        A caller that closes before it has its answer has left.  One that closes
+        only its sending end may still read an answer that was written.
+        """
+        if self.requests and not self.is_closing:
+            self.transport.connectionLost(connectionDone)
+            return
+        if not self.is_closing:
+            self.is_closing = True
+            self._networkProducer.unregisterProducer()
+        self.transport.loseConnection()
 
     def timeoutConnection(self) -> None:  # noqa: N802
         """Close an idle connection, or one that the caller leaves open."""
@@ -184,3 +220,5 @@
             self.transport.abortConnection()
             return
         super()._respondToBadRequestAndDisconnect()  # type: ignore[no-untyped-call]
+        self.clearLineBuffer()  # type: ignore[no-untyped-call]
+        self._transferDecoder = None
--- a/foxtailhatch/router/graceful_shutdown.py
+++ b/foxtailhatch/router/graceful_shutdown.py
@@ -36,6 +36,7 @@
         self._context = context
         self._log = log
         self._has_unwritten_records = has_unwritten_records
+        self._has_ended_running = False
 
     def request_stop(self) -> bool:
         """Begin to stop; return whether this was the first request."""
@@ -57,8 +58,9 @@
         if elapsed_s > stop_accept_s(grace_s):
             channels.refuse_partial(STOPPING_REFUSAL)
             channels.close_idle()
-        if left_s <= ANSWER_MARGIN_S:
-            self._end_running()
+        if left_s <= ANSWER_MARGIN_S and self._end_running():
+            # These answers are sent before the next check.
+            return
         is_drained = elapsed_s >= MIN_STOP_S and not self._has_pending()
         if is_drained or left_s <= EXIT_MARGIN_S:
             self.log_pending('stop')
@@ -88,7 +90,12 @@
             or self._has_unwritten_records()
         )
 
-    def _end_running(self) -> None:
-        """Answer the requests in progress while their callers can be told."""
-        for relay in tuple(self._context.running):
+    def _end_running(self) -> bool:
+        """Answer once the requests in progress; return whether there were any."""
+        if self._has_ended_running:
+            return False
+        self._has_ended_running = True
+        running = tuple(self._context.running)
+        for relay in running:
             relay.end_for_stop()
+        return bool(running)
--- a/foxtailhatch/router/http_frontend.py
+++ b/foxtailhatch/router/http_frontend.py
@@ -70,12 +70,12 @@
         self._relay: Relay | None = None
         self._refusal: RelayRefusal | None = None
         self._has_producer = False
-        self._has_length = False
+        self.has_head = False
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Buffer the body in memory, unless its length exceeds a limit."""
         self.content = self._body
-        self._has_length = True
+        self.has_head = True
         size = length or 0
         if size > self.handler.max_body_bytes:
             self._reject_body(BODY_TOO_LARGE)
@@ -115,14 +115,13 @@
             self._refuse(self._refusal, req.request_id)
 
     def refuse_partial(self, refusal: RelayRefusal) -> None:
-        """Refuse the request if its head has come and its body has not."""
-        if self.stage is RequestStage.RECEIVING and self._has_length:
-            method, target, version = self.channel.request_line
-            self.method = method
-            self.uri = target
-            self.clientproto = version
-            self._reject_body(refusal)
-            self.process()
+        """Refuse the request, as its body has not come whole."""
+        method, target, version = self.channel.request_line
+        self.method = method
+        self.uri = target
+        self.clientproto = version
+        self._reject_body(refusal)
+        self.process()
 
     def start(
         self,
@@ -148,6 +147,7 @@
     def abort(self) -> None:
         """Close the connection with the response incomplete."""
         self.set_backpressure_source(None)
+        self._held.release()
         self.channel.loseConnection()
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
--- a/foxtailhatch/router/request_handler.py
+++ b/foxtailhatch/router/request_handler.py
@@ -69,12 +69,10 @@
         """Remove a connection that has ended."""
         self._board.channels.discard(channel)
 
-    def record_undelivered(self, request_id: str) -> None:
+    def record_undelivered(self, request_id: str, why: str) -> None:
         """Count and log an answer of which a part was not sent."""
-        self._context.metrics.record_undelivered('caller_left')
-        self._context.log.write(
-            'answer_undelivered', id=request_id, why='caller_left'
-        )
+        self._context.metrics.record_undelivered(why)
+        self._context.log.write('answer_undelivered', id=request_id, why=why)
 
     def start_relay(
         self, req: RelayRequest, caller: CallerConnection
--- a/tests/router/test_caller_channel.py
+++ b/tests/router/test_caller_channel.py
@@ -8,6 +8,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
+from foxtailhatch.relay.refusal_response import send_refusal
 from foxtailhatch.relay.refusals import RefusalReason, RelayRefusal
 from foxtailhatch.router.caller_channel import LINGER_S, RequestStage
 from foxtailhatch.router.http_frontend import FrontendFactory
@@ -33,9 +34,14 @@
     def abortConnection(self):  # noqa: N802
         self.closes.append('abort')
 
+    def connectionLost(self, reason):  # noqa: N802
+        self.closes.append('lost')
+
     def hand_over(self, channel):
         """Hand over all that is written, and close what is to be closed."""
-        if self.closes[-1] == 'write':
+        if not self.closes:
+            channel.resumeProducing()
+        elif self.closes[-1] == 'write':
             channel.writeConnectionLost()
         else:
             self.end(channel, ConnectionDone())
@@ -95,22 +101,36 @@
     assert not handler.channels.has_outstanding
 
 
-# Guards against the tail of an answer on a kept connection: the stop can tell
-# that it was handed over only by closing the connection.
-def test_answer_before_the_stop_is_outstanding_until_the_connection_ends(
-    handler,
-):
+# Guards against the tail of an answer on a kept connection.
+def test_answer_before_the_stop_is_outstanding_until_it_is_handed_over(handler):
     client = connect(handler)
     answer(client, handler)
+    handler.is_stopping = True
+    for _ in range(3):
+        handler.channels.close_idle()
+    assert client.transport.closes == []
     assert handler.channels.has_outstanding
+    client.transport.hand_over(client.channel)
+    assert not handler.channels.has_outstanding
+
+
+# Guards against an answer that the caller has not read, and that is dropped as a
+# request which crosses the close of its connection is left unread.
+def test_idle_connection_is_read_on_after_its_close(handler):
+    client = connect(handler)
+    answer(client, handler)
+    client.transport.hand_over(client.channel)
     handler.is_stopping = True
     handler.channels.close_idle()
     assert client.transport.closes == []
     handler.channels.close_idle()
-    assert client.transport.closes == ['both']
+    assert client.transport.closes == ['write']
     assert handler.channels.has_outstanding
+    client.channel.dataReceived(GET)
+    assert not handler.env.reactor.tcpClients
     client.transport.hand_over(client.channel)
-    assert not handler.channels.has_outstanding
+    client.channel.readConnectionLost()
+    assert client.transport.closes == ['write', 'both']
 
 
 def test_connection_without_a_request_holds_up_no_stop(handler):
@@ -255,7 +275,125 @@
     client = connect(handler)
     client.channel.dataReceived(GET)
     client.channel.readConnectionLost()
-    assert client.transport.closes == ['abort']
+    assert client.transport.closes == ['lost']
     assert running(handler) == 1
     client.transport.end(client.channel, ConnectionLost())
     assert running(handler) == 0
+
+
+# Guards against an answer that is reset in the system's buffers, as its caller has
+# closed only its sending end.
+@pytest.mark.parametrize('is_stopping', [False, True])
+def test_caller_that_closes_its_sending_end_gets_its_answer(
+    handler, is_stopping
+):
+    client = connect(handler)
+    handler.is_stopping = is_stopping
+    answer(client, handler)
+    client.channel.readConnectionLost()
+    assert client.transport.closes[-1] == 'both'
+    client.transport.hand_over(client.channel)
+    assert handler.undelivered == []
+    assert not handler.channels.has_outstanding
+
+
+# Guards against a request that is dropped, as it was read in one piece with one that
+# was refused at once.
+def test_request_behind_a_refused_one_is_answered(handler):
+    handler.is_stopping = True
+
+    def refuse(req, caller):
+        send_refusal(caller, REFUSAL)
+
+    handler.start_relay = refuse
+    client = connect(handler)
+    client.channel.dataReceived(GET + GET)
+    assert sent(client).count(b'HTTP/1.1 503') == 2
+    assert client.transport.closes == ['write']
+
+
+# Guards against a second response, or an exception, from what follows a malformed
+# request on a connection that is being closed.
+@pytest.mark.parametrize(
+    'raw',
+    [
+        b'POST /a HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 5\r\n'
+        b'Expect: 100-continue\r\n\r\n',
+        b'BAD\r\nHost: h\r\n\r\n',
+        b'GET / HTTP/1.1\r\nbad\r\nbad\r\nHost: h\r\n\r\n',
+        b'POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\nx\r\n',
+    ],
+)
+def test_malformed_request_gets_one_answer_in_a_stop(handler, raw):
+    handler.is_stopping = True
+    client = connect(handler)
+    client.channel.dataReceived(raw)
+    client.channel.dataReceived(GET)
+    assert sent(client) == b'HTTP/1.1 400 Bad Request\r\n\r\n'
+    assert client.transport.closes == ['write']
+
+
+# Guards against a stop that waits for the rest of a head until its grace is over.
+def test_connection_with_an_incomplete_head_is_closed(handler):
+    handler.is_stopping = True
+    client = connect(handler)
+    client.channel.dataReceived(b'GET / HTTP/1.1\r\nHost')
+    handler.channels.refuse_partial(REFUSAL)
+    assert sent(client) == b''
+    assert client.transport.closes == ['write']
+    client.transport.hand_over(client.channel)
+    client.timers.advance(LINGER_S)
+    assert client.transport.closes == ['write', 'both']
+
+
+# Guards against unread bytes that reset the connection behind an answer.
+def test_paused_input_is_read_on_after_the_last_answer(handler):
+    handler.is_stopping = True
+    client = connect(handler)
+    client.channel.dataReceived(GET)
+    client.channel.pauseProducing()
+    client.transport.pauseProducing()
+    handler.accept().respond()
+    assert client.transport.producerState == 'producing'
+
+
+def test_whole_answer_before_a_close_is_not_recorded_as_cut(handler):
+    client = connect(handler)
+    closing = GET.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
+    client.channel.dataReceived(closing)
+    client.channel.pauseProducing()
+    handler.accept().respond()
+    client.transport.hand_over(client.channel)
+    assert handler.undelivered == []
+
+
+def test_exit_names_each_request_without_a_whole_answer(handler):
+    client = connect(handler)
+    answer(client, handler)
+    client.channel.dataReceived(GET + GET)
+    assert list(handler.channels.pending_requests()) == [
+        ('request-1', RequestStage.SENDING),
+        ('request-1', RequestStage.RELAYING),
+        ('', RequestStage.UNREAD),
+    ]
+
+
+def test_answer_that_was_broken_off_gives_its_body_back(handler):
+    client = connect(handler)
+    client.channel.dataReceived(post(300_000) + b'x' * 300_000)
+    req = client.channel.requests[0]
+    req.start(200, ())
+    req.write(b'y')
+    req.abort()
+    assert handler.bodies.held_bytes == 0
+
+
+# Guards against a request that is dropped without a line, as the answer before it
+# was broken off.
+def test_request_behind_a_broken_answer_is_recorded(handler):
+    client = connect(handler)
+    client.channel.dataReceived(GET + GET)
+    req = client.channel.requests[0]
+    req.start(200, ())
+    req.abort()
+    assert handler.undelivered == ['']
--- a/tests/router/test_graceful_shutdown.py
+++ b/tests/router/test_graceful_shutdown.py
@@ -142,6 +142,19 @@
     assert context.metrics.undelivered == ['stop']
 
 
+# Guards against last answers that are dropped, as a late check ends the process too.
+def test_process_does_not_end_in_the_check_that_answers_requests():
+    relay = RunningRelay()
+    shutdown, _, clock, context = start_shutdown((relay,))
+    shutdown.request_stop()
+    shutdown.check(clock.now + 7.8)
+    assert relay.is_ended
+    assert not shutdown.is_over
+    context.running.clear()
+    shutdown.check(clock.now + 7.85)
+    assert shutdown.is_over
+
+
 # Guards against requests that are cut without an answer, as the process ends.
 def test_request_that_may_have_run_is_answered_before_the_process_ends():
     env = start_relay(kind=RouteKind.AT_MOST_ONCE)
--- a/tests/router/test_http_frontend.py
+++ b/tests/router/test_http_frontend.py
@@ -43,7 +43,7 @@
     def channel_closed(self, channel):
         self.channels.discard(channel)
 
-    def record_undelivered(self, request_id):
+    def record_undelivered(self, request_id, why):
         self.undelivered.append(request_id)
 
     def decode(self, method, target, headers, body):
