--- a/tests/soak_router/world.py
+++ b/tests/soak_router/world.py
@@ -133,6 +133,8 @@
 class World:
     """The stand-ins and routers of one run."""
 
+    endpoint_type = StubEndpoint
+
     def __init__(self, folder):
         self.log = PlatformLog()
         self.pool = EndpointPool(self.log)
@@ -208,7 +210,8 @@
 
     def _node(self, service, zone):
         self._node_count += 1
-        return StubEndpoint(self.pool, f'i-{self._node_count}', service, zone)
+        name = f'i-{self._node_count}'
+        return self.endpoint_type(self.pool, name, service, zone)
 
 
 async def wait_until(condition, message, wait_s=30.0):
