--- a/foxtailhatch/daemon/entry.py
+++ b/foxtailhatch/daemon/entry.py
@@ -11,6 +11,7 @@
 from foxtailhatch.daemon.claimed_answers import ClaimedAnswers
 from foxtailhatch.daemon.claimed_calls import ClaimedCalls
 from foxtailhatch.daemon.configuration_loop import ConfigurationLoop
+from foxtailhatch.daemon.deliveries import EntryConnections
 from foxtailhatch.daemon.endpoint_monitor import EndpointMonitor
 from foxtailhatch.daemon.external_systems import ExternalSystems
 from foxtailhatch.daemon.gateway import DaemonGateway
@@ -25,10 +26,10 @@
 from foxtailhatch.durable import (
     ClaimManager,
     ClaimSettings,
+    LeaseHolder,
     LogAvailability,
     LogFollower,
 )
-from foxtailhatch.durable.lease_holder import LeaseHolder
 from foxtailhatch.routing import ShortestPathChooser, prompt_blocks
 
 CONFIGURATION_STEP_S = 0.1
@@ -58,10 +59,12 @@
     claims: ClaimLoop
     placement: PlacementLoop
     gateway: DaemonGateway
+    connections: EntryConnections
 
     def running(self) -> int:
-        """Return the number of requests that a shutdown has to wait for.
+        """Return the number of requests in progress.
 
+        Those that only the callers' connections know of are not among them.
         Outcomes that are not yet in the log count while the log is
         available, because a repeated call with the same key needs them.
         """
@@ -70,6 +73,14 @@
             unsent = self.claims.manager.pending_record_count
         return len(self.answers) + self.gateway.running_calls() + unsent
 
+    def record_unsent_outcomes(self) -> None:
+        """Record at the exit how many outcomes the log has not taken."""
+        unsent = self.claims.manager.pending_record_count
+        if unsent:
+            self.board.record(
+                EventKind.OUTCOMES_UNSENT, self.board.name, f'{unsent} records'
+            )
+
 
 def build_components(
     cfg: Settings,
@@ -109,6 +120,7 @@
             prompt_blocks,
             partial(clock.callLater, 0),
         ),
+        EntryConnections(board),
     )
 
 
