End the routers of a soak that is ended by a signal

A run by hand that got SIGTERM left its routers behind, where they went on asking for a store that was gone.

--- a/tests/soak_router/__main__.py
+++ b/tests/soak_router/__main__.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import signal
+import sys
 import tempfile
 import time
 
@@ -32,6 +34,8 @@
 )
 def main(kind, seed, seeds, steps, clients, habits):
     """Run seeds and print the result of each; logs of failed runs are kept."""
+    # A run that is ended must end its routers.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     failed = []
     for number in range(seed, seed + seeds):
         folder = tempfile.mkdtemp(prefix=f'soak-{number}-')
