--- a/tests/soak_router/silent_endpoint.py
+++ b/tests/soak_router/silent_endpoint.py
@@ -121,8 +121,8 @@
         finally:
             self.work_count -= 1
 
-    def _order(self, order):
-        response = super()._order(order)
+    def _order(self, order, entry):
+        response = super()._order(order, entry)
         if response.status == ACCEPTED:
             self._ordered = (int(order['from']), int(order['to']))
         return response
@@ -169,8 +169,11 @@
                 return address
         return None
 
-    async def _run_plain(self, req):
+    async def _run_plain(self, req, entry):
         request_id = req.headers['foxtailhatch-request-id']
+        refusal = self._check_pause([self], entry, request_id)
+        if refusal is not None:
+            return refusal
         self._pool.runs[request_id] += 1
         self.work_count += 1
         try:
--- a/tests/soak_router/test_silent_endpoint.py
+++ b/tests/soak_router/test_silent_endpoint.py
@@ -68,7 +68,8 @@
         node.layers = (0, 80)
         node.paths['q1'] = [(node.server.address, 0, 80)]
         node._order(
-            {'op': 'place', 'from': 0, 'to': 40, 'expected': node.orders}
+            {'op': 'place', 'from': 0, 'to': 40, 'expected': node.orders},
+            'entry-1',
         )
         node._load(0, 40)
         assert node.holds(40, 80) and not node.accepts(40, 80)
