Reset the connection of a broken answer to a caller of HTTP/1.0

Cause: an answer of HTTP/1.0 without a length ends with its connection, and a broken one ended it in the same way. Change: the connection is reset. The new test failed before.

--- a/foxtailhatch/router/http_frontend.py
+++ b/foxtailhatch/router/http_frontend.py
@@ -19,6 +19,7 @@
     RequestStage,
 )
 
+HTTP_1_1 = b'HTTP/1.1'
 # Bodies are held for a few tenths of a second, until their requests are answered.
 RETRY_AFTER_BODIES_S = 0.25
 
@@ -148,7 +149,11 @@
         """Close the connection with the response incomplete."""
         self.set_backpressure_source(None)
         self._held.release()
-        self.channel.loseConnection()
+        if self.clientproto == HTTP_1_1:
+            self.channel.loseConnection()
+        else:
+            # Without chunks an answer ends with its connection.
+            self.channel.transport.abortConnection()
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Release the body of a request whose connection is gone."""
--- a/tests/router/test_caller_channel.py
+++ b/tests/router/test_caller_channel.py
@@ -397,3 +397,15 @@
     req.start(200, ())
     req.abort()
     assert handler.undelivered == ['']
+
+
+# Guards against an answer that was broken off and looks complete to a caller of
+# HTTP/1.0, whose answers end with the connection.
+def test_broken_answer_to_an_old_caller_resets_its_connection(handler):
+    client = connect(handler)
+    client.channel.dataReceived(GET.replace(b'HTTP/1.1', b'HTTP/1.0'))
+    req = client.channel.requests[0]
+    req.start(200, ())
+    req.write(b'y')
+    req.abort()
+    assert client.transport.closes == ['abort']
