--- a/foxtailhatch/router/http_frontend.py
+++ b/foxtailhatch/router/http_frontend.py
@@ -19,7 +19,7 @@
     RequestStage,
 )
 
-HTTP_1_1 = b'HTTP/1.1'
+CHUNKED_VERSION = b'HTTP/1.1'
 # Bodies are held for a few tenths of a second, until their requests are answered.
 RETRY_AFTER_BODIES_S = 0.25
 
@@ -149,7 +149,7 @@
         """Close the connection with the response incomplete."""
         self.set_backpressure_source(None)
         self._held.release()
-        if self.clientproto == HTTP_1_1:
+        if self.clientproto == CHUNKED_VERSION:
             self.channel.loseConnection()
         else:
             # Without chunks an answer ends with its connection.
