Log bytes in a stream that are none of its events

Cause: a stream whose endpoint sends other bytes leaves the same lines as a sound one (sent, ended with answered), so the logs of the incident can't tell its hypotheses apart.

The first block of an attempt that is no event is logged with the fault, the number before it, the chain and its first bytes; the line of the end counts them. What is passed on does not change. A number of 5,000 digits still fails the whole response before it is seen, so its case is left out here.

--- a/foxtailhatch/platform/names.py
+++ b/foxtailhatch/platform/names.py
@@ -34,6 +34,8 @@
 # The caller's estimate of the number of output tokens.
 OUTPUT_LENGTH_HINT = b'foxtailhatch-length-hint'
 FAILED_ENDPOINT = b'at-server'
+# Version of the weights, in the first line of the event at which it changes.
+WEIGHT_VERSION = b'foxtailhatch-weight-versions'
 AUTHORIZATION = b'authorization'
 KEY_SCHEME = b'bearer '
 
--- a/foxtailhatch/platform/requests.py
+++ b/foxtailhatch/platform/requests.py
@@ -78,6 +78,7 @@
     """Encode requests and decode response heads in the platform's format."""
 
     id_header = names.REQUEST_ID
+    event_field = names.WEIGHT_VERSION
 
     def encode(self, req: RelayRequest, dispatch: Dispatch) -> bytes:
         """Return the head of the HTTP/1.1 request to send to an endpoint."""
--- a/foxtailhatch/relay/attempt.py
+++ b/foxtailhatch/relay/attempt.py
@@ -51,7 +51,8 @@
     The expected tokens count as load on each endpoint of the chain until
     the attempt is over.  ``usable_revision`` is the revision of the endpoint
     table at which the whole chain was last found usable.  ``event_count`` is
-    the number of complete events that have arrived.
+    the number of complete events that have arrived, and ``malformed_count`` of those
+    that are none.
     """
 
     def __init__(
@@ -69,6 +70,7 @@
         self.is_over = False
         self.usable_revision = -1
         self.event_count = 0
+        self.malformed_count = 0
         self._context = context
         self._listener = listener
         tokens = outgoing.req.tokens
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -9,6 +9,8 @@
 from foxtailhatch.relay.context import RelayContext, SelectedChain, chain_layout
 from foxtailhatch.relay.delivery import Delivery
 from foxtailhatch.relay.endpoint_feedback import EndpointFeedback
+from foxtailhatch.relay.event_stream import StreamEvent
+from foxtailhatch.relay.event_syntax import event_fault
 from foxtailhatch.relay.http_connection import ResponseHead, TransportFailure
 from foxtailhatch.relay.refusal_response import send_refusal
 from foxtailhatch.relay.refusals import (
@@ -55,6 +57,7 @@
 SUSPECT_CHECK_S = 0.1
 # Bound on the length of a log line; a part that requests share comes late.
 MAX_LOGGED_PARTS = 8
+MAX_SAMPLE_BYTES = 48
 FIRST_ERROR_STATUS = 400
 FIRST_SERVER_ERROR_STATUS = 500
 
@@ -92,6 +95,7 @@
         self._held = context.bodies.hold()
         self._delivery = Delivery(caller, admitted.req.last_event_id, now)
         self._sends = 0
+        self._malformed = 0
         self._has_waited = False
         self._is_sound = False
         self._may_have_run = False
@@ -294,6 +298,7 @@
             self._context.prompts.record_begun(self.admitted.req, now)
         attempt.event_count += len(events)
         self._record_if_sound(attempt, now)
+        self._log_malformed(attempt, events)
         self._delivery.deliver_events(response, events, now)
         if self._delivery.has_gap:
             return 'event missing'
@@ -301,6 +306,26 @@
         is_overlong = attempt.splitter.is_overlong or not has_room
         return 'event too long' if is_overlong else None
 
+    def _log_malformed(
+        self, attempt: Attempt, events: list[StreamEvent]
+    ) -> None:
+        """Count what is no event, and log the first of an attempt."""
+        for event in events:
+            fault = event_fault(event.raw, self._context.codec.event_field)
+            if fault is None:
+                continue
+            self._malformed += 1
+            attempt.malformed_count += 1
+            if attempt.malformed_count == 1:
+                self._context.log.write(
+                    'event_malformed',
+                    id=self.request_id,
+                    endpoints=[stage.endpoint.name for stage in attempt.chosen],
+                    why=fault.value,
+                    after=self._delivery.last_event,
+                    sample=repr(event.raw[:MAX_SAMPLE_BYTES]),
+                )
+
     def _deliver_body(self, response: EndpointResponse, chunk: bytes) -> None:
         """Buffer a small body; forward it at once if there is no room."""
         now = self._context.clock()
@@ -739,6 +764,7 @@
             outcome=outcome,
             sends=self._sends,
             last_event=delivery.last_event,
+            malformed=self._malformed,
             first_s=None if first_s is None else round(first_s, 3),
             longest_pause_s=round(delivery.longest_gap_s, 3),
             took_s=round(took_s, 3),
--- a/foxtailhatch/relay/request.py
+++ b/foxtailhatch/relay/request.py
@@ -157,10 +157,12 @@
     """Encode requests to endpoints and decode the heads of their responses.
 
     ``id_header`` is the header, in lower case, that repeats the request's
-    identifier in a response.
+    identifier in a response, and ``event_field`` the field that may stand in the
+    first line of an event.
     """
 
     id_header: bytes
+    event_field: bytes
 
     def encode(self, req: RelayRequest, dispatch: Dispatch) -> bytes:
         """Return the head of a request to an endpoint, which its body follows."""
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -112,6 +112,7 @@
     """A codec with short header names."""
 
     id_header = b'x-id'
+    event_field = b'x-versions'
 
     def encode(self, req, dispatch):
         resume = dispatch.resume_after
