Show that bytes which are no event reach callers, by failing tests

Callers get as pieces of their stream: other bytes that end with an empty line, events without a number or with an odd one, the head of a second answer, and events that some readers see as two; a stream begins with any number, and a success without events answers a request for a stream.

The tests of stand-ins can now take a world of their own and read the router's log.

--- a/tests/relay/test_malformed_streams.py
+++ b/tests/relay/test_malformed_streams.py
@@ -28,10 +28,13 @@
 }
 
 # A number that is too long to be read fails the whole response.
-LOGGED = NO_EVENTS.keys() - {
-    'event that was sent before',
-    'number of 5,000 digits',
-}
+LOGGED = sorted(
+    NO_EVENTS.keys()
+    - {
+        'event that was sent before',
+        'number of 5,000 digits',
+    }
+)
 
 
 def event(number):
@@ -68,3 +71,103 @@
     conn.end_stream()
     assert not env.log.of('event_malformed')
     assert env.log.of('ended')[0]['malformed'] == 0
+
+
+UNGUARDED = NO_EVENTS.keys() - {
+    'number of 4,000 digits',
+    'number of 5,000 digits',
+}
+known_red = pytest.mark.xfail(strict=True, reason='KNOWN-RED.txt')
+
+
+def cases(red):
+    """Return all kinds; those in ``red`` are expected to fail."""
+    return [
+        pytest.param(kind, marks=[known_red] if kind in red else [])
+        for kind in NO_EVENTS
+    ]
+
+
+# Guards against pieces in a stream that no run has made.
+@pytest.mark.parametrize('kind', cases(UNGUARDED))
+def test_bytes_that_are_not_the_next_event_do_not_reach_the_caller(kind):
+    env, conn = stream_with(NO_EVENTS[kind])
+    after = env.caller.body.removeprefix(events(3))
+    assert after in {b'', event(4)}
+    assert conn.is_aborted
+    second = env.accept_connection()
+    last = 4 if after else 3
+    assert b'X-After: %d' % last in second.request
+    second.start_stream()
+    second.send_event(last + 1)
+    second.end_stream()
+    assert env.caller.body == events(last + 1)
+    assert env.caller.finished
+
+
+# Guards against a stream that looks complete although its endpoint sent bytes of
+# another origin.
+@pytest.mark.parametrize('kind', cases(UNGUARDED))
+def test_stream_that_may_not_resume_is_broken_off_at_other_bytes(kind):
+    env, conn = stream_with(NO_EVENTS[kind], resumable=False, attempts=1)
+    assert conn.is_aborted
+    assert env.caller.aborted
+    assert env.caller.body in {events(3), events(4)}
+
+
+# Guards against a stream that begins in the middle of another one.
+@known_red
+@pytest.mark.parametrize('number', [0, 2, 7])
+def test_stream_begins_with_its_first_event(number):
+    env = start_relay(**STREAM)
+    conn = env.accept_connection()
+    conn.start_stream()
+    conn.send_event(number)
+    assert env.caller.status is None
+    assert conn.is_aborted
+    second = env.accept_connection()
+    assert b'X-After' not in second.request
+    second.start_stream()
+    second.send_event(1)
+    assert env.caller.body == events(1)
+
+
+# Guards against a second answer behind one that ends with its connection.
+@known_red
+def test_second_stream_behind_one_without_length_is_no_part_of_it():
+    env = start_relay(**STREAM)
+    conn = env.accept_connection()
+    head = (
+        b'HTTP/1.1 200 OK\r\nX-Id: request-1\r\n'
+        b'Content-Type: text/event-stream\r\n\r\n'
+    )
+    conn.send_bytes(head + events(2))
+    conn.send_bytes(head + events(3))
+    conn.close()
+    assert env.caller.body == events(2)
+    assert not env.caller.finished
+
+
+# Guards against a crash verdict on a request whose endpoint sends other bytes.
+@pytest.mark.parametrize('kind', cases({'number of 5,000 digits'}))
+def test_other_bytes_are_no_evidence_against_the_request(kind):
+    env = start_relay(**STREAM)
+    conn = env.accept_connection()
+    conn.start_stream()
+    conn.send_chunk(NO_EVENTS[kind])
+    assert env.context.prompts.lost == []
+    assert env.context.prompts.lost_requests == []
+
+
+# Guards against a success that brings other content than the route's events.
+@known_red
+@pytest.mark.parametrize('framing', ['Content-Length: 5', 'X-None: 1'])
+def test_success_without_events_does_not_answer_a_stream_request(framing):
+    env = start_relay(**STREAM)
+    conn = env.accept_connection()
+    conn.send_bytes(
+        f'HTTP/1.1 200 OK\r\nX-Id: request-1\r\n{framing}\r\n\r\nhello'.encode()
+    )
+    conn.close()
+    assert env.caller.body == b''
+    assert env.caller.status is None
--- a/tests/soak_router/test_router.py
+++ b/tests/soak_router/test_router.py
@@ -7,11 +7,11 @@
 from tests.soak_router.world import World, wait_until
 
 
-def run_scenario(tmp_path, scenario, routers=1):
+def run_scenario(tmp_path, scenario, routers=1, world_type=World):
     """Run a scenario once all routers serve requests."""
 
     async def run():
-        world = World(tmp_path)
+        world = world_type(tmp_path)
         try:
             await world.start(routers)
             await wait_until(
--- a/tests/soak_router/world.py
+++ b/tests/soak_router/world.py
@@ -116,14 +116,17 @@
 
     def version_in_force(self):
         """Return the last version that the router has put in force."""
-        log = (self._folder / f'{self.name}.log').read_text()
         lines = [
             line
-            for line in log.splitlines()
+            for line in self.log_text().splitlines()
             if '"event":"configuration"' in line
         ]
         return json.loads(lines[-1])['version'] if lines else None
 
+    def log_text(self):
+        """Return all that the router has logged."""
+        return (self._folder / f'{self.name}.log').read_text()
+
     def signal(self, number):
         """Send a signal, since which the endpoints' notices may be lost."""
         if self.process.poll() is None:
