Take a failure for the endpoint's answer only if it bears its seal

A head of any origin with status 3xx to 5xx was the endpoint's failure, whatever it bore, and went to the caller as it was: a 404 of garbage denies a proper request.

Ruled out: sound failures without identifier and seal.

Change: one identifier, that of the request, and one seal make an answer the endpoint's own, of whatever status; else it is unknown whether the request has run. A failure of another entry needs no seal, as before. The type of a stream is compared without regard to case.

--- a/foxtailhatch/platform/requests.py
+++ b/foxtailhatch/platform/requests.py
@@ -105,6 +105,8 @@
         )
         if head.status in NOT_RUN_STATUSES:
             return replace(response, kind=ResponseKind.NOT_RUN)
+        if head.status >= FIRST_REDIRECT:
+            return replace(response, kind=ResponseKind.FAILURE)
         return response
 
     def leaving_header(self, endpoint: EndpointIdentity) -> tuple[bytes, bytes]:
@@ -129,7 +131,7 @@
             failed_address=at_fault.decode(HEADER_ENCODING)
             if at_fault
             else None,
-            is_event_stream=content_type.startswith(b'text/event-stream'),
+            is_event_stream=_is_event_stream(content_type),
             rate_limit_per_s=_number(head.get(names.RATE_LIMIT)),
             notice=decode_notice(head),
         )
@@ -209,6 +211,11 @@
     )
 
 
+def _is_event_stream(content_type: bytes) -> bool:
+    media_type, _, _ = content_type.partition(b';')
+    return media_type.strip().lower() == b'text/event-stream'
+
+
 def _own_headers(
     req: RelayRequest,
     dispatch: Dispatch,
@@ -246,8 +253,8 @@
 
 
 def _kind(head: ResponseHead, req: RelayRequest) -> ResponseKind:
+    is_own = _is_own_response(head, req)
     if FIRST_SUCCESS <= head.status < FIRST_REDIRECT:
-        is_own = _is_own_response(head, req)
         return ResponseKind.SUCCESS if is_own else ResponseKind.AMBIGUOUS
     if head.get(names.NOT_RUN) is not None or head.status == MISDIRECTED:
         return ResponseKind.NOT_RUN
@@ -255,16 +262,19 @@
         # Forwarded, the status would say that the request has not run, which
         # the endpoint did not confirm.
         return ResponseKind.AMBIGUOUS
-    return ResponseKind.FAILURE
+    return ResponseKind.FAILURE if is_own else ResponseKind.AMBIGUOUS
 
 
 def _is_own_response(head: ResponseHead, req: RelayRequest) -> bool:
-    """Return whether a success is the endpoint's own response to ``req``."""
-    echoed = head.get(names.REQUEST_ID) or b''
-    if echoed.decode(HEADER_ENCODING) != req.request_id:
+    """Return whether a response is the endpoint's own one to ``req``.
+
+    It bears the identifier and one seal; a second of either is of another origin.
+    """
+    echoed = [field for name, field in head.headers if name == names.REQUEST_ID]
+    seals = [name for name, _ in head.headers if name == names.RESPONSE_SEAL]
+    if echoed != [req.request_id.encode(HEADER_ENCODING)] or len(seals) != 1:
         return False
-    has_seal = head.get(names.RESPONSE_SEAL) is not None
-    return has_seal and head.get(b'content-encoding') is None
+    return head.get(b'content-encoding') is None
 
 
 def _end_to_end(pairs: RawHeaders) -> tuple[tuple[bytes, bytes], ...]:
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -270,7 +270,7 @@
     ) -> FailureKind | None:
         """Return how an attempt has failed by the head of its response, if so."""
         if response.kind is ResponseKind.AMBIGUOUS:
-            return FailureKind.MAY_HAVE_RUN
+            return FailureKind.GARBLED
         if self.is_started and not response.continues_stream:
             # Its body would become a part of the stream that has begun.
             return FailureKind.FAILED
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -139,6 +139,12 @@
         (500, (RESPONSE_SEAL,), ResponseKind.FAILURE),
         (504, (RESPONSE_SEAL,), ResponseKind.FAILURE),
         (400, (NOT_RUN,), ResponseKind.NOT_RUN),
+        # Guards against a head of another origin that is passed on as the
+        # answer, for instance one that denies a proper request.
+        (404, (), ResponseKind.AMBIGUOUS),
+        (500, (), ResponseKind.AMBIGUOUS),
+        (302, (), ResponseKind.AMBIGUOUS),
+        (200, (RESPONSE_SEAL, RESPONSE_SEAL), ResponseKind.AMBIGUOUS),
     ],
 )
 def test_responses_are_classified(status, headers, kind):
@@ -241,6 +247,13 @@
     assert b'foxtailhatch-forwarded-by' not in encoded(received)[1]
 
 
+@pytest.mark.parametrize('status', [404, 502, 504])
+def test_failure_of_an_entry_needs_no_seal(status):
+    head = ResponseHead(status, ())
+    decoded = PlatformCodec().decode_forwarded_head(head, request())
+    assert decoded.kind is ResponseKind.FAILURE
+
+
 # Guards against a refusal of another entry that is taken for an unknown outcome.
 @pytest.mark.parametrize('status', [408, 421, 429, 503])
 def test_refusal_of_an_entry_says_that_the_request_has_not_run(status):
