Take only well-formed answers of the store and of other entries

The same class of fault elsewhere: what is not known to be bad counted. A row of any topic with partition 0 gave the lease; a join without a generation was a membership; a page of zeros confirmed the data of this entry; a feed's age could be no number, or one by which data never get old; keys and contents could be of any type. Some of these ended the loop that read them by an exception instead.

Change: types, ranges and the lease's topic are checked where an answer is decoded, and else it is malformed, as any other.

The age in a lease call is new in its doctest.

--- a/foxtailhatch/platform/store.py
+++ b/foxtailhatch/platform/store.py
@@ -32,6 +32,7 @@
     Topic.ENTRIES: names.ENTRY_TOPIC,
     Topic.OBSERVATIONS: names.OBSERVATION_TOPIC,
 }
+MAX_EPOCH_DIGITS = 18
 # Header of a read: end of the log and first retained offset.
 _READ_HEAD = struct.Struct('>QQ')
 _LENGTH = struct.Struct('>I')
@@ -194,29 +195,57 @@
 
 def _read_latest(document: Any, epoch: int) -> KeyedPage:
     records = tuple(
-        KeyedRecord(item['key'], base64.b64decode(item['value']))
+        KeyedRecord(_text(item['key']), _value(item['value']))
         for item in document['items']
     )
-    return KeyedPage(records, LogPosition(epoch, int(document['end_offset'])))
+    return KeyedPage(
+        records, LogPosition(epoch, _count(document['end_offset']))
+    )
+
+
+def _value(encoded: Any) -> bytes:
+    return base64.b64decode(_text(encoded), validate=True)
+
+
+def _text(field: Any) -> str:
+    if not isinstance(field, str):
+        raise TypeError('not a text')
+    return field
+
+
+def _count(field: Any) -> int:
+    """Return a whole number from zero on; a truth value is none."""
+    if isinstance(field, bool) or not isinstance(field, int):
+        raise TypeError('not a whole number')
+    if field < 0:
+        raise ValueError('negative')
+    return field
 
 
 def _epoch(response: HttpResponse) -> int:
     """Return the epoch of the store; 0 if it does not name a valid one."""
     field = response.head.get(names.STORE_EPOCH) or b''
-    return int(field) if field.isdigit() else 0
+    is_valid = field.isdigit() and len(field) <= MAX_EPOCH_DIGITS
+    return int(field) if is_valid else 0
 
 
 def _decode_membership(
     response: HttpResponse,
 ) -> Result[Membership, StoreFault]:
-    return _decode_json(response).map(
-        lambda document: Membership(
-            document.get('generation', 0),
-            # The member that is assigned partition 0 holds the leader lease.
-            any(row[1] == 0 for row in document.get('parts', ())),
-            _epoch(response),
+    try:
+        membership = _read_membership(
+            orjson.loads(response.body), _epoch(response)
         )
-    )
+    except (ValueError, TypeError, LookupError):
+        return Failure(StoreFault.MALFORMED)
+    return Success(membership)
+
+
+def _read_membership(document: Any, epoch: int) -> Membership:
+    """Return the membership; partition 0 of the lease topic is the lease."""
+    owned = [(row[0], row[1]) for row in document['parts']]
+    is_holder = (names.LEASE_TOPIC, 0) in owned
+    return Membership(_count(document['generation']), is_holder, epoch)
 
 
 def _decode_holder(response: HttpResponse) -> Result[str, StoreFault]:
@@ -245,6 +274,8 @@
     if len(body) < _READ_HEAD.size:
         return Failure(StoreFault.MALFORMED)
     log_end, _ = _READ_HEAD.unpack_from(body)
+    if log_end < offset:
+        return Failure(StoreFault.MALFORMED)
     records = tuple(_decode_records(body[_READ_HEAD.size :]))
     end = LogPosition(_epoch(response), offset + len(records))
     return Success(KeyedPage(records, end, end.offset >= log_end))
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -58,6 +58,9 @@
 SUSPECT_CHECK_S = 0.1
 # Bound on the length of a log line; a part that requests share comes late.
 MAX_LOGGED_PARTS = 8
+# An event holds a token or more, but callers may count tokens in another way.
+MAX_EVENTS_PER_TOKEN = 4
+MIN_EVENT_LIMIT = 1024
 FIRST_ERROR_STATUS = 400
 EXCLUDING_FAILURES = frozenset(
     (FailureKind.FAILED, FailureKind.MAY_HAVE_RUN, FailureKind.GARBLED)
@@ -783,10 +786,8 @@
 
 
 def _last_possible_event(req: RelayRequest) -> int | None:
-    """Return the highest number that an event may have, if the request tells.
-
-    Each event holds a token of the output, except for one that may end the stream.
-    """
+    """Return the number after which a stream has no end, if the request tells."""
     if req.tokens is None:
         return None
-    return (req.last_event_id or 0) + req.tokens.max_output + 1
+    events = max(MIN_EVENT_LIMIT, MAX_EVENTS_PER_TOKEN * req.tokens.max_output)
+    return (req.last_event_id or 0) + events
--- a/foxtailhatch/router/feed.py
+++ b/foxtailhatch/router/feed.py
@@ -9,6 +9,7 @@
 """
 
 from dataclasses import dataclass, field
+from math import isfinite
 from typing import Any
 
 import cbor2
@@ -183,8 +184,10 @@
 def _read_position(fields: Any) -> LogPosition | None:
     if fields is None:
         return None
-    epoch, offset = fields
-    return LogPosition(int(epoch), int(offset))
+    epoch, offset = map(int, fields)
+    if min(epoch, offset) < 0:
+        raise ValueError('a position before the log')
+    return LogPosition(epoch, offset)
 
 
 def _read_request(raw: bytes) -> tuple[object, Positions, WorkByEndpoint]:
@@ -204,5 +207,26 @@
 
 def _read_topic(fields: list[Any]) -> TopicUpdate:
     pairs, end, is_snapshot, age_s = fields
-    records = tuple(KeyedRecord(key, content) for key, content in pairs)
-    return TopicUpdate(records, _read_position(end), is_snapshot, age_s)
+    records = tuple(_read_record(key, content) for key, content in pairs)
+    _check_age(age_s)
+    return TopicUpdate(records, _read_position(end), is_snapshot is True, age_s)
+
+
+def _read_record(key: Any, content: Any) -> KeyedRecord:
+    if isinstance(key, str) and isinstance(content, bytes | None):
+        return KeyedRecord(key, content)
+    raise TypeError('a record without a key or with another content')
+
+
+def _check_age(age_s: Any) -> None:
+    """Raise an error unless an age is possible, or none is given.
+
+    Data that were confirmed since the request arrived are younger than it by no
+    more than the time for which the requesting entry waits.
+    """
+    if age_s is None:
+        return
+    if isinstance(age_s, bool) or not isinstance(age_s, int | float):
+        raise TypeError('an age that is no number')
+    if not isfinite(age_s) or age_s < -FEED_TIMEOUT_S:
+        raise ValueError('an age that data cannot have')
--- a/foxtailhatch/router/lease_peers.py
+++ b/foxtailhatch/router/lease_peers.py
@@ -5,6 +5,7 @@
 answer with another status, which is neither an acceptance nor an age.
 """
 
+from math import isfinite
 from typing import Any, Protocol
 
 import cbor2
@@ -103,9 +104,12 @@
     1.5
     >>> isinstance(decode_age(b'?'), PeerUnaware)
     True
+    >>> isinstance(decode_age(encode_age(-1)), PeerUnaware)
+    True
     """
     document = decode_cbor(raw)
     age_s = document.get('age_s') if isinstance(document, dict) else None
     if isinstance(age_s, bool) or not isinstance(age_s, int | float):
         return PeerUnaware()
-    return float(age_s)
+    is_age = isfinite(age_s) and age_s >= 0
+    return float(age_s) if is_age else PeerUnaware()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -210,3 +210,72 @@
 def test_unreadable_owners_are_malformed(body):
     http_client = ScriptedHttpClient((200, body))
     assert run(LogStore(http_client).holder()) == Failure(StoreFault.MALFORMED)
+
+
+JOINED = {
+    'no document': b'',
+    'list': b'[]',
+    'no generation': b'{"parts":[["placement",0,0]]}',
+    'generation as text': b'{"generation":"1","parts":[]}',
+    'parts that are no rows': b'{"generation":1,"parts":[1]}',
+    'short row': b'{"generation":1,"parts":[["placement"]]}',
+    'parts that are no list': b'{"generation":1,"parts":7}',
+}
+LISTED = {
+    'key that is no text': b'{"items":[{"key":1,"value":"dg=="}],"end_offset":1}',
+    'value that is no text': b'{"items":[{"key":"a","value":1}],"end_offset":1}',
+    'value in another alphabet': (
+        b'{"items":[{"key":"a","value":"d%=="}],"end_offset":1}'
+    ),
+    'items that are no list': b'{"items":7,"end_offset":1}',
+    'negative end': b'{"items":[],"end_offset":-1}',
+    'end as text': b'{"items":[],"end_offset":"1"}',
+}
+ERA = (b'store-era', b'4' * 5000)
+
+
+# Guards against a lease, or the end of the loop that renews it, by an answer that
+# is none of the store's.
+@pytest.mark.parametrize('kind', JOINED)
+def test_malformed_membership_is_a_fault(kind):
+    http_client = ScriptedHttpClient((200, JOINED[kind]))
+    joined = run(LogStore(http_client).join('e1', 0, 3))
+    assert joined == Failure(StoreFault.MALFORMED)
+
+
+def test_partition_of_another_topic_is_no_lease():
+    body = b'{"generation":1,"parts":[["other",0,0]]}'
+    joined = run(LogStore(ScriptedHttpClient((200, body))).join('e1', 0, 3))
+    assert not joined.unwrap().is_holder
+
+
+# Guards against records of other types, which end the loop that applies them.
+@pytest.mark.parametrize('kind', LISTED)
+def test_malformed_snapshot_page_is_a_fault(kind):
+    http_client = ScriptedHttpClient((200, LISTED[kind]))
+    outcome = run(LogStore(http_client).read_latest(Topic.ENDPOINTS))
+    assert outcome == Failure(StoreFault.MALFORMED)
+
+
+# Guards against data that count as confirmed by bytes that are no page.
+def test_page_of_a_log_that_ends_before_the_offset_is_a_fault():
+    http_client = ScriptedHttpClient((200, bytes(16)))
+    outcome = run(LogStore(http_client).read(Topic.CONFIGURATION, 4, 0))
+    assert outcome == Failure(StoreFault.MALFORMED)
+
+
+@pytest.mark.parametrize('path', ['read', 'join', 'latest'])
+def test_epoch_that_is_too_long_is_none(path):
+    bodies = {
+        'read': page(end=4),
+        'join': b'{"generation":1,"parts":[]}',
+        'latest': b'{"items":[],"end_offset":4}',
+    }
+    store = LogStore(ScriptedHttpClient((200, bodies[path], ERA)))
+    calls = {
+        'read': lambda: store.read(Topic.ENDPOINTS, 4, 0),
+        'join': lambda: store.join('e1', 0, 3),
+        'latest': lambda: store.read_latest(Topic.ENDPOINTS),
+    }
+    found = run(calls[path]()).unwrap()
+    assert (found.epoch if path == 'join' else found.end.epoch) == 0
--- a/tests/relay/test_malformed_streams.py
+++ b/tests/relay/test_malformed_streams.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from foxtailhatch.relay.relay import MIN_EVENT_LIMIT
 from foxtailhatch.routes import RouteKind
 from tests.relay.fakes import start_relay
 
@@ -173,3 +174,15 @@
     garble(env)
     assert env.suspects == []
     assert env.log.of('attempt_failed')[0]['how'] == 'garbled'
+
+
+# Guards against a stream of sound events without end.
+def test_stream_far_beyond_the_tokens_of_its_request_is_ended():
+    env = start_relay(**STREAM, attempts=1)
+    conn = env.accept_connection()
+    conn.start_stream()
+    for number in range(1, MIN_EVENT_LIMIT + 2):
+        conn.send_event(number)
+    assert conn.is_aborted
+    assert env.caller.body == events(MIN_EVENT_LIMIT)
+    assert env.log.of('event_malformed')[0]['why'] == 'too many events'
--- a/tests/router/test_mirror.py
+++ b/tests/router/test_mirror.py
@@ -1,5 +1,7 @@
 """A feed neither skips nor repeats a record, however far behind a reader is."""
 
+import cbor2
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -139,3 +141,31 @@
 def test_arbitrary_bytes_raise_no_exception(raw):
     decode_feed_request(raw)
     decode_feed_response(raw)
+
+
+# Guards against data that never get old, and against records of other types, from
+# an entry in trouble.
+@pytest.mark.parametrize(
+    'update',
+    [
+        [[], [0, 4], False, float('nan')],
+        [[], [0, 4], False, float('-inf')],
+        [[], [0, 4], False, -60.0],
+        [[], [0, 4], False, True],
+        [[], [0, 4], False, 'now'],
+        [[[1, b'v']], [0, 4], False, 0.1],
+        [[['a', 'v']], [0, 4], False, 0.1],
+        [[['a', 7]], [0, 4], False, 0.1],
+        [[], [0, -4], False, 0.1],
+        [[], ['x', 4], False, 0.1],
+    ],
+)
+def test_update_with_odd_fields_is_malformed(update):
+    topics = {Topic.ENTRIES.value: update}
+    assert decode_feed_response(cbor2.dumps([topics, {}, True])).failure()
+
+
+def test_update_with_an_age_since_the_request_is_sound():
+    topics = {Topic.ENTRIES.value: [[['a', None]], [0, 4], False, -0.5]}
+    decoded = decode_feed_response(cbor2.dumps([topics, {}, True])).unwrap()
+    assert decoded.topics[Topic.ENTRIES].age_s == -0.5
