--- a/tests/relay/test_malformed_streams.py
+++ b/tests/relay/test_malformed_streams.py
@@ -1,5 +1,7 @@
 """Bytes in a stream that are not its next event."""
 
+from dataclasses import replace
+
 import pytest
 
 from foxtailhatch.relay.relay import MIN_EVENT_LIMIT
@@ -186,3 +188,14 @@
     assert conn.is_aborted
     assert env.caller.body == events(MIN_EVENT_LIMIT)
     assert env.log.of('event_malformed')[0]['why'] == 'too many events'
+
+
+# Guards against an entry that is avoided for what an endpoint behind it has sent.
+def test_entry_in_between_is_not_blamed_for_other_bytes():
+    env = start_relay(**STREAM)
+    attempt = env.relay.attempt
+    attempt.chosen = (replace(attempt.chosen[0], is_entry=True),)
+    garble(env)
+    assert env.caller.status is None
+    assert env.log.of('event_malformed')
+    assert env.context.endpoints.record_garbled('e1', 0) is None
