Name the tokens of a stream as callers of the planned soak ask for them

Callers of planned work named at most 60 tokens of output and asked for streams of 90 events.

Ruled out: a fault of the entry.

Change: a caller names the number of events that its request id asks for.

--- a/tests/soak_router/kept_connection.py
+++ b/tests/soak_router/kept_connection.py
@@ -9,10 +9,12 @@
 from dataclasses import dataclass, field
 
 from tests.soak_router.client import HOST
+from tests.soak_router.silent_endpoint import stream_shape
 
 READ_BYTES = 65_536
 LOST_ERRORS = (ConnectionError, EOFError)
 FIRST_FINAL_STATUS = 200
+USUAL_TOKENS = 60
 
 
 @dataclass(slots=True)
@@ -44,6 +46,12 @@
     def announces_close(self):
         return self.headers.get('connection', '').lower() == 'close'
 
+    @property
+    def max_tokens(self):
+        """Return how many tokens a stream of this request may have at most."""
+        _, count = stream_shape(self.request_id)
+        return max(count, USUAL_TOKENS)
+
     def head(self, deadline_ms, *, is_chunked):
         """Return the head of the request."""
         lines = [
@@ -52,7 +60,7 @@
             f'Foxtailhatch-Request-Id: {self.request_id}',
             f'Foxtailhatch-Deadline-Ms: {deadline_ms}',
             'Foxtailhatch-Model: m',
-            'Foxtailhatch-Token-Usage: 100,60',
+            f'Foxtailhatch-Token-Usage: 100,{self.max_tokens}',
             'Authorization: Bearer key',
         ]
         if is_chunked:
