Read a request only once the one before it is answered

Cause: callers may send requests at once on a connection. The second one was read with the first, and got nothing if the end of the grace broke the first one's stream off, as no answer may follow a broken one. It did not run, but its caller could not know that.

Ruled out: to read less only during a stop, as such requests come in one piece before it; to end the stream early as complete, or to move it, as its connection is the caller's.

Change: the transport of callers looks at its input without taking it, and takes the bytes up to the end of the request in progress. The rest is read in its turn; behind an answer that is broken off it stays unread, and the connection is reset once all is handed over.

Tests that changed: the soak takes a reset as unread only behind an answer that was broken off, without a status and without a run; a close stays a violation.

--- a/foxtailhatch/daemon/listening.py
+++ b/foxtailhatch/daemon/listening.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from twisted.internet import asyncioreactor
+from twisted.internet.tcp import Server
 from twisted.web.server import Site
 
 from foxtailhatch.core import Address
@@ -35,13 +36,18 @@
 
 
 def serve_site(
-    reactor: Any, listener: socket.socket, site: Site
+    reactor: Any,
+    listener: socket.socket,
+    site: Site,
+    transport_type: type[Server] = Server,
 ) -> Callable[[], object]:
     """Serve ``site`` on a listening socket and close the original handle.
 
-    Return the function that stops listening.
+    Its connections are of ``transport_type``.  Return the function that stops
+    listening.
     """
     port = reactor.adoptStreamPort(listener.fileno(), listener.family, site)
+    port.transport = transport_type
     listener.close()
     stop_listening: Callable[[], object] = port.stopListening
     return stop_listening
--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -9,6 +9,8 @@
 from random import Random
 from typing import Any
 
+from twisted.internet.tcp import Server
+
 from foxtailhatch.core import Address, InvariantViolation
 from foxtailhatch.daemon.listening import (
     install_reactor,
@@ -18,6 +20,7 @@
 from foxtailhatch.daemon.loops import Loops
 from foxtailhatch.router.adapter import AdapterFactory, ReloadSettings
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.caller_transport import CallerTransport
 from foxtailhatch.router.components import RouterComponents, build_components
 from foxtailhatch.router.feed_site import feed_site
 from foxtailhatch.router.http_frontend import FrontendFactory
@@ -128,6 +131,7 @@
         self._listen(
             cfg.callers_address,
             FrontendFactory(components.request_handler, IDLE_TIMEOUT_S),
+            CallerTransport,
         )
         self._listen(
             cfg.ready_address,
@@ -191,12 +195,17 @@
             self._loops.stop()
             self._reactor.stop()
 
-    def _listen(self, address: str, factory: Any) -> None:
+    def _listen(
+        self,
+        address: str,
+        factory: Any,
+        transport_type: type[Server] = Server,
+    ) -> None:
         if not address:
             return
         host, _, port = address.rpartition(':')
         listener = open_listening_socket(Address(host, int(port)))
-        serve_site(self._reactor, listener, factory)
+        serve_site(self._reactor, listener, factory, transport_type)
 
     def _signal_handler(
         self, callback: Callable[[], None]
--- a/foxtailhatch/router/caller_channel.py
+++ b/foxtailhatch/router/caller_channel.py
@@ -71,13 +71,16 @@
         self._is_lingering = False
         self._is_delivered = False
         self._was_idle = False
+        # Whether input behind the current request is in the system's buffer.
+        self._has_unread = False
+        self._is_resetting = False
         # The identifiers of answers that the transport still holds in part.
         self._undelivered: list[str] = []
 
     @property
     def has_more_input(self) -> bool:
-        """Return whether bytes were read behind the current request."""
-        return bool(self._buffer) or any(self._dataBuffer)
+        """Return whether bytes have come behind the current request."""
+        return self._has_unread or bool(self._buffer) or any(self._dataBuffer)
 
     @property
     def request_line(self) -> tuple[bytes, bytes, bytes]:
@@ -87,7 +90,12 @@
     @property
     def is_outstanding(self) -> bool:
         """Return whether a request or a part of an answer is pending."""
-        return bool(self.requests or self.is_closing or self._undelivered)
+        return bool(
+            self.requests
+            or self.is_closing
+            or self._undelivered
+            or self._has_unread
+        )
 
     def pending_requests(self) -> list[tuple[str, RequestStage]]:
         """Return the requests without a delivered answer, with their stages."""
@@ -96,10 +104,26 @@
             for request_id in self._undelivered
         ]
         pending.extend((req.request_id, req.stage) for req in self.requests)
-        if self.requests and self.has_more_input and not self.is_closing:
+        has_input_behind = self.requests and self.has_more_input
+        if (has_input_behind or self._has_unread) and not self.is_closing:
             pending.append(('', RequestStage.UNREAD))
         return pending
 
+    def leave_unread(self) -> int:
+        """Return how many of the last bytes received are left for later.
+
+        They are behind a request in progress, and are received again.
+        """
+        if not self._handlingRequest or self.is_closing:
+            return 0
+        count = len(self._buffer) + sum(map(len, self._dataBuffer))
+        self.clearLineBuffer()  # type: ignore[no-untyped-call]
+        self._dataBuffer.clear()
+        self._has_unread = bool(count)
+        if self._has_unread:
+            self._networkProducer.pauseProducing()
+        return count
+
     def request_answered(self, request_id: str) -> None:
         """Record that the answer of a request was written."""
         self._undelivered.append(request_id)
@@ -144,6 +168,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
         """Drop what follows an answer that ends the connection."""
+        self._has_unread = False
         if self._is_lingering and self._transferDecoder is None:
             self.resetTimeout()  # type: ignore[no-untyped-call]
             return
@@ -157,6 +182,9 @@
     def resumeProducing(self) -> None:  # noqa: N802
         """Note that the transport has handed over all that was written."""
         self._undelivered.clear()
+        if self._is_resetting:
+            self.transport.abortConnection()
+            return
         super().resumeProducing()  # type: ignore[no-untyped-call]
 
     def allContentReceived(self) -> None:  # noqa: N802
@@ -169,16 +197,24 @@
     def loseConnection(self) -> None:  # noqa: N802
         """Send what is written, and close the connection.
 
-        In a planned stop, or within the body of a request, only this end is
-        closed first.
+        In a planned stop, within the body of a request, or with input that is
+        to be dropped, only this end is closed first.  Input behind an answer
+        that was broken off is not read, and the connection is reset.
         """
         if self.is_closing:
             return
         self.is_closing = True
-        if self.requests and self.has_more_input:
+        is_broken_off = bool(self.requests) and self._handlingRequest
+        if is_broken_off and self.has_more_input:
             self.observer.record_undelivered('', 'behind_cut_answer')
+        if is_broken_off and self._has_unread:
+            self._is_resetting = True
+            self.transport.producerPaused = True
+            self.transport.startWriting()
+            return
         is_partial = self._transferDecoder is not None
-        if not is_partial and not self.observer.is_stopping:
+        has_to_read = self.observer.is_stopping or self._has_unread
+        if is_broken_off or not (is_partial or has_to_read):
             super().loseConnection()  # type: ignore[no-untyped-call]
             return
         self._is_lingering = True
--- a/tests/soak_router/planned_clients.py
+++ b/tests/soak_router/planned_clients.py
@@ -155,9 +155,12 @@
         loop = asyncio.get_running_loop()
         ending = ''
         is_unprocessed = False
+        is_cut = False
         for exchange in batch:
+            exchange.is_behind_cut = is_cut
             if not ending:
                 ending = await self._read_answer(conn, exchange, rate)
+                is_cut = bool(ending) and exchange.status is not None
             exchange.ending = ending or 'answered'
             exchange.is_unprocessed = is_unprocessed
             exchange.ended_at = loop.time()
--- a/tests/soak_router/planned_verdict.py
+++ b/tests/soak_router/planned_verdict.py
@@ -117,6 +117,8 @@
 
 
 def _judge_loss(exchange, world):
+    if _is_left_unread(exchange, world):
+        return ''
     if exchange.whole_at is None:
         is_crossing = exchange.ended_at - exchange.began_at <= CROSSING_S
         return '' if is_crossing else 'was cut in its body without an answer'
@@ -127,6 +129,18 @@
     return f'was lost ({exchange.ending})'
 
 
+def _is_left_unread(exchange, world):
+    """Return whether a broken answer was reset before this request was read.
+
+    A connection that ends without unread bytes is closed, not reset.
+    """
+    return (
+        exchange.is_behind_cut
+        and exchange.ending == 'reset'
+        and not _is_read(exchange, world)
+    )
+
+
 def _is_read(exchange, world):
     has_run = world.pool.runs[exchange.request_id] > 0
     return has_run or exchange.status is not None
--- a/tests/soak_router/test_planned_verdict.py
+++ b/tests/soak_router/test_planned_verdict.py
@@ -77,6 +77,26 @@
     assert is_violation(replace(SENT, ended_at=10.3), world_with())
 
 
+@pytest.mark.parametrize(
+    ('changes', 'runs', 'is_allowed'),
+    [
+        ({}, 0, True),
+        ({'ending': 'closed'}, 0, False),
+        ({'is_behind_cut': False}, 0, False),
+        ({'status': 200}, 0, False),
+        ({}, 1, False),
+    ],
+)
+def test_request_behind_a_broken_answer_may_be_left_unread(
+    changes, runs, is_allowed
+):
+    unread = replace(
+        SENT, is_behind_cut=True, ending='reset', ended_at=14.0, status=None
+    )
+    exchange = replace(unread, **changes)
+    assert is_violation(exchange, world_with(runs)) is not is_allowed
+
+
 def test_request_behind_an_announced_end_must_not_run():
     behind = replace(SENT, is_unprocessed=True, ended_at=14.0)
     assert not is_violation(behind, world_with())
