Keep the answer and the logs when an answer or a router is missing in a test

Change: a test of claimed answers that gets another status shows the body, the timelines and the logs of the entries; one that waits for routers shows what each answered last, its exit code and the end of its log.

Tests that changed: a test of a key that is used again asked for the status alone, and asks for the answer's text now.

--- a/tests/soak_router/planned_work.py
+++ b/tests/soak_router/planned_work.py
@@ -21,7 +21,7 @@
 )
 from tests.soak_router.planned_world import PlannedStop, PlannedWorld
 from tests.soak_router.soak import LEAVING_S
-from tests.soak_router.test_router import all_serve
+from tests.soak_router.test_router import wait_until_served
 from tests.soak_router.world import wait_until
 
 CLIENTS = 15
@@ -84,9 +84,7 @@
             await asyncio.gather(*pending)
         self._is_over = True
         await silences
-        await wait_until(
-            lambda: all_serve(self.world), 'the routers do not serve again'
-        )
+        await wait_until_served(self.world, 'the routers do not serve again')
         await wait_until(
             self.world.is_configured, 'a configuration is not in force'
         )
@@ -181,9 +179,7 @@
             if code != 0:
                 self.violations.append(f'{router.name} ended with {code}')
             router.start()
-            await wait_until(
-                lambda: all_serve(self.world), 'a router does not serve again'
-            )
+            await wait_until_served(self.world, 'a router does not serve again')
             stop.served_at = loop.time()
 
     def _check(self):
@@ -212,7 +208,7 @@
     world = PlannedWorld(folder, seed)
     try:
         await world.start(3)
-        await wait_until(lambda: all_serve(world), 'the routers do not serve')
+        await wait_until_served(world)
         run = PlannedWork(world, seed, habits)
         await run.run(work, clients)
         return run
--- a/tests/soak_router/test_router.py
+++ b/tests/soak_router/test_router.py
@@ -6,6 +6,9 @@
 from tests.soak_router.client import send_request
 from tests.soak_router.world import World, wait_until
 
+# How much of the log of each router a failure shows.
+LOG_CHARS = 6_000
+
 
 def run_scenario(tmp_path, scenario, routers=1, world_type=World):
     """Run a scenario once all routers serve requests."""
@@ -14,9 +17,7 @@
         world = world_type(tmp_path)
         try:
             await world.start(routers)
-            await wait_until(
-                lambda: all_serve(world), 'the routers do not serve'
-            )
+            await wait_until_served(world)
             await scenario(world)
         finally:
             world.stop()
@@ -31,11 +32,33 @@
         )
         for index, router in enumerate(world.routers)
     ]
+    world.last_probes = {
+        router.name: response
+        for router, response in zip(world.routers, responses, strict=True)
+    }
     return all(
         response.is_whole and response.status == 200 for response in responses
     )
 
 
+async def wait_until_served(world, message='the routers do not serve'):
+    """Wait until all serve; a failure shows what each answered and logged."""
+    try:
+        await wait_until(lambda: all_serve(world), message)
+    except AssertionError as exc:
+        raise AssertionError('\n'.join([str(exc), *serving(world)])) from exc
+
+
+def serving(world):
+    """Return for each router its last answer, exit code and log lines."""
+    return [
+        f'--- {router.name}: exit code {router.process.poll()},'
+        f' {world.last_probes.get(router.name)}\n'
+        f'{router.log_text()[-LOG_CHARS:]}'
+        for router in world.routers
+    ]
+
+
 def test_stream_is_delivered_completely(tmp_path):
     async def scenario(world):
         response = await send_request(world.routers[0].address, 'q1', '/m/x')
@@ -133,8 +156,6 @@
 
         await wait_until(refused, 'keys are still accepted')
         world.log.is_down = False
-        await wait_until(
-            lambda: all_serve(world), 'the routers do not serve again'
-        )
+        await wait_until_served(world, 'the routers do not serve again')
 
     run_scenario(tmp_path, scenario)
--- a/tests/soak_router/world.py
+++ b/tests/soak_router/world.py
@@ -157,6 +157,8 @@
         self.pool = EndpointPool(self.log)
         self.version = 0
         self.routers = []
+        # The last answers to requests that ask whether routers serve.
+        self.last_probes = {}
         self._folder = folder
         self._node_count = 0
 
--- a/tests/whole/test_claimed_answers.py
+++ b/tests/whole/test_claimed_answers.py
@@ -17,6 +17,8 @@
     start_platform,
 )
 
+# How much of the log of each entry a failure shows.
+LOG_CHARS = 6_000
 AT_MOST_ONCE = {
     'name': 'once',
     'callers': {},
@@ -66,6 +68,21 @@
     return call(address, 'POST', '/v1/completions', body, TOKEN, **headers)
 
 
+def text_of(system, reply):
+    """Return the text of an answer; a failure shows the reply and the logs."""
+    assert reply.status == 200, evidence(system, reply)
+    return reply.json()['choices'][0]['text']
+
+
+def evidence(system, reply):
+    parts = [f'{reply.status} {reply.body}', str(system.launcher.folder)]
+    for name, entry in system.entries.items():
+        timeline = call(entry.address, 'GET', '/timeline').body.decode()
+        parts.append(f'--- {name}\n{timeline[-LOG_CHARS:]}')
+        parts.append(entry.log_text()[-LOG_CHARS:])
+    return '\n'.join(parts)
+
+
 def new_key(name):
     return f'{int(time.time())}-{name}'
 
@@ -89,15 +106,15 @@
     before = chains_chosen(system)
     first = ask(system, 'entry-1', key)
     second = ask(system, 'entry-2', key)
-    text = first.json()['choices'][0]['text']
+    text = text_of(system, first)
     assert len(text) == 30
-    assert second.json()['choices'][0]['text'] == text
+    assert text_of(system, second) == text
     assert chains_chosen(system) == before + 1
 
 
 def test_different_request_with_the_same_key_is_not_run(system):
     key = new_key('reused')
-    assert ask(system, 'entry-1', key).status == 200
+    assert text_of(system, ask(system, 'entry-1', key))
     other = ask(system, 'entry-1', key, max_tokens=5)
     assert other.json()['error']['code'] == 'key_reused'
 
