Time a caller out by what it takes of its answer

Cause: a caller that asked for a last answer and never read it kept its connection for ever, as the idle timeout is suspended while a request is in progress and was not started again; and a caller that read the rest of an answer for more than a minute was cut, as the timeout ran from the write of the answer.

Change: the timeout runs on while a connection is being closed. When it expires, it begins anew if the transport has handed over bytes since, and cuts the connection otherwise. The daemon's channel did so already; both share core/send_progress.py.

--- a/foxtailhatch/callers/channel.py
+++ b/foxtailhatch/callers/channel.py
@@ -11,6 +11,7 @@
 from foxtailhatch.callers.replies import raw_reply
 from foxtailhatch.core import Refusal
 from foxtailhatch.core.reactor_clock import DelayedCall, ReactorClock
+from foxtailhatch.core.send_progress import SendProgress
 
 LINGER_S = 2
 
@@ -36,7 +37,7 @@
         self._ending = False
         self._has_unread = False
         self._linger: DelayedCall | None = None
-        self._last_position = (0, 0)
+        self._progress = SendProgress()
 
     def connectionMade(self) -> None:
         """Register the connection."""
@@ -111,9 +112,8 @@
 
         As long as the caller takes something of its answer, it has time.
         """
-        position = self._send_position()
-        if self._undelivered and position != self._last_position:
-            self._last_position = position
+        has_moved = self._progress.has_moved(self._transport())
+        if self._undelivered and has_moved:
             HTTPChannel.setTimeout(self, self.timeOut)
         elif self._ending:
             HTTPChannel.forceAbortClient(self)
@@ -183,10 +183,6 @@
         subject = request_id or f'{peer.host}:{peer.port}'
         self._connections.recorder.record_cut(subject, reason, cause)
 
-    def _send_position(self) -> tuple[int, int]:
-        conn = self._transport()
-        return len(conn.dataBuffer), conn.offset
-
     def _notify_when_delivered(self) -> None:
         # A paused producer is resumed once the send buffer is empty.
         self._transport().producerPaused = True
--- a/foxtailhatch/router/caller_channel.py
+++ b/foxtailhatch/router/caller_channel.py
@@ -14,6 +14,7 @@
 from twisted.web import http
 from zope.interface import implementer
 
+from foxtailhatch.core.send_progress import SendProgress
 from foxtailhatch.relay.refusals import RelayRefusal
 
 # Time for a caller to close its end of a connection after an answer, as a close
@@ -76,6 +77,7 @@
         self._is_resetting = False
         # The identifiers of answers that the transport still holds in part.
         self._undelivered: list[str] = []
+        self._progress = SendProgress()
 
     @property
     def has_more_input(self) -> bool:
@@ -207,6 +209,7 @@
         is_broken_off = bool(self.requests) and self._handlingRequest
         if is_broken_off and self.has_more_input:
             self.observer.record_undelivered('', 'behind_cut_answer')
+        self._restart_timeout()
         if is_broken_off and self._has_unread:
             self._is_resetting = True
             self.transport.producerPaused = True
@@ -218,7 +221,6 @@
             super().loseConnection()  # type: ignore[no-untyped-call]
             return
         self._is_lingering = True
-        self.setTimeout(None)  # type: ignore[no-untyped-call]
         self._networkProducer.unregisterProducer()
         # Input may be paused behind the request that was answered last.
         self._networkProducer.resumeProducing()
@@ -245,11 +247,24 @@
         self.transport.loseConnection()
 
     def timeoutConnection(self) -> None:  # noqa: N802
-        """Close an idle connection, or one that the caller leaves open."""
-        if self._is_lingering:
+        """Close an idle connection, or one that the caller leaves open.
+
+        One whose caller takes nothing of its answer is aborted; as long as it
+        takes something, it has time.
+        """
+        if self._is_delivered:
             self.transport.loseConnection()
+        elif self._progress.has_moved(self.transport):
+            self._restart_timeout()
+        elif self.is_closing:
+            self.transport.abortConnection()
         else:
-            super().timeoutConnection()  # type: ignore[no-untyped-call]
+            self.loseConnection()
+
+    def _restart_timeout(self) -> None:
+        # The timeout is suspended while a request is in progress.
+        timeout_s = self.timeOut or self._savedTimeOut
+        self.setTimeout(timeout_s)  # type: ignore[no-untyped-call]
 
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         if self._is_lingering:
--- a/tests/router/test_caller_channel.py
+++ b/tests/router/test_caller_channel.py
@@ -15,6 +15,7 @@
 from tests.router.test_http_frontend import Handler
 
 REFUSAL = RelayRefusal(RefusalReason.STOPPING, 0.05)
+IDLE_TIMEOUT_S = 60.0
 GET = b'GET /a/b HTTP/1.1\r\nHost: host.example\r\n\r\n'
 
 
@@ -24,6 +25,12 @@
     def __init__(self):
         super().__init__()
         self.closes = []
+        self.dataBuffer = b''
+        self.offset = 0
+
+    def hold(self, count):
+        """Hold that many bytes that the caller has not read."""
+        self.dataBuffer = b'x' * count
 
     def loseWriteConnection(self):  # noqa: N802
         self.closes.append('write')
@@ -52,7 +59,7 @@
 
 def connect(handler):
     timers = Clock()
-    channel = FrontendFactory(handler, 60.0).buildProtocol(None)
+    channel = FrontendFactory(handler, IDLE_TIMEOUT_S).buildProtocol(None)
     channel.callLater = timers.callLater
     transport = HeldTransport()
     channel.makeConnection(transport)
@@ -232,6 +239,53 @@
     assert client.transport.closes == ['write', 'both']
 
 
+# Guards against a caller that asked for a last answer, never reads it, and keeps its
+# connection for ever.
+def test_caller_that_takes_nothing_of_its_last_answer_is_cut(handler):
+    client = connect(handler)
+    closing = GET.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
+    client.channel.dataReceived(closing)
+    handler.accept().respond()
+    client.transport.hold(1000)
+    client.timers.advance(IDLE_TIMEOUT_S)
+    assert client.transport.closes == ['both']
+    client.timers.advance(IDLE_TIMEOUT_S)
+    assert client.transport.closes == ['both', 'abort']
+    client.transport.end(client.channel, ConnectionLost())
+    assert handler.undelivered == ['request-1']
+
+
+# Guards against an answer that is cut, as its caller reads the rest of it for longer
+# than the idle timeout.
+@pytest.mark.parametrize('is_last', [False, True])
+def test_caller_that_reads_on_slowly_is_not_cut(handler, is_last):
+    client = connect(handler)
+    ending = b'\r\nConnection: close\r\n\r\n' if is_last else b'\r\n\r\n'
+    client.channel.dataReceived(GET.replace(b'\r\n\r\n', ending))
+    handler.accept().respond()
+    client.transport.hold(1000)
+    for _ in range(8):
+        client.transport.offset += 100
+        client.timers.advance(IDLE_TIMEOUT_S)
+    assert 'abort' not in client.transport.closes
+    assert client.transport.closes == (['both'] if is_last else [])
+    client.timers.advance(IDLE_TIMEOUT_S)
+    assert client.transport.closes[-1] == ('abort' if is_last else 'both')
+
+
+# Guards against the same for an answer that was broken off.
+def test_caller_that_takes_nothing_of_a_broken_answer_is_cut(handler):
+    client = connect(handler)
+    client.channel.dataReceived(GET)
+    req = client.channel.requests[0]
+    req.start(200, ())
+    req.abort()
+    client.transport.hold(1000)
+    client.timers.advance(2 * IDLE_TIMEOUT_S)
+    client.timers.advance(IDLE_TIMEOUT_S)
+    assert client.transport.closes == ['both', 'abort']
+
+
 def test_caller_that_sends_on_is_read_on(handler):
     client = connect(handler)
     client.channel.dataReceived(post(1000))
