Read a refused body on while its caller sends it

Cause: the daemon's channel reads for 2 s after a refusal and then closes. A caller that still sends its body then meets a broken pipe, and may not read the refusal before it. The router's channel begins its time anew with each input.

Change: so does the daemon's, for 10 s at most, so that a caller that sends on for ever holds up no stop.

Not joined: the two channels differ in who counts a request as begun and in how they end; joining them is left for a change of its own.

--- a/foxtailhatch/callers/channel.py
+++ b/foxtailhatch/callers/channel.py
@@ -14,15 +14,19 @@
 from foxtailhatch.core.send_progress import SendProgress
 
 LINGER_S = 2
+# As long as a body may take by default: a caller that sends on for longer has had
+# its answer all the time.
+MAX_LINGER_S = 10
 
 
 class CallerChannel(HTTPChannel):
     """A caller's connection.
 
     It is closed in two steps: the sending side once the transport has taken
-    everything, the rest when the caller closes or after ``LINGER_S``.  Input
-    is discarded meanwhile, because a socket that is closed with unread input
-    resets the connection, and the caller could lose the answer.
+    everything, the rest when the caller closes, or has sent nothing for
+    ``LINGER_S``, and after ``MAX_LINGER_S`` at last.  Input is discarded
+    meanwhile, because a socket that is closed with unread input resets the
+    connection, and the caller could lose the answer.
     """
 
     def __init__(
@@ -37,6 +41,7 @@
         self._ending = False
         self._has_unread = False
         self._linger: DelayedCall | None = None
+        self._linger_until: float = 0
         self._progress = SendProgress()
 
     def connectionMade(self) -> None:
@@ -58,7 +63,11 @@
         """Parse input, or discard it once the connection is ending."""
         if not self._ending:
             HTTPChannel.dataReceived(self, data)
-        elif not (self.requests or self._has_unread):
+            return
+        if self._linger is not None:
+            self._linger.cancel()
+            self._wait_for_caller()
+        if not (self.requests or self._has_unread):
             # Input after a refused request may still belong to it.
             self._has_unread = True
             self._record_cut('', CutReason.NOT_READ, 'connection closing')
@@ -190,7 +199,14 @@
     def _close_sending_side(self) -> None:
         if self._linger is None:
             self._transport().loseWriteConnection()
-            self._linger = self._clock.callLater(LINGER_S, self._close)
+            self._linger_until = self._clock.seconds() + MAX_LINGER_S
+            self._wait_for_caller()
+
+    def _wait_for_caller(self) -> None:
+        left_s = self._linger_until - self._clock.seconds()
+        self._linger = self._clock.callLater(
+            max(0, min(LINGER_S, left_s)), self._close
+        )
 
     def _close(self) -> None:
         self._linger = None
--- a/tests/callers/test_connections.py
+++ b/tests/callers/test_connections.py
@@ -105,6 +105,39 @@
     assert not server.connections.pending()
 
 
+# A caller that was still sending a refused body met a broken pipe after two seconds.
+@with_server
+async def test_refused_body_that_is_sent_on_is_read(server):
+    reader, writer = await server.connect()
+    headers = {**KEEP, 'Content-Length': 10**9}
+    writer.write(request_bytes('POST', CALL, b'x', headers))
+    reply = await read_reply(reader)
+    assert reply.error()['code'] == 'body_too_large'
+    (channel,) = server.connections._channels
+    for _ in range(4):
+        server.clock.advance(1.5)
+        channel.dataReceived(b'x')
+        assert server.connections.has_open()
+    server.clock.advance(2)
+    assert not server.connections.has_open()
+
+
+# A caller that sends on for ever must not hold up a stop.
+@with_server
+async def test_refused_body_is_not_read_for_ever(server):
+    reader, writer = await server.connect()
+    headers = {**KEEP, 'Content-Length': 10**9}
+    writer.write(request_bytes('POST', CALL, b'x', headers))
+    await read_reply(reader)
+    (channel,) = server.connections._channels
+    for _ in range(9):
+        server.clock.advance(1)
+        channel.dataReceived(b'x')
+    assert server.connections.has_open()
+    server.clock.advance(1)
+    assert not server.connections.has_open()
+
+
 # A request whose body was on its way was not counted at all.
 @with_server
 async def test_incomplete_request_is_pending_until_it_is_refused(server):
