--- a/foxtailhatch/callers/channel.py
+++ b/foxtailhatch/callers/channel.py
@@ -11,17 +11,22 @@
 from foxtailhatch.callers.replies import raw_reply
 from foxtailhatch.core import Refusal
 from foxtailhatch.core.reactor_clock import DelayedCall, ReactorClock
+from foxtailhatch.core.send_progress import SendProgress
 
 LINGER_S = 2
+# As long as a body may take by default: a caller that sends on for longer has had
+# its answer all the time.
+MAX_LINGER_S = 10
 
 
 class CallerChannel(HTTPChannel):
     """A caller's connection.
 
     It is closed in two steps: the sending side once the transport has taken
-    everything, the rest when the caller closes or after ``LINGER_S``.  Input
-    is discarded meanwhile, because a socket that is closed with unread input
-    resets the connection, and the caller could lose the answer.
+    everything, the rest when the caller closes, or has sent nothing for
+    ``LINGER_S``, and after ``MAX_LINGER_S`` at last.  Input is discarded
+    meanwhile, because a socket that is closed with unread input resets the
+    connection, and the caller could lose the answer.
     """
 
     def __init__(
@@ -36,7 +41,8 @@
         self._ending = False
         self._has_unread = False
         self._linger: DelayedCall | None = None
-        self._last_position = (0, 0)
+        self._linger_until: float = 0
+        self._progress = SendProgress()
 
     def connectionMade(self) -> None:
         """Register the connection."""
@@ -57,7 +63,11 @@
         """Parse input, or discard it once the connection is ending."""
         if not self._ending:
             HTTPChannel.dataReceived(self, data)
-        elif not (self.requests or self._has_unread):
+            return
+        if self._linger is not None:
+            self._linger.cancel()
+            self._wait_for_caller()
+        if not (self.requests or self._has_unread):
             # Input after a refused request may still belong to it.
             self._has_unread = True
             self._record_cut('', CutReason.NOT_READ, 'connection closing')
@@ -111,9 +121,8 @@
 
         As long as the caller takes something of its answer, it has time.
         """
-        position = self._send_position()
-        if self._undelivered and position != self._last_position:
-            self._last_position = position
+        has_moved = self._progress.has_moved(self._transport())
+        if self._undelivered and has_moved:
             HTTPChannel.setTimeout(self, self.timeOut)
         elif self._ending:
             HTTPChannel.forceAbortClient(self)
@@ -183,10 +192,6 @@
         subject = request_id or f'{peer.host}:{peer.port}'
         self._connections.recorder.record_cut(subject, reason, cause)
 
-    def _send_position(self) -> tuple[int, int]:
-        conn = self._transport()
-        return len(conn.dataBuffer), conn.offset
-
     def _notify_when_delivered(self) -> None:
         # A paused producer is resumed once the send buffer is empty.
         self._transport().producerPaused = True
@@ -194,7 +199,14 @@
     def _close_sending_side(self) -> None:
         if self._linger is None:
             self._transport().loseWriteConnection()
-            self._linger = self._clock.callLater(LINGER_S, self._close)
+            self._linger_until = self._clock.seconds() + MAX_LINGER_S
+            self._wait_for_caller()
+
+    def _wait_for_caller(self) -> None:
+        left_s = self._linger_until - self._clock.seconds()
+        self._linger = self._clock.callLater(
+            max(0, min(LINGER_S, left_s)), self._close
+        )
 
     def _close(self) -> None:
         self._linger = None
