Replace an engine whose output holds no possible token

Cause: the output of a last stage counted as valid with any integer as its token. A negative one raised in the caller's decoder, inside the delivery of the session's frames, so that the other answers' frames of the same read were lost with it; one above 2**31 reached the caller, who could not hand it back to resume the answer.

Ruled out by tests: an output of another stream, attempt or position, repeated, out of order or without a token changes no token of the answer.

Change: a token outside the range that callers may hand back is no valid output, so its engine is replaced as for any other. The new test failed for -1, 2**31 and 10**30 before.

--- a/foxtailhatch/pipeline/stage.py
+++ b/foxtailhatch/pipeline/stage.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from foxtailhatch.callers.request_bodies import MAX_TOKEN_ID
 from foxtailhatch.core import Invariant, LayerRange, check_invariant
 from foxtailhatch.outside.frames import StageOutput
 
@@ -66,7 +67,7 @@
         for step in self.steps:
             if step.position == output.position:
                 if is_last:
-                    return output.token is not None
+                    return _is_token_id(output.token)
                 return len(output.activations) == step.count
         return False
 
@@ -95,3 +96,7 @@
 
     def _next_expected(self) -> int:
         return self.steps[0].position if self.steps else self.next_position
+
+
+def _is_token_id(token: int | None) -> bool:
+    return token is not None and 0 <= token <= MAX_TOKEN_ID
--- a/tests/pipeline/test_answer.py
+++ b/tests/pipeline/test_answer.py
@@ -8,7 +8,11 @@
     LayerRange,
     RunState,
 )
-from foxtailhatch.outside.frames import CancelStage, StageOutput, StepStage
+from foxtailhatch.outside.frames import (
+    CancelStage,
+    StageOutput,
+    StepStage,
+)
 from foxtailhatch.pipeline import AnswerFailed, AnswerFinished, AnswerRun
 from foxtailhatch.pipeline.attempt import Attempt
 from foxtailhatch.pipeline.retained_inputs import RetainedInputs
@@ -287,3 +291,56 @@
         driver.perform(driver.run.handle_session_loss(name, driver.now))
     driver.pump()
     assert driver.delivered == expected_tokens()
+
+
+def _with_step_at_last_stage():
+    """Return a driver with three tokens whose last stage sends nothing more."""
+    driver = started_driver()
+    driver.pump(until_tokens=3)
+    driver.engines['c'].frozen = True
+    driver.pump()
+    return driver, driver.run.attempt.stages[-1]
+
+
+# Guards against a token that no answer can hold: a negative one was no byte and
+# raised in the callback of the session, with the frames of all other answers.
+@pytest.mark.parametrize('token', [-1, 2**31, 10**30])
+def test_an_output_without_a_possible_token_excludes_its_engine(token):
+    driver, last = _with_step_at_last_stage()
+    bad = StageOutput('s', 1, last.layers, last.steps[0].position, token=token)
+    driver.perform(driver.run.handle_frame('c', bad, driver.now))
+    assert 'c' not in [each.endpoint for each in driver.run.attempt.stages]
+    driver.pump()
+    assert driver.delivered == expected_tokens()
+    assert driver.outcome == FINISHED
+
+
+# Guards against outputs that are not the next ones of their stage, in content
+# or in order, and reach a caller as tokens.
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'position': 99},
+        {'token': None},
+        {'stream': 'other'},
+        {'attempt': 7},
+        {'attempt': 0},
+        {'position': 0, 'token': 5},
+        {'position': -1, 'token': 5},
+    ],
+)
+def test_an_output_that_is_not_the_next_one_changes_no_token(changes):
+    driver, last = _with_step_at_last_stage()
+    fields = {
+        'stream': 's',
+        'attempt': 1,
+        'layers': last.layers,
+        'position': last.steps[0].position,
+        'token': 5,
+    }
+    bad = StageOutput(**{**fields, **changes})
+    for _ in range(2):
+        driver.perform(driver.run.handle_frame('c', bad, driver.now))
+    driver.wait(0.3)
+    assert driver.delivered == expected_tokens()
+    assert driver.outcome == FINISHED
