Take a stage's opening for progress once only

Cause: each StageOpened set the time from which a stage is seen as stalled, so an engine that repeated the frame kept its answers waiting without end. A repeated output never did.

Change: the frame of a stage that is open already is dropped. The new test failed before for 'opened' and passed for 'output'.

--- a/foxtailhatch/pipeline/attempt.py
+++ b/foxtailhatch/pipeline/attempt.py
@@ -111,8 +111,13 @@
         tokens: list[int],
         now: float,
     ) -> Iterator[Action]:
-        """Handle an open stage; start prefill once all stages are open."""
+        """Handle an open stage; start prefill once all stages are open.
+
+        A repeated frame is no progress, and no other number of positions.
+        """
         stage = self.stages[index]
+        if stage.is_open:
+            return
         stage.is_open = True
         stage.cached = max(0, frame.cached)
         stage.waiting_since = now
--- a/tests/pipeline/test_answer.py
+++ b/tests/pipeline/test_answer.py
@@ -10,6 +10,7 @@
 )
 from foxtailhatch.outside.frames import (
     CancelStage,
+    StageOpened,
     StageOutput,
     StepStage,
 )
@@ -315,6 +316,37 @@
     assert driver.outcome == FINISHED
 
 
+def _repeat_while_frozen(victim, frame_of):
+    """Repeat a frame of a stage that does nothing more."""
+    driver = started_driver()
+    driver.pump(until_tokens=3)
+    driver.engines[victim].frozen = True
+    driver.pump()
+    frame = frame_of(driver.run)
+    for _ in range(10):
+        driver.wait(0.05)
+        driver.perform(driver.run.handle_frame(victim, frame, driver.now))
+    driver.pump()
+    return driver
+
+
+# Guards against an engine that repeats a frame and is never seen as stalled.
+@pytest.mark.parametrize(
+    'frame_of',
+    [
+        lambda run: StageOpened('s', 1, run.attempt.stages[1].layers, 0),
+        lambda run: StageOutput(
+            's', 1, run.attempt.stages[1].layers, 0, ('0',) * 5
+        ),
+    ],
+    ids=['opened', 'output'],
+)
+def test_a_repeated_frame_is_no_progress(frame_of):
+    driver = _repeat_while_frozen('b', frame_of)
+    assert driver.delivered == expected_tokens()
+    assert driver.outcome == FINISHED
+
+
 # Guards against outputs that are not the next ones of their stage, in content
 # or in order, and reach a caller as tokens.
 @pytest.mark.parametrize(
