Bound the head of a response of another system

Cause: the HTTP client bounds each line of a head but not their number, nor the interim responses before it. A server that sent a head without end was read and kept until the call timed out, by all calls at once.

The size is checked before the bytes are parsed, so that the loop isn't held either. The call fails as an invalid response whose message names the limit; the request may have run.

--- a/foxtailhatch/outside/http_client.py
+++ b/foxtailhatch/outside/http_client.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectError, ConnectingCancelledError
-from twisted.web.client import URI, Agent, HTTPConnectionPool
+from twisted.web.client import URI, Agent
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgentEndpointFactory, IResponse
 from zope.interface import implementer
@@ -22,6 +22,10 @@
     BodyTooLarge,
     BytesProducer,
 )
+from foxtailhatch.outside.http_protocol import (
+    BoundedConnectionPool,
+    ResponseHeadTooLarge,
+)
 from foxtailhatch.outside.protocols import PlatformError, PlatformFault
 
 CONNECT_TIMEOUT_S: Final = 2.0
@@ -91,7 +95,8 @@
         """Create a client without connections."""
         self.reactor = reactor
         self._max_body_bytes = max_body_bytes
-        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        new_pool: Any = BoundedConnectionPool
+        self._pool = new_pool(reactor, persistent=True)
         # By default the pool retries some requests, which could run them twice.
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
@@ -103,7 +108,9 @@
             self._pool,
         )
         self._unpooled_agent = Agent.usingEndpointFactory(
-            reactor, endpoint_factory
+            reactor,
+            endpoint_factory,
+            new_pool(reactor, persistent=False),
         )
 
     def streaming_agent(self) -> Agent:
@@ -139,7 +146,7 @@
                 PlatformFault.UNREACHABLE,
                 f'{address} does not accept connections: {exc}',
             )
-        if isinstance(exc, BodyTooLarge):
+        if isinstance(exc, BodyTooLarge | ResponseHeadTooLarge):
             return PlatformError(PlatformFault.INVALID_RESPONSE, str(exc))
         # The other idle connections have probably failed too.
         self._pool.closeCachedConnections()
--- /dev/null
+++ b/tests/outside/test_http_protocol.py
@@ -0,0 +1,112 @@
+"""What a client connection accepts as a response, without sockets."""
+
+import pytest
+from twisted.internet.error import ConnectionLost
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+from twisted.web._newclient import Request
+from twisted.web.http_headers import Headers
+
+from foxtailhatch.outside.http_bodies import BodyReader
+from foxtailhatch.outside.http_protocol import (
+    MAX_HEAD_BYTES,
+    MAX_HEAD_LINES,
+    BoundedConnectionPool,
+    ResponseHeadTooLarge,
+)
+from tests.outside.loop import reactor
+
+OK = b'HTTP/1.1 200 OK\r\n'
+RESPONSE = OK + b'Content-Length: 2\r\n\r\n{}'
+SEVERAL_READS = 200
+
+
+class Connection:
+    """A connection of a pool, and what became of its requests."""
+
+    def __init__(self):
+        self.idle = []
+        pool = BoundedConnectionPool(reactor())
+        self.protocol = pool._factory(self.idle.append, 'test').buildProtocol(
+            None
+        )
+        self.transport = StringTransport()
+        self.protocol.makeConnection(self.transport)
+        self.outcomes = []
+        self.bodies = []
+
+    def send(self):
+        headers = Headers({'host': ['a']})
+        request = Request._construct(
+            b'GET', b'/', headers, None, persistent=True
+        )
+        response = self.protocol.request(request)
+        response.addCallback(self._read)
+        response.addErrback(self.outcomes.append)
+
+    def receive(self, chunk):
+        self.protocol.dataReceived(chunk)
+
+    def lose(self, exception):
+        self.protocol.connectionLost(Failure(exception))
+
+    def closed(self):
+        return self.transport.disconnecting or self.transport.disconnected
+
+    def _read(self, response):
+        reader = BodyReader(100)
+        reader.body.addBoth(self.bodies.append)
+        response.deliverBody(reader)
+
+
+@pytest.fixture
+def conn():
+    return Connection()
+
+
+def _parsed_headers(conn):
+    parser = conn.protocol._parser
+    found = [parser.headers, parser.connHeaders]
+    return sum(
+        len(texts) for each in found for _, texts in each.getAllRawHeaders()
+    )
+
+
+# Guards against heads without end, which were kept until the call timed out.
+@pytest.mark.parametrize(
+    'sent',
+    [
+        b'a:b\r\n' * 400,
+        b'a:b\n b\n c\n' * 200,
+        b'Name: ' + b'x' * 1000 + b'\r\n',
+        b'x' * 2000,
+        b'HTTP/1.1 100 Continue\r\n\r\n' * 20,
+    ],
+    ids=['short', 'continued', 'long', 'one', 'interim'],
+)
+def test_a_head_without_end_ends_the_connection(conn, sent):
+    conn.send()
+    start = b'' if sent.startswith(b'HTTP') else OK
+    conn.receive(start)
+    for _ in range(SEVERAL_READS):
+        if conn.closed():
+            break
+        conn.receive(sent)
+        assert _parsed_headers(conn) <= MAX_HEAD_LINES
+    assert conn.closed()
+    conn.lose(ConnectionLost())
+    assert conn.outcomes[0].check(ResponseHeadTooLarge)
+
+
+# Guards against a head that is refused for the body behind it.
+@pytest.mark.parametrize('size', [1, 7, 10_000])
+def test_a_head_up_to_its_limit_is_accepted_in_any_pieces(conn, size):
+    padding = b'a: ' + b'x' * (MAX_HEAD_BYTES - 100) + b'\r\n'
+    head = OK + b'Content-Length: 90\r\n' + padding + b'\r\n'
+    body = b'\n\n\n' * 30
+    sent = head + body
+    conn.send()
+    for start in range(0, len(sent), size):
+        conn.receive(sent[start : start + size])
+    assert conn.bodies == [body]
+    assert conn.idle == [conn.protocol]
