Never reuse a connection on which bytes follow a response

Cause: the HTTP client drops what follows a complete response in the same read and keeps the connection. What came of these bytes in later reads became the beginning of the next response. Bytes on an idle connection closed it, but the pool could still hand it out.

Ruled out: the response itself is complete by its length, so it's passed on.

Change: such a connection is closed, and isn't idle for the pool. Both tests failed before. What remains: bytes that arrive after the last look at an idle connection and before its next request can't be told from a response.

--- a/foxtailhatch/outside/http_protocol.py
+++ b/foxtailhatch/outside/http_protocol.py
@@ -1,4 +1,4 @@
-"""HTTP connection that accepts a head of bounded size."""
+"""HTTP connection that accepts a bounded head and nothing behind a response."""
 
 import re
 from typing import Any, Final
@@ -63,10 +63,12 @@
         untyped.__init__(*args)
         self._head: HeadLimit | None = None
         self._excess: ResponseHeadTooLarge | None = None
+        self._sent: Any = None
 
     def request(self, request: Request) -> 'Deferred[IResponse]':
         """Send a request; its response starts with an empty head."""
         self._head = HeadLimit()
+        self._sent = request
         response: Any = super().request(request)
         response.addCallbacks(self._head_received, self._explain)
         return response  # type: ignore[no-any-return]
@@ -76,6 +78,10 @@
         untyped: Any = super()
         if self._excess is not None:
             return
+        if self.state == 'QUIESCENT':
+            # Bytes that no request asked for are the beginning of no response.
+            untyped.abort()
+            return
         head = self._head
         if head is not None and not head.allows(data):
             self._end_connection()
@@ -84,6 +90,16 @@
         if head is not None and head is self._head:
             head.add(data)
 
+    def _finishResponse(self, rest: bytes) -> None:  # noqa: N802
+        """Close a connection on which bytes follow a complete response.
+
+        They would become the beginning of the next response.
+        """
+        if rest:
+            self._sent.persistent = False
+        untyped: Any = super()
+        untyped._finishResponse(rest)
+
     def _end_connection(self) -> None:
         self._excess = ResponseHeadTooLarge(
             'the head of the response has more than '
--- a/tests/outside/test_http_protocol.py
+++ b/tests/outside/test_http_protocol.py
@@ -110,3 +110,23 @@
         conn.receive(sent[start : start + size])
     assert conn.bodies == [body]
     assert conn.idle == [conn.protocol]
+
+
+# Guards against a connection whose next response begins with bytes that were
+# sent behind the previous one.
+def test_bytes_behind_a_response_close_its_connection(conn):
+    conn.send()
+    conn.receive(RESPONSE + RESPONSE[:9])
+    assert conn.bodies == [b'{}']
+    assert conn.closed()
+    assert not conn.idle
+
+
+# Guards against the same with bytes that come after the response.
+def test_a_connection_with_unrequested_bytes_is_not_used_again(conn):
+    conn.send()
+    conn.receive(RESPONSE)
+    assert conn.idle == [conn.protocol]
+    conn.receive(RESPONSE)
+    assert conn.closed()
+    assert conn.protocol.state != 'QUIESCENT'
