Take no body for whole whose connection broke

Cause: a body without a length ends with its connection, and the HTTP client reports the same for a close and for a reset. The beginning of a body was passed on as all of it, by a plain service to a caller too.

Change: only a close ends such a body; else the call has no response, and may have run. The new test got the beginning as the body before.

--- a/foxtailhatch/outside/http_bodies.py
+++ b/foxtailhatch/outside/http_bodies.py
@@ -1,5 +1,6 @@
 """Complete bodies of HTTP requests and responses."""
 
+from collections.abc import Callable
 from typing import Any, Final
 
 from twisted.internet.defer import Deferred, succeed
@@ -42,10 +43,19 @@
 
 
 class BodyReader(Protocol):
-    """Collect a response body; ``body`` fires with it or with a failure."""
+    """Collect a response body; ``body`` fires with it or with a failure.
 
-    def __init__(self, max_bytes: int) -> None:
+    A body without a length ends with its connection.  Only ``lost_by`` knows
+    then whether the other side closed it or it broke.
+    """
+
+    def __init__(
+        self,
+        max_bytes: int,
+        lost_by: Callable[[], Failure | None],
+    ) -> None:
         """Start with an empty body of at most ``max_bytes``."""
+        self._lost_by = lost_by
         self.body: Deferred[bytes] = Deferred(self._cancelled)
         self._chunks: list[bytes] = []
         self._remaining_bytes = max_bytes
@@ -66,7 +76,12 @@
         """Fire with the complete body, or with a failure if it is truncated."""
         if self.body.called:
             return
-        if reason.check(ResponseDone, PotentialDataLoss):
+        is_complete = reason.check(ResponseDone)
+        if reason.check(PotentialDataLoss):
+            broken = self._lost_by()
+            is_complete = broken is None
+            reason = broken or reason
+        if is_complete:
             self.body.callback(b''.join(self._chunks))
         else:
             self.body.errback(reason)
--- a/foxtailhatch/outside/http_client.py
+++ b/foxtailhatch/outside/http_client.py
@@ -199,7 +199,7 @@
 
 def _read_response(response: Any, max_bytes: int) -> 'Deferred[HttpResponse]':
     """Read the complete body of a response."""
-    reader = BodyReader(max_bytes)
+    reader = BodyReader(max_bytes, lambda: response.lost_by)
     response.deliverBody(reader)
     reader.body.addCallback(_build_response, response)
     return cast('Deferred[HttpResponse]', reader.body)
--- a/foxtailhatch/outside/http_protocol.py
+++ b/foxtailhatch/outside/http_protocol.py
@@ -4,7 +4,8 @@
 from typing import Any, Final
 
 from twisted.internet.defer import Deferred
-from twisted.internet.protocol import Factory
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Factory, connectionDone
 from twisted.python.failure import Failure
 from twisted.web._newclient import HTTP11ClientProtocol, Request
 from twisted.web.client import HTTPConnectionPool
@@ -64,11 +65,13 @@
         self._head: HeadLimit | None = None
         self._excess: ResponseHeadTooLarge | None = None
         self._sent: Any = None
+        self._received: Any = None
 
     def request(self, request: Request) -> 'Deferred[IResponse]':
         """Send a request; its response starts with an empty head."""
         self._head = HeadLimit()
         self._sent = request
+        self._received = None
         response: Any = super().request(request)
         response.addCallbacks(self._head_received, self._explain)
         return response  # type: ignore[no-any-return]
@@ -90,6 +93,15 @@
         if head is not None and head is self._head:
             head.add(data)
 
+    def connectionLost(  # noqa: N802
+        self, reason: Failure = connectionDone
+    ) -> None:
+        """Tell the reader of a body why the connection ended."""
+        if self._received is not None and not reason.check(ConnectionDone):
+            self._received.lost_by = reason
+        untyped: Any = super()
+        untyped.connectionLost(reason)
+
     def _finishResponse(self, rest: bytes) -> None:  # noqa: N802
         """Close a connection on which bytes follow a complete response.
 
@@ -110,6 +122,8 @@
 
     def _head_received(self, response: Any) -> Any:
         self._head = None
+        response.lost_by = None
+        self._received = response
         return response
 
     def _explain(self, failure: Failure) -> Failure:
--- a/tests/outside/test_http_protocol.py
+++ b/tests/outside/test_http_protocol.py
@@ -1,7 +1,7 @@
 """What a client connection accepts as a response, without sockets."""
 
 import pytest
-from twisted.internet.error import ConnectionLost
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 from twisted.web._newclient import Request
@@ -54,7 +54,7 @@
         return self.transport.disconnecting or self.transport.disconnected
 
     def _read(self, response):
-        reader = BodyReader(100)
+        reader = BodyReader(100, lambda: response.lost_by)
         reader.body.addBoth(self.bodies.append)
         response.deliverBody(reader)
 
@@ -130,3 +130,18 @@
     conn.receive(RESPONSE)
     assert conn.closed()
     assert conn.protocol.state != 'QUIESCENT'
+
+
+# Guards against the beginning of a body that is taken for all of it.
+def test_a_body_that_ends_with_a_broken_connection_is_not_whole(conn):
+    conn.send()
+    conn.receive(OK + b'\r\nbeginn')
+    conn.lose(ConnectionLost())
+    assert conn.bodies[0].check(ConnectionLost)
+
+
+def test_a_body_may_end_with_its_connection(conn):
+    conn.send()
+    conn.receive(OK + b'\r\nwhole')
+    conn.lose(ConnectionDone())
+    assert conn.bodies == [b'whole']
