Bound what all response bodies of other systems take together

Cause: each body may have 64 MB, but nothing bounds the number of calls at once, and each piece of a body was kept as an object of its own. A JSON document had the same limit as a service's answer, while it takes many times its size as it is validated, and the message of an error held the whole body.

Change: all bodies that are read at one time share the memory of one account (BodyMemory, as bodies in the router do). A body is kept in one piece and may arrive in 100,000. A JSON document may have 4 MiB; services' answers, caches and pages of the log keep their limit. Messages of errors quote 200 bytes.

--- a/foxtailhatch/outside/cache_http.py
+++ b/foxtailhatch/outside/cache_http.py
@@ -5,6 +5,7 @@
 from returns.result import Failure, Result, Success
 
 from foxtailhatch.core import Endpoint
+from foxtailhatch.outside.http_bodies import MAX_BODY_BYTES
 from foxtailhatch.outside.http_client import (
     OK,
     HttpCall,
@@ -36,7 +37,9 @@
         stream: str,
     ) -> Result[bytes, PlatformError]:
         """Return the cache in the format of the engines."""
-        call = HttpCall('GET', build_path('kv', stream))
+        call = HttpCall(
+            'GET', build_path('kv', stream), max_bytes=MAX_BODY_BYTES
+        )
         response = await self._client.send(
             endpoint.address,
             call,
--- a/foxtailhatch/outside/http_bodies.py
+++ b/foxtailhatch/outside/http_bodies.py
@@ -11,11 +11,19 @@
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
+from foxtailhatch.relay.body_memory import HeldBody
+
 MAX_BODY_BYTES: Final = 67_108_864
+# Each piece takes time of the loop, however small it is.
+MAX_BODY_PIECES: Final = 100_000
 
 
 class BodyTooLarge(Exception):
-    """Raised when a response body exceeds the limit of its reader."""
+    """Raised when a response body exceeds a limit of its reader."""
+
+
+class NoMemory(Exception):
+    """Raised when all bodies together leave no room for a response body."""
 
 
 @implementer(IBodyProducer)
@@ -52,22 +60,35 @@
     def __init__(
         self,
         max_bytes: int,
+        held: HeldBody,
         lost_by: Callable[[], Failure | None],
     ) -> None:
-        """Start with an empty body of at most ``max_bytes``."""
-        self._lost_by = lost_by
+        """Start with an empty body of at most ``max_bytes``.
+
+        What it takes of the memory for all bodies is ``held``, and given back
+        when ``body`` fires.
+        """
         self.body: Deferred[bytes] = Deferred(self._cancelled)
-        self._chunks: list[bytes] = []
-        self._remaining_bytes = max_bytes
+        self._max_bytes = max_bytes
+        self._held = held
+        self._lost_by = lost_by
+        self._received = bytearray()
+        self._pieces = 0
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
-        """Add received bytes to the body, or fail beyond the limit."""
-        self._remaining_bytes -= len(data)
-        if self._remaining_bytes >= 0:
-            self._chunks.append(data)
-        elif not self.body.called:
-            self.body.errback(BodyTooLarge('the response body is too large'))
-            self._disconnect()
+        """Add received bytes to the body, or fail beyond a limit."""
+        if self.body.called:
+            return
+        size = len(self._received) + len(data)
+        self._pieces += 1
+        if size > self._max_bytes:
+            self._fail(BodyTooLarge('the response body is too large'))
+        elif self._pieces > MAX_BODY_PIECES:
+            self._fail(BodyTooLarge('the response body has too many pieces'))
+        elif self._held.resize(size):
+            self._received += data
+        else:
+            self._fail(NoMemory('no memory is left for the response body'))
 
     def connectionLost(  # noqa: N802
         self,
@@ -81,13 +102,27 @@
             broken = self._lost_by()
             is_complete = broken is None
             reason = broken or reason
+        received = self._take()
         if is_complete:
-            self.body.callback(b''.join(self._chunks))
+            self.body.callback(received)
         else:
             self.body.errback(reason)
 
+    def _take(self) -> bytes:
+        """Return the body and give its memory back."""
+        received = bytes(self._received)
+        self._received = bytearray()
+        self._held.release()
+        return received
+
+    def _fail(self, exc: Exception) -> None:
+        self._take()
+        self.body.errback(exc)
+        self._disconnect()
+
     def _cancelled(self, _: Any) -> None:
         """Close the connection of a cancelled read."""
+        self._take()
         self._disconnect()
 
     def _disconnect(self) -> None:
--- a/foxtailhatch/outside/http_client.py
+++ b/foxtailhatch/outside/http_client.py
@@ -21,17 +21,22 @@
     BodyReader,
     BodyTooLarge,
     BytesProducer,
+    NoMemory,
 )
 from foxtailhatch.outside.http_protocol import (
     BoundedConnectionPool,
     ResponseHeadTooLarge,
 )
 from foxtailhatch.outside.protocols import PlatformError, PlatformFault
+from foxtailhatch.relay.body_memory import BodyMemory
 
 CONNECT_TIMEOUT_S: Final = 2.0
 RESPONSE_TIMEOUT_S: Final = 5.0
 MAX_IDLE_CONNECTIONS: Final = 8
 IDLE_TIMEOUT_S: Final = 30
+# A JSON document takes many times its size while it is validated.
+MAX_DOCUMENT_BYTES: Final = 4_194_304
+MAX_MESSAGE_CHARS: Final = 200
 OK: Final = 200
 UNAVAILABLE: Final = 503
 
@@ -43,7 +48,7 @@
 class HttpCall:
     """An HTTP request; ``reuse`` allows the use of an idle connection.
 
-    A call that may not run twice should use a new connection: if the server
+    The body of its response may have ``max_bytes``.  A call that may not run twice should use a new connection: if the server
     closed an idle one, it is unknown whether the call was received.
     """
 
@@ -53,6 +58,7 @@
     content_type: str = 'application/json'
     headers: Mapping[str, str] = field(default_factory=dict)
     reuse: bool = True
+    max_bytes: int = MAX_DOCUMENT_BYTES
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,9 +97,14 @@
         reactor: Any,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         max_body_bytes: int = MAX_BODY_BYTES,
+        bodies: BodyMemory | None = None,
     ) -> None:
-        """Create a client without connections."""
+        """Create a client without connections.
+
+        ``bodies`` is the memory that all response bodies may take together.
+        """
         self.reactor = reactor
+        self.bodies = bodies or BodyMemory()
         self._max_body_bytes = max_body_bytes
         new_pool: Any = BoundedConnectionPool
         self._pool = new_pool(reactor, persistent=True)
@@ -126,7 +137,8 @@
         """Send a request once and return the complete response."""
         agent = self._pooled_agent if call.reuse else self._unpooled_agent
         response = request(agent, address, call)
-        response.addCallback(_read_response, self._max_body_bytes)
+        max_bytes = min(call.max_bytes, self._max_body_bytes)
+        response.addCallback(_read_response, max_bytes, self.bodies)
         response.addTimeout(timeout_s, self.reactor)
         try:
             return Success(await wait_for_deferred(response))
@@ -148,6 +160,8 @@
             )
         if isinstance(exc, BodyTooLarge | ResponseHeadTooLarge):
             return PlatformError(PlatformFault.INVALID_RESPONSE, str(exc))
+        if isinstance(exc, NoMemory):
+            return PlatformError(PlatformFault.NO_MEMORY, str(exc))
         # The other idle connections have probably failed too.
         self._pool.closeCachedConnections()
         return PlatformError(
@@ -190,16 +204,18 @@
 
     Status 503 means that the request was not carried out.
     """
-    text = response.body.decode(errors='replace')
+    text = response.body[:MAX_MESSAGE_CHARS].decode(errors='replace')
     message = f'status {response.status}: {text}'
     if response.status == UNAVAILABLE:
         return PlatformError(PlatformFault.UNREACHABLE, message)
     return PlatformError(PlatformFault.REFUSED, message)
 
 
-def _read_response(response: Any, max_bytes: int) -> 'Deferred[HttpResponse]':
+def _read_response(
+    response: Any, max_bytes: int, bodies: BodyMemory
+) -> 'Deferred[HttpResponse]':
     """Read the complete body of a response."""
-    reader = BodyReader(max_bytes, lambda: response.lost_by)
+    reader = BodyReader(max_bytes, bodies.hold(), lambda: response.lost_by)
     response.deliverBody(reader)
     reader.body.addCallback(_build_response, response)
     return cast('Deferred[HttpResponse]', reader.body)
--- a/foxtailhatch/outside/log_http.py
+++ b/foxtailhatch/outside/log_http.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from foxtailhatch.core import Address
+from foxtailhatch.outside.http_bodies import MAX_BODY_BYTES
 from foxtailhatch.outside.http_client import (
     RESPONSE_TIMEOUT_S,
     HttpCall,
@@ -121,7 +122,11 @@
         """
         path = build_path('streams', stream)
         start = offset_in_epoch(offset)
-        call = HttpCall('GET', f'{path}?from={start}&limit={limit}')
+        call = HttpCall(
+            'GET',
+            f'{path}?from={start}&limit={limit}',
+            max_bytes=MAX_BODY_BYTES,
+        )
         response = await self._client.send(self._address, call, self._timeout_s)
         return response.bind(
             lambda reply: parse_response(_pages, reply),
--- a/foxtailhatch/outside/protocols.py
+++ b/foxtailhatch/outside/protocols.py
@@ -20,7 +20,8 @@
     """How a call to an external system failed.
 
     ``UNREACHABLE`` means that the call was not carried out, ``NO_RESPONSE``
-    that it may have been.
+    that it may have been.  ``NO_MEMORY`` means that this process could not hold
+    the response.
     """
 
     UNREACHABLE = 'unreachable'
@@ -28,6 +29,7 @@
     REFUSED = 'refused'
     INVALID_RESPONSE = 'bad_answer'
     EXPIRED = 'expired'
+    NO_MEMORY = 'no_memory'
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailhatch/outside/service_http.py
+++ b/foxtailhatch/outside/service_http.py
@@ -5,6 +5,7 @@
 from returns.result import Result
 
 from foxtailhatch.core import Endpoint
+from foxtailhatch.outside.http_bodies import MAX_BODY_BYTES
 from foxtailhatch.outside.http_client import HttpCall, HttpClient, HttpResponse
 from foxtailhatch.outside.protocols import (
     PlatformError,
@@ -40,6 +41,7 @@
                 call.content_type,
                 _headers(call),
                 reuse=call.method in _SAFE_METHODS,
+                max_bytes=MAX_BODY_BYTES,
             ),
             timeout_s,
         )
--- a/tests/outside/test_http_protocol.py
+++ b/tests/outside/test_http_protocol.py
@@ -14,6 +14,7 @@
     BoundedConnectionPool,
     ResponseHeadTooLarge,
 )
+from foxtailhatch.relay.body_memory import BodyMemory
 from tests.outside.loop import reactor
 
 OK = b'HTTP/1.1 200 OK\r\n'
@@ -54,7 +55,7 @@
         return self.transport.disconnecting or self.transport.disconnected
 
     def _read(self, response):
-        reader = BodyReader(100, lambda: response.lost_by)
+        reader = BodyReader(100, BodyMemory().hold(), lambda: response.lost_by)
         reader.body.addBoth(self.bodies.append)
         response.deliverBody(reader)
 
