Stop the validation of a document at the first fault of a collection

Cause: pydantic reports every fault of a document, and the message of an error was made from all reports. A list of wrong items takes many times its size as reports, within the limits on lines and bodies: one frame of an engine could end the process.

--- a/foxtailhatch/outside/engine_http.py
+++ b/foxtailhatch/outside/engine_http.py
@@ -9,6 +9,7 @@
 from returns.result import Result
 
 from foxtailhatch.core import Address, Endpoint, LoadReport
+from foxtailhatch.outside.first_fault import first_fault_only
 from foxtailhatch.outside.http_client import (
     RESPONSE_TIMEOUT_S,
     HttpCall,
@@ -25,10 +26,10 @@
 from foxtailhatch.outside.session_http import HttpSession, SessionTiming
 from foxtailhatch.outside.session_link import LinkListener, SessionLink
 
-_load_report: Final = TypeAdapter(LoadReport)
-_cache_page: Final = TypeAdapter(CachePage)
+_load_report: Final = first_fault_only(TypeAdapter(LoadReport))
+_cache_page: Final = first_fault_only(TypeAdapter(CachePage))
 _engine_order: Final = TypeAdapter(EngineOrder)
-_fences: Final = TypeAdapter(dict[str, int])
+_fences: Final = first_fault_only(TypeAdapter(dict[str, int]))
 
 
 class HttpEngine:
--- a/foxtailhatch/outside/frames_json.py
+++ b/foxtailhatch/outside/frames_json.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from foxtailhatch.outside import frames
+from foxtailhatch.outside.first_fault import first_fault_only
 
 MAX_LINE_BYTES: Final = 16_777_216
 MAX_REASON_CHARS: Final = 200
@@ -63,8 +64,8 @@
 _up: Final[TypeAdapter[frames.UpFrame]] = TypeAdapter(
     Annotated[Any, _TaggedByKind(_UP_KINDS)],
 )
-_down: Final[TypeAdapter[frames.DownFrame]] = TypeAdapter(
-    Annotated[Any, _TaggedByKind(_DOWN_KINDS)],
+_down: Final[TypeAdapter[frames.DownFrame]] = first_fault_only(
+    TypeAdapter(Annotated[Any, _TaggedByKind(_DOWN_KINDS)]),
 )
 _LINE_ENCODERS: Final = {
     frame: _line_encoder(kind, frame)
--- a/foxtailhatch/outside/instances_http.py
+++ b/foxtailhatch/outside/instances_http.py
@@ -7,6 +7,7 @@
 from returns.result import Result
 
 from foxtailhatch.core import Address
+from foxtailhatch.outside.first_fault import first_fault_only
 from foxtailhatch.outside.http_client import (
     RESPONSE_TIMEOUT_S,
     HttpCall,
@@ -22,7 +23,7 @@
     instances: list[LiveInstance]
 
 
-_documents: Final = TypeAdapter(InstancesDocument)
+_documents: Final = first_fault_only(TypeAdapter(InstancesDocument))
 
 
 class HttpInstanceList:
--- a/foxtailhatch/outside/json_responses.py
+++ b/foxtailhatch/outside/json_responses.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from foxtailhatch.outside.http_client import (
+    MAX_MESSAGE_CHARS,
     OK,
     HttpResponse,
     error_from_response,
@@ -26,4 +27,5 @@
         return Success(adapter.validate_json(response.body))
     except ValidationError as exc:
         fault = PlatformFault.INVALID_RESPONSE
-        return Failure(PlatformError(fault, f'invalid response: {exc}'))
+        message = f'invalid response: {exc}'[:MAX_MESSAGE_CHARS]
+        return Failure(PlatformError(fault, message))
--- a/foxtailhatch/outside/log_http.py
+++ b/foxtailhatch/outside/log_http.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from foxtailhatch.core import Address
+from foxtailhatch.outside.first_fault import first_fault_only
 from foxtailhatch.outside.http_bodies import MAX_BODY_BYTES
 from foxtailhatch.outside.http_client import (
     RESPONSE_TIMEOUT_S,
@@ -74,7 +75,7 @@
     epoch: int = 0
 
 
-_pages: Final = TypeAdapter(LogDocument)
+_pages: Final = first_fault_only(TypeAdapter(LogDocument))
 _appended: Final = TypeAdapter(AppendedDocument)
 
 
