Bound what the lines of all sessions take together

Cause: a frame of an engine may have 16 MB, and nothing bounds the number of sessions on which one has begun. Each piece of a line was kept as an object, so that pieces of a few bytes took many times their size and the loop's time.

--- a/foxtailhatch/outside/engine_http.py
+++ b/foxtailhatch/outside/engine_http.py
@@ -112,6 +112,7 @@
             self._client.reactor,
             self._timing.heartbeat_period_s,
             self._timing.silence_timeout_s,
+            self._client.bodies,
         )
         name = f'{self._name_prefix}-{next(self._session_numbers)}'
         link.open(self._client.streaming_agent(), address, name)
--- a/foxtailhatch/outside/session_link.py
+++ b/foxtailhatch/outside/session_link.py
@@ -21,6 +21,7 @@
 from foxtailhatch.outside.http_client import OK
 from foxtailhatch.outside.line_splitter import LineSplitter, LineTooLong
 from foxtailhatch.outside.link_streams import DownStream, UpStream
+from foxtailhatch.relay.body_memory import BodyMemory
 
 
 class LinkListener(Protocol):
@@ -53,15 +54,21 @@
         clock: ReactorClock,
         heartbeat_period_s: float,
         silence_timeout_s: float,
+        memory: BodyMemory | None = None,
     ) -> None:
-        """Create a link without a connection; frames are buffered."""
+        """Create a link without a connection; frames are buffered.
+
+        The lines that have begun on all links share ``memory``.
+        """
         self._listener: LinkListener | None = listener
         self._clock = clock
         self._heartbeat_s = heartbeat_period_s
         self._silent_s = silence_timeout_s
         self._last_received_at = clock.seconds()
         self._last_heartbeat_at = self._last_received_at
-        self._splitter = LineSplitter(MAX_LINE_BYTES)
+        self._splitter = LineSplitter(
+            MAX_LINE_BYTES, (memory or BodyMemory()).hold()
+        )
         self._up: Any = UpStream()
         self._unsent_lines: list[bytes] = []
         self._received_lines: list[bytes] = []
@@ -101,6 +108,7 @@
         if self._listener is None:
             return
         self._listener = None
+        self._splitter.clear()
         self._heartbeat.stop()
         for request in self._requests:
             request.cancel()
@@ -115,11 +123,12 @@
     def bytes_received(self, chunk: bytes) -> None:
         """Receive bytes of the down stream; too long a line loses the link."""
         self._last_received_at = self._clock.seconds()
-        if self._loss_reason is not None:
+        if self._loss_reason is not None or self._listener is None:
             return
         try:
             lines = self._splitter.feed(chunk)
         except LineTooLong as exc:
+            self._splitter.clear()
             self.mark_lost(f'bad frame: {exc}')
             return
         if lines:
--- a/tests/outside/test_session_link.py
+++ b/tests/outside/test_session_link.py
@@ -5,7 +5,9 @@
 from foxtailhatch.core import Address, LayerRange
 from foxtailhatch.outside import Ping, StageOutput
 from foxtailhatch.outside.frames_json import MAX_LINE_BYTES, encode_frame
+from foxtailhatch.outside.line_splitter import MAX_LINE_PIECES
 from foxtailhatch.outside.session_link import SessionLink
+from foxtailhatch.relay.body_memory import BodyMemory
 
 ENGINE = Address('127.0.0.1', 1)
 OUTPUT = StageOutput('s', 1, LayerRange(0, 2), 0, ('a',))
@@ -188,3 +190,48 @@
     clock.advance(0)
     assert recorder.frames == [OUTPUT]
     assert recorder.reasons == ['closed']
+
+
+def _links(clock, recorder, memory, number):
+    links = [SessionLink(recorder, clock, 1, 3, memory) for _ in range(number)]
+    for link in links:
+        link.open(_FakeAgent(), ENGINE, 'one')
+    return links
+
+
+# Guards against lines without end on many sessions, each within its limit, that
+# filled the memory together.
+def test_the_lines_of_all_links_keep_within_the_memory(clock, recorder):
+    memory = BodyMemory()
+    links = _links(clock, recorder, memory, 100)
+    for each in links * 200:
+        each.bytes_received(b'x' * 10_000)
+    clock.advance(0)
+    kept = sum(len(each._splitter._part) for each in links)
+    assert kept == memory.held_bytes <= 75_000_000
+    assert 'bad frame: no memory is left for a line' in recorder.reasons
+
+
+# Guards against a line in pieces of a few bytes, each kept as an object, that
+# takes the loop's time.
+def test_a_line_in_too_many_pieces_loses_the_link(clock, recorder):
+    memory = BodyMemory()
+    (link,) = _links(clock, recorder, memory, 1)
+    for _ in range(MAX_LINE_PIECES):
+        link.bytes_received(b'xy')
+    assert memory.held_bytes == 2 * MAX_LINE_PIECES
+    link.bytes_received(b'xy')
+    assert memory.held_bytes == 0
+    clock.advance(0)
+    assert recorder.reasons[0].startswith('bad frame: a line has more than')
+
+
+# Guards against memory that a closed link does not give back.
+def test_a_closed_link_holds_no_memory(clock, recorder):
+    memory = BodyMemory()
+    (link,) = _links(clock, recorder, memory, 1)
+    link.bytes_received(b'x' * 100)
+    assert memory.held_bytes == 100
+    link.close()
+    link.bytes_received(b'x' * 100)
+    assert memory.held_bytes == 0
