Lose a session that sends more frames than were requested

Cause: pongs were taken without a ping, and frames of other streams, of earlier attempts or repeated ones are dropped as known. An engine that sent them without end took the loop's time on each turn, and was heard all the while.

Ruled out by tests before: none of them reaches an answer or counts as progress.

Change: each ping has one pong, in order; another one is a bad frame. Each frame sent to an engine allows one of its own, beside 1,000 for those of an earlier session; beyond that the session is lost with its reason.

--- a/foxtailhatch/outside/session_http.py
+++ b/foxtailhatch/outside/session_http.py
@@ -19,6 +19,9 @@
 HEARTBEAT_PERIOD_S: Final = 0.5
 SILENCE_TIMEOUT_S: Final = 2.0
 IDLE_TIMEOUT_S: Final = 10.0
+# A frame is sent once for each that it answers.  Those of an earlier session
+# may come on the next one.
+MAX_UNREQUESTED_FRAMES: Final = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +66,8 @@
         self._closed = False
         # The latest attempt of each open stream.
         self._open_streams: dict[str, int] = {}
+        # How many frames of the engine would answer no frame sent to it.
+        self._unrequested = 0
         self._idle_call: Any = None
         self._link: SessionLink | None = connect(self)
         self._schedule_idle_check()
@@ -78,6 +83,7 @@
             self._remove_stream(frame)
         elif not isinstance(frame, Ping):
             self._open_streams[frame.stream] = frame.attempt
+            self._unrequested -= 1
 
     def close(self) -> None:
         """Close the session; the listener is not called any more."""
@@ -86,7 +92,17 @@
         self._close_link()
 
     def frame_received(self, frame: DownFrame) -> None:
-        """Pass a frame to the listener; a refused stream is not open."""
+        """Pass a frame to the listener; a refused stream is not open.
+
+        Frames without end that answer none take the loop's time, and none of
+        them is missed: the session is lost.
+        """
+        if self._closed:
+            return
+        self._unrequested += 1
+        if self._unrequested > MAX_UNREQUESTED_FRAMES:
+            self.link_lost('more frames than were requested')
+            return
         if isinstance(frame, StageRefused):
             self._remove_stream(frame)
         self._listener.frame_received(self.endpoint.name, frame)
--- a/foxtailhatch/outside/session_link.py
+++ b/foxtailhatch/outside/session_link.py
@@ -75,6 +75,7 @@
         self._loss_reason: str | None = None
         self._requests: list[Deferred[IResponse]] = []
         self._ping_number = 0
+        self._pong_number = 0
         self._heartbeat: Any = cast(Any, LoopingCall(self._on_heartbeat))
         self._heartbeat.clock = clock
         self._down = DownStream(self.bytes_received, self.mark_lost)
@@ -156,14 +157,22 @@
     def _deliver_line(self, listener: LinkListener, line: bytes) -> None:
         """Pass a frame to the listener; an invalid one loses the link."""
         match decode_down(line):
-            case Success(Pong()):
-                return
+            case Success(Pong(number)):
+                self._receive_pong(listener, number)
             case Success(frame):
                 listener.frame_received(frame)
             case Failure(reason):
                 self.close()
                 listener.link_lost(f'bad frame: {reason}')
 
+    def _receive_pong(self, listener: LinkListener, number: int) -> None:
+        """Note a reply to a ping; one that replies to none loses the link."""
+        if self._pong_number < number <= self._ping_number:
+            self._pong_number = number
+            return
+        self.close()
+        listener.link_lost('bad frame: pong without a ping')
+
     def _down_opened(self, response: Any) -> None:
         """Receive frames if the engine accepted the request."""
         if response.code != OK:
--- a/tests/outside/test_session_http.py
+++ b/tests/outside/test_session_http.py
@@ -23,7 +23,11 @@
 )
 from foxtailhatch.outside.engine_http import HttpEngine
 from foxtailhatch.outside.frames_json import encode_frame
-from foxtailhatch.outside.session_http import HttpSession, SessionTiming
+from foxtailhatch.outside.session_http import (
+    MAX_UNREQUESTED_FRAMES,
+    HttpSession,
+    SessionTiming,
+)
 from tests.outside.loop import SessionRecorder, run
 from tests.outside.raw import raw_server
 from tests.outside.standin import client, endpoint, engine, listening
@@ -222,3 +226,23 @@
     standin = engine((0, 2))
     with listening(standin) as ports:
         assert run(scenario(ports, standin)) == 0
+
+
+# Guards against an engine that repeats frames without end, each of which is
+# dropped as known.
+def test_frames_without_end_that_answer_none_lose_the_session():
+    case = _SessionCase()
+    case.session.send(OPEN)
+    for _ in range(2 * MAX_UNREQUESTED_FRAMES):
+        case.session.frame_received(OUTPUT)
+    assert case.links[0].closed
+    assert case.recorder.reasons == ['more frames than were requested']
+    assert len(case.recorder.frames) == MAX_UNREQUESTED_FRAMES + 1
+
+
+def test_each_frame_sent_allows_one_more():
+    case = _SessionCase()
+    for position in range(3 * MAX_UNREQUESTED_FRAMES):
+        case.session.send(StepStage('s', 1, position, (1,)))
+        case.session.frame_received(OUTPUT)
+    assert not case.recorder.reasons
--- a/tests/outside/test_session_link.py
+++ b/tests/outside/test_session_link.py
@@ -3,7 +3,7 @@
 from twisted.internet.task import Clock
 
 from foxtailhatch.core import Address, LayerRange
-from foxtailhatch.outside import Ping, StageOutput
+from foxtailhatch.outside import Ping, Pong, StageOutput
 from foxtailhatch.outside.frames_json import MAX_LINE_BYTES, encode_frame
 from foxtailhatch.outside.line_splitter import MAX_LINE_PIECES
 from foxtailhatch.outside.session_link import SessionLink
@@ -235,3 +235,21 @@
     link.close()
     link.bytes_received(b'x' * 100)
     assert memory.held_bytes == 0
+
+
+# Guards against an engine that is heard without end by replies to nothing.
+@pytest.mark.parametrize('numbers', [(2,), (0,), (-1,), (1, 1)])
+def test_a_pong_without_a_ping_loses_the_link(link, clock, recorder, numbers):
+    sent = b''.join(encode_frame(Pong(number)) for number in numbers)
+    link.bytes_received(sent + LINE)
+    clock.advance(0)
+    assert recorder.reasons == ['bad frame: pong without a ping']
+    assert not recorder.frames
+
+
+def test_pongs_that_reply_to_pings_keep_the_link(link, clock, recorder):
+    for number in range(1, 6):
+        link.bytes_received(encode_frame(Pong(number)))
+        clock.advance(1)
+        clock.advance(1)
+    assert not recorder.reasons
