Accept no more on a link of entries than peers send

Cause: the websocket library limits messages, but neither connections that ask for nothing, nor heads below a megabyte, nor pings. It answers each ping at once, whether the other side reads or not, and parses all of a read before its frames are looked at.

Ruled out: parts of a message without end; the library takes at most 4,096.

Change: at most 64 connections wait before their websocket, with heads of up to 4,096 bytes; 64 pings and pongs may come between two messages; a message is one frame, as peers send it. What exceeds this ends the connection, counted in links_refused. Received bytes are parsed in pieces of 4,096, so that the rest of a read isn't parsed after a fault.

--- a/foxtailhatch/peers/node.py
+++ b/foxtailhatch/peers/node.py
@@ -72,7 +72,9 @@
 
     async def start(self) -> Address:
         """Start listening, and return the address with the actual port."""
-        self._server = await listen(self.identity.address, self._accept)
+        self._server = await listen(
+            self.identity.address, self._accept, self._count_refused
+        )
         port = self._server.sockets[0].getsockname()[1]
         address = replace(self.identity.address, port=port)
         self.identity = replace(self.identity, address=address)
@@ -163,9 +165,12 @@
             else PeerLink(conn, authenticated, outbox)
         )
 
+    def _count_refused(self) -> None:
+        self.counters.links_refused += 1
+
     async def _accept(self, conn: Connection) -> None:
         if len(self._unauthenticated) >= UNAUTHENTICATED_MAX:
-            self.counters.links_refused += 1
+            self._count_refused()
             return
         with ExitStack() as stack:
             self._unauthenticated.add(conn)
@@ -190,7 +195,7 @@
             authenticated is None
             or authenticated.peer.name == self.identity.name
         ):
-            self.counters.links_refused += 1
+            self._count_refused()
             await conn.close()
             return None
         return authenticated
--- a/foxtailhatch/peers/server.py
+++ b/foxtailhatch/peers/server.py
@@ -2,11 +2,16 @@
 
 import logging
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.server import Server, ServerConnection, serve
 
 from foxtailhatch.core import Address
+from foxtailhatch.peers.bounded_connection import (
+    BoundedClientConnection,
+    Strangers,
+)
 from foxtailhatch.peers.handshake import HANDSHAKE_MAX_BYTES
 
 OPEN_TIMEOUT_S = 2.0
@@ -25,8 +30,13 @@
 async def listen(
     address: Address,
     on_connection: Callable[[ServerConnection], Awaitable[None]],
+    on_refused: Callable[[], None],
 ) -> Server:
-    """Listen for peers; port 0 selects a free port."""
+    """Listen for peers; port 0 selects a free port.
+
+    ``on_refused`` is called for each connection beyond those that may wait.
+    """
+    create_connection: Any = Strangers(on_refused).connection
     return await serve(
         on_connection,
         address.host,
@@ -40,6 +50,7 @@
         # Only the side that opened a connection sends pings.
         ping_interval=None,
         server_header=None,
+        create_connection=create_connection,
     )
 
 
@@ -58,4 +69,5 @@
         ping_timeout=PING_TIMEOUT_S,
         proxy=None,
         user_agent_header=None,
+        create_connection=BoundedClientConnection,
     )
