Read a bounded body of an entry in the commands

Cause: the commands read an entry's response to its end, whatever its size, and quoted all of an error that they could not read.

Change: a body may have 64 MiB and a quoted error 1,000 bytes.

--- a/foxtailhatch/cli/ask.py
+++ b/foxtailhatch/cli/ask.py
@@ -2,7 +2,7 @@
 
 import json
 from dataclasses import dataclass
-from http.client import HTTPResponse
+from http.client import HTTPException, HTTPResponse
 
 import click
 from returns.result import Failure, Success
@@ -14,6 +14,7 @@
     bearer_header,
     open_request,
     parse_error,
+    read_body,
 )
 from foxtailhatch.cli.entries import discover_entries
 from foxtailhatch.cli.exit_codes import ExitCode, exit_with_error
@@ -133,12 +134,19 @@
         case Success(HTTPResponse(status=status) as response):
             if status == HTTP_OK:
                 return _print_stream(response, received)
-            return parse_error(response.read())
+            return _read_error(response)
         case Failure(Unreachable(message=message)):
             return Interrupted(message)
     raise AssertionError(address)
 
 
+def _read_error(response: HTTPResponse) -> StreamEnd:
+    try:
+        return parse_error(read_body(response))
+    except (OSError, HTTPException) as exc:
+        return Interrupted(str(exc) or type(exc).__name__)
+
+
 def _print_stream(
     response: HTTPResponse, received: ReceivedTokens
 ) -> StreamEnd:
--- a/foxtailhatch/cli/client.py
+++ b/foxtailhatch/cli/client.py
@@ -3,13 +3,20 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from http.client import HTTPConnection, HTTPException, HTTPResponse
+from http.client import (
+    HTTPConnection,
+    HTTPException,
+    HTTPResponse,
+    IncompleteRead,
+)
 
 from pydantic import BaseModel, ValidationError
 from returns.result import Failure, Result, Success
 
 REQUEST_TIMEOUT_S = 10.0
 HTTP_OK = 200
+MAX_RESPONSE_BYTES = 67_108_864
+MAX_QUOTED_BYTES = 1000
 
 
 class EntryError(BaseModel):
@@ -80,7 +87,7 @@
     try:
         return ErrorEnvelope.model_validate_json(raw).error
     except ValidationError:
-        text = raw.decode(errors='replace')
+        text = raw[:MAX_QUOTED_BYTES].decode(errors='replace')
         return EntryError(code='unreadable', message=text, run='unknown')
 
 
@@ -110,6 +117,19 @@
     raise AssertionError(entry_request)
 
 
+def read_body(response: HTTPResponse) -> bytes:
+    """Return a whole body; raise :class:`HTTPException` if it isn't one.
+
+    A read of limited size doesn't itself notice that a body was cut.
+    """
+    body = response.read(MAX_RESPONSE_BYTES + 1)
+    if len(body) > MAX_RESPONSE_BYTES:
+        raise HTTPException('the response is too large')
+    if response.length:
+        raise IncompleteRead(body, response.length)
+    return body
+
+
 def bearer_header(token: str) -> dict[str, str]:
     """Return the ``Authorization`` header for ``token``."""
     return {'Authorization': f'Bearer {token}'}
@@ -134,6 +154,7 @@
 ) -> Result[EntryResponse, Unreachable]:
     try:
         with response:
-            return Success(EntryResponse(response.status, response.read()))
+            body = read_body(response)
     except (OSError, HTTPException) as exc:
         return Failure(Unreachable(address, str(exc) or type(exc).__name__))
+    return Success(EntryResponse(response.status, body))
