--- a/foxtailhatch/cli/ask.py
+++ b/foxtailhatch/cli/ask.py
@@ -24,6 +24,7 @@
     Interrupted,
     ReceivedTokens,
     StreamEnd,
+    bounded_lines,
 )
 
 MAX_ATTEMPTS = 6
@@ -150,7 +151,7 @@
 def _print_stream(
     response: HTTPResponse, received: ReceivedTokens
 ) -> StreamEnd:
-    for item in received.read_stream(response):
+    for item in received.read_stream(bounded_lines(response)):
         if not isinstance(item, str):
             return item
         click.echo(item, nl=False)
