Soak routers of an old build that are replaced by this one

Rolling upgrades had recorded messages only; no test ran two builds side by side. `make soak-router OLD=COMMIT` makes a work tree of a commit in a temporary folder, starts the routers from it, and replaces them one after the other beside the faults of the soak: by SIGTERM or SIGKILL while a stream runs, two in five rolled back for a while. All checks of the soak apply; further ones are that no process of a router puts an older configuration in force than one before it, and that no endpoint accepts the same order twice in a row from two entries. Builds without `Server-Leaving` are not held to notices.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 SEED ?= 1
 STEPS ?= 200
 SEEDS ?= 1
+# Commit from whose build the routers of soak-router start before they are replaced.
+OLD ?=
 export PYTHONPATH := $(CURDIR)
 
 .PHONY: demo test lint format faults soak soak-router bench binary
@@ -37,7 +39,7 @@
 	PYTHONHASHSEED=0 $(PY) -m tests.soak --seed $(SEED) --steps $(STEPS)
 
 soak-router: $(VENV)/.ready
-	$(PY) -m tests.soak_router --seed $(SEED) --seeds $(SEEDS)
+	$(PY) -m tests.soak_router --seed $(SEED) --seeds $(SEEDS) $(if $(OLD),--old $(OLD))
 
 bench: $(VENV)/.ready
 	$(PY) -m bench
--- a/standins/notice_watch.py
+++ b/standins/notice_watch.py
@@ -39,6 +39,7 @@
         self.violations = violations
         self._told_at: dict[tuple[str, str], float] = {}
         self._pauses: dict[tuple[str, str], list[_AskedPause]] = {}
+        self._unaware: set[str] = set()
 
     @property
     def told(self) -> int:
@@ -50,14 +51,24 @@
         """Return how many pauses entries were asked for."""
         return sum(map(len, self._pauses.values()))
 
+    def set_heeding(self, entry: str, *, is_heeding: bool) -> None:
+        """Set whether an entry knows notices; older builds do not."""
+        self._unaware.discard(entry)
+        if not is_heeding:
+            self._unaware.add(entry)
+
     def record_leaving(self, endpoint: str, entry: str, now: float) -> None:
         """Record an answer to an entry which says that the endpoint leaves."""
+        if entry in self._unaware:
+            return
         self._told_at.setdefault((endpoint, entry), now)
 
     def record_pause(
         self, endpoint: str, entry: str, pause_s: float, now: float
     ) -> None:
         """Record an answer to an entry by which the endpoint asks for a pause."""
+        if entry in self._unaware:
+            return
         asked = _AskedPause(now + ON_THE_WAY_S, now + pause_s)
         self._pauses.setdefault((endpoint, entry), []).append(asked)
 
--- a/tests/soak_router/__main__.py
+++ b/tests/soak_router/__main__.py
@@ -1,6 +1,7 @@
 """Run seeds by hand: ``python -m tests.soak_router --seed 1 --seeds 50``.
 
 ``--kind planned`` plays planned work alone, beside endpoints that fall silent.
+``--old COMMIT`` starts the routers from the build of that commit, and replaces them.
 """
 
 import asyncio
@@ -8,9 +9,11 @@
 import sys
 import tempfile
 import time
+from contextlib import nullcontext
 
 import click
 
+from tests.soak_router.mixed import build_of, mixed_soak
 from tests.soak_router.planned_clients import HABITS
 from tests.soak_router.planned_verdict import log_lines
 from tests.soak_router.planned_work import CLIENTS, planned_soak, work_of
@@ -29,6 +32,7 @@
     default=True,
     help='Whether endpoints leave by their own word and ask for pauses.',
 )
+@click.option('--old', help='Commit of the build that is replaced.')
 @click.option('--clients', default=CLIENTS, help='Clients of planned work.')
 @click.option(
     '--habit',
@@ -37,29 +41,38 @@
     multiple=True,
     help='What clients of planned work do; all habits by default.',
 )
-def main(kind, seed, seeds, steps, notices, clients, habits):
+def main(kind, seed, seeds, steps, notices, old, clients, habits):
     """Run seeds and print the result of each; logs of failed runs are kept."""
     # A run that is ended must end its routers.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    with build_of(old) if old else nullcontext() as build:
+
+        def play(folder, number):
+            if kind == 'planned':
+                work = work_of(number, steps)
+                return planned_soak(
+                    folder, number, work, clients, habits or HABITS
+                )
+            if build is not None:
+                return mixed_soak(
+                    folder, build, number, steps, has_notices=notices
+                )
+            return soak(folder, number, steps, has_notices=notices)
+
+        failed = _play_all(range(seed, seed + seeds), play)
+    for number, folder in failed:
+        click.echo(f'failed: {number}, logs in {folder}')
+    raise SystemExit(bool(failed))
+
+
+def _play_all(numbers, play):
+    """Play seeds; return those that failed, with the folders of their logs."""
     failed = []
-    for number in range(seed, seed + seeds):
+    for number in numbers:
         folder = tempfile.mkdtemp(prefix=f'soak-{number}-')
         started = time.monotonic()
         try:
-            if kind == 'planned':
-                run = asyncio.run(
-                    planned_soak(
-                        folder,
-                        number,
-                        work_of(number, steps),
-                        clients,
-                        habits or HABITS,
-                    )
-                )
-            else:
-                run = asyncio.run(
-                    soak(folder, number, steps, has_notices=notices)
-                )
+            run = asyncio.run(play(folder, number))
             violations = run.violations
             outcomes = dict(run.outcomes)
         except AssertionError as exc:
@@ -68,13 +81,13 @@
         click.echo(
             f'{number}: {violations or "held"} {took_s:.0f} s {outcomes}'
         )
-        if kind == 'planned' and run is not None:
+        if hasattr(run, 'work'):
             _show_planned(run, folder)
+        if hasattr(run, 'replaced'):
+            click.echo(f'  {", ".join(run.replaced)}')
         if violations:
             failed.append((number, folder))
-    for number, folder in failed:
-        click.echo(f'failed: {number}, logs in {folder}')
-    raise SystemExit(bool(failed))
+    return failed
 
 
 def _show_planned(run, folder):
--- a/tests/soak_router/soak.py
+++ b/tests/soak_router/soak.py
@@ -44,8 +44,7 @@
         ]
         for _ in range(steps):
             await self._inject_fault()
-            if self.notices is not None:
-                await self.notices.step()
+            await self._between_faults()
             await asyncio.sleep(self.random.uniform(0.1, 1.0))
         await self._heal()
         await wait_until(
@@ -58,6 +57,10 @@
         await asyncio.gather(*clients)
         self._check()
 
+    async def _between_faults(self):
+        if self.notices is not None:
+            await self.notices.step()
+
     async def _client(self):
         while not self._stopping:
             self._request_count += 1
--- a/tests/soak_router/world.py
+++ b/tests/soak_router/world.py
@@ -30,6 +30,7 @@
 
 
 LAUNCHER = Path(__file__).parent / 'launch.py'
+THIS_BUILD = Path(__file__).parents[2]
 
 
 # These are below the ephemeral ports of the system.  An ephemeral port could be
@@ -77,12 +78,14 @@
 class Router:
     """A router process, its settings and its proxy to the store.
 
-    It connects to endpoints from ``host``, by which they know it.
+    It connects to endpoints from ``host``, by which they know it, and is started from
+    the folder ``build``.
     """
 
     def __init__(self, world, name, zone, folder, host):
         self.name = name
         self.host = host
+        self.build = world.build
         self._notices = world.pool.notices
         self.zone = zone
         self.ports = {part: free_port() for part in ('front', 'ready', 'peer')}
@@ -109,6 +112,7 @@
         log = (self._folder / f'{self.name}.log').open('ab')
         self.process = subprocess.Popen(
             [sys.executable, str(LAUNCHER), self.host],
+            cwd=self.build,
             env=os.environ | {'FOXTAILHATCH_SETTINGS': str(settings)},
             stdout=log,
             stderr=log,
@@ -116,12 +120,16 @@
 
     def version_in_force(self):
         """Return the last version that the router has put in force."""
-        lines = [
-            line
+        versions = self.versions_in_force()
+        return versions[-1] if versions else None
+
+    def versions_in_force(self):
+        """Return the versions that the router has put in force, in order."""
+        return [
+            json.loads(line)['version']
             for line in self.log_text().splitlines()
             if '"event":"configuration"' in line
         ]
-        return json.loads(lines[-1])['version'] if lines else None
 
     def log_text(self):
         """Return all that the router has logged."""
@@ -156,6 +164,7 @@
         self.log = PlatformLog()
         self.pool = EndpointPool(self.log)
         self.version = 0
+        self.build = THIS_BUILD
         self.routers = []
         self._folder = folder
         self._node_count = 0
@@ -172,9 +181,13 @@
             host = f'127.0.0.{index + 11}'
             router = Router(self, f'r{index}', zone, self._folder, host)
             await router.proxy.start()
-            router.start()
+            self.start_router(router)
             self.routers.append(router)
 
+    def start_router(self, router):
+        """Start the next process of a router."""
+        router.start()
+
     def return_older_store(self, lost):
         """Let the store lose records; operators write theirs again."""
         self.log.restore(lost)
