Replace a router of a mixed soak once it has its signal handlers

SIGTERM sent 20 ms after the start of the launcher ends it by the signal in 4 of 4 tries, after 100 ms in 1 of 4 on a busy machine, and never later: it arrives before the interpreter runs any of our code. No build can answer it, and a rolling upgrade replaces a machine that serves.

A replacement now waits until the last process has logged its start, so each build of the plan really runs. The exit code stays checked.

--- a/tests/soak_router/mixed.py
+++ b/tests/soak_router/mixed.py
@@ -131,6 +131,9 @@
     async def _replace(self, planned):
         """End a router while it streams an answer, and start the other build."""
         router = planned.router
+        # Without its handlers a process would end by the signal: it is replaced when
+        # it answers, not while the interpreter starts.
+        await wait_until(router.has_started, f'{router.name} does not start')
         request_id = f'u{len(self.replaced)}'
         pending = asyncio.ensure_future(
             send_request(router.address, request_id, '/m/x')
@@ -142,6 +145,7 @@
             self.violations.append(f'{router.name} ended with {code}')
         router.build = planned.build
         self.world.start_router(router)
+        await wait_until(router.has_started, f'{router.name} does not start')
         response = await pending
         self.responses[request_id] = ('/m/x', response)
         self.outcomes['/m/x', response.status, response.is_whole] += 1
--- a/tests/soak_router/world.py
+++ b/tests/soak_router/world.py
@@ -91,6 +91,7 @@
         self.ports = {part: free_port() for part in ('front', 'ready', 'peer')}
         self.proxy = Proxy(world.log.server.address)
         self.process = None
+        self.starts = 0
         self._folder = Path(folder)
 
     @property
@@ -107,6 +108,7 @@
         It knows nothing of what endpoints said before.
         """
         self._notices.excuse(self.host)
+        self.starts = 1 + self._starts_logged()
         settings = self._folder / f'{self.name}.conf'
         settings.write_text(self._settings())
         log = (self._folder / f'{self.name}.log').open('ab')
@@ -131,6 +133,15 @@
             if '"event":"configuration"' in line
         ]
 
+    async def has_started(self):
+        """Return whether the process that was started last has its handlers."""
+        return self._starts_logged() >= self.starts
+
+    def _starts_logged(self):
+        if not (self._folder / f'{self.name}.log').exists():
+            return 0
+        return self.log_text().count('"event":"start"')
+
     def log_text(self):
         """Return all that the router has logged."""
         return (self._folder / f'{self.name}.log').read_text()
