Ignore what a later build adds to messages between entries

Records of entries, observations, quarantined parts, feeds and work were read only with exactly the fields of this build, and a feed request with an unknown topic was refused as a whole, without a log line. An entry of a later build that adds a field would be taken for absent by all others.

Fields after the known ones are ignored now, at each level. Unknown topics are left out of the answer and logged, as are malformed requests (feed_request_unreadable, once for the same fault in a row). What is written stays the same byte for byte (test_recorded_messages.py).

--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -147,6 +147,7 @@
                 components.board,
                 components.state_sync.mirror,
                 components.heartbeats,
+                components.log,
             ),
         )
 
--- a/foxtailhatch/router/entry_table.py
+++ b/foxtailhatch/router/entry_table.py
@@ -65,15 +65,18 @@
 def decode_entry(fields: object) -> Result[EntryRecord, str]:
     """Return the entry that a list of plain values describes.
 
+    Further values are those of a later build, and are ignored.
+
     >>> decode_entry([]).failure()
     'expected a list of eight fields'
     """
-    if not isinstance(fields, list) or len(fields) != _FIELD_COUNT:
+    if not isinstance(fields, list) or len(fields) < _FIELD_COUNT:
         return Failure('expected a list of eight fields')
-    if not all(map(isinstance, fields, _FIELD_TYPES)):
+    known = fields[:_FIELD_COUNT]
+    if not all(map(isinstance, known, _FIELD_TYPES)):
         return Failure('a field is of another type')
-    record = EntryRecord(*fields[:-1])
-    return Success(replace(record, unreached=tuple(map(str, fields[-1]))))
+    record = EntryRecord(*known[:-1])
+    return Success(replace(record, unreached=tuple(map(str, known[-1]))))
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,7 +101,7 @@
 
 
 def _read_heartbeat(raw: bytes) -> Heartbeat:
-    listed, work = decode_cbor(raw)
+    listed, work, *_ = decode_cbor(raw)
     decoded = map(decode_entry, listed)
     entries = [
         entry.unwrap() for entry in decoded if isinstance(entry, Success)
--- a/foxtailhatch/router/feed.py
+++ b/foxtailhatch/router/feed.py
@@ -6,6 +6,9 @@
 being passed on.  The age is that at the arrival of the request, so the time for
 which the response was held does not make the data look older either.  Positions are those of the log: an entry may switch between
 the store and any other entry.
+
+Fields are told by their places.  Those after the ones known here are a later
+build's, and are ignored, as are topics unknown here.
 """
 
 from dataclasses import dataclass, field
@@ -32,17 +35,23 @@
 
 # Exceptions that malformed input raises during decoding.
 _DECODE_ERRORS = (ValueError, TypeError, AttributeError)
+_TOPIC_FIELDS = 4
+_TOPIC_NAMES = frozenset(map(str, Topic))
 
 Positions = dict[Topic, LogPosition | None]
 
 
 @dataclass(frozen=True, slots=True)
 class FeedRequest:
-    """The requesting entry, its positions, and its work in progress."""
+    """The requesting entry, its positions, and its work in progress.
+
+    ``unknown_topics`` were requested too, but this build does not know them.
+    """
 
     entry: EntryRecord
     positions: Positions
     work: WorkByEndpoint = field(default_factory=dict)
+    unknown_topics: tuple[str, ...] = ()
 
     def encode(self) -> bytes:
         """Return the body of the HTTP request."""
@@ -92,12 +101,9 @@
 def decode_feed_request(raw: bytes) -> Result[FeedRequest, str]:
     """Return the request of another entry, or why it is malformed."""
     try:
-        fields, positions, work = _read_request(raw)
+        return _read_request(raw)
     except _DECODE_ERRORS as exc:
         return Failure(str(exc))
-    return decode_entry(fields).map(
-        lambda entry: FeedRequest(entry, positions, work),
-    )
 
 
 def encode_feed_response(
@@ -183,26 +189,38 @@
 def _read_position(fields: Any) -> LogPosition | None:
     if fields is None:
         return None
-    epoch, offset = fields
+    epoch, offset, *_ = fields
     return LogPosition(int(epoch), int(offset))
 
 
-def _read_request(raw: bytes) -> tuple[object, Positions, WorkByEndpoint]:
-    fields, ends, work = decode_cbor(raw)
-    positions = {Topic(name): _read_position(end) for name, end in ends.items()}
-    return fields, positions, decode_work(work)
+def _read_request(raw: bytes) -> Result[FeedRequest, str]:
+    fields, ends, raw_work, *_ = decode_cbor(raw)
+    positions = {
+        Topic(name): _read_position(end)
+        for name, end in ends.items()
+        if name in _TOPIC_NAMES
+    }
+    unknown = tuple(str(name) for name in ends if name not in _TOPIC_NAMES)
+    work = decode_work(raw_work)
+    return decode_entry(fields).map(
+        lambda entry: FeedRequest(entry, positions, work, unknown),
+    )
 
 
 def _read_response(raw: bytes) -> FeedResponse:
-    topics, work, reads_store = decode_cbor(raw)
+    topics, work, reads_store, *_ = decode_cbor(raw)
     return FeedResponse(
-        {Topic(name): _read_topic(fields) for name, fields in topics.items()},
+        {
+            Topic(name): _read_topic(fields)
+            for name, fields in topics.items()
+            if name in _TOPIC_NAMES
+        },
         decode_work(work),
         reads_store is True,
     )
 
 
 def _read_topic(fields: list[Any]) -> TopicUpdate:
-    pairs, end, is_snapshot, age_s = fields
-    records = tuple(KeyedRecord(key, content) for key, content in pairs)
+    pairs, end, is_snapshot, age_s = fields[:_TOPIC_FIELDS]
+    records = tuple(KeyedRecord(key, content) for key, content, *_ in pairs)
     return TopicUpdate(records, _read_position(end), is_snapshot, age_s)
--- a/foxtailhatch/router/feed_site.py
+++ b/foxtailhatch/router/feed_site.py
@@ -7,6 +7,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
+from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.feed import (
     FEED_PATH,
@@ -23,6 +24,7 @@
 from foxtailhatch.router.mirror import Mirror
 
 BAD_REQUEST = 400
+MAX_FAULT_LENGTH = 200
 
 
 class FeedPage(Resource):
@@ -35,21 +37,23 @@
         board: Blackboard,
         mirror: Mirror,
         heartbeats: Heartbeats,
+        log: StructuredLog,
     ) -> None:
         """Serve the records in ``mirror``."""
         super().__init__()  # type: ignore[no-untyped-call]
         self._board = board
         self._mirror = mirror
         self._heartbeats = heartbeats
+        self._log = log
+        self._last_fault = ''
         self._tasks: set[asyncio.Task[None]] = set()
 
     def render_POST(self, req: Any) -> Any:  # noqa: N802
         """Decode a feed request and respond asynchronously."""
-        decoded = decode_feed_request(req.content.read())
-        if not isinstance(decoded, Success):
+        request = self.decode(req)
+        if request is None:
             req.setResponseCode(BAD_REQUEST)
             return b''
-        request = decoded.unwrap()
         self._heartbeats.record_feed_request(
             request.entry, request.work, self._board.clock()
         )
@@ -59,6 +63,25 @@
         responding.add_done_callback(self._tasks.discard)
         return NOT_DONE_YET
 
+    def decode(self, req: Any) -> FeedRequest | None:
+        """Return the feed request in a body; log what is not understood."""
+        decoded = decode_feed_request(req.content.read())
+        if not isinstance(decoded, Success):
+            self._note_fault(decoded.failure())
+            return None
+        request: FeedRequest = decoded.unwrap()
+        if request.unknown_topics:
+            listed = ', '.join(request.unknown_topics)
+            self._note_fault(f'unknown topics: {listed}')
+        return request
+
+    def _note_fault(self, why: str) -> None:
+        """Log what cannot be read; peers ask again and again."""
+        why = why[:MAX_FAULT_LENGTH]
+        if why != self._last_fault:
+            self._last_fault = why
+            self._log.write('feed_request_unreadable', why=why)
+
     async def _respond(self, req: Any, request: FeedRequest) -> None:
         arrived_at = self._board.clock()
         if not self._is_behind(request):
@@ -90,10 +113,11 @@
     board: Blackboard,
     mirror: Mirror,
     heartbeats: Heartbeats,
+    log: StructuredLog,
 ) -> Site:
     """Return the site that other entries request the feed from."""
     root: Any = Resource()
-    page = FeedPage(board, mirror, heartbeats)
+    page = FeedPage(board, mirror, heartbeats, log)
     root.putChild(FEED_PATH.strip(b'/'), page)
     root.putChild(LEASE_PATH.strip(b'/'), LeasePage(board))
     site = Site(root)
--- a/foxtailhatch/router/observations.py
+++ b/foxtailhatch/router/observations.py
@@ -55,8 +55,10 @@
         fields = orjson.loads(raw)
     except ValueError as exc:
         return Failure(str(exc))
-    if not isinstance(fields, list) or len(fields) != _FIELD_COUNT:
+    if not isinstance(fields, list) or len(fields) < _FIELD_COUNT:
         return Failure('expected a list of six fields')
+    # Further fields are those of a later build.
+    fields = fields[:_FIELD_COUNT]
     if [type(field) for field in fields] != _FIELD_TYPES:
         return Failure('expected types: str, int, bool, int, int, str')
     first, end, by = fields[3:]
--- a/foxtailhatch/router/prompt_records.py
+++ b/foxtailhatch/router/prompt_records.py
@@ -1,7 +1,8 @@
 """Records about parts of prompts that entries share in the log.
 
 All entries read them: which prompts were lost in a crash, which parts are
-known to be sound, and which are quarantined.  The last kind is kept under a key
+known to be sound, and which are quarantined.  Fields after those known here are
+those of a later build, and are ignored.  The last kind is kept under a key
 of its own for each part, so that an entry that has just started finds it.
 """
 
@@ -114,10 +115,13 @@
 
 def _sound(fields: Any) -> SoundRecord:
     return SoundRecord(
-        {str(part): max(0, float(age_s)) for part, age_s in fields[:MAX_PARTS]}
+        {
+            str(part): max(0, float(age_s))
+            for part, age_s, *_ in fields[:MAX_PARTS]
+        }
     )
 
 
 def _part(fields: Any) -> PartRecord:
-    part, trials, entry = fields
+    part, trials, entry, *_ = fields
     return PartRecord(str(part), int(trials), str(entry))
--- a/foxtailhatch/router/work_totals.py
+++ b/foxtailhatch/router/work_totals.py
@@ -11,6 +11,8 @@
 from foxtailhatch.fleet import Work
 from foxtailhatch.fleet.estimate import PEER_WORK_TTL_S, WorkByEndpoint
 
+_COUNTS = 5
+
 
 class WorkTotals:
     """The work in progress that each fed entry last reported."""
@@ -60,13 +62,16 @@
 def decode_work(fields: Mapping[str, list[Any]]) -> dict[str, Work]:
     """Return the work that :func:`encode_work` serialized.
 
+    Further values of an endpoint are those of a later build, and are ignored.
+
     :raises ValueError, TypeError, AttributeError: if the fields are malformed.
 
     >>> decode_work({'e1': [2, 1, 900]})['e1'].received
     1
     """
     return {
-        str(name): _decode_counts(*counts) for name, counts in fields.items()
+        str(name): _decode_counts(*counts[:_COUNTS])
+        for name, counts in fields.items()
     }
 
 
--- a/tests/router/entry_network.py
+++ b/tests/router/entry_network.py
@@ -191,7 +191,7 @@
             self.board, adapter, self.log, self.board.own_entry
         )
         self.page = FeedPage(
-            self.board, self.state_sync.mirror, self.heartbeats
+            self.board, self.state_sync.mirror, self.heartbeats, self.log
         )
 
     def start(self):
