--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -226,3 +226,20 @@
 def test_report_with_layers_out_of_range_has_none():
     raw = json.dumps({'layers': {'from': 0, 'to': 10**30}}).encode()
     assert decode_report(raw).unwrap().layers is None
+
+
+def test_unknown_setting_is_ignored():
+    known = decode_settings(SETTINGS, 7355)
+    assert decode_settings(f'{SETTINGS}\nlater.setting=1\n', 7355) == known
+
+
+def test_unknown_fields_of_the_configuration_are_ignored():
+    engine = ENGINE | {'later': 1}
+    services = [{'name': 's', 'engine': engine, 'later': {}}, {'name': 't'}]
+    assert decoded(services=services, later=[2]) == decoded()
+
+
+def test_unknown_fields_of_an_endpoint_are_ignored():
+    raw = json.dumps(ENDPOINT_RECORD | {'later': [1]}).encode()
+    known = decode_endpoint('e1', json.dumps(ENDPOINT_RECORD).encode())
+    assert decode_endpoint('e1', raw) == known
--- a/tests/router/test_messages_of_later_builds.py
+++ b/tests/router/test_messages_of_later_builds.py
@@ -33,6 +33,8 @@
     SoundRecord,
     decode_prompt_record,
 )
+from tests.router.fakes import board
+from tests.router.test_record_applier import make_applier
 
 ADDED = {'added': 'later'}
 ENTRY = EntryRecord(
@@ -121,3 +123,15 @@
     assert decode_heartbeat(cbor2.dumps([[ENTRY.fields()]])).failure()
     assert decode_observation(orjson.dumps(['i', 5, True])).failure()
     assert decode_prompt_record('part/p', orjson.dumps(['p', 2])).failure()
+
+
+def test_record_of_an_unknown_kind_is_logged_and_changes_nothing():
+    blackboard = board()
+    applier, log = make_applier(blackboard)
+    revision = blackboard.endpoints.revision
+    raw = orjson.dumps({'kind': 'later'})
+    applier.apply_observations(
+        [KeyedRecord('unheard/x', raw)], is_snapshot=False
+    )
+    assert log.of('observation_unreadable') == [{'key': 'unheard/x'}]
+    assert blackboard.endpoints.revision == revision
