--- a/tests/soak_router/world.py
+++ b/tests/soak_router/world.py
@@ -30,6 +30,7 @@
 
 
 LAUNCHER = Path(__file__).parent / 'launch.py'
+THIS_BUILD = Path(__file__).parents[2]
 
 
 # These are below the ephemeral ports of the system.  An ephemeral port could be
@@ -77,17 +78,20 @@
 class Router:
     """A router process, its settings and its proxy to the store.
 
-    It connects to endpoints from ``host``, by which they know it.
+    It connects to endpoints from ``host``, by which they know it, and is started from
+    the folder ``build``.
     """
 
     def __init__(self, world, name, zone, folder, host):
         self.name = name
         self.host = host
+        self.build = world.build
         self._notices = world.pool.notices
         self.zone = zone
         self.ports = {part: free_port() for part in ('front', 'ready', 'peer')}
         self.proxy = Proxy(world.log.server.address)
         self.process = None
+        self.starts = 0
         self._folder = Path(folder)
 
     @property
@@ -104,11 +108,13 @@
         It knows nothing of what endpoints said before.
         """
         self._notices.excuse(self.host)
+        self.starts = 1 + self._starts_logged()
         settings = self._folder / f'{self.name}.conf'
         settings.write_text(self._settings())
         log = (self._folder / f'{self.name}.log').open('ab')
         self.process = subprocess.Popen(
             [sys.executable, str(LAUNCHER), self.host],
+            cwd=self.build,
             env=os.environ | {'FOXTAILHATCH_SETTINGS': str(settings)},
             stdout=log,
             stderr=log,
@@ -116,12 +122,25 @@
 
     def version_in_force(self):
         """Return the last version that the router has put in force."""
-        lines = [
-            line
+        versions = self.versions_in_force()
+        return versions[-1] if versions else None
+
+    def versions_in_force(self):
+        """Return the versions that the router has put in force, in order."""
+        return [
+            json.loads(line)['version']
             for line in self.log_text().splitlines()
             if '"event":"configuration"' in line
         ]
-        return json.loads(lines[-1])['version'] if lines else None
+
+    async def has_started(self):
+        """Return whether the process that was started last has its handlers."""
+        return self._starts_logged() >= self.starts
+
+    def _starts_logged(self):
+        if not (self._folder / f'{self.name}.log').exists():
+            return 0
+        return self.log_text().count('"event":"start"')
 
     def log_text(self):
         """Return all that the router has logged."""
@@ -156,6 +175,7 @@
         self.log = PlatformLog()
         self.pool = EndpointPool(self.log)
         self.version = 0
+        self.build = THIS_BUILD
         self.routers = []
         # The last answers to requests that ask whether routers serve.
         self.last_probes = {}
@@ -174,9 +194,13 @@
             host = f'127.0.0.{index + 11}'
             router = Router(self, f'r{index}', zone, self._folder, host)
             await router.proxy.start()
-            router.start()
+            self.start_router(router)
             self.routers.append(router)
 
+    def start_router(self, router):
+        """Start the next process of a router."""
+        router.start()
+
     def return_older_store(self, lost):
         """Let the store lose records; operators write theirs again."""
         self.log.restore(lost)
