--- a/foxtailhatch/relay/attempt.py
+++ b/foxtailhatch/relay/attempt.py
@@ -109,6 +109,16 @@
         """Return the transport, which can be paused for backpressure."""
         return self._connection.transport
 
+    @property
+    def received_bytes(self) -> int:
+        """Return how many bytes have arrived, heads and framing included."""
+        return self._connection.received_bytes
+
+    @property
+    def exceeded(self) -> str:
+        """Return the limit that ended the response, or an empty string."""
+        return self._connection.exceeded or ''
+
     @property
     def is_truncated(self) -> bool:
         """Return whether an event stream that has ended is incomplete.
--- a/foxtailhatch/relay/http_connection.py
+++ b/foxtailhatch/relay/http_connection.py
@@ -45,6 +45,12 @@
     TIMEOUT = 'timeout'
 
 
+class ResponseLimit(StrEnum):
+    """The limit that a response exceeded, for which it was ended."""
+
+    OVERHEAD = 'overhead'
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a response; header names are lower case."""
@@ -90,6 +96,8 @@
         """Store the first request until the connection is established.
 
         ``request`` is sent as it is, and ``body`` after it.
+        ``received_bytes`` are those since the last request, and ``exceeded``
+        is the limit that ended the response, if one did.
         """
         self._request = request
         self._body = body
@@ -102,6 +110,8 @@
         self._is_skipping = False
         self._is_framed = False
         self._overhead_bytes = 0
+        self.received_bytes = 0
+        self.exceeded: ResponseLimit | None = None
         self.is_reusable = False
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -119,6 +129,7 @@
         """Send another request on an idle connection."""
         self._listener = listener
         self._overhead_bytes = 0
+        self.received_bytes = 0
         self.is_reusable = False
         self._out.write(request)
 
@@ -127,6 +138,7 @@
         if self._listener is None:
             self.abort()
             return
+        self.received_bytes += len(data)
         self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -134,6 +146,7 @@
             self._fail_malformed()
             return
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self.exceeded = ResponseLimit.OVERHEAD
             self._fail_malformed()
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -466,6 +466,8 @@
             next=action.value,
             after_s=round(now - attempt.sent_at, 3),
             events=attempt.event_count,
+            received_bytes=attempt.received_bytes,
+            limit=attempt.exceeded,
         )
         self._context.metrics.record_failed_attempt(
             failure.value, has_begun=attempt.event_count > 0
