--- a/tests/relay/test_http_connection.py
+++ b/tests/relay/test_http_connection.py
@@ -144,6 +144,32 @@
     assert outcome == Failure(TransportFailure.MALFORMED)
 
 
+# Guards against reports and orders whose answers take as much as a page of the
+# store.
+@pytest.mark.xfail(strict=True, reason='issue 44')
+def test_call_takes_no_larger_response_than_it_asks_for():
+    async def scenario():
+        async def serve(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            body = b'a' * 100_000
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n')
+            writer.write(body)
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        reactor = LoopReactor(asyncio.get_running_loop())
+        client = HttpClient(reactor, f'127.0.0.1:{port}')
+        outcome = await client.call(HttpCall('GET', '/report', timeout_s=30))
+        server.close()
+        return outcome
+
+    outcome = asyncio.run(scenario())
+    # A failed comparison would print the whole response.
+    assert isinstance(outcome, Failure)
+    assert outcome.failure() is TransportFailure.MALFORMED
+
+
 # Guards against data that get old by one timeout for each silent connection.
 def test_call_after_a_timeout_uses_no_connection_from_before():
     """All open connections fall silent, while new ones work."""
