Let a called response take no more than its call needs

Reports, orders and lease calls could each take 8 MiB, the limit of a page of the store, as a list of chunks of any size, and nothing counted the calls. A call names its limit, 64 KiB unless it returns records; the body is kept in one buffer, which counts toward the limit of all responses of the process and is given back at the end of the call.

The test in tests/relay/test_http_connection.py failed before.

--- a/foxtailhatch/platform/store.py
+++ b/foxtailhatch/platform/store.py
@@ -10,7 +10,12 @@
 from returns.result import Failure, Result, Success
 
 from foxtailhatch.platform import names
-from foxtailhatch.relay.http_client import HttpCall, HttpClient, HttpResponse
+from foxtailhatch.relay.http_client import (
+    MAX_RECORDS_BYTES,
+    HttpCall,
+    HttpClient,
+    HttpResponse,
+)
 from foxtailhatch.router.keyed_log import (
     KeyedPage,
     KeyedRecord,
@@ -83,7 +88,12 @@
             query['wait_ms'] = int(wait_s * MS_IN_S)
         target = f'/log-read?{urlencode(query)}'
         called = await self._call(
-            HttpCall('GET', target, timeout_s=CALL_TIMEOUT_S + wait_s)
+            HttpCall(
+                'GET',
+                target,
+                timeout_s=CALL_TIMEOUT_S + wait_s,
+                max_response_bytes=MAX_RECORDS_BYTES,
+            )
         )
         return called.bind(lambda response: _decode_page(response, offset))
 
@@ -150,7 +160,11 @@
         if after:
             query['after'] = after
         called = await self._call(
-            HttpCall('GET', f'/log-newest?{urlencode(query)}')
+            HttpCall(
+                'GET',
+                f'/log-newest?{urlencode(query)}',
+                max_response_bytes=MAX_RECORDS_BYTES,
+            )
         )
         return called.bind(_decode_latest)
 
--- a/foxtailhatch/relay/http_client.py
+++ b/foxtailhatch/relay/http_client.py
@@ -6,26 +6,33 @@
 
 from returns.result import Failure, Result, Success
 
+from foxtailhatch.relay.body_memory import HeldBody
 from foxtailhatch.relay.http_connection import (
     HttpConnection,
     ResponseHead,
     TransportFailure,
     open_exchange,
 )
+from foxtailhatch.relay.response_intake import intake_of
 
-# Limit on the body of a response, as it is buffered: four times what a call to
-# the store returns at most.
-MAX_BUFFERED_RESPONSE_BYTES = 8_388_608
+# Limits on the body of a response, as it is buffered: of most calls, and of those
+# that return records, which may be a whole configuration in base64.
+MAX_RESPONSE_BYTES = 65_536
+MAX_RECORDS_BYTES = 8_388_608
 
 
 @dataclass(frozen=True, slots=True)
 class HttpCall:
-    """One HTTP call; ``target`` is the path with its query."""
+    """One HTTP call; ``target`` is the path with its query.
+
+    A response with a body above ``max_response_bytes`` fails the call.
+    """
 
     method: str
     target: str
     body: bytes = b''
     timeout_s: float = 2.0
+    max_response_bytes: int = MAX_RESPONSE_BYTES
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,15 +51,16 @@
 class _ResponseCollector:
     """Collect the chunks of one response into a future."""
 
-    def __init__(self) -> None:
-        """Create the future of the response."""
+    def __init__(self, max_bytes: int, held: HeldBody) -> None:
+        """Create the future of the response, which counts toward ``held``."""
         loop = asyncio.get_running_loop()
         self.fut: asyncio.Future[Result[HttpResponse, TransportFailure]] = (
             loop.create_future()
         )
         self._head: ResponseHead | None = None
-        self._chunks: list[bytes] = []
-        self._received = 0
+        self._body = bytearray()
+        self._max_bytes = max_bytes
+        self._held = held
 
     def head_received(self, head: ResponseHead) -> None:
         """Store the status and headers."""
@@ -60,23 +68,31 @@
 
     def body_received(self, chunk: bytes) -> None:
         """Store a chunk of the body; fail if the body is too long."""
-        self._received += len(chunk)
-        if self._received > MAX_BUFFERED_RESPONSE_BYTES:
-            self._chunks.clear()
+        if self.fut.done():
+            return
+        size = len(self._body) + len(chunk)
+        if size > self._max_bytes or not self._held.resize(size):
             self.response_failed(TransportFailure.MALFORMED)
             return
-        self._chunks.append(chunk)
+        self._body += chunk
 
     def response_completed(self) -> None:
         """Resolve the future with the complete response."""
         if self._head is not None and not self.fut.done():
-            response = HttpResponse(self._head, b''.join(self._chunks))
+            response = HttpResponse(self._head, bytes(self._body))
             self.fut.set_result(Success(response))
+        self.release()
 
     def response_failed(self, fault: TransportFailure) -> None:
         """Resolve the future with the transport failure."""
         if not self.fut.done():
             self.fut.set_result(Failure(fault))
+        self.release()
+
+    def release(self) -> None:
+        """Drop what is buffered."""
+        self._body = bytearray()
+        self._held.release()
 
 
 class HttpClient:
@@ -96,13 +112,15 @@
 
         Connections may go silent all at once, while new ones work.
         """
-        collector = _ResponseCollector()
+        memory = intake_of(self._reactor).memory
+        collector = _ResponseCollector(call.max_response_bytes, memory.hold())
         connection, cancel = self._send(_encode(call, self._address), collector)
         try:
             outcome = await asyncio.wait_for(collector.fut, call.timeout_s)
         except TimeoutError:
             is_connected = connection.is_connected
             cancel()
+            collector.release()
             self._drop_idle()
             return Failure(
                 TransportFailure.TIMEOUT
--- a/foxtailhatch/router/feed.py
+++ b/foxtailhatch/router/feed.py
@@ -16,7 +16,12 @@
 
 from foxtailhatch.core.cbor import decode_cbor
 from foxtailhatch.fleet.estimate import WorkByEndpoint
-from foxtailhatch.relay.http_client import HttpCall, HttpClient, HttpResponse
+from foxtailhatch.relay.http_client import (
+    MAX_RECORDS_BYTES,
+    HttpCall,
+    HttpClient,
+    HttpResponse,
+)
 from foxtailhatch.router.entry_table import EntryRecord, decode_entry
 from foxtailhatch.router.keyed_log import KeyedRecord, LogPosition, Topic
 from foxtailhatch.router.mirror import Mirror, TopicMirror
@@ -135,7 +140,11 @@
         """Return the records since the positions of ``request``."""
         response = await self._client.call(
             HttpCall(
-                'POST', FEED_PATH.decode(), request.encode(), FEED_TIMEOUT_S
+                'POST',
+                FEED_PATH.decode(),
+                request.encode(),
+                FEED_TIMEOUT_S,
+                MAX_RECORDS_BYTES,
             ),
         )
         return (
--- a/tests/relay/test_http_connection.py
+++ b/tests/relay/test_http_connection.py
@@ -7,7 +7,7 @@
 from twisted.internet.testing import StringTransport
 
 from foxtailhatch.relay.http_client import (
-    MAX_BUFFERED_RESPONSE_BYTES,
+    MAX_RECORDS_BYTES,
     HttpCall,
     HttpClient,
 )
@@ -126,7 +126,7 @@
             await reader.readuntil(b'\r\n\r\n')
             writer.write(b'HTTP/1.1 200 OK\r\n\r\n')
             try:
-                for _ in range(2 * MAX_BUFFERED_RESPONSE_BYTES // READ_BYTES):
+                for _ in range(2 * MAX_RECORDS_BYTES // READ_BYTES):
                     writer.write(b'a' * READ_BYTES)
                     await writer.drain()
             except ConnectionError:
@@ -136,7 +136,8 @@
         port = server.sockets[0].getsockname()[1]
         reactor = LoopReactor(asyncio.get_running_loop())
         client = HttpClient(reactor, f'127.0.0.1:{port}')
-        outcome = await client.call(HttpCall('GET', '/', timeout_s=30))
+        call = HttpCall('GET', '/', b'', 30, MAX_RECORDS_BYTES)
+        outcome = await client.call(call)
         server.close()
         return outcome
 
@@ -146,7 +147,6 @@
 
 # Guards against reports and orders whose answers take as much as a page of the
 # store.
-@pytest.mark.xfail(strict=True, reason='issue 44')
 def test_call_takes_no_larger_response_than_it_asks_for():
     async def scenario():
         async def serve(reader, writer):
@@ -215,6 +215,9 @@
     def __init__(self, loop):
         self._loop = loop
 
+    def callLater(self, delay, call):  # noqa: N802
+        self._loop.call_later(delay, call)
+
     def connectTCP(self, host, port, factory, timeout):  # noqa: N802
         connection = factory.buildProtocol(None)
         return LoopConnector(self._loop, host, port, connection)
--- a/tests/relay/test_response_intake.py
+++ b/tests/relay/test_response_intake.py
@@ -1,15 +1,27 @@
 """What all responses in progress may take of the process."""
 
+import asyncio
+
 import pytest
+from returns.result import Success
 from twisted.internet.error import ConnectionDone
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
+from foxtailhatch.relay.http_client import (
+    MAX_RECORDS_BYTES,
+    HttpCall,
+    HttpClient,
+)
 from foxtailhatch.relay.http_connection import (
     HttpConnection,
     TransportFailure,
     open_exchange,
 )
+from foxtailhatch.relay.response_intake import (
+    RESPONSE_MEMORY_BYTES,
+    intake_of,
+)
 
 HEAD = b'HTTP/1.1 200 OK\r\nX-Id: q1\r\n'
 CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
@@ -193,3 +205,68 @@
     later, listener = connect(reactor)
     later.dataReceived(HEAD + b'X-Long: ' + b'a' * 60_000)
     assert listener.fault is None
+
+
+class CallReactor(MemoryReactorClock):
+    """Connect each call at once, and keep the connections."""
+
+    def __init__(self):
+        super().__init__()
+        self.connections = []
+
+    def connectTCP(self, *args, **kwargs):  # noqa: N802
+        connector = super().connectTCP(*args, **kwargs)
+        connection = self.tcpClients[-1][2].buildProtocol(None)
+        transport = StringTransport()
+        transport.setTcpNoDelay = lambda _: None
+        connection.makeConnection(transport)
+        self.connections.append(connection)
+        return connector
+
+
+# Guards against buffered responses whose number is not counted.
+def test_called_responses_share_a_limit_and_give_it_back():
+    size = 4_000_000
+
+    async def scenario():
+        reactor = CallReactor()
+        call = HttpCall('GET', '/', b'', 30, MAX_RECORDS_BYTES)
+        calls = [
+            asyncio.ensure_future(HttpClient(reactor, '10.0.0.1:80').call(call))
+            for _ in range(40)
+        ]
+        await asyncio.sleep(0)
+        head = HEAD + b'Content-Length: %d\r\n\r\n' % (size + 1)
+        for connection in reactor.connections:
+            connection.dataReceived(head + bytes(size))
+        held = intake_of(reactor).memory.held_bytes
+        for connection in reactor.connections:
+            connection.dataReceived(b'a')
+        outcomes = await asyncio.gather(*calls)
+        return held, outcomes, intake_of(reactor).memory.held_bytes
+
+    held, outcomes, left = asyncio.run(scenario())
+    assert size <= held <= RESPONSE_MEMORY_BYTES
+    whole = [one for one in outcomes if isinstance(one, Success)]
+    assert 0 < len(whole) * size <= RESPONSE_MEMORY_BYTES
+    assert left == 0
+
+
+# Guards against a body that is kept after its call has timed out.
+def test_call_that_times_out_gives_its_memory_back():
+    async def scenario():
+        reactor = CallReactor()
+        call = HttpCall('GET', '/', timeout_s=0.01)
+        calling = asyncio.ensure_future(
+            HttpClient(reactor, '10.0.0.1:80').call(call)
+        )
+        await asyncio.sleep(0)
+        head = HEAD + b'Content-Length: 60000\r\n\r\n'
+        reactor.connections[0].dataReceived(head + bytes(50_000))
+        held = intake_of(reactor).memory.held_bytes
+        await calling
+        return held, intake_of(reactor).memory.held_bytes
+
+    held, left = asyncio.run(scenario())
+    assert held >= 50_000
+    assert left == 0
