--- a/foxtailhatch/relay/http_connection.py
+++ b/foxtailhatch/relay/http_connection.py
@@ -322,14 +322,19 @@
 
         All of it is parsed if it ``is_last``.
         """
-        while self._unparsed:
-            size = self._slice_bytes
-            piece = self._unparsed[:size]
-            self._unparsed = self._unparsed[size:]
-            self._parse_slice(piece)
-            if self._listener is None and self._unparsed:
+        raw = self._unparsed
+        self._unparsed = b''
+        begin = 0
+        while begin < len(raw):
+            end = begin + self._slice_bytes
+            self._parse_slice(raw[begin:end])
+            begin = end
+            is_cut = begin < len(raw)
+            if is_cut and self._listener is None:
                 self.abort()
-            elif self._unparsed and self._is_used_up and not is_last:
+                return
+            if is_cut and self._is_used_up and not is_last:
+                self._unparsed = raw[begin:]
                 self._wait()
                 return
         self._apply_pause()
