--- a/tests/relay/test_response_intake.py
+++ b/tests/relay/test_response_intake.py
@@ -239,9 +239,11 @@
         head = HEAD + b'Content-Length: %d\r\n\r\n' % (size + 1)
         for connection in reactor.connections:
             connection.dataReceived(head + bytes(size))
+            reactor.advance(0.001)
         held = intake_of(reactor).memory.held_bytes
         for connection in reactor.connections:
             connection.dataReceived(b'a')
+            reactor.advance(0.001)
         outcomes = await asyncio.gather(*calls)
         return held, outcomes, intake_of(reactor).memory.held_bytes
 
