--- a/foxtailhatch/relay/attempt.py
+++ b/foxtailhatch/relay/attempt.py
@@ -106,8 +106,18 @@
 
     @property
     def transport(self) -> object:
-        """Return the transport, which can be paused for backpressure."""
-        return self._connection.transport
+        """Return the producer that can be paused for backpressure."""
+        return self._connection
+
+    @property
+    def received_bytes(self) -> int:
+        """Return how many bytes have arrived, heads and framing included."""
+        return self._connection.received_bytes
+
+    @property
+    def exceeded(self) -> str:
+        """Return the limit that ended the response, or an empty string."""
+        return self._connection.exceeded or ''
 
     @property
     def is_truncated(self) -> bool:
