Bound what all request bodies of callers take together

Cause: a request's body has a limit, but the number of connections has none, and a body that is larger than 100,000 bytes is kept in a temporary file, which on an instance without a disk is memory too.

Change: bodies take of one account (BodyMemory, as in the router) until their answer has ended or their connection is lost. Without room a request is refused as queue_full with a Retry-After, which replies to incomplete requests lacked; it has not run. A refused request's body is dropped at once, not with its connection.

Ruled out: heads of requests, which the server bounds to 16,384 bytes and 500 lines each, and input behind a request, which it stops reading.

--- a/foxtailhatch/callers/api_context.py
+++ b/foxtailhatch/callers/api_context.py
@@ -1,7 +1,7 @@
 """Objects that all resources of the HTTP API share."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from foxtailhatch.callers.answer_timing import AnswerTimes
@@ -10,6 +10,7 @@
 from foxtailhatch.callers.tokens import Tokenizer
 from foxtailhatch.core import ErrorCode, InvariantViolation
 from foxtailhatch.core.reactor_clock import ReactorClock
+from foxtailhatch.relay.body_memory import BodyMemory
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +65,7 @@
     ``clock`` schedules timeouts.  ``wall_time`` returns seconds since the
     epoch, and ``new_request_id`` a unique id for each request.  If
     ``operators`` is ``None``, the paths below ``/admin`` are forbidden.
+    ``bodies`` is the memory that all request bodies may take together.
     """
 
     gateway: Gateway
@@ -74,3 +76,4 @@
     wall_time: Callable[[], float]
     new_request_id: Callable[[], str]
     operators: OperatorAccess | None = None
+    bodies: BodyMemory = field(default_factory=BodyMemory)
--- a/foxtailhatch/callers/limited_request.py
+++ b/foxtailhatch/callers/limited_request.py
@@ -12,6 +12,13 @@
 from foxtailhatch.core import ErrorCode, InvariantViolation, Refusal
 from foxtailhatch.core.reactor_clock import DelayedCall
 
+NO_ROOM_RETRY_S = 1.0
+NO_ROOM = Refusal(
+    ErrorCode.QUEUE_FULL,
+    'The bodies of the requests at this entry leave no memory for this one.',
+    retry_after_s=NO_ROOM_RETRY_S,
+)
+
 
 class LimitedRequest(server.Request):
     """A request that is refused if its body is too large or too slow.
@@ -27,6 +34,7 @@
         self._context = context
         self._refused = False
         self._body_bytes = 0
+        self._held = context.bodies.hold()
         self._timeout: DelayedCall | None = context.clock.callLater(
             context.limits.body_timeout_s,
             self._refuse_slow_request,
@@ -45,8 +53,10 @@
         self._body_bytes += len(data)
         if self._body_bytes > self._context.limits.body_bytes:
             self._refuse_large_body()
-        else:
+        elif self._held.resize(self._body_bytes):
             server.Request.handleContentChunk(self, data)
+        else:
+            self.refuse(NO_ROOM)
 
     def requestReceived(
         self,
@@ -64,8 +74,14 @@
     def connectionLost(self, reason: Failure) -> None:
         """Cancel the timeout when the connection is lost."""
         self._cancel_timeout()
+        self._held.release()
         server.Request.connectionLost(self, reason)
 
+    def finish(self) -> None:
+        """Give the memory of the body back with the end of the answer."""
+        self._held.release()
+        server.Request.finish(self)
+
     def processingFailed(self, reason: Failure) -> Failure:
         """Reply with an internal error, and report a violated invariant."""
         if isinstance(reason.value, InvariantViolation):
@@ -86,6 +102,7 @@
         """Refuse the request before it is complete."""
         # Twisted needs the method to reply, and sets it only after the body.
         self._refused = True
+        self._drop_body()
         # Otherwise the channel sends 100 Continue after the refusal.
         self.requestHeaders.removeHeader(b'Expect')
         self._cancel_timeout()
@@ -93,6 +110,11 @@
         channel = cast(CallerChannel, self.channel)
         channel.send_last(raw_reply(refusal))
 
+    def _drop_body(self) -> None:
+        self._held.release()
+        if self.content is not None:
+            self.content.close()
+
     def _refuse_large_body(self) -> None:
         limit = self._context.limits.body_bytes
         message = f'The body is larger than {limit} bytes.'
--- a/foxtailhatch/callers/replies.py
+++ b/foxtailhatch/callers/replies.py
@@ -70,9 +70,12 @@
     """Return a complete HTTP response with ``Connection: close``."""
     status = HTTPStatus(HTTP_STATUSES[refusal.code])
     body = error_body(refusal)
+    fields = ''.join(
+        f'{name}: {text}\r\n' for name, text in error_headers(refusal).items()
+    )
     head = (
         f'HTTP/1.1 {status.value} {status.phrase}\r\n'
-        'Content-Type: application/json\r\n'
+        f'{fields}'
         f'Content-Length: {len(body)}\r\n'
         'Connection: close\r\n\r\n'
     )
