--- a/tests/callers/test_body_memory.py
+++ b/tests/callers/test_body_memory.py
@@ -1,6 +1,7 @@
 """What the bodies of all requests take together."""
 
 import asyncio
+from contextlib import suppress
 
 from foxtailhatch.core import ErrorCode
 from foxtailhatch.relay.body_memory import BodyMemory
@@ -70,3 +71,32 @@
     server.clock.advance(10)
     assert (await read_reply(slow_reader)).status == 408
     await _until(lambda: memory.held_bytes == 0)
+
+
+# Guards against heads without end, of many lines or of one.
+@with_server
+async def test_a_head_without_end_ends_its_connection(server):
+    for line in (b'a: b\r\n', b'a: ' + b'b' * 9000 + b'\r\n', b'x' * 9000):
+        reader, writer = await server.connect()
+        writer.write(b'GET /healthz HTTP/1.1\r\n' + line * 3000)
+        # The server's clock stands still, so that no timeout ends it.
+        with suppress(ConnectionError):
+            await reader.read(-1)
+        assert reader.at_eof() or reader.exception() is not None
+        writer.transport.abort()
+
+
+# Guards against requests without end behind one that is being served.
+@with_server
+async def test_input_behind_a_request_is_not_read_without_end(server):
+    reader, writer = await server.connect()
+    document = b'{"model":"guide","prompt":"x"}'
+    writer.write(request_bytes('POST', PATH, document, HEADERS))
+    await _until(lambda: server.gateway.requests)
+    (channel,) = server.connections._channels
+    writer.write(b'x' * 10_000_000)
+    await _until(lambda: any(channel._dataBuffer))
+    for _ in range(200):
+        await asyncio.sleep(0)
+    assert sum(map(len, channel._dataBuffer)) < 1_000_000
+    writer.transport.abort()
