Take only the records of the log that were asked for

Cause: of a page only its end was compared with the offset asked for. With a 'first' that is not the log's, readers took all records before it for lost; a page of any size was held.

Ruled out: records out of order reached no reader's state, as each takes the next offset only.

Change: a page holds the records from the offset on, without gaps, within its bounds and up to the limit asked for; its offsets and epoch fit in ordered offsets. Else the read is an invalid response, and is tried again.

--- a/foxtailhatch/outside/log_http.py
+++ b/foxtailhatch/outside/log_http.py
@@ -16,6 +16,8 @@
 )
 from foxtailhatch.outside.json_responses import parse_response
 from foxtailhatch.outside.log_offsets import (
+    MAX_EPOCH,
+    MAX_OFFSET,
     epoch_of,
     offset_in_epoch,
     ordered_offset,
@@ -131,16 +133,19 @@
         response = await self._client.send(self._address, call, self._timeout_s)
         return response.bind(
             lambda reply: parse_response(_pages, reply),
-        ).bind(lambda document: _following_page(document, offset))
+        ).bind(lambda document: _following_page(document, offset, limit))
 
 
 def _following_page(
-    document: LogDocument, offset: int
+    document: LogDocument, offset: int, limit: int
 ) -> Result[LogPage, PlatformError]:
     """Return the page that was read from ``offset``.
 
     A log that has lost records without naming a new epoch cannot be followed.
     """
+    if not _is_in_order(document, offset_in_epoch(offset), limit):
+        wrong = f'the records are not those from offset {offset} on'
+        return Failure(PlatformError(PlatformFault.INVALID_RESPONSE, wrong))
     page = document.page()
     if document.epoch > epoch_of(offset):
         return Success(LogPage((), page.first, page.end))
@@ -148,3 +153,19 @@
         lost = f'the log ends at {page.end}, before offset {offset}'
         return Failure(PlatformError(PlatformFault.INVALID_RESPONSE, lost))
     return Success(page)
+
+
+def _is_in_order(document: LogDocument, start: int, limit: int) -> bool:
+    """Return whether a page holds records as they were asked for.
+
+    A reader goes on behind the page, and takes what lies before its first
+    record for lost.
+    """
+    offsets = [record.offset for record in document.records]
+    bounds = [0, document.first, document.end, MAX_OFFSET]
+    if bounds != sorted(bounds) or not 0 <= document.epoch <= MAX_EPOCH:
+        return False
+    first = max(start, document.first)
+    expected = list(range(first, first + len(offsets)))
+    is_within = not offsets or offsets[-1] < document.end
+    return offsets == expected and is_within and len(offsets) <= limit
--- a/foxtailhatch/outside/log_offsets.py
+++ b/foxtailhatch/outside/log_offsets.py
@@ -10,7 +10,10 @@
 from typing import Final
 
 OFFSET_BITS: Final = 40
-_OFFSET_MASK: Final = (1 << OFFSET_BITS) - 1
+MAX_OFFSET: Final = (1 << OFFSET_BITS) - 1
+# An ordered offset has to fit the counts of the wire format between entries.
+EPOCH_BITS: Final = 22
+MAX_EPOCH: Final = (1 << EPOCH_BITS) - 1
 
 
 def ordered_offset(epoch: int, offset: int) -> int:
@@ -33,4 +36,4 @@
     >>> offset_in_epoch(ordered_offset(epoch=5, offset=8))
     8
     """
-    return ordered & _OFFSET_MASK
+    return ordered & MAX_OFFSET
