Bound what the messages of all links take together

Cause: a message of a peer may have 4 MiB, and its beginning is kept on each of 32 links and of those that are being opened.

Change: the messages that have begun on all links take of one account (BodyMemory). A link without room ends and is counted in links_refused; what it carried is state that is sent again.

--- a/foxtailhatch/peers/node.py
+++ b/foxtailhatch/peers/node.py
@@ -17,6 +17,7 @@
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
 from foxtailhatch.core import Address, HybridClock
+from foxtailhatch.peers.bounded_connection import ConnectionLimits
 from foxtailhatch.peers.codec import decode, encode
 from foxtailhatch.peers.handshake import AuthenticatedPeer, PeerIdentity
 from foxtailhatch.peers.link import (
@@ -65,6 +66,7 @@
         self._on_message = on_message
         self._on_unreachable = on_unreachable
         self._pool = LinkPool(settings.links_max)
+        self._limits = ConnectionLimits(self._count_refused)
         self._opening: dict[Address, Outbox] = {}
         self._unauthenticated: set[Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -73,7 +75,7 @@
     async def start(self) -> Address:
         """Start listening, and return the address with the actual port."""
         self._server = await listen(
-            self.identity.address, self._accept, self._count_refused
+            self.identity.address, self._accept, self._limits
         )
         port = self._server.sockets[0].getsockname()[1]
         address = replace(self.identity.address, port=port)
@@ -154,7 +156,7 @@
 
     async def _dial(self, address: Address, outbox: Outbox) -> PeerLink | None:
         try:
-            conn = await dial(address)
+            conn = await dial(address, self._limits)
         except (OSError, TimeoutError, InvalidHandshake):
             return None
         proof = authenticate_to_server(conn, self._key, self.identity)
--- a/foxtailhatch/peers/server.py
+++ b/foxtailhatch/peers/server.py
@@ -8,10 +8,7 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 
 from foxtailhatch.core import Address
-from foxtailhatch.peers.bounded_connection import (
-    BoundedClientConnection,
-    Strangers,
-)
+from foxtailhatch.peers.bounded_connection import ConnectionLimits
 from foxtailhatch.peers.handshake import HANDSHAKE_MAX_BYTES
 
 OPEN_TIMEOUT_S = 2.0
@@ -30,13 +27,10 @@
 async def listen(
     address: Address,
     on_connection: Callable[[ServerConnection], Awaitable[None]],
-    on_refused: Callable[[], None],
+    limits: ConnectionLimits,
 ) -> Server:
-    """Listen for peers; port 0 selects a free port.
-
-    ``on_refused`` is called for each connection beyond those that may wait.
-    """
-    create_connection: Any = Strangers(on_refused).connection
+    """Listen for peers; port 0 selects a free port."""
+    create_connection: Any = limits.server
     return await serve(
         on_connection,
         address.host,
@@ -54,8 +48,9 @@
     )
 
 
-async def dial(address: Address) -> ClientConnection:
+async def dial(address: Address, limits: ConnectionLimits) -> ClientConnection:
     """Open a connection to a peer; errors of the library propagate."""
+    create_connection: Any = limits.client
     host = f'[{address.host}]' if ':' in address.host else address.host
     return await connect(
         f'ws://{host}:{address.port}',
@@ -69,5 +64,5 @@
         ping_timeout=PING_TIMEOUT_S,
         proxy=None,
         user_agent_header=None,
-        create_connection=BoundedClientConnection,
+        create_connection=create_connection,
     )
--- a/tests/peers/test_bounded_connection.py
+++ b/tests/peers/test_bounded_connection.py
@@ -81,3 +81,25 @@
         with pytest.raises(ConnectionClosed) as closed:
             await conn.recv()
         assert closed.value.rcvd is None
+
+
+# Guards against messages that begin on all links, each within its limit, and
+# fill the memory together.
+@run_on_loop
+async def test_messages_that_arrive_keep_within_the_memory():
+    async with running_peers(Peer('a')) as (peer,):
+        memory = peer.node._limits.memory
+        memory._limit_bytes = 400_000
+        opened = [(await raw_authenticated(peer))[0] for _ in range(3)]
+        for conn in opened:
+            # The beginning of a frame of 3,000,000 bytes.
+            head = b'\x82\xff' + (3_000_000).to_bytes(8, 'big') + b'mask'
+            conn.transport.write(head + b'x' * 140_000)
+        while not peer.node.counters.links_refused:
+            await asyncio.sleep(0)
+        assert memory.held_bytes <= 300_000
+        assert peer.node.counters.links_refused == 1
+        for conn in opened:
+            conn.transport.abort()
+        while memory.held_bytes:
+            await asyncio.sleep(0)
