Wait for a late stage of an answer that must not run again

Cause: a stage that was late by 0.27 s counted as failed. An answer that must not run again then ended with outcome_unknown, though its engine had only been slow to get a processor. tests/whole/test_claimed_answers.py showed it: a first request was refused 0.32 s after its chain was chosen, with both sessions open (504, run: ran).

Ruled out: a lost session or a missing endpoint (the entry logged neither), and the claim (the second entry reported the same outcome).

Change: once a step was sent, such an answer waits for a stage until its session is lost, and for 20 s at most. Before a step was sent, and for all other answers, nothing changes.

Result: test_an_answer_that_is_not_repeatable_waits_for_a_silent_endpoint failed before and passes now.

--- a/foxtailhatch/pipeline/answer.py
+++ b/foxtailhatch/pipeline/answer.py
@@ -151,16 +151,27 @@
         return list(self._recover({endpoint}, now, now))
 
     def tick(self, now: float, stall_policy: StallPolicy) -> list[Action]:
-        """Replace stages past their timeout, or retry the chain selection."""
+        """Replace stages past their timeout, or retry the chain selection.
+
+        An answer that must not run again waits for a stage until its session
+        is lost, and for ``RECOVERY_WINDOW_S`` at most.
+        """
         if self.done:
             return []
         if self.attempt is None:
             return list(self._retry_choice(now))
-        overdue = [
-            stage
-            for stage in self.attempt.stages
-            if _is_overdue(stage, now, stall_policy)
-        ]
+        if self._may_run_again:
+            overdue = [
+                stage
+                for stage in self.attempt.stages
+                if _is_overdue(stage, now, stall_policy)
+            ]
+        else:
+            overdue = [
+                stage
+                for stage in self.attempt.stages
+                if _waits_longer(stage, RECOVERY_WINDOW_S, now)
+            ]
         if not overdue:
             return []
         names = {stage.endpoint for stage in overdue}
@@ -197,6 +208,10 @@
             self.attempt.send_pending_tokens(self._tokens, now)
         )
 
+    @property
+    def _may_run_again(self) -> bool:
+        return self.plan.repeatable or not self._step_sent
+
     def _is_current(self, frame: DownFrame) -> TypeGuard[StageFrame]:
         if isinstance(frame, Pong) or frame.stream != self.plan.stream:
             return False
@@ -324,7 +339,7 @@
         attempt = self.attempt
         if attempt is None:
             return
-        if self._step_sent and not self.plan.repeatable:
+        if not self._may_run_again:
             yield from attempt.cancel()
             yield from self._fail(NOT_REPEATABLE)
             return
@@ -422,11 +437,14 @@
 
 
 def _is_overdue(stage: StageRun, now: float, stall_policy: StallPolicy) -> bool:
-    if not stage.is_awaiting_frame():
-        return False
     timeout_s = stall_policy.timeout_s(
         stage.endpoint, stage.pending_positions()
     )
-    if now - stage.waiting_since <= timeout_s:
+    if not _waits_longer(stage, timeout_s, now):
         return False
     return stall_policy.may_replace(stage.endpoint)
+
+
+def _waits_longer(stage: StageRun, wait_s: float, now: float) -> bool:
+    """Return whether a stage owes a frame for longer than ``wait_s``."""
+    return stage.is_awaiting_frame() and now - stage.waiting_since > wait_s
--- a/tests/pipeline/test_answer.py
+++ b/tests/pipeline/test_answer.py
@@ -4,12 +4,14 @@
 from foxtailhatch.core import (
     Chain,
     ChainStage,
+    ErrorCode,
     InvariantViolation,
     LayerRange,
     RunState,
 )
 from foxtailhatch.outside.frames import CancelStage, StageOutput, StepStage
 from foxtailhatch.pipeline import AnswerFailed, AnswerFinished, AnswerRun
+from foxtailhatch.pipeline.answer import RECOVERY_WINDOW_S
 from foxtailhatch.pipeline.attempt import Attempt
 from foxtailhatch.pipeline.retained_inputs import RetainedInputs
 from tests.pipeline.fakes import (
@@ -178,6 +180,30 @@
     assert frames == [CancelStage('s', 1)] * 3
 
 
+# Guards against an answer that may not run again and is ended with an unknown outcome,
+# as an engine was silent for some tenths of a second.
+def test_an_answer_that_is_not_repeatable_waits_for_a_silent_endpoint():
+    driver = started_driver(repeatable=False)
+    driver.pump(until_tokens=3)
+    on_their_way = list(driver.pending)
+    driver.pending.clear()
+    driver.wait(2)
+    assert driver.outcome is None
+    driver.pending.extend(on_their_way)
+    driver.pump()
+    assert driver.delivered == expected_tokens()
+    assert driver.run.attempt_number == 1
+
+
+def test_an_answer_that_is_not_repeatable_does_not_wait_for_ever():
+    driver = started_driver(repeatable=False)
+    driver.pump(until_tokens=3)
+    driver.pending.clear()
+    driver.wait(RECOVERY_WINDOW_S + 1)
+    assert driver.outcome.refusal.code is ErrorCode.OUTCOME_UNKNOWN
+    assert driver.run.attempt_number == 1
+
+
 def test_an_answer_resumes_after_the_tokens_that_the_caller_received():
     received = tuple(expected_tokens()[:5])
     driver = Driver(AnswerRun(plan(received=received), FixedChains()))
