--- a/tests/callers/test_body_memory.py
+++ b/tests/callers/test_body_memory.py
@@ -67,9 +67,10 @@
     _, lost = await _send_part(server, memory)
     lost.close()
     await _until(lambda: memory.held_bytes == 0)
-    slow_reader, _ = await _send_part(server, memory)
+    slow_reader, slow_writer = await _send_part(server, memory)
     server.clock.advance(10)
     assert (await read_reply(slow_reader)).status == 408
+    slow_writer.close()
     await _until(lambda: memory.held_bytes == 0)
 
 
