Send retries to endpoints that are not back from a pause, if any suffices

Selection for a retry now leaves out endpoints that have taken no request since their pause, unless no chain is left without them. First attempts still probe them. The new test fails without the change.

--- a/foxtailhatch/fleet/pauses.py
+++ b/foxtailhatch/fleet/pauses.py
@@ -74,6 +74,11 @@
             return False
         return now < known.next_send_at
 
+    def is_returning(self, endpoint: LiveEndpoint) -> bool:
+        """Return whether an endpoint has taken no request since its pause."""
+        known = self._pauses.get(endpoint.name)
+        return known is not None and known.incarnation == endpoint.incarnation
+
     def left_s(self, endpoint: LiveEndpoint, now: float) -> float:
         """Return how many seconds are left of the pause of an endpoint."""
         known = self._pauses.get(endpoint.name)
--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -260,6 +260,15 @@
             if self.pauses.is_paused(endpoint, now)
         ]
 
+    def returning(self, service: str) -> list[LiveEndpoint]:
+        """Return the endpoints that have taken no request since a pause.
+
+        Those that are still paused are among them.
+        """
+        if not self.pauses:
+            return []
+        return list(filter(self.pauses.is_returning, self.alive(service)))
+
     def shortest_pause_s(self, service: str, now: float) -> float:
         """Return after how many seconds the first endpoint may get work.
 
--- a/foxtailhatch/router/endpoint_selection.py
+++ b/foxtailhatch/router/endpoint_selection.py
@@ -44,6 +44,7 @@
         """
         endpoints = self._board.endpoints
         name = selection.service.name
+        is_retry = bool(selection.exclude)
         paused = {one.name for one in endpoints.paused(name, now)}
         if paused:
             selection = replace(selection, exclude=selection.exclude | paused)
@@ -53,10 +54,27 @@
             if not heads:
                 return None
             selection = replace(selection, heads=heads)
-        chosen = self._select_from(selection, endpoints.usable(name, now))
-        if chosen is None:
-            chosen = self._select_from(selection, alive)
-        return chosen
+        usable = endpoints.usable(name, now)
+        settled = self._select_settled(selection, usable) if is_retry else None
+        return (
+            settled
+            or self._select_from(selection, usable)
+            or self._select_from(selection, alive)
+        )
+
+    def _select_settled(
+        self, selection: SelectionRequest, usable: Sequence[LiveEndpoint]
+    ) -> SelectedChain | None:
+        """Return a chain for a retry without endpoints back from a pause.
+
+        They may ask for the next one, and a request has few attempts.
+        """
+        returning = self._board.endpoints.returning(selection.service.name)
+        names = {endpoint.name for endpoint in returning}
+        if not names - selection.exclude:
+            return None
+        exclude = selection.exclude | names
+        return self._select_from(replace(selection, exclude=exclude), usable)
 
     def _admitting_heads(
         self,
--- a/tests/router/test_paused_endpoints.py
+++ b/tests/router/test_paused_endpoints.py
@@ -61,6 +61,24 @@
     assert selector.select(selection, 102) is not None
 
 
+def test_retry_avoids_endpoints_that_return_from_a_pause(env):
+    """They may ask for the next pause, and the request has no third attempt."""
+    env.endpoints.put(endpoint('e3'), 100)
+    selector = LoadAwareSelector(env, Random(1))
+    env.endpoints.pauses.record(endpoint('e2'), 0.5, 100)
+    first = SelectionRequest(PLAIN, request())
+    retry = SelectionRequest(PLAIN, request(), exclude=frozenset(('e1',)))
+    chosen = {selector.select(first, 101)[0].endpoint.name for _ in range(20)}
+    assert chosen == {'e1', 'e2', 'e3'}
+    chosen = {selector.select(retry, 101)[0].endpoint.name for _ in range(20)}
+    assert chosen == {'e3'}
+    rest = SelectionRequest(PLAIN, request(), exclude=frozenset(('e1', 'e3')))
+    assert selector.select(rest, 101)[0].endpoint.name == 'e2'
+    env.endpoints.pauses.record_answers([endpoint('e2')], 101)
+    chosen = {selector.select(retry, 101)[0].endpoint.name for _ in range(20)}
+    assert chosen == {'e2', 'e3'}
+
+
 def test_paused_engine_gets_no_report_order_or_reroute(env):
     engines = CountingEngines()
     recorder = ReachRecorder(engines, env)
