Let a broken invariant end the process from within a response too

Cause: what a listener raises in a callback of the parser reaches its caller as a parser error. A broken invariant there counted as a malformed answer, and the process went on.

Change: the parser's error is looked through for one.

The new test failed before: nothing was raised.

--- a/foxtailhatch/relay/http_connection.py
+++ b/foxtailhatch/relay/http_connection.py
@@ -21,6 +21,7 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 from zope.interface import implementer
 
+from foxtailhatch.core import InvariantViolation
 from foxtailhatch.relay.body_memory import HeldBody
 from foxtailhatch.relay.response_intake import ResponseIntake, intake_of
 
@@ -344,7 +345,9 @@
         self._callbacks = 0
         try:
             self._parser.feed_data(piece)
-        except httptools.HttpParserError:
+        except httptools.HttpParserError as exc:
+            if isinstance(exc.__context__, InvariantViolation):
+                raise exc.__context__ from exc
             self._forward_body()
             self._fail_malformed()
             return
--- a/tests/relay/test_http_connection.py
+++ b/tests/relay/test_http_connection.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 from twisted.internet.testing import StringTransport
 
+from foxtailhatch.core import Invariant, InvariantViolation
 from foxtailhatch.relay.http_client import (
     MAX_RECORDS_BYTES,
     HttpCall,
@@ -281,3 +282,16 @@
     unconnected.abort()
     transport.clear()
     assert transport.value() == b''
+
+
+# Guards against a broken invariant that counts as a malformed answer.
+def test_broken_invariant_in_a_listener_is_raised():
+    connection, listener, _ = connect()
+
+    def head_received(head):
+        raise InvariantViolation(Invariant.AT_MOST_ONCE, 'q1')
+
+    listener.head_received = head_received
+    with pytest.raises(InvariantViolation):
+        connection.dataReceived(HEAD + b'Content-Length: 1\r\n\r\n')
+    assert listener.fault is None
