Take no answer from a head that is not known to be about the request

A reader who had not seen the work showed, by tests on: a failure without identifier and seal reached callers if it came through another entry; "not run" was taken from heads with two identifiers, with an empty mark, or with a status that endpoints do not mark; an empty seal counted; an endpoint could have its seal dropped by Connection.

Change: each of these is ambiguous. A failure of another entry's own, which bears no seal, is ambiguous as well: callers get 502, which promises nothing, as before for most of them.

One test changed its sense: a failure of an entry was passed on without a seal, and with it whatever an older build had passed on.

--- a/foxtailhatch/platform/requests.py
+++ b/foxtailhatch/platform/requests.py
@@ -29,6 +29,8 @@
 FIRST_SUCCESS = 200
 # Statuses by which a caller knows that the request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# Statuses with which an endpoint marks a request that it has not run.
+MARKED_STATUSES = frozenset((400, 421, 429, 503))
 MAX_URGENCY = 9
 # Bounds on what is kept of the parts of a prompt.
 MAX_PROMPT_PARTS = 64
@@ -49,6 +51,8 @@
         b'expect',
     )
 )
+# A response without these is none of an endpoint's, so no peer can have them dropped.
+_KEPT_HEADERS = frozenset((names.REQUEST_ID, names.RESPONSE_SEAL))
 # The router sets these headers itself and drops the caller's values.
 _OWN_HEADERS = frozenset(
     (
@@ -105,8 +109,6 @@
         )
         if head.status in NOT_RUN_STATUSES:
             return replace(response, kind=ResponseKind.NOT_RUN)
-        if head.status >= FIRST_REDIRECT:
-            return replace(response, kind=ResponseKind.FAILURE)
         return response
 
     def leaving_header(self, endpoint: EndpointIdentity) -> tuple[bytes, bytes]:
@@ -253,10 +255,12 @@
 
 
 def _kind(head: ResponseHead, req: RelayRequest) -> ResponseKind:
+    echoed = _fields(head, names.REQUEST_ID)
     is_own = _is_own_response(head, req)
     if FIRST_SUCCESS <= head.status < FIRST_REDIRECT:
         return ResponseKind.SUCCESS if is_own else ResponseKind.AMBIGUOUS
-    if head.get(names.NOT_RUN) is not None or head.status == MISDIRECTED:
+    is_of_another = echoed and echoed != [_raw_id(req)]
+    if _says_not_run(head) and not is_of_another:
         return ResponseKind.NOT_RUN
     if head.status in NOT_RUN_STATUSES:
         # Forwarded, the status would say that the request has not run, which
@@ -265,18 +269,37 @@
     return ResponseKind.FAILURE if is_own else ResponseKind.AMBIGUOUS
 
 
+def _says_not_run(head: ResponseHead) -> bool:
+    if head.status == MISDIRECTED:
+        return True
+    has_mark = bool((head.get(names.NOT_RUN) or b'').strip())
+    return has_mark and head.status in MARKED_STATUSES
+
+
 def _is_own_response(head: ResponseHead, req: RelayRequest) -> bool:
     """Return whether a response is the endpoint's own one to ``req``.
 
-    It bears the identifier and one seal; a second of either is of another origin.
+    It bears the identifier and one seal; a second of either, or of the type of
+    the content, is of another origin.
     """
-    echoed = [field for name, field in head.headers if name == names.REQUEST_ID]
-    seals = [name for name, _ in head.headers if name == names.RESPONSE_SEAL]
-    if echoed != [req.request_id.encode(HEADER_ENCODING)] or len(seals) != 1:
+    seals = _fields(head, names.RESPONSE_SEAL)
+    if _fields(head, names.REQUEST_ID) != [_raw_id(req)]:
+        return False
+    if len(seals) != 1 or not seals[0].strip():
+        return False
+    if len(_fields(head, b'content-type')) > 1:
         return False
     return head.get(b'content-encoding') is None
 
 
+def _fields(head: ResponseHead, name: bytes) -> list[bytes]:
+    return [field for key, field in head.headers if key == name]
+
+
+def _raw_id(req: RelayRequest) -> bytes:
+    return req.request_id.encode(HEADER_ENCODING)
+
+
 def _end_to_end(pairs: RawHeaders) -> tuple[tuple[bytes, bytes], ...]:
     listed = list(pairs)
     named = {
@@ -285,7 +308,7 @@
         if name == b'connection'
         for token in field.split(b',')
     }
-    dropped = _CONNECTION_HEADERS | named
+    dropped = _CONNECTION_HEADERS | (named - _KEPT_HEADERS)
     return tuple(pair for pair in listed if pair[0] not in dropped)
 
 
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -247,13 +247,55 @@
     assert b'foxtailhatch-forwarded-by' not in encoded(received)[1]
 
 
+# Guards against a head of another origin that an older entry has passed on.
 @pytest.mark.parametrize('status', [404, 502, 504])
-def test_failure_of_an_entry_needs_no_seal(status):
+def test_failure_of_an_entry_without_a_seal_is_ambiguous(status):
     head = ResponseHead(status, ())
     decoded = PlatformCodec().decode_forwarded_head(head, request())
+    assert decoded.kind is ResponseKind.AMBIGUOUS
+
+
+def test_failure_of_an_endpoint_may_come_through_an_entry():
+    head = ResponseHead(
+        500, ((b'foxtailhatch-request-id', b'id-1'), RESPONSE_SEAL)
+    )
+    decoded = PlatformCodec().decode_forwarded_head(head, request())
     assert decoded.kind is ResponseKind.FAILURE
 
 
+# Guards against "not run" by a head that is not known to be about the request.
+@pytest.mark.parametrize(
+    ('status', 'headers'),
+    [
+        (503, (NOT_RUN, (b'foxtailhatch-request-id', b'id-2'))),
+        (421, ((b'foxtailhatch-request-id', b'id-2'),)),
+        (503, ((b'foxtailhatch-not-executed', b''),)),
+        (500, (NOT_RUN,)),
+    ],
+)
+def test_doubtful_head_does_not_say_that_the_request_has_not_run(
+    status, headers
+):
+    assert answer(status, *headers).kind is ResponseKind.AMBIGUOUS
+
+
+@pytest.mark.parametrize(
+    'headers',
+    [
+        ((b'foxtailhatch-response-seal', b''),),
+        (RESPONSE_SEAL, (b'content-type', b'a/b'), (b'content-type', b'c/d')),
+    ],
+)
+def test_doubtful_head_is_no_success(headers):
+    assert answer(200, *headers).kind is ResponseKind.AMBIGUOUS
+
+
+def test_seal_cannot_be_dropped_by_the_endpoint():
+    named = (b'connection', b'foxtailhatch-response-seal')
+    response = answer(200, RESPONSE_SEAL, named)
+    assert RESPONSE_SEAL in response.headers
+
+
 # Guards against a refusal of another entry that is taken for an unknown outcome.
 @pytest.mark.parametrize('status', [408, 421, 429, 503])
 def test_refusal_of_an_entry_says_that_the_request_has_not_run(status):
