Use no connection again on which bytes follow an answer

The class: what is not known to be the next part is passed on.

The test of an end with bytes that wait now lets turns pass, as its bytes are no longer parsed in the turn of the end.

--- a/foxtailhatch/relay/http_connection.py
+++ b/foxtailhatch/relay/http_connection.py
@@ -161,6 +161,7 @@
         self._is_waiting = False
         self._is_paused = False
         self._is_closed = False
+        self._is_clean = False
         self.received_bytes = 0
         self.exceeded: ResponseLimit | None = None
         self.is_reusable = False
@@ -221,21 +222,19 @@
         self._out.stopProducing()
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        """Notify the listener of the end of the connection.
+        """Notify the listener of the end, once all that came is parsed.
 
         A clean close completes a body that has neither a length nor chunked
         encoding; otherwise the response has failed.
         """
         self.is_reusable = False
         self._is_closed = True
-        self._parse(is_last=True)
-        clean = reason is not None and reason.check(ConnectionDone)
-        unframed = (
-            self._in_response and not self._is_framed and not self._is_skipping
+        self._is_clean = reason is not None and bool(
+            reason.check(ConnectionDone)
         )
-        if clean and unframed:
-            self.on_message_complete()
-        self._fail(TransportFailure.CLOSED)
+        if not self._is_waiting:
+            self._parse()
+            self._finish_loss()
 
     def abort(self) -> None:
         """Abort the connection without notifying the listener."""
@@ -249,8 +248,14 @@
             self.transport.abortConnection()
 
     def on_message_begin(self) -> None:
-        """Reset the state for a new response."""
+        """Reset the state for a new response.
+
+        One that begins behind a complete response would be taken for that to
+        the next request, so the connection has none.
+        """
         self._callbacks += 1
+        if self._listener is None:
+            self.is_reusable = False
         self._headers = []
         self._is_framed = False
         self._is_skipping = False
@@ -318,11 +323,8 @@
     def _is_used_up(self) -> bool:
         return self._intake is not None and self._intake.allowance.is_used_up
 
-    def _parse(self, *, is_last: bool = False) -> None:
-        """Parse what has arrived, as far as the allowance goes.
-
-        All of it is parsed if it ``is_last``.
-        """
+    def _parse(self) -> None:
+        """Parse what has arrived, as far as the allowance goes."""
         raw = self._unparsed
         self._unparsed = b''
         begin = 0
@@ -334,7 +336,7 @@
             if is_cut and self._listener is None:
                 self.abort()
                 return
-            if is_cut and self._is_used_up and not is_last:
+            if is_cut and self._is_used_up:
                 self._unparsed = raw[begin:]
                 self._wait()
                 return
@@ -346,11 +348,15 @@
         try:
             self._parser.feed_data(piece)
         except httptools.HttpParserError as exc:
-            if isinstance(exc.__context__, InvariantViolation):
-                raise exc.__context__ from exc
+            error = exc.__context__
+            if isinstance(error, InvariantViolation):
+                raise error from exc
             self._forward_body()
             self._fail_malformed()
-            return
+            if error is None or isinstance(error, LimitExceededError):
+                return
+            # An error of a listener is none of the peer's.
+            raise error from exc
         finally:
             self._count_callbacks()
         self._forward_body()
@@ -407,8 +413,21 @@
 
     def _parse_rest(self) -> None:
         self._is_waiting = False
-        if not self._is_held_back:
+        if self._is_closed or not self._is_held_back:
             self._parse()
+        if self._is_closed:
+            self._finish_loss()
+
+    def _finish_loss(self) -> None:
+        """End the response of a closed connection, unless a part waits."""
+        if self._is_waiting:
+            return
+        unframed = (
+            self._in_response and not self._is_framed and not self._is_skipping
+        )
+        if self._is_clean and unframed:
+            self.on_message_complete()
+        self._fail(TransportFailure.CLOSED)
 
     def _apply_pause(self) -> None:
         """Read only while nothing waits and the reader takes more."""
--- a/tests/relay/test_http_connection.py
+++ b/tests/relay/test_http_connection.py
@@ -295,3 +295,32 @@
     with pytest.raises(InvariantViolation):
         connection.dataReceived(HEAD + b'Content-Length: 1\r\n\r\n')
     assert listener.fault is None
+
+
+# Guards against bytes behind an answer that become the answer to the next call.
+@pytest.mark.parametrize('count', range(1, 40))
+def test_connection_with_bytes_behind_an_answer_is_not_used_again(count):
+    connection, listener, _ = connect()
+    own = HEAD + b'Content-Length: 2\r\n\r\nok'
+    second = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nEVIL'
+    connection.dataReceived(own + second[:count])
+    assert listener.is_complete
+    assert not connection.is_reusable
+
+
+def test_connection_is_used_again_after_an_answer():
+    connection, listener, _ = connect()
+    connection.dataReceived(HEAD + b'Content-Length: 2\r\n\r\nok')
+    assert listener.is_complete
+    assert connection.is_reusable
+
+
+def test_error_of_a_listener_is_raised():
+    connection, listener, _ = connect()
+
+    def head_received(head):
+        raise KeyError('q1')
+
+    listener.head_received = head_received
+    with pytest.raises(KeyError):
+        connection.dataReceived(HEAD + b'Content-Length: 1\r\n\r\n')
--- a/tests/relay/test_response_intake.py
+++ b/tests/relay/test_response_intake.py
@@ -4,7 +4,7 @@
 
 import pytest
 from returns.result import Success
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
@@ -158,11 +158,35 @@
     connection.dataReceived(CHUNKED + CHUNK * CHUNKS_IN_READ + b'0\r\n\r\n')
     assert not listener.is_complete
     connection.connectionLost(Failure(ConnectionDone()))
+    reactor.pump([0.001] * 20)
     assert listener.is_complete
     assert listener.received == CHUNKS_IN_READ
     assert listener.fault is None
 
 
+# Guards against a turn of the loop that parses all that waits, as many connections
+# end at once.
+@pytest.mark.parametrize('clean', [True, False])
+def test_connections_that_end_at_once_are_parsed_in_several_turns(clean):
+    reactor = TurnReactor()
+    pairs = [connect(reactor) for _ in range(20)]
+    for connection, _ in pairs:
+        connection.dataReceived(CHUNKED + CHUNK * CHUNKS_IN_READ)
+    reason = Failure(ConnectionDone() if clean else ConnectionLost())
+    before = sum(listener.received for _, listener in pairs)
+    for connection, _ in pairs:
+        connection.connectionLost(reason)
+    assert sum(listener.received for _, listener in pairs) == before
+    turns = 0
+    while reactor.due:
+        reactor.turn()
+        turns += 1
+    assert turns > 20
+    for _, listener in pairs:
+        assert listener.received == CHUNKS_IN_READ
+        assert listener.fault is TransportFailure.CLOSED
+
+
 # Guards against a pause of the caller that ends with a turn of the loop.
 def test_caller_and_loop_pause_a_connection_together():
     reactor = MemoryReactorClock()
