Complete no stream that has brought nothing, and pace garbled ones

Shown by the same reader: a first attempt that ends in order without an event, and a resumption answered with 204, completed the stream; a stream whose attempts bring one event and then other bytes was resumed 90 times at once.

Change: a new stream without an event is not complete, nor is any success but 200 a part of one. An attempt counts as fruitful from 16 events on. A failure of another entry that is not known to be the endpoint's ends the request with 502 and without a repeat, as that entry has repeated it. A response that ends as others fill the memory is not its endpoint's fault.

An empty resumption stays complete, as it may follow the last event.

--- a/foxtailhatch/relay/endpoint_feedback.py
+++ b/foxtailhatch/relay/endpoint_feedback.py
@@ -5,6 +5,7 @@
 from foxtailhatch.relay.attempt import Attempt
 from foxtailhatch.relay.attempt_history import AttemptHistory
 from foxtailhatch.relay.context import RelayContext
+from foxtailhatch.relay.http_connection import ResponseLimit
 from foxtailhatch.relay.request import (
     EndpointIdentity,
     EndpointResponse,
@@ -53,9 +54,11 @@
         """Note that the head sent bytes that are no answer.
 
         A single time may be a passing fault of any endpoint of the chain.  An
-        entry passes on what it got, so it is not at fault.
+        entry passes on what it got, so it is not at fault; nor is an endpoint
+        whose response ended as others have filled the memory.
         """
-        if attempt.is_forwarded:
+        is_of_others = attempt.exceeded == ResponseLimit.MEMORY.value
+        if attempt.is_forwarded or is_of_others:
             return
         name = attempt.head_name
         now = self._context.clock()
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -58,9 +58,10 @@
 SUSPECT_CHECK_S = 0.1
 # Bound on the length of a log line; a part that requests share comes late.
 MAX_LOGGED_PARTS = 8
-# Attempts in a row that bring other bytes and no event; after more than these the
-# next one waits, as each counts against the retry budget.
+# Attempts in a row that bring other bytes after few events; after more than these
+# the next one waits, as each counts against the retry budget.
 MAX_FRUITLESS_ATTEMPTS = 2
+FRUITFUL_EVENTS = 16
 # An event holds a token or more, but callers may count tokens in another way.
 MAX_EVENTS_PER_TOKEN = 4
 MIN_EVENT_LIMIT = 1024
@@ -258,12 +259,27 @@
             return
         self._may_have_run = True
         failure = self._failure_of(attempt, response)
-        if failure is not None:
+        is_failed_entry = (
+            attempt.is_forwarded and response.status >= FIRST_ERROR_STATUS
+        )
+        if failure is FailureKind.GARBLED and is_failed_entry:
+            # The other entry has repeated it as often as is allowed.
+            attempt.cancel()
+            self._end_unknown()
+        elif failure is not None:
             attempt.cancel()
             self._on_attempt_failed(attempt, failure, f'{head.status}')
         elif self.is_started:
             self._caller.set_backpressure_source(attempt.transport)
 
+    def _end_unknown(self) -> None:
+        """End the request without a retry, as it may have run."""
+        if self.is_started:
+            self._caller.abort()
+            self._end('broken_off')
+        else:
+            self._refuse(RefusalReason.OUTCOME_UNKNOWN)
+
     def _decode_head(
         self, attempt: Attempt, head: ResponseHead
     ) -> EndpointResponse:
@@ -283,7 +299,7 @@
             return FailureKind.FAILED
         is_stream_route = self.admitted.route.kind is RouteKind.STREAM
         is_success = response.kind is ResponseKind.SUCCESS
-        if is_success and is_stream_route and not response.is_event_stream:
+        if is_success and is_stream_route and not response.continues_stream:
             return FailureKind.GARBLED
         is_failure = response.kind is ResponseKind.FAILURE
         if is_failure and self._should_retry_failure(attempt):
@@ -359,7 +375,7 @@
         response = attempt.response
         if attempt is not self.attempt or response is None:
             return
-        if response.is_event_stream and attempt.is_truncated:
+        if response.is_event_stream and self._is_incomplete(attempt):
             self._on_attempt_failed(
                 attempt, FailureKind.MAY_HAVE_RUN, 'half an event'
             )
@@ -375,6 +391,13 @@
         is_error = response.status >= FIRST_ERROR_STATUS
         self._end(f'status_{response.status}' if is_error else 'answered')
 
+    def _is_incomplete(self, attempt: Attempt) -> bool:
+        """Return whether a stream that has ended cannot be complete.
+
+        One that resumes after its last event is empty; a new one is not.
+        """
+        return attempt.is_truncated or self._delivery.last_event is None
+
     def attempt_failed(self, attempt: Attempt, fault: TransportFailure) -> None:
         """Decide what to do after a transport failure.
 
@@ -458,7 +481,8 @@
         if failure is FailureKind.GARBLED:
             self._may_have_run = True
             self._feedback.record_garbled(attempt)
-            self._fruitless = 0 if attempt.event_count else self._fruitless + 1
+            is_fruitful = attempt.event_count >= FRUITFUL_EVENTS
+            self._fruitless = 0 if is_fruitful else self._fruitless + 1
         if failure in EXCLUDING_FAILURES:
             self._history.exclude(attempt.head_name)
         action = action_after_failure(self._failure_context(failure, now))
--- a/foxtailhatch/relay/request.py
+++ b/foxtailhatch/relay/request.py
@@ -10,6 +10,7 @@
 from foxtailhatch.relay.http_connection import ResponseHead
 
 FINGERPRINT_BYTES = 8
+STATUS_OK = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,7 +151,12 @@
     @property
     def continues_stream(self) -> bool:
         """Return whether the body may follow events of another response."""
-        return self.kind is ResponseKind.SUCCESS and self.is_event_stream
+        is_whole = self.status == STATUS_OK
+        return (
+            self.kind is ResponseKind.SUCCESS
+            and self.is_event_stream
+            and is_whole
+        )
 
 
 class WireCodec(Protocol):
