--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -28,8 +28,8 @@
 # The back-off doubles with each consecutive refusal up to this, since an
 # endpoint that releases layers refuses them for seconds.
 REFUSAL_BACKOFF_MAX_S = 1.0
-# Any endpoint may garble an answer once, also where one behind it is at fault.
-MIN_GARBLED_ANSWERS = 2
+# Any endpoint may send a malformed answer once, also where one behind it is at fault.
+MIN_MALFORMED_ANSWERS = 2
 
 
 class EndpointTable:
@@ -56,7 +56,7 @@
         self._observations = ObservedLayers()
         self._listed_layers: dict[str, LayerRange | None] = {}
         self._refusal_backoffs: dict[str, tuple[float, float]] = {}
-        self._garbled: dict[str, int] = {}
+        self._malformed_answers: dict[str, int] = {}
         self.revision = 0
 
     def is_outdated(self, endpoint: LiveEndpoint) -> bool:
@@ -329,13 +329,13 @@
         self._failure_backoffs[name] = (until, span_s)
         return until
 
-    def record_garbled(self, name: str, now: float) -> float | None:
+    def record_malformed(self, name: str, now: float) -> float | None:
         """Count an answer of other bytes, the back-off of several in a row.
 
         Return its end, or ``None`` for the first one since a whole answer.
         """
-        self._garbled[name] = self._garbled.get(name, 0) + 1
-        if self._garbled[name] < MIN_GARBLED_ANSWERS:
+        self._malformed_answers[name] = self._malformed_answers.get(name, 0) + 1
+        if self._malformed_answers[name] < MIN_MALFORMED_ANSWERS:
             return None
         return self.record_failure(name, now)
 
@@ -360,7 +360,7 @@
         """Drop the failures and refusals of an endpoint."""
         self._failure_backoffs.pop(name, None)
         self._refusal_backoffs.pop(name, None)
-        self._garbled.pop(name, None)
+        self._malformed_answers.pop(name, None)
 
     def is_backed_off(self, endpoint: LiveEndpoint, now: float) -> bool:
         """Return whether an endpoint is in back-off, without new requests."""
--- a/foxtailhatch/relay/endpoint_feedback.py
+++ b/foxtailhatch/relay/endpoint_feedback.py
@@ -50,7 +50,7 @@
         )
         self._context.on_suspect(endpoint, why)
 
-    def record_garbled(self, attempt: Attempt) -> None:
+    def record_malformed(self, attempt: Attempt) -> None:
         """Note that the head sent bytes that are no answer.
 
         A single time may be a passing fault of any endpoint of the chain.  An
@@ -62,13 +62,13 @@
             return
         name = attempt.head_name
         now = self._context.clock()
-        until = self._context.endpoints.record_garbled(name, now)
+        until = self._context.endpoints.record_malformed(name, now)
         if until is not None:
             self._context.log.write(
                 'suspect',
                 id=self._request_id,
                 endpoint=name,
-                why='garbled',
+                why='malformed',
                 for_s=round(until - now, 2),
             )
 
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -67,7 +67,7 @@
 MIN_EVENT_LIMIT = 1024
 FIRST_ERROR_STATUS = 400
 EXCLUDING_FAILURES = frozenset(
-    (FailureKind.FAILED, FailureKind.MAY_HAVE_RUN, FailureKind.GARBLED)
+    (FailureKind.FAILED, FailureKind.MAY_HAVE_RUN, FailureKind.MALFORMED)
 )
 FIRST_SERVER_ERROR_STATUS = 500
 
@@ -262,7 +262,7 @@
         is_failed_entry = (
             attempt.is_forwarded and response.status >= FIRST_ERROR_STATUS
         )
-        if failure is FailureKind.GARBLED and is_failed_entry:
+        if failure is FailureKind.MALFORMED and is_failed_entry:
             # The other entry has repeated it as often as is allowed.
             attempt.cancel()
             self._end_unknown()
@@ -293,14 +293,14 @@
     ) -> FailureKind | None:
         """Return how an attempt has failed by the head of its response, if so."""
         if response.kind is ResponseKind.AMBIGUOUS:
-            return FailureKind.GARBLED
+            return FailureKind.MALFORMED
         if self.is_started and not response.continues_stream:
             # Its body would become a part of the stream that has begun.
             return FailureKind.FAILED
         is_stream_route = self.admitted.route.kind is RouteKind.STREAM
         is_success = response.kind is ResponseKind.SUCCESS
         if is_success and is_stream_route and not response.continues_stream:
-            return FailureKind.GARBLED
+            return FailureKind.MALFORMED
         is_failure = response.kind is ResponseKind.FAILURE
         if is_failure and self._should_retry_failure(attempt):
             return FailureKind.FAILED
@@ -331,7 +331,7 @@
             self._caller.abort()
             self._end('broken_off')
             return
-        self._on_attempt_failed(attempt, FailureKind.GARBLED, fault.value)
+        self._on_attempt_failed(attempt, FailureKind.MALFORMED, fault.value)
 
     def _log_malformed(self, attempt: Attempt, fault: EventFault) -> None:
         self._malformed += 1
@@ -412,7 +412,7 @@
             self._on_attempt_failed(attempt, FailureKind.UNREACHED, fault.value)
             return
         if fault is TransportFailure.MALFORMED:
-            self._on_attempt_failed(attempt, FailureKind.GARBLED, fault.value)
+            self._on_attempt_failed(attempt, FailureKind.MALFORMED, fault.value)
             return
         if fault is TransportFailure.CLOSED and attempt.response is None:
             self._feedback.record_failure(attempt.head_name, fault.value)
@@ -478,9 +478,9 @@
         now = self._context.clock()
         if failure is FailureKind.MAY_HAVE_RUN:
             self._record_lost(attempt, cause, now)
-        if failure is FailureKind.GARBLED:
+        if failure is FailureKind.MALFORMED:
             self._may_have_run = True
-            self._feedback.record_garbled(attempt)
+            self._feedback.record_malformed(attempt)
             is_fruitful = attempt.event_count >= FRUITFUL_EVENTS
             self._fruitless = 0 if is_fruitful else self._fruitless + 1
         if failure in EXCLUDING_FAILURES:
--- a/foxtailhatch/relay/retry_policy.py
+++ b/foxtailhatch/relay/retry_policy.py
@@ -12,7 +12,7 @@
 class FailureKind(StrEnum):
     """How an attempt failed.
 
-    ``FAILED`` is an error status of the endpoint itself.  After ``GARBLED`` bytes,
+    ``FAILED`` is an error status of the endpoint itself.  After ``MALFORMED`` bytes,
     which are no answer to the request, it may have run as well.
     """
 
@@ -20,7 +20,7 @@
     NOT_RUN = 'not_run'
     MAY_HAVE_RUN = 'may_have_run'
     FAILED = 'failed'
-    GARBLED = 'garbled'
+    MALFORMED = 'malformed'
 
 
 class RetryAction(StrEnum):
--- a/tests/relay/test_malformed_streams.py
+++ b/tests/relay/test_malformed_streams.py
@@ -153,30 +153,30 @@
     assert env.caller.status is None
 
 
-def garble(env):
+def answer_with_other_bytes(env):
     conn = env.accept_connection()
     conn.start_stream()
     conn.send_chunk(b'data: x\n\n')
 
 
 # Guards against an endpoint that only sends other bytes and is chosen again.
-def test_endpoint_backs_off_after_two_garbled_answers_in_a_row():
+def test_endpoint_backs_off_after_two_malformed_answers_in_a_row():
     env = start_relay(**STREAM)
-    garble(env)
+    answer_with_other_bytes(env)
     table = env.context.endpoints
     first = table.get('e1')
     assert not table.is_backed_off(first, 0)
-    table.record_garbled('e1', 0)
+    table.record_malformed('e1', 0)
     assert table.is_backed_off(first, 0)
     table.clear_failures('e1')
-    assert table.record_garbled('e1', 0) is None
+    assert table.record_malformed('e1', 0) is None
 
 
-def test_garbled_answer_is_no_evidence_of_a_crash():
+def test_malformed_answer_is_no_evidence_of_a_crash():
     env = start_relay(**STREAM)
-    garble(env)
+    answer_with_other_bytes(env)
     assert env.suspects == []
-    assert env.log.of('attempt_failed')[0]['how'] == 'garbled'
+    assert env.log.of('attempt_failed')[0]['how'] == 'malformed'
 
 
 # Guards against a stream of sound events without end.
@@ -198,10 +198,10 @@
     env = start_relay(**STREAM)
     attempt = env.relay.attempt
     attempt.chosen = (replace(attempt.chosen[0], is_entry=True),)
-    garble(env)
+    answer_with_other_bytes(env)
     assert env.caller.status is None
     assert env.log.of('event_malformed')
-    assert env.context.endpoints.record_garbled('e1', 0) is None
+    assert env.context.endpoints.record_malformed('e1', 0) is None
 
 
 # Guards against a stream that spends the retry budget of all others at endpoints
@@ -213,7 +213,7 @@
     conn.send_event(1)
     conn.send_chunk(b'x\n\n')
     for _ in range(2):
-        garble(env)
+        answer_with_other_bytes(env)
     assert env.reactor.tcpClients == []
     env.reactor.advance(REFUSED_RETRY_S - 0.01)
     assert env.reactor.tcpClients == []
--- a/tests/soak_router/test_malformed_streams.py
+++ b/tests/soak_router/test_malformed_streams.py
@@ -10,7 +10,7 @@
 from tests.soak_router.world import World
 
 LAST_SOUND = 3
-GARBAGE = {
+FOREIGN_BYTES = {
     'other bytes': b'\x00\xfe\xffxx\n\n',
     'empty number': b'id:\ndata: x\n\n',
     'no number': b'data: x\n\n',
@@ -25,21 +25,21 @@
     return b'%x\r\n%s\r\n' % (len(raw), raw)
 
 
-class GarblingEndpoint(StubEndpoint):
+class ForeignBytesEndpoint(StubEndpoint):
     """An endpoint that sends other bytes in the first run of each stream."""
 
-    garbage = b''
-    garbled: set = set()
+    foreign = b''
+    answered: set = set()
 
     async def _stream(self, request_id, last_event_id, writer):
         is_probe = request_id.startswith('probe')
-        if is_probe or request_id in self.garbled:
+        if is_probe or request_id in self.answered:
             await super()._stream(request_id, last_event_id, writer)
             return
-        self.garbled.add(request_id)
+        self.answered.add(request_id)
         for number in range(1, EVENT_COUNT + 1):
             if number == LAST_SOUND + 1:
-                writer.write(chunk(self.garbage))
+                writer.write(chunk(self.foreign))
             event = b'id: %d\ndata: %s\n\n' % (number, request_id.encode())
             writer.write(chunk(event))
             await writer.drain()
@@ -50,14 +50,14 @@
 def world_with(raw):
     """Return a world whose engines send ``raw`` once in each stream."""
 
-    class Endpoint(GarblingEndpoint):
-        garbage = raw
-        garbled: set = set()
+    class Endpoint(ForeignBytesEndpoint):
+        foreign = raw
+        answered: set = set()
 
-    class GarblingWorld(World):
+    class ForeignBytesWorld(World):
         endpoint_type = Endpoint
 
-    return GarblingWorld
+    return ForeignBytesWorld
 
 
 def whole_stream(request_id):
@@ -68,7 +68,7 @@
 
 
 # Guards against pieces in a stream that no run has made.
-@pytest.mark.parametrize('kind', GARBAGE)
+@pytest.mark.parametrize('kind', FOREIGN_BYTES)
 def test_stream_goes_on_elsewhere_after_other_bytes(tmp_path, kind):
     async def scenario(world):
         names = [f'q{index}' for index in range(REQUESTS)]
@@ -82,4 +82,4 @@
         log = world.routers[0].log_text()
         assert log.count('"event":"event_malformed"') == REQUESTS
 
-    run_scenario(tmp_path, scenario, world_type=world_with(GARBAGE[kind]))
+    run_scenario(tmp_path, scenario, world_type=world_with(FOREIGN_BYTES[kind]))
