Resume a stream after a failure of the entry that it was sent through

Cause: since a failure of another entry that is not known to be an endpoint's ended the request, also where a stream had begun and could go on elsewhere.

Change: that holds for requests of which nothing was answered yet. An attempt with a long stretch of events ends the wait before the next one, however it failed.

The new test failed before: the stream was broken off.

--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -330,9 +330,9 @@
         return until
 
     def record_malformed(self, name: str, now: float) -> float | None:
-        """Count an answer of other bytes, the back-off of several in a row.
+        """Count an answer of other bytes, and back off after several in a row.
 
-        Return its end, or ``None`` for the first one since a whole answer.
+        Return the end of the back-off, or ``None`` if there is none.
         """
         self._malformed_answers[name] = self._malformed_answers.get(name, 0) + 1
         if self._malformed_answers[name] < MIN_MALFORMED_ANSWERS:
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -262,24 +262,17 @@
         is_failed_entry = (
             attempt.is_forwarded and response.status >= FIRST_ERROR_STATUS
         )
-        if failure is FailureKind.MALFORMED and is_failed_entry:
+        is_unknown = failure is FailureKind.MALFORMED and is_failed_entry
+        if is_unknown and not self.is_started:
             # The other entry has repeated it as often as is allowed.
             attempt.cancel()
-            self._end_unknown()
+            self._refuse(RefusalReason.OUTCOME_UNKNOWN)
         elif failure is not None:
             attempt.cancel()
             self._on_attempt_failed(attempt, failure, f'{head.status}')
         elif self.is_started:
             self._caller.set_backpressure_source(attempt.transport)
 
-    def _end_unknown(self) -> None:
-        """End the request without a retry, as it may have run."""
-        if self.is_started:
-            self._caller.abort()
-            self._end('broken_off')
-        else:
-            self._refuse(RefusalReason.OUTCOME_UNKNOWN)
-
     def _decode_head(
         self, attempt: Attempt, head: ResponseHead
     ) -> EndpointResponse:
@@ -481,8 +474,9 @@
         if failure is FailureKind.MALFORMED:
             self._may_have_run = True
             self._feedback.record_malformed(attempt)
-            is_fruitful = attempt.event_count >= FRUITFUL_EVENTS
-            self._fruitless = 0 if is_fruitful else self._fruitless + 1
+            self._fruitless += 1
+        if attempt.event_count >= FRUITFUL_EVENTS:
+            self._fruitless = 0
         if failure in EXCLUDING_FAILURES:
             self._history.exclude(attempt.head_name)
         action = action_after_failure(self._failure_context(failure, now))
--- a/tests/relay/test_malformed_streams.py
+++ b/tests/relay/test_malformed_streams.py
@@ -274,3 +274,21 @@
     env.accept_connection().respond(b'garbage', status=404)
     assert env.caller.status == 502
     assert b'garbage' not in env.caller.body
+
+
+# Guards against a stream that is broken off as it resumes through an entry that fails.
+def test_stream_goes_on_after_a_failure_of_an_entry():
+    env = start_relay(**STREAM)
+    conn = env.accept_connection()
+    conn.start_stream()
+    conn.send_event(1)
+    conn.close()
+    attempt = env.relay.attempt
+    attempt.chosen = (replace(attempt.chosen[0], is_entry=True),)
+    env.context.codec.decode_forwarded_head = lambda head, req: replace(
+        env.context.codec.decode_head(head, req), kind=ResponseKind.AMBIGUOUS
+    )
+    env.accept_connection().respond(b'', status=502)
+    assert not env.caller.aborted
+    env.reactor.advance(REFUSED_RETRY_S + 0.01)
+    assert b'X-After: 1' in env.accept_connection().request
