--- a/foxtailhatch/relay/event_stream.py
+++ b/foxtailhatch/relay/event_stream.py
@@ -1,5 +1,6 @@
 """Split an event stream into events, and accept each as the next one only."""
 
+import re
 from dataclasses import dataclass
 
 from foxtailhatch.relay.event_syntax import EventFault, EventLines
@@ -13,6 +14,11 @@
 SAMPLE_BYTES = 48
 _LINE_FEED = b'\n'
 _EMPTY_LINES = frozenset((b'', b'\r'))
+# The usual form of an event, which needs no look at each line.  All other forms
+# are left to ``EventLines``; what matches here is sound by its rules too.
+_USUAL_EVENT = re.compile(
+    rb'id: (0|[1-9][0-9]{0,17})\n(?:data:[^\r\n\0]*\n)+\n'
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,9 +76,13 @@
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Return the events that ``chunk`` completes; none after a fault."""
-        events: list[StreamEvent] = []
         if self.fault is not None:
-            return events
+            return []
+        usual = None if self._buffer else _usual_events(chunk)
+        return self._feed_lines(chunk) if usual is None else usual
+
+    def _feed_lines(self, chunk: bytes) -> list[StreamEvent]:
+        events: list[StreamEvent] = []
         self._buffer += chunk
         begin = 0
         while self.fault is None:
@@ -121,6 +131,19 @@
             self.fault = EventFault.UNKNOWN_FIELD
 
 
+def _usual_events(chunk: bytes) -> list[StreamEvent] | None:
+    """Return the events of a chunk that holds complete usual ones only."""
+    events = []
+    begin = 0
+    while begin < len(chunk):
+        match = _USUAL_EVENT.match(chunk, begin)
+        if match is None:
+            return None
+        begin = match.end()
+        events.append(StreamEvent(match.group(), int(match.group(1))))
+    return events
+
+
 class EventSequencer:
     """Accept the events of a stream in order, up to the first fault.
 
--- a/tests/relay/test_event_stream.py
+++ b/tests/relay/test_event_stream.py
@@ -1,3 +1,5 @@
+from random import Random
+
 import pytest
 
 from foxtailhatch.relay.event_stream import (
@@ -96,3 +98,34 @@
     events = [StreamEvent(b'%d' % number, number) for number in range(1, 5)]
     assert sequencer.accept(events) == b'12'
     assert sequencer.fault is EventFault.TOO_MANY
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_usual_and_other_events_are_split_alike(seed):
+    """The pattern for usual events must not accept what the lines refuse."""
+    random = Random(seed)
+    parts = (
+        b'id: 7\n',
+        b'id: 08\n',
+        b'id:9\n',
+        b'id: 1234567890123456789\n',
+        b'data: a\n',
+        b'data:\n',
+        b'data\n',
+        b'data: \0\n',
+        b'data: b\r\n',
+        b'note: c\n',
+        b'\n',
+        b'\r\n',
+    )
+    for _ in range(200):
+        raw = b''.join(random.choices(parts, k=random.randint(1, 8)))
+        whole, single = EventSplitter(b'note'), EventSplitter(b'note')
+        events = whole.feed(raw)
+        assert events == [
+            event
+            for at in range(len(raw))
+            for event in single.feed(raw[at : at + 1])
+        ]
+        assert (whole.fault is None) is (single.fault is None)
+        assert whole.has_partial_event == single.has_partial_event
--- a/tests/router/test_caller_transport.py
+++ b/tests/router/test_caller_transport.py
@@ -199,3 +199,35 @@
     conn.send(GET)
     conn.caller.close()
     assert conn.read() is CONNECTION_DONE
+
+
+def test_piece_of_an_answer_is_sent_without_another_turn():
+    """A queue would cost system calls and a turn for each event of a stream."""
+    connection = Connection(Handler())
+    connection.transport.write(b'id: 1')
+    assert connection.caller.recv(PEEK_BYTES) == b'id: 1'
+    assert connection.transport not in connection.reactor.writers
+
+
+def test_what_the_system_does_not_take_is_queued_in_order():
+    """A caller that reads slowly must get all bytes, each one once."""
+    connection = Connection(Handler())
+    pieces = [bytes([number]) * 30_000 for number in range(60)]
+    for piece in pieces:
+        connection.transport.write(piece)
+    received = b''
+    while connection.transport in connection.reactor.writers:
+        received += connection.caller.recv(PEEK_BYTES)
+        connection.transport.doWrite()
+    while len(received) < len(b''.join(pieces)):
+        received += connection.caller.recv(PEEK_BYTES)
+    assert received == b''.join(pieces)
+
+
+def test_error_of_a_send_is_left_to_the_queue():
+    """The end of a connection is reported once, by the reactor."""
+    connection = Connection(Handler())
+    connection.caller.close()
+    connection.transport.write(b'id: 1')
+    connection.transport.write(b'id: 2')
+    assert connection.transport in connection.reactor.writers
