--- a/foxtailhatch/router/caller_transport.py
+++ b/foxtailhatch/router/caller_transport.py
@@ -22,7 +22,7 @@
 
     def write(self, data: bytes) -> None:  # noqa: WPS110
         """Send at once what the system takes, and queue the rest."""
-        super().write(self._send_now(data))
+        super().write(self._send_now(data))  # type: ignore[no-untyped-call]
 
     def writeSequence(self, iovec: Iterable[bytes]) -> None:  # noqa: N802
         """Send at once what the system takes, and queue the rest."""
