--- a/foxtailhatch/platform/endpoints.py
+++ b/foxtailhatch/platform/endpoints.py
@@ -1,5 +1,8 @@
 """Decode the endpoint records of the store and the engines' reports."""
 
+import re
+from dataclasses import replace
+from functools import lru_cache
 from ipaddress import AddressValueError, IPv4Address
 from typing import Annotated, Any
 
@@ -16,6 +19,12 @@
 MAX_SLOTS = 1_000_000
 MAX_LAYERS = 1_000_000
 MAX_PORT = 65_535
+# Most records of an endpoint differ from the last one only in the number of the
+# heartbeat.  Put in the place of that number, this one gives them equal bytes.
+_ANY_HEARTBEAT = MAX_COUNT - 1
+_HEARTBEAT = re.compile(rb'"seq": ?(0|[1-9][0-9]{0,14})(?=[,}])')
+# Records that are kept decoded: some for each of the endpoints at the target size.
+KEPT_RECORDS = 4096
 _Count = Annotated[int, Field(ge=0, le=MAX_COUNT)]
 _STATES = {
     'ready': EndpointState.READY,
@@ -66,6 +75,25 @@
 
 def decode_endpoint(name: str, raw: bytes) -> Result[LiveEndpoint, str]:
     """Return the endpoint described by a record of the endpoint topic."""
+    numbers = _HEARTBEAT.findall(raw)
+    if len(numbers) == 1:
+        usual = _HEARTBEAT.sub(b'"seq":%d' % _ANY_HEARTBEAT, raw)
+        decoded = _decode_usual(name, usual)
+        if decoded is not None:
+            return Success(replace(decoded, heartbeats=int(numbers[0])))
+    return _decode_record(name, raw)
+
+
+@lru_cache(maxsize=KEPT_RECORDS)
+def _decode_usual(name: str, raw: bytes) -> LiveEndpoint | None:
+    """Return the endpoint in a sound record without its own heartbeat number."""
+    decoded = _decode_record(name, raw).value_or(None)
+    # The number may be that of another object within the record.
+    is_numbered = decoded and decoded.heartbeats == _ANY_HEARTBEAT
+    return decoded if is_numbered else None
+
+
+def _decode_record(name: str, raw: bytes) -> Result[LiveEndpoint, str]:
     try:
         record = _EndpointRecord.model_validate_json(raw)
     except ValidationError as exc:
--- a/foxtailhatch/router/entry_table.py
+++ b/foxtailhatch/router/entry_table.py
@@ -120,6 +120,9 @@
         self._lists: dict[str, ReceivedList] = {}
         self._readers: dict[str, EntryRecord] = {}
         self._work: dict[str, WorkByEndpoint] = {}
+        # The ready entries, and when the first list that they are on expires.
+        self._ready: list[EntryRecord] = []
+        self._ready_until = float('-inf')
 
     def record_heartbeat(
         self,
@@ -128,6 +131,7 @@
         now: float,
     ) -> None:
         """Replace a reader's list and work."""
+        self._ready_until = float('-inf')
         self._lists[reader] = (heartbeat.entries, now)
         self._work[reader] = heartbeat.work
         self._readers.pop(reader, None)
@@ -139,19 +143,36 @@
 
     def remove(self, reader: str) -> None:
         """Drop a reader's list and work."""
+        self._ready_until = float('-inf')
         self._lists.pop(reader, None)
         self._readers.pop(reader, None)
         self._work.pop(reader, None)
 
     def ready(self, now: float) -> list[EntryRecord]:
-        """Return the entries that serve callers."""
-        current = chain.from_iterable(
-            entries
+        """Return the entries that serve callers.
+
+        Each choice of a chain asks this, so the list is kept while it holds.
+        """
+        if now > self._ready_until:
+            self._find_ready(now)
+        return self._ready
+
+    def _find_ready(self, now: float) -> None:
+        """Find the entries on current lists, and until when this holds."""
+        current = [
+            (entries, received_at + ENTRY_LIST_TIMEOUT_S)
             for entries, received_at in self._lists.values()
             if now - received_at <= ENTRY_LIST_TIMEOUT_S
+        ]
+        by_name = {
+            entry.name: entry
+            for entry in chain.from_iterable(entries for entries, _ in current)
+            if entry.is_ready
+        }
+        self._ready = list(by_name.values())
+        self._ready_until = min(
+            (expiry for _, expiry in current), default=float('inf')
         )
-        by_name = {entry.name: entry for entry in current if entry.is_ready}
-        return list(by_name.values())
 
     def readers(self, now: float) -> list[EntryRecord]:
         """Return the entries that read the store, most preferred first.
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from returns.result import Failure
 
 from foxtailhatch.core import LayerRange
 from foxtailhatch.fleet import EndpointState
@@ -243,3 +244,27 @@
     raw = json.dumps(ENDPOINT_RECORD | {'later': [1]}).encode()
     known = decode_endpoint('e1', json.dumps(ENDPOINT_RECORD).encode())
     assert decode_endpoint('e1', raw) == known
+
+
+def test_heartbeats_of_an_endpoint_are_told_apart():
+    """A record that is kept decoded must not bring an old heartbeat back."""
+    for number in (1, 2, 900_000):
+        raw = json.dumps(ENDPOINT_RECORD | {'seq': number}).encode()
+        assert decode_endpoint('i-1', raw).unwrap().heartbeats == number
+
+
+def test_number_inside_another_object_is_no_heartbeat():
+    """Equal names in a record must not be taken for the number of its writer."""
+    document = ENDPOINT_RECORD | {'models': [{'name': 'm', 'seq': 7}]}
+    document.pop('seq')
+    raw = json.dumps(document).encode()
+    assert decode_endpoint('i-1', raw).unwrap().heartbeats == 0
+
+
+@pytest.mark.parametrize('number', ['04', '4.5', '4e3', '-4', '"4"'])
+def test_heartbeat_that_is_no_count_is_refused(number):
+    """Only plain counts may skip the check of the whole record."""
+    raw = json.dumps(ENDPOINT_RECORD)
+    changed = raw.replace('"seq": 4', f'"seq": {number}')
+    assert changed != raw
+    assert isinstance(decode_endpoint('i-1', changed.encode()), Failure)
--- a/tests/router/test_entry_table.py
+++ b/tests/router/test_entry_table.py
@@ -138,3 +138,17 @@
     fields = entry('a').fields()
     fields[position] = odd
     assert decode_entry(fields).failure()
+
+
+def test_ready_entries_expire_while_nothing_is_heard():
+    """A list that is kept for many choices must not outlive its timeout."""
+    table = EntryTable()
+    heartbeat = Heartbeat([entry('a')])
+    table.record_heartbeat('a', heartbeat, 10)
+    assert [one.name for one in table.ready(10)] == ['a']
+    assert [one.name for one in table.ready(14)] == ['a']
+    assert table.ready(14.1) == []
+    table.record_heartbeat('a', heartbeat, 15)
+    assert [one.name for one in table.ready(15)] == ['a']
+    table.remove('a')
+    assert table.ready(15) == []
