Hedge streams that pause: a second attempt, kept if it is first

Cause: a crash of engines makes every stream over them late, as nothing reacts before 0.3 s while the longest pause that is on time is 0.25 s.

Ruled out: cancelling the first attempt when the second is sent (one in a hundred streams on sound chains pauses for 0.1 s and goes on), and deciding in the stall detector (it waits for probes in each step).

Change: a stream that has paused for max_gap_s less the median time of a resumption gets a second attempt on a chain in one zone that shares no endpoint with the first. The one that brings the next event is kept. A reroute in progress now changes the chain of its own attempt only. Existing behaviour of an attempt's failure is moved to EndpointFeedback.record_fault and Relay.record_failed so that both attempts use it.

The share of late streams is not measured yet.

--- a/foxtailhatch/relay/attempt.py
+++ b/foxtailhatch/relay/attempt.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from foxtailhatch.relay.context import RelayContext, SelectedChain
-from foxtailhatch.relay.event_stream import EventSplitter
+from foxtailhatch.relay.event_stream import EventSplitter, StreamEvent
 from foxtailhatch.relay.http_connection import (
     Exchange,
     HttpConnection,
@@ -51,7 +51,8 @@
     The expected tokens count as load on each endpoint of the chain until
     the attempt is over.  ``usable_revision`` is the revision of the endpoint
     table at which the whole chain was last found usable.  ``event_count`` is
-    the number of events that have been forwarded.
+    the number of events that have been forwarded, and ``listener`` is told of
+    what comes.
     """
 
     def __init__(
@@ -64,13 +65,15 @@
         """Open the connection and send the request."""
         self.chosen = outgoing.chosen
         self.sent_at = now
+        self.is_resumed = outgoing.dispatch.resume_after is not None
+        self.listener = listener
         self.response: EndpointResponse | None = None
         self.splitter = EventSplitter(context.codec.event_field)
         self.is_over = False
         self.usable_revision = -1
         self.event_count = 0
+        self._unread: list[StreamEvent] = []
         self._context = context
-        self._listener = listener
         tokens = outgoing.req.tokens
         self._tokens = tokens.expected if tokens else 0
         self._endpoint_names = _endpoint_names(outgoing.chosen)
@@ -130,6 +133,22 @@
             return True
         return not self._connection.is_framed and not self.event_count
 
+    @property
+    def has_unread(self) -> bool:
+        """Return whether bytes may have arrived that are not forwarded yet."""
+        return self._connection.has_unread
+
+    def read_ahead(self, chunk: bytes) -> list[StreamEvent]:
+        """Return all events that :meth:`take_events` will return next."""
+        self._unread += self.splitter.feed(chunk)
+        return self._unread
+
+    def take_events(self, chunk: bytes) -> list[StreamEvent]:
+        """Return the events that are complete with a further chunk, once."""
+        events = self.read_ahead(chunk)
+        self._unread = []
+        return events
+
     def uses(self, name: str) -> bool:
         """Return whether an endpoint is part of the attempt's chain."""
         return name in self._endpoint_names
@@ -152,21 +171,21 @@
 
     def head_received(self, head: ResponseHead) -> None:
         """Forward the response head to the listener."""
-        self._notify(lambda: self._listener.attempt_head_received(self, head))
+        self._notify(lambda: self.listener.attempt_head_received(self, head))
 
     def body_received(self, chunk: bytes) -> None:
         """Forward a chunk of the body to the listener."""
-        self._notify(lambda: self._listener.attempt_body_received(self, chunk))
+        self._notify(lambda: self.listener.attempt_body_received(self, chunk))
 
     def response_completed(self) -> None:
         """Notify the listener and close the connection."""
-        self._notify(lambda: self._listener.attempt_completed(self))
+        self._notify(lambda: self.listener.attempt_completed(self))
         self.cancel()
 
     def response_failed(self, fault: TransportFailure) -> None:
         """Notify the listener of a transport failure."""
         if self._finish():
-            self._listener.attempt_failed(self, fault)
+            self.listener.attempt_failed(self, fault)
 
     def _notify(self, event: Callable[[], None]) -> None:
         if not self.is_over:
--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -18,6 +18,7 @@
     RelayRequest,
     WireCodec,
 )
+from foxtailhatch.relay.resumption_times import ResumptionTimes
 from foxtailhatch.relay.retry_budget import RetryBudget
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.routes import Service
@@ -54,7 +55,8 @@
 
     ``exclude`` names endpoints that may not be used.  ``heads``, if not
     empty, names those that may be the head of the chain.  ``first``, if set,
-    is the stage that the chain must start with.
+    is the stage that the chain must start with.  ``is_single_zone`` demands
+    that all stages lie in one zone.
     """
 
     service: Service
@@ -62,6 +64,7 @@
     exclude: frozenset[str] = frozenset()
     heads: frozenset[str] = frozenset()
     first: SelectedStage | None = None
+    is_single_zone: bool = False
 
 
 class EndpointSelector(Protocol):
@@ -130,6 +133,9 @@
     def record_notice(self, kind: str) -> None:
         """Count a notice of an endpoint that was news: leaving or a pause."""
 
+    def record_hedge(self, outcome: str) -> None:
+        """Count a hedged attempt by its outcome."""
+
 
 @dataclass(slots=True)
 class RelayContext:
@@ -154,6 +160,7 @@
     entries: Callable[[], int]
     on_suspect: Callable[[LiveEndpoint, str], None]
     bodies: BodyMemory = field(default_factory=BodyMemory)
+    resumptions: ResumptionTimes = field(default_factory=ResumptionTimes)
     running: set[Any] = field(default_factory=set)
 
     def record_notice(
--- a/foxtailhatch/relay/delivery.py
+++ b/foxtailhatch/relay/delivery.py
@@ -57,6 +57,10 @@
         """Return the first bytes of the event that is not the next one."""
         return self._sequencer.rejected
 
+    def fault_of(self, event: StreamEvent) -> EventFault | None:
+        """Return why an event of another attempt is not the next one, if so."""
+        return self._sequencer.fault_of(event.number)
+
     def start_attempt(self, now: float) -> None:
         """Prepare for the response of another attempt."""
         self._sequencer.start_attempt()
--- a/foxtailhatch/relay/endpoint_feedback.py
+++ b/foxtailhatch/relay/endpoint_feedback.py
@@ -5,12 +5,13 @@
 from foxtailhatch.relay.attempt import Attempt
 from foxtailhatch.relay.attempt_history import AttemptHistory
 from foxtailhatch.relay.context import RelayContext
-from foxtailhatch.relay.http_connection import ResponseLimit
+from foxtailhatch.relay.http_connection import ResponseLimit, TransportFailure
 from foxtailhatch.relay.request import (
     EndpointIdentity,
     EndpointResponse,
     ResponseKind,
 )
+from foxtailhatch.relay.retry_policy import FailureKind
 
 FIRST_ERROR_STATUS = 400
 
@@ -50,6 +51,24 @@
         )
         self._context.on_suspect(endpoint, why)
 
+    def record_fault(
+        self, attempt: Attempt, fault: TransportFailure
+    ) -> FailureKind:
+        """Record a transport failure, and return what it means.
+
+        An endpoint is suspected only if it could not be reached or closed
+        the connection before it responded.
+        """
+        if fault is TransportFailure.NOT_CONNECTED:
+            self._history.record_unreached(attempt.head_name)
+            self.record_failure(attempt.head_name, fault.value)
+            return FailureKind.UNREACHED
+        if fault is TransportFailure.MALFORMED:
+            return FailureKind.MALFORMED
+        if fault is TransportFailure.CLOSED and attempt.response is None:
+            self.record_failure(attempt.head_name, fault.value)
+        return FailureKind.MAY_HAVE_RUN
+
     def record_malformed(self, attempt: Attempt) -> None:
         """Note that the head sent bytes that are no answer.
 
--- a/foxtailhatch/relay/event_stream.py
+++ b/foxtailhatch/relay/event_stream.py
@@ -152,15 +152,16 @@
     def _accept(self, event: StreamEvent) -> bool:
         if self.fault is not None:
             return False
-        expected = FIRST_EVENT if self.last is None else self.last + 1
-        self.fault = self._fault_of(event.number, expected)
+        self.fault = self.fault_of(event.number)
         if self.fault is None:
             self.last = event.number
             return True
         self.rejected = event.raw[:SAMPLE_BYTES]
         return False
 
-    def _fault_of(self, number: int, expected: int) -> EventFault | None:
+    def fault_of(self, number: int) -> EventFault | None:
+        """Return why the event of a number is not the next one, if so."""
+        expected = FIRST_EVENT if self.last is None else self.last + 1
         if number < expected:
             return EventFault.REPEATED
         if number > expected:
--- a/foxtailhatch/relay/http_connection.py
+++ b/foxtailhatch/relay/http_connection.py
@@ -310,6 +310,14 @@
         """Return whether the peer has accepted the connection."""
         return self.transport is not None
 
+    @property
+    def has_unread(self) -> bool:
+        """Return whether bytes may have arrived that are not forwarded yet.
+
+        The reader of the body is slow, or the parser waits for its turn.
+        """
+        return self._is_held_back or self._is_waiting
+
     @property
     def is_framed(self) -> bool:
         """Return whether the response has a length or chunks."""
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -4,12 +4,17 @@
 
 from foxtailhatch.core import Invariant, check_invariant
 from foxtailhatch.relay.admitted_request import AdmittedRequest
-from foxtailhatch.relay.attempt import Attempt, OutgoingRequest
+from foxtailhatch.relay.attempt import (
+    Attempt,
+    AttemptListener,
+    OutgoingRequest,
+)
 from foxtailhatch.relay.attempt_history import AttemptHistory
 from foxtailhatch.relay.context import RelayContext, SelectedChain, chain_layout
 from foxtailhatch.relay.delivery import Delivery
 from foxtailhatch.relay.endpoint_feedback import EndpointFeedback
 from foxtailhatch.relay.event_syntax import EventFault
+from foxtailhatch.relay.hedging import HedgeOutcome, Hedging
 from foxtailhatch.relay.http_connection import ResponseHead, TransportFailure
 from foxtailhatch.relay.refusal_response import send_refusal
 from foxtailhatch.relay.refusals import (
@@ -109,6 +114,9 @@
             now,
             _last_possible_event(admitted.req),
         )
+        self.hedging = Hedging(
+            context, self, self._history, self._feedback, self._delivery
+        )
         self._sends = 0
         self._malformed = 0
         self._fruitless = 0
@@ -158,7 +166,8 @@
         """End the request with an answer, as this process is about to end."""
         attempt = self.attempt
         if attempt is not None and not attempt.is_over:
-            self._may_have_run = self._may_have_run or attempt.is_connected
+            is_sent = attempt.is_connected or self.hedging.is_connected
+            self._may_have_run = self._may_have_run or is_sent
         if self.is_started:
             self._caller.abort()
             self._end('broken_off')
@@ -212,14 +221,31 @@
         self._on_attempt_failed(attempt, FailureKind.MAY_HAVE_RUN, cause)
         return True
 
-    def _can_replace(self, attempt: Attempt) -> bool:
-        """Return whether another endpoint can take the place of an attempt."""
-        now = self._context.clock()
+    def may_replace(self, now: float) -> bool:
+        """Return whether a request in progress may be sent again."""
         failure_context = replace(
             self._failure_context(FailureKind.MAY_HAVE_RUN, now),
             may_have_run=True,
         )
-        if action_after_failure(failure_context) is not RetryAction.RETRY:
+        return action_after_failure(failure_context) is RetryAction.RETRY
+
+    def adopt(self, attempt: Attempt) -> None:
+        """Continue with a hedged attempt in place of the current one."""
+        if self.attempt is not None:
+            self.attempt.cancel()
+        attempt.listener = self
+        self.attempt = attempt
+        self._delivery.start_attempt(self._context.clock())
+        self._held.release()
+        if self.is_started and attempt.response is not None:
+            self._caller.set_backpressure_source(attempt.transport)
+
+    def _can_replace(self, attempt: Attempt) -> bool:
+        """Return whether another endpoint can take the place of an attempt."""
+        if self.hedging.attempt is not None:
+            return True
+        now = self._context.clock()
+        if not self.may_replace(now):
             return False
         selection = self._history.selection()
         without = replace(
@@ -250,14 +276,10 @@
         """Decide by the status whether to retry or to forward the response."""
         if attempt is not self.attempt:
             return
-        response = self._decode_head(attempt, head)
-        attempt.response = response
-        self._feedback.record_rate_limit(attempt)
-        self._feedback.record_notice(attempt)
+        response = self.read_head(attempt, head)
         if response.kind is ResponseKind.NOT_RUN:
             self._on_not_run(attempt)
             return
-        self._may_have_run = True
         failure = self._failure_of(attempt, response)
         is_failed_entry = (
             attempt.is_forwarded and response.status >= FIRST_ERROR_STATUS
@@ -267,11 +289,33 @@
             # The other entry has repeated it as often as is allowed.
             attempt.cancel()
             self._refuse(RefusalReason.OUTCOME_UNKNOWN)
-        elif failure is not None:
+        elif failure is None:
+            self._accept_head(attempt, response)
+        else:
             attempt.cancel()
             self._on_attempt_failed(attempt, failure, f'{head.status}')
-        elif self.is_started:
-            self._caller.set_backpressure_source(attempt.transport)
+
+    def _accept_head(
+        self, attempt: Attempt, response: EndpointResponse
+    ) -> None:
+        if response.is_event_stream:
+            if self.is_started:
+                self._caller.set_backpressure_source(attempt.transport)
+            return
+        # This is the answer, and no event of another attempt belongs to it.
+        self.hedging.cancel(HedgeOutcome.LOST)
+
+    def read_head(
+        self, attempt: Attempt, head: ResponseHead
+    ) -> EndpointResponse:
+        """Decode the head of a response and record what it tells."""
+        response = self._decode_head(attempt, head)
+        attempt.response = response
+        self._feedback.record_rate_limit(attempt)
+        self._feedback.record_notice(attempt)
+        if response.kind is not ResponseKind.NOT_RUN:
+            self._may_have_run = True
+        return response
 
     def _decode_head(
         self, attempt: Attempt, head: ResponseHead
@@ -343,11 +387,13 @@
         """Forward the next events; return what else has come, if anything."""
         now = self._context.clock()
         before = self._delivery.last_event or 0
-        events = attempt.splitter.feed(chunk)
+        events = attempt.take_events(chunk)
         self._delivery.deliver_events(response, events, now)
         passed = (self._delivery.last_event or 0) - before
-        if passed and not attempt.event_count:
-            self._context.prompts.record_begun(self.admitted.req, now)
+        if passed:
+            self.hedging.cancel(HedgeOutcome.LOST)
+            if not attempt.event_count:
+                self._record_first_event(attempt, now)
         attempt.event_count += passed
         self._record_if_sound(attempt, now)
         fault = self._delivery.event_fault or attempt.splitter.fault
@@ -356,6 +402,11 @@
             fault = EventFault.TOO_LONG
         return fault
 
+    def _record_first_event(self, attempt: Attempt, now: float) -> None:
+        self._context.prompts.record_begun(self.admitted.req, now)
+        if attempt.is_resumed:
+            self._context.resumptions.record(now - attempt.sent_at)
+
     def _deliver_body(self, response: EndpointResponse, chunk: bytes) -> None:
         """Buffer a small body; forward it at once if there is no room."""
         now = self._context.clock()
@@ -368,7 +419,7 @@
         response = attempt.response
         if attempt is not self.attempt or response is None:
             return
-        if response.is_event_stream and self._is_incomplete(attempt):
+        if response.is_event_stream and self.is_incomplete(attempt):
             self._on_attempt_failed(
                 attempt, FailureKind.MAY_HAVE_RUN, 'half an event'
             )
@@ -384,7 +435,7 @@
         is_error = response.status >= FIRST_ERROR_STATUS
         self._end(f'status_{response.status}' if is_error else 'answered')
 
-    def _is_incomplete(self, attempt: Attempt) -> bool:
+    def is_incomplete(self, attempt: Attempt) -> bool:
         """Return whether a stream that has ended cannot be complete.
 
         One that resumes after its last event is empty; a new one is not.
@@ -392,28 +443,26 @@
         return attempt.is_truncated or self._delivery.last_event is None
 
     def attempt_failed(self, attempt: Attempt, fault: TransportFailure) -> None:
-        """Decide what to do after a transport failure.
-
-        An endpoint is suspected only if it could not be reached or closed
-        the connection before it responded.
-        """
+        """Decide what to do after a transport failure."""
         if attempt is not self.attempt:
             return
-        if fault is TransportFailure.NOT_CONNECTED:
-            self._history.record_unreached(attempt.head_name)
-            self._feedback.record_failure(attempt.head_name, fault.value)
-            self._on_attempt_failed(attempt, FailureKind.UNREACHED, fault.value)
-            return
-        if fault is TransportFailure.MALFORMED:
-            self._on_attempt_failed(attempt, FailureKind.MALFORMED, fault.value)
-            return
-        if fault is TransportFailure.CLOSED and attempt.response is None:
-            self._feedback.record_failure(attempt.head_name, fault.value)
-        self._on_attempt_failed(attempt, FailureKind.MAY_HAVE_RUN, fault.value)
+        failure = self._feedback.record_fault(attempt, fault)
+        self._on_attempt_failed(attempt, failure, fault.value)
 
     def _send(self, chosen: SelectedChain, now: float) -> None:
+        self._delivery.start_attempt(now)
+        self._held.release()
+        self.attempt = self.open_attempt(chosen, self, now)
+
+    def open_attempt(
+        self, chosen: SelectedChain, listener: AttemptListener, now: float
+    ) -> Attempt:
+        """Send the request to a chain, also beside the current attempt."""
         admitted = self.admitted
-        may_send = not self._may_have_run or admitted.route.may_repeat
+        attempt = self.attempt
+        is_running = attempt is not None and not attempt.is_over
+        is_first = not (self._may_have_run or is_running)
+        may_send = is_first or admitted.route.may_repeat
         check_invariant(Invariant.AT_MOST_ONCE, may_send, self.request_id)
         endpoints = [stage.endpoint for stage in chosen]
         is_forwarded = chosen[0].is_entry
@@ -427,8 +476,6 @@
             self._history.record_send(endpoints[0])
             self._context.rate_limits.record_send(endpoints[0].name, now)
             self._context.endpoints.pauses.record_sends(endpoints, now)
-        self._delivery.start_attempt(now)
-        self._held.release()
         self._sends += 1
         dispatch = Dispatch(
             endpoint=endpoints[0].name,
@@ -456,7 +503,7 @@
             age_s=round(admitted.configuration_age_s, 2),
         )
         outgoing = OutgoingRequest(admitted.req, dispatch, chosen)
-        self.attempt = Attempt(self._context, outgoing, self, now)
+        return Attempt(self._context, outgoing, listener, now)
 
     def _on_not_run(self, attempt: Attempt) -> None:
         refusing_name = self._feedback.record_refusal(attempt)
@@ -469,22 +516,12 @@
         self, attempt: Attempt, failure: FailureKind, cause: str
     ) -> None:
         now = self._context.clock()
-        if failure is FailureKind.MAY_HAVE_RUN:
-            self._record_lost(attempt, cause, now)
+        self.record_failed(attempt, failure, cause)
         if failure is FailureKind.MALFORMED:
-            self._may_have_run = True
-            self._feedback.record_malformed(attempt)
             self._fruitless += 1
         if attempt.event_count >= FRUITFUL_EVENTS:
             self._fruitless = 0
-        if failure in EXCLUDING_FAILURES:
-            self._history.exclude(attempt.head_name)
-        action = action_after_failure(self._failure_context(failure, now))
-        if failure is FailureKind.NOT_RUN and self._has_waited:
-            # It has waited for capacity before: wait again, don't retry now.
-            action = (
-                RetryAction.FAIL if self._may_have_run else RetryAction.REFUSE
-            )
+        action = self._next_action(failure, now)
         chosen = None
         if action is RetryAction.RETRY:
             chosen = self._select_chain(now)
@@ -504,10 +541,32 @@
             received_bytes=attempt.received_bytes,
             limit=attempt.exceeded,
         )
+        self._apply(action, chosen, cause, now)
+
+    def _next_action(self, failure: FailureKind, now: float) -> RetryAction:
+        if self.hedging.attempt is not None:
+            return RetryAction.HEDGE
+        if failure is FailureKind.NOT_RUN and self._has_waited:
+            # It has waited for capacity before: wait again, don't retry now.
+            return (
+                RetryAction.FAIL if self._may_have_run else RetryAction.REFUSE
+            )
+        return action_after_failure(self._failure_context(failure, now))
+
+    def record_failed(
+        self, attempt: Attempt, failure: FailureKind, cause: str
+    ) -> None:
+        """Record the failure of an attempt at its endpoints."""
+        if failure is FailureKind.MAY_HAVE_RUN:
+            self._record_lost(attempt, cause, self._context.clock())
+        if failure is FailureKind.MALFORMED:
+            self._may_have_run = True
+            self._feedback.record_malformed(attempt)
+        if failure in EXCLUDING_FAILURES:
+            self._history.exclude(attempt.head_name)
         self._context.metrics.record_failed_attempt(
             failure.value, has_begun=attempt.event_count > 0
         )
-        self._apply(action, chosen, cause, now)
 
     def _record_if_sound(self, attempt: Attempt, now: float) -> None:
         """Record once that a stream goes on after its first event."""
@@ -559,13 +618,20 @@
     ) -> None:
         if self._is_blocked():
             self._refuse_blocked()
-        elif action is RetryAction.RETRY and chosen is not None:
+            return
+        if action is RetryAction.HEDGE:
+            self.hedging.take_over()
+        elif chosen:
             self._retry(chosen, cause, now)
         elif action is RetryAction.REFUSE:
             self._wait_for_capacity(
                 RefusalReason.ENDPOINT_REFUSED, RETRY_AFTER_REFUSED_S
             )
-        elif self.is_started:
+        else:
+            self._resume_or_fail(now)
+
+    def _resume_or_fail(self, now: float) -> None:
+        if self.is_started:
             self._wait_to_resume(now)
         else:
             self._refuse(RefusalReason.OUTCOME_UNKNOWN)
@@ -607,10 +673,8 @@
         chosen = self._select_chain(now)
         if chosen is not None and self._spend_retry(now):
             self._send(chosen, now)
-        elif self.is_started:
-            self._wait_to_resume(now)
         else:
-            self._refuse(RefusalReason.OUTCOME_UNKNOWN)
+            self._resume_or_fail(now)
 
     def _wait_to_resume(self, now: float) -> None:
         """Wait until the response can be resumed.
@@ -740,6 +804,8 @@
         if attempt.is_forwarded:
             # The other entry has repeated it as often as is allowed.
             return False
+        if self.hedging.attempt is not None:
+            return True
         now = self._context.clock()
         failure_context = self._failure_context(FailureKind.FAILED, now)
         if action_after_failure(failure_context) is not RetryAction.RETRY:
@@ -787,6 +853,7 @@
         self._caller.set_backpressure_source(None)
         if self.attempt is not None:
             self.attempt.cancel()
+        self.hedging.cancel(HedgeOutcome.ENDED)
         self._timers.cancel_all()
         self._context.prompts.end_turn(self.admitted.req)
         self._context.running.discard(self)
--- a/foxtailhatch/relay/retry_budget.py
+++ b/foxtailhatch/relay/retry_budget.py
@@ -54,15 +54,27 @@
 
     def remaining(self, service: str, now: float, entries: int) -> float:
         """Return the number of retries that are allowed now."""
-        requests = self._requests[service]
         retries = self._retries[service]
-        self._expire(requests, now)
         self._expire(retries, now)
+        return self._limit(service, now, entries) - len(retries)
+
+    def has_half(self, service: str, now: float, entries: int) -> bool:
+        """Return whether a retry is allowed and at least half is left.
+
+        Sends that can be done without leave the rest to those after failures.
+        """
+        left = self.remaining(service, now, entries)
+        return left >= max(1, self._limit(service, now, entries) / 2)
+
+    def _limit(self, service: str, now: float, entries: int) -> float:
+        """Return the number of retries that are allowed in this window."""
+        requests = self._requests[service]
+        self._expire(requests, now)
         slack_share = self._slack / self._max_recent_entries(entries, now)
         limit = self._ratio * len(requests)
         if now - self._started_at >= self._window_s:
             limit += slack_share
-        return USABLE_SHARE * limit - len(retries)
+        return USABLE_SHARE * limit
 
     def _max_recent_entries(self, entries: int, now: float) -> int:
         """Return the largest recent number of listed entries."""
--- a/foxtailhatch/relay/retry_policy.py
+++ b/foxtailhatch/relay/retry_policy.py
@@ -26,11 +26,13 @@
 class RetryAction(StrEnum):
     """What to do after a failed attempt.
 
+    ``HEDGE`` continues with the hedged attempt that runs beside the failed one.
     ``FORWARD`` sends the endpoint's own error response to the caller.
     ``REFUSE`` states that the request has not run; ``FAIL`` does not.
     """
 
     RETRY = 'try_again'
+    HEDGE = 'hedge'
     REFUSE = 'refuse'
     FORWARD = 'pass_on'
     FAIL = 'fail'
--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -39,12 +39,11 @@
 LEASE_RENEWAL_PERIOD_S = 0.4
 REACH_CHECK_PERIOD_S = 0.1
 PLACEMENT_PERIOD_S = 0.1
-STALL_CHECK_PERIOD_S = 0.05
 CRASH_WATCH_PERIOD_S = 0.1
 CLEANUP_PERIOD_S = 5.0
 SHUTDOWN_CHECK_PERIOD_S = 0.25
 STOPPING_CHECK_PERIOD_S = 0.05
-# Period of the loops of placement and stalls while they have nothing to do.  An
+# Period of the loops of placement and crashes while they have nothing to do.  An
 # entry that idles costs processor time with each step of a loop.
 IDLE_PERIOD_S = 0.2
 # Callers reuse connections for most of the idle timeout that is announced to
@@ -169,7 +168,7 @@
         self._loops.repeat(
             self._placement_pause_s, components.placement_controller.step
         )
-        self._loops.repeat(self._stall_check_pause_s, components.watch_streams)
+        components.stream_watches.start(self._loops)
 
     def _placement_pause_s(self) -> float:
         may_order = self._components.lease.may_order(boot_time_clock())
@@ -181,10 +180,6 @@
             STOPPING_CHECK_PERIOD_S if is_stopping else SHUTDOWN_CHECK_PERIOD_S
         )
 
-    def _stall_check_pause_s(self) -> float:
-        is_busy = self._components.stall_detector.has_streams
-        return STALL_CHECK_PERIOD_S if is_busy else IDLE_PERIOD_S
-
     def _crash_watch_pause_s(self) -> float:
         is_idle = self._components.crash_watch.is_idle
         return IDLE_PERIOD_S if is_idle else CRASH_WATCH_PERIOD_S
--- a/foxtailhatch/router/components.py
+++ b/foxtailhatch/router/components.py
@@ -14,7 +14,6 @@
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.crash_watch import CrashWatch
 from foxtailhatch.router.feed import FeedClient
-from foxtailhatch.router.forwarding import CutOffWatch
 from foxtailhatch.router.graceful_shutdown import GracefulShutdown
 from foxtailhatch.router.heartbeats import Heartbeats
 from foxtailhatch.router.leader_lease import LeaderLease, build_lease
@@ -28,9 +27,12 @@
     build_relay_context,
 )
 from foxtailhatch.router.request_handler import RequestHandler
-from foxtailhatch.router.stall_detector import StallDetector
 from foxtailhatch.router.state_sync import StateSync
 from foxtailhatch.router.status_pages import StatusPages
+from foxtailhatch.router.stream_watches import (
+    StreamWatches,
+    build_stream_watches,
+)
 
 # An entry that has read the store for this long is expected to go on.  One that
 # replaces another reader during an outage hands back within two seconds, and
@@ -52,8 +54,7 @@
     heartbeats: Heartbeats
     lease: LeaderLease
     placement_controller: PlacementController
-    stall_detector: StallDetector
-    cut_off_watch: CutOffWatch
+    stream_watches: StreamWatches
     prober: ReachProber
     observation_publisher: ObservationPublisher
     observation_cleanup: ObservationCleanup
@@ -68,11 +69,6 @@
             self._update_peer_work()
         await self.heartbeats.step(reads_store=self.state_sync.reads_store)
 
-    async def watch_streams(self) -> None:
-        """Resolve what keeps the running requests waiting."""
-        self.cut_off_watch.step()
-        await self.stall_detector.step()
-
     async def watch_reach(self) -> None:
         """Ask endpoints that may be out of reach, and dead ones again."""
         await self.prober.step()
@@ -159,13 +155,9 @@
             observation_publisher.publish,
             prober.has_witness,
         ),
-        stall_detector=StallDetector(
-            relay,
-            adapter.engines,
-            prober.probe_delay_s,
-            prober.has_witness,
+        stream_watches=build_stream_watches(
+            board, relay, adapter.engines, prober
         ),
-        cut_off_watch=CutOffWatch(board, relay),
         prober=prober,
         observation_publisher=observation_publisher,
         observation_cleanup=ObservationCleanup(
--- a/foxtailhatch/router/endpoint_selection.py
+++ b/foxtailhatch/router/endpoint_selection.py
@@ -1,7 +1,9 @@
 """Select the endpoints of an attempt by load and zone."""
 
+from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
+from operator import attrgetter
 from random import Random
 
 from foxtailhatch.chains.chain_search import (
@@ -189,7 +191,10 @@
         ]
         path = _cheapest(selection, costs, start, in_zone)
         if path is None or _is_crowded(path, costs):
-            path = _cheapest(selection, costs, start, by_name.values())
+            search = (
+                _cheapest_in_one_zone if selection.is_single_zone else _cheapest
+            )
+            path = search(selection, costs, start, by_name.values())
         if path is None:
             return None
         first = () if selection.first is None else (selection.first,)
@@ -238,6 +243,24 @@
     )
 
 
+def _cheapest_in_one_zone(
+    selection: SelectionRequest,
+    costs: ChainCosts,
+    start: ChainPath,
+    endpoints: Iterable[LiveEndpoint],
+) -> ChainPath | None:
+    """Return the cheapest chain whose stages all lie in the same zone."""
+    by_zone: dict[str, list[LiveEndpoint]] = defaultdict(list)
+    for endpoint in endpoints:
+        by_zone[endpoint.zone].append(endpoint)
+    paths = [
+        _cheapest(selection, costs, start, in_zone)
+        for in_zone in by_zone.values()
+    ]
+    whole = [path for path in paths if path is not None]
+    return min(whole, key=attrgetter('cost'), default=None)
+
+
 def _is_crowded(path: ChainPath, costs: ChainCosts) -> bool:
     """Return whether a stage of a path has little capacity left."""
     return any(
--- /dev/null
+++ b/foxtailhatch/router/hedge_controller.py
@@ -0,0 +1,81 @@
+"""Decide when the running requests of this entry get a hedged attempt."""
+
+from collections.abc import Sequence
+from itertools import combinations
+
+from foxtailhatch.relay.context import RelayContext
+from foxtailhatch.relay.hedging import MIN_PAUSE_S
+from foxtailhatch.relay.relay import Relay
+
+# Period of the check while a request is paused or about to be.
+CHECK_PERIOD_S = 0.025
+# No request is due sooner than this after its send or its last event, so the next
+# check can wait for the first one that may be due, and this long for others.
+IDLE_PERIOD_S = MIN_PAUSE_S
+# Events that have arrived meanwhile are not read yet if the loop was late by more.
+MAX_LATENESS_S = 0.1
+
+
+class HedgeController:
+    """Find paused requests, and hedge them unless this entry is the cause."""
+
+    def __init__(self, context: RelayContext) -> None:
+        """Watch the running requests of ``context``."""
+        self._context = context
+        self._next_at: float | None = None
+
+    def delay_s(self) -> float:
+        """Return how long to wait for the next check."""
+        now = self._context.clock()
+        due_at = min(
+            (relay.hedging.due_at for relay in self._hedgeable()),
+            default=now + IDLE_PERIOD_S,
+        )
+        wait_s = min(max(due_at - now, CHECK_PERIOD_S), IDLE_PERIOD_S)
+        self._next_at = now + wait_s
+        return wait_s
+
+    async def step(self) -> None:
+        """Check all running requests once."""
+        now = self._context.clock()
+        expected_at = now if self._next_at is None else self._next_at
+        paused = [
+            relay for relay in self._hedgeable() if relay.hedging.is_paused(now)
+        ]
+        is_late = now - expected_at > MAX_LATENESS_S
+        if not paused or is_late or self._is_cause(paused, now):
+            return
+        # The budget may not suffice for all.
+        paused.sort(key=lambda relay: relay.last_progress_at)
+        for relay in paused:
+            relay.hedging.try_start(now)
+
+    def _hedgeable(self) -> list[Relay]:
+        return [
+            relay for relay in self._context.running if relay.hedging.is_enabled
+        ]
+
+    def _is_cause(self, paused: Sequence[Relay], now: float) -> bool:
+        """Return whether this entry itself is likely to hold the streams up.
+
+        Streams over chains without a common endpoint pause at the same time,
+        and no other one has just brought an event, which it could not have
+        done through an entry that stands still or is cut off.
+        """
+        if not any(
+            _are_disjoint(one, other) for one, other in combinations(paused, 2)
+        ):
+            return False
+        return not any(
+            relay.is_started and now - relay.last_progress_at < MIN_PAUSE_S
+            for relay in self._context.running
+        )
+
+
+def _are_disjoint(one: Relay, other: Relay) -> bool:
+    """Return whether no endpoint is part of both chains."""
+    if one.attempt is None or other.attempt is None:
+        return False
+    return not any(
+        other.attempt.uses(stage.endpoint.name) for stage in one.attempt.chosen
+    )
--- a/foxtailhatch/router/metrics.py
+++ b/foxtailhatch/router/metrics.py
@@ -59,6 +59,12 @@
             const_labels=labels,
             registry=registry,
         )
+        self._hedges = Counter(
+            'hedges',
+            'Hedged attempts by outcome',
+            const_labels=labels,
+            registry=registry,
+        )
         self._endpoints = Gauge(
             'endpoints',
             'Listed endpoints by whether they get work from this entry',
@@ -118,6 +124,10 @@
         """Count a notice of an endpoint that was news: leaving or a pause."""
         self._notices.inc({'kind': kind})
 
+    def record_hedge(self, outcome: str) -> None:
+        """Count a hedged attempt by its outcome."""
+        self._hedges.inc({'outcome': outcome})
+
     def record_endpoints(self, counts: Mapping[Availability, int]) -> None:
         """Record the number of listed endpoints in each state."""
         for state, count in counts.items():
--- a/foxtailhatch/router/stall_detector.py
+++ b/foxtailhatch/router/stall_detector.py
@@ -304,6 +304,7 @@
         head: LiveEndpoint,
         chosen: SelectedChain,
     ) -> None:
+        attempt = relay.attempt
         reply = await self._engines.reroute(
             head,
             Reroute(relay.request_id, chain_layout(chosen)),
@@ -318,8 +319,10 @@
             why=reply.reason,
         )
         if reply.outcome in {OrderOutcome.STARTED, OrderOutcome.ALREADY_HELD}:
-            if relay.attempt is not None:
-                relay.attempt.switch_chain(chosen)
+            # Another attempt may have taken its place meanwhile; a cancelled
+            # one ignores this.
+            if attempt is not None:
+                attempt.switch_chain(chosen)
             return
         self._retry_at[relay] = self._context.clock() + REROUTE_RETRY_S
         if reply.outcome is OrderOutcome.CONFLICT and reply.address:
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -50,6 +50,7 @@
         self.failed_attempts = []
         self.undelivered = []
         self.notices = []
+        self.hedges = []
 
     def record_outcome(self, outcome, seconds):
         self.outcomes.append(outcome)
@@ -69,6 +70,9 @@
     def record_notice(self, kind):
         self.notices.append(kind)
 
+    def record_hedge(self, outcome):
+        self.hedges.append(outcome)
+
 
 class RecordingPrompts:
     """A watch for harmful prompts that records what it is told."""
