Search for another chain of a stalled stream every 0.1 s

A stream over a lost or draining stage searched for another chain every 50 ms until one was there; each search takes a millisecond of processor time and more. Layers load and memory is released within tenths of a second, so a search every 0.1 s finds them as well. The test failed before (8 searches in 0.4 s).

--- a/foxtailhatch/router/stall_detector.py
+++ b/foxtailhatch/router/stall_detector.py
@@ -49,7 +49,7 @@
 MAX_HEAD_REROUTES = 4
 # Delay after a reroute was refused for lack of capacity, as each order has a cost.
 REROUTE_RETRY_S = 0.3
-# Delay after no other endpoint could take the place of a lost chain head.
+# Delay after no other endpoint could take the place of a lost one.
 REPLACE_RETRY_S = 0.1
 
 
@@ -250,6 +250,9 @@
             if not relay.abandon_attempt('lost chain head'):
                 self._retry_at[relay] = now + REPLACE_RETRY_S
             return
+        # A search takes a millisecond and more, and is in vain until an engine
+        # has loaded layers or released memory.
+        self._retry_at[relay] = now + REPLACE_RETRY_S
         chosen = relay.select_reroute(now)
         if chosen is not None and self._should_wait_for_zone(
             relay, chosen, now
--- a/tests/router/test_stall_detector.py
+++ b/tests/router/test_stall_detector.py
@@ -247,6 +247,20 @@
     assert len(env.engines.moves) == 1
 
 
+# Guards against entries whose processor time goes into searches in vain: each takes
+# a millisecond and more, and a stalled stream made one every 50 ms.
+def test_search_in_vain_is_not_repeated_at_each_step():
+    env = stalled_setup(('e1', 'e2', 'e3'))
+    make_chain_of_two(env, others=['e3'])
+    drain(env, 'e2')
+    searches = []
+    env.relay.select_reroute = searches.append
+    for _ in range(8):
+        env.reactor.advance(0.05)
+        step(env)
+    assert 2 <= len(searches) <= 4
+
+
 # Guards against entries that use up the connections of a chain head by asking it to
 # move all of its streams at once, and take its resets for its death.
 def test_reroutes_to_one_chain_head_are_few_at_a_time():
