Ordered admission: urgent requests get scarce capacity first

Cause: a request of a model service that found no chain tried again every 0.1 s for 0.25 s, in no order, and the most urgent route had the smallest share of its credit. A 503 of a full engine ended a request that had waited 13 ms after it came, although attempts and other chains were left.

Ruled out: queue order without a reservation.

Change: services whose routes have different priorities have one queue at each entry, ordered by rank, fair shares of accounts and age (capacity_queue), fill limits by rank (reservation, fill_limit), and CapacityAdmission, which tells a relay to send or to refuse. A refusal by a full engine goes to another chain head within attempts and retry budget, or waits again. Other services are admitted as before.

--- a/foxtailhatch/chains/costs.py
+++ b/foxtailhatch/chains/costs.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from foxtailhatch.chains.chain_search import ChainPath
 from foxtailhatch.fleet import LiveEndpoint, WorkEstimate
 from foxtailhatch.routes import Engine
 
@@ -52,6 +53,29 @@
         received = self.work.work_at(endpoint).received
         return is_first and received > KV_FILL_HIGH * live.slots
 
+    def is_crowded_path(self, path: ChainPath) -> bool:
+        """Return whether a stage of a path has little capacity left."""
+        return any(
+            self.is_crowded(stage.endpoint, is_first=stage.layers.first == 0)
+            for stage in path.stages
+            if stage.endpoint in self.endpoints
+        )
+
+    def has_room(self, endpoint: LiveEndpoint, limit: float) -> bool:
+        """Return whether the request keeps an engine within a fill limit.
+
+        One that is larger than the limit alone may go to an idle engine.
+        """
+        is_idle = not self.work.work_at(endpoint.name).tokens
+        return is_idle or self.fill(endpoint) <= limit
+
+    def has_slot(self, endpoint: LiveEndpoint, limit: float) -> bool:
+        """Return whether a chain head has a slot within a fill limit."""
+        if not endpoint.slots:
+            return True
+        received = self.work.work_at(endpoint.name).received
+        return received + 1 <= max(1, limit * endpoint.slots)
+
     def crossing_cost(
         self, zone: str, to_zone: str, *, is_first: bool
     ) -> float:
--- /dev/null
+++ b/foxtailhatch/chains/fill_limit.py
@@ -0,0 +1,115 @@
+"""The cheapest chain of which no stage is above a fill limit."""
+
+from collections.abc import Collection, Iterable
+from operator import attrgetter
+
+from foxtailhatch.chains.chain_search import (
+    ChainPath,
+    LayerHolder,
+    cheapest_chain,
+)
+from foxtailhatch.chains.costs import ChainCosts
+from foxtailhatch.fleet import LiveEndpoint
+from foxtailhatch.routes import Engine
+
+
+def cheapest_with_room(
+    costs: ChainCosts,
+    start: ChainPath,
+    heads: Collection[str],
+    fill_limit: float,
+) -> ChainPath | None:
+    """Return the cheapest chain within the limit, or ``None``.
+
+    Chains of the own zone come first, then those within another zone.  A chain
+    over several zones is returned only if no zone holds all layers: streams
+    that cross zones fill the link between them, so a request waits instead.
+    """
+    roomy = [
+        live
+        for live in costs.endpoints.values()
+        if costs.has_room(live, fill_limit)
+    ]
+    roomy_heads = frozenset(
+        live.name
+        for live in roomy
+        if costs.has_slot(live, fill_limit)
+        and (not heads or live.name in heads)
+    )
+    if not roomy_heads:
+        return None
+
+    def search(endpoints: Iterable[LiveEndpoint]) -> ChainPath | None:  # noqa: WPS430
+        return cheapest_chain(
+            _holders(endpoints),
+            costs.engine.layer_count,
+            costs,
+            start,
+            heads=roomy_heads,
+            max_stages=costs.engine.max_stages,
+        )
+
+    own = search(live for live in roomy if live.zone == start.zone)
+    if own is not None and not costs.is_crowded_path(own):
+        return own
+    zones = {live.zone for live in costs.endpoints.values()}
+    others = [
+        search(live for live in roomy if live.zone == zone)
+        for zone in sorted(zones - {start.zone})
+    ]
+    found = [path for path in (own, *others) if path is not None]
+    if found:
+        return min(found, key=attrgetter('cost'))
+    layer_count = costs.engine.layer_count
+    for zone in zones:
+        in_zone = [
+            live for live in costs.endpoints.values() if live.zone == zone
+        ]
+        if _covers(in_zone, layer_count):
+            return None
+    return search(roomy)
+
+
+def covers_layers(
+    endpoints: Iterable[LiveEndpoint],
+    engine: Engine,
+    exclude: Collection[str],
+    heads: Collection[str],
+) -> bool:
+    """Return whether endpoints form a chain, whatever work they have."""
+    allowed = [
+        live
+        for live in endpoints
+        if live.name not in exclude
+        and live.accelerator_kind in engine.accelerators
+    ]
+    later = [
+        live
+        for live in allowed
+        if live.layers and (live.layers.first or not heads)
+    ]
+    first = [live for live in allowed if live.name in heads]
+    return _covers((*first, *later), engine.layer_count)
+
+
+def _covers(endpoints: Iterable[LiveEndpoint], layer_count: int) -> bool:
+    """Return whether endpoints together hold all layers."""
+    ranges = sorted(
+        (live.layers.first, live.layers.end)
+        for live in endpoints
+        if live.layers is not None
+    )
+    end = 0
+    for first, stop in ranges:
+        if first > end:
+            return False
+        end = max(end, stop)
+    return end >= layer_count
+
+
+def _holders(endpoints: Iterable[LiveEndpoint]) -> list[LayerHolder]:
+    return [
+        LayerHolder(live.name, live.zone, live.layers)
+        for live in endpoints
+        if live.layers is not None
+    ]
--- a/foxtailhatch/fleet/loads.py
+++ b/foxtailhatch/fleet/loads.py
@@ -1,6 +1,7 @@
 """Work that this entry has in progress at each endpoint."""
 
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass
 
 
@@ -58,6 +59,11 @@
         self._work_by_name: dict[str, Work] = defaultdict(Work)
         self._begun: dict[str, Work] = defaultdict(Work)
         self._begun_before: dict[str, Work] = {}
+        self._end_listeners: list[Callable[[], None]] = []
+
+    def on_end(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` whenever work has ended."""
+        self._end_listeners.append(listener)
 
     def work_at(self, name: str) -> Work:
         """Return the work at an endpoint."""
@@ -91,6 +97,8 @@
     def end(self, names: list[str], tokens: int) -> None:
         """Reverse the effect of :meth:`begin` with the same arguments."""
         _add(self._work_by_name, names, -1, -tokens)
+        for listener in self._end_listeners:
+            listener()
 
 
 def _lower(one: float | None, other: float | None) -> float | None:
--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -368,6 +368,11 @@
         refused_until, _ = self._refusal_backoffs.get(endpoint.name, (0, 0))
         return now < max(until, refused_until)
 
+    def is_refusing(self, endpoint: LiveEndpoint, now: float) -> bool:
+        """Return whether an endpoint is in back-off after a refusal."""
+        refused_until, _ = self._refusal_backoffs.get(endpoint.name, (0, 0))
+        return now < refused_until
+
     def _forget_drained(self) -> None:
         """Forget the oldest endpoints that drained and are no longer listed."""
         while len(self._draining_since) > MAX_DRAINING:
--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -1,6 +1,6 @@
 """Dependencies and state that all requests of one entry share."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -12,6 +12,7 @@
     RateLimits,
 )
 from foxtailhatch.fleet.pauses import EndpointNotice
+from foxtailhatch.relay.admitted_request import AdmittedRequest
 from foxtailhatch.relay.body_memory import BodyMemory
 from foxtailhatch.relay.request import (
     EndpointIdentity,
@@ -54,7 +55,8 @@
 
     ``exclude`` names endpoints that may not be used.  ``heads``, if not
     empty, names those that may be the head of the chain.  ``first``, if set,
-    is the stage that the chain must start with.
+    is the stage that the chain must start with.  A chain with a stage above
+    ``fill_limit``, if that is set, is not selected.
     """
 
     service: Service
@@ -62,6 +64,7 @@
     exclude: frozenset[str] = frozenset()
     heads: frozenset[str] = frozenset()
     first: SelectedStage | None = None
+    fill_limit: float | None = None
 
 
 class EndpointSelector(Protocol):
@@ -127,10 +130,51 @@
     def record_failed_attempt(self, kind: str, *, has_begun: bool) -> None:
         """Count a failed attempt, and whether it had brought an event."""
 
+    def record_waiting(self, service: str, counts: Mapping[int, int]) -> None:
+        """Record how many requests of each rank wait for a service."""
+
+    def record_admission(
+        self, outcome: str, rank: int, waited_s: float
+    ) -> None:
+        """Count a decision of ordered admission, with the wait before it."""
+
     def record_notice(self, kind: str) -> None:
         """Count a notice of an endpoint that was news: leaving or a pause."""
 
 
+class CapacityListener(Protocol):
+    """A request that waits for capacity."""
+
+    @property
+    def admitted(self) -> AdmittedRequest:
+        """Return the request."""
+
+    def selection(self) -> SelectionRequest:
+        """Return the constraints on its endpoints."""
+
+    def may_send(self, now: float) -> bool:
+        """Return whether the retry budget allows it to be sent now."""
+
+    def capacity_granted(self, chosen: SelectedChain) -> None:
+        """Send the request to a chain."""
+
+    def capacity_refused(self, retry_after_s: float) -> None:
+        """Refuse the request."""
+
+
+class CapacityWait(Protocol):
+    """Decide when a request with ordered admission is sent, or refused."""
+
+    def enter(self, listener: CapacityListener, arrived_at: float) -> None:
+        """Grant capacity, refuse it, or do either later."""
+
+    def leave(self, listener: CapacityListener) -> None:
+        """Remove a request that has ended, if it waits."""
+
+    def record_first_event(self, service: str, seconds: float) -> None:
+        """Record the time from sending a request to its first event."""
+
+
 @dataclass(slots=True)
 class RelayContext:
     """The dependencies of relays, and the relays in progress.
@@ -138,6 +182,7 @@
     ``entries`` returns the number of entries that share the load.
     ``bodies`` bounds the memory of all requests and responses in progress.
     ``on_suspect`` is called with an endpoint that failed, and the cause.
+    ``capacity`` is set where services may have ordered admission.
     """
 
     reactor: Any
@@ -155,6 +200,7 @@
     on_suspect: Callable[[LiveEndpoint, str], None]
     bodies: BodyMemory = field(default_factory=BodyMemory)
     running: set[Any] = field(default_factory=set)
+    capacity: CapacityWait | None = None
 
     def record_notice(
         self,
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -6,7 +6,13 @@
 from foxtailhatch.relay.admitted_request import AdmittedRequest
 from foxtailhatch.relay.attempt import Attempt, OutgoingRequest
 from foxtailhatch.relay.attempt_history import AttemptHistory
-from foxtailhatch.relay.context import RelayContext, SelectedChain, chain_layout
+from foxtailhatch.relay.context import (
+    CapacityWait,
+    RelayContext,
+    SelectedChain,
+    SelectionRequest,
+    chain_layout,
+)
 from foxtailhatch.relay.delivery import Delivery
 from foxtailhatch.relay.endpoint_feedback import EndpointFeedback
 from foxtailhatch.relay.event_syntax import EventFault
@@ -146,6 +152,9 @@
         self._timers.schedule('end', left_s, self._on_timeout)
         if not self.admitted.req.is_forwarded:
             context.budget.record_request(self.admitted.service.name, now)
+        if self._capacity is not None:
+            self._enter_queue(self._capacity)
+            return
         self._send_if_capacity(
             RefusalReason.NO_ENDPOINT, RETRY_AFTER_NO_ENDPOINT_S
         )
@@ -171,6 +180,46 @@
         """Exclude an endpoint from later attempts of this request."""
         self._history.exclude(name)
 
+    def selection(self) -> SelectionRequest:
+        """Return the constraints on the endpoints of the next attempt.
+
+        A request that may have run is not held back by the fill limit: it
+        cannot be refused as not run, or its caller has a part of the response.
+        """
+        selection = self._history.selection()
+        if self._may_have_run or self.is_started:
+            return selection
+        if self.admitted.req.last_event_id is not None:
+            return selection
+        return replace(selection, fill_limit=self.admitted.fill_limit)
+
+    def may_send(self, now: float) -> bool:
+        """Return whether the retry budget allows the next attempt."""
+        return not self._sends or self._has_budget()
+
+    def capacity_granted(self, chosen: SelectedChain) -> None:
+        """Send the request to a chain that has capacity for it."""
+        now = self._context.clock()
+        if self._is_blocked():
+            self._refuse_blocked()
+        elif self._sends and not self._spend_retry(now):
+            self._refuse(RefusalReason.ENDPOINT_REFUSED, RETRY_AFTER_REFUSED_S)
+        else:
+            self._send(chosen, now)
+
+    def capacity_refused(self, retry_after_s: float) -> None:
+        """Refuse the request, as there is no capacity for it in time."""
+        service = self.admitted.service.name
+        pause_s = self._context.endpoints.shortest_pause_s(
+            service, self._context.clock()
+        )
+        reason = (
+            RefusalReason.ENDPOINT_REFUSED
+            if self._sends
+            else RefusalReason.NO_ENDPOINT
+        )
+        self._refuse(reason, max(retry_after_s, pause_s))
+
     def select_reroute(self, now: float) -> SelectedChain | None:
         """Return another chain with the same first stage, if there is one."""
         if self.attempt is None:
@@ -562,9 +611,7 @@
         elif action is RetryAction.RETRY and chosen is not None:
             self._retry(chosen, cause, now)
         elif action is RetryAction.REFUSE:
-            self._wait_for_capacity(
-                RefusalReason.ENDPOINT_REFUSED, RETRY_AFTER_REFUSED_S
-            )
+            self._wait_after_refusal()
         elif self.is_started:
             self._wait_to_resume(now)
         else:
@@ -645,6 +692,28 @@
         else:
             self._wait_to_resume(now)
 
+    @property
+    def _capacity(self) -> CapacityWait | None:
+        """Return what orders admission to the service, if anything does."""
+        return self._context.capacity if self.admitted.is_ordered else None
+
+    def _wait_after_refusal(self) -> None:
+        """Wait for capacity again; nothing has run."""
+        if self._capacity is None:
+            self._wait_for_capacity(
+                RefusalReason.ENDPOINT_REFUSED, RETRY_AFTER_REFUSED_S
+            )
+        else:
+            self._enter_queue(self._capacity)
+
+    def _enter_queue(self, capacity: CapacityWait) -> None:
+        """Let the queue of the service decide: send, wait or refuse."""
+        if self._is_blocked():
+            self._refuse_blocked()
+            return
+        self._history.clear_refusals()
+        capacity.enter(self, self._arrived_at)
+
     def _send_if_capacity(
         self, reason: RefusalReason, retry_after_s: float
     ) -> None:
@@ -692,7 +761,7 @@
         )
 
     def _select_chain(self, now: float) -> SelectedChain | None:
-        return self._context.selector.select(self._history.selection(), now)
+        return self._context.selector.select(self.selection(), now)
 
     def _spend_retry(self, now: float) -> bool:
         context = self._context
@@ -753,6 +822,11 @@
         )
         if attempt is not None and not attempt.is_over:
             self._caller.set_backpressure_source(attempt.transport)
+        if attempt is not None and self._capacity is not None:
+            self._capacity.record_first_event(
+                self.admitted.service.name,
+                self._context.clock() - attempt.sent_at,
+            )
 
     def _refuse(
         self,
@@ -788,6 +862,8 @@
         if self.attempt is not None:
             self.attempt.cancel()
         self._timers.cancel_all()
+        if self._capacity is not None:
+            self._capacity.leave(self)
         self._context.prompts.end_turn(self.admitted.req)
         self._context.running.discard(self)
         self._release_bodies()
--- a/foxtailhatch/router/admission.py
+++ b/foxtailhatch/router/admission.py
@@ -125,9 +125,19 @@
     urgency = route.priority
     if account is not None and account.priority is not None:
         urgency = account.priority
+    fill_limit = None
+    ranks = table.ordered_ranks(service.name)
+    if ranks is not None:
+        urgency = ranks.rank_of(urgency, route.priority)
+        fill_limit = ranks.fill_limit(urgency)
     name = None if account is None else account.name
     return Success(
         AdmittedRequest(
-            req.with_fingerprint(name), route, service, name, urgency
+            req.with_fingerprint(name),
+            route,
+            service,
+            name,
+            urgency,
+            fill_limit=fill_limit,
         )
     )
--- a/foxtailhatch/router/blackboard.py
+++ b/foxtailhatch/router/blackboard.py
@@ -30,7 +30,8 @@
     and ``stop_requested_at`` is set when a stop is requested.
     ``lease_offered_at`` is when another entry offered the leader lease,
     ``lease_held_since`` when this entry got it, and the counters say how often
-    it acquired the lease and handed it over.
+    it acquired the lease and handed it over.  ``totals_listeners`` are called
+    after each report of the work of other entries.
     """
 
     cfg: RouterSettings
@@ -51,6 +52,7 @@
     reach: EndpointReach = field(default_factory=EndpointReach)
     quarantine: Quarantine = field(default_factory=Quarantine)
     channels: CallerChannels = field(default_factory=CallerChannels)
+    totals_listeners: list[Callable[[], None]] = field(default_factory=list)
 
     def is_ready(self) -> bool:
         """Return whether this entry can serve callers now."""
@@ -93,6 +95,8 @@
         """Replace the report of the work of other entries."""
         self.peer_work.update(work, now)
         self.loads.start_period()
+        for listener in self.totals_listeners:
+            listener()
 
     def configuration_age(self, now: float) -> float:
         """Return the time in seconds since the configuration was confirmed.
--- a/foxtailhatch/router/endpoint_selection.py
+++ b/foxtailhatch/router/endpoint_selection.py
@@ -11,6 +11,7 @@
     cheapest_chain,
 )
 from foxtailhatch.chains.costs import ChainCosts
+from foxtailhatch.chains.fill_limit import cheapest_with_room, covers_layers
 from foxtailhatch.fleet import LiveEndpoint, RateGate, WorkEstimate
 from foxtailhatch.fleet.rate_limits import REPORT_DELAY_S, ZONE_REPORT_DELAY_S
 from foxtailhatch.relay.context import (
@@ -59,9 +60,36 @@
         return (
             settled
             or self._select_from(selection, usable)
-            or self._select_from(selection, alive)
+            or self._select_from(
+                selection, self._needed_besides(selection, usable, now)
+            )
         )
 
+    def _needed_besides(
+        self,
+        selection: SelectionRequest,
+        usable: Sequence[LiveEndpoint],
+        now: float,
+    ) -> Sequence[LiveEndpoint]:
+        """Return the endpoints to choose from if ``usable`` do not suffice.
+
+        With a fill limit there are none if those form a chain: the request
+        waits for it.  An endpoint that has just refused one is as full.
+        """
+        if selection.fill_limit is None:
+            return self._board.endpoints.alive(selection.service.name)
+        engine = selection.service.engine
+        if engine and covers_layers(
+            usable, engine, selection.exclude, selection.heads
+        ):
+            return ()
+        endpoints = self._board.endpoints
+        return [
+            endpoint
+            for endpoint in endpoints.alive(selection.service.name)
+            if not endpoints.is_refusing(endpoint, now)
+        ]
+
     def _select_settled(
         self, selection: SelectionRequest, usable: Sequence[LiveEndpoint]
     ) -> SelectedChain | None:
@@ -187,9 +215,14 @@
             for endpoint in by_name.values()
             if endpoint.zone == start.zone
         ]
-        path = _cheapest(selection, costs, start, in_zone)
-        if path is None or _is_crowded(path, costs):
-            path = _cheapest(selection, costs, start, by_name.values())
+        if selection.fill_limit is None:
+            path = _cheapest(selection, costs, start, in_zone)
+            if path is None or costs.is_crowded_path(path):
+                path = _cheapest(selection, costs, start, by_name.values())
+        else:
+            path = cheapest_with_room(
+                costs, start, selection.heads, selection.fill_limit
+            )
         if path is None:
             return None
         first = () if selection.first is None else (selection.first,)
@@ -236,12 +269,3 @@
         heads=selection.heads,
         max_stages=costs.engine.max_stages,
     )
-
-
-def _is_crowded(path: ChainPath, costs: ChainCosts) -> bool:
-    """Return whether a stage of a path has little capacity left."""
-    return any(
-        costs.is_crowded(stage.endpoint, is_first=stage.layers.first == 0)
-        for stage in path.stages
-        if stage.endpoint in costs.endpoints
-    )
--- a/foxtailhatch/router/metrics.py
+++ b/foxtailhatch/router/metrics.py
@@ -11,6 +11,7 @@
 
 INFINITY = float('inf')
 FIRST_BYTE_BUCKETS_S = [0.05, 0.1, 0.2, 0.3, 0.5, 0.54, 1, 2, 5, INFINITY]
+WAIT_BUCKETS_S = [0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, INFINITY]
 RESPONSE_BUCKETS_S = [0.1, 0.3, 1, 2, 4, 8, 16, INFINITY]
 KIBIBYTE = 1024
 
@@ -92,6 +93,38 @@
             buckets=RESPONSE_BUCKETS_S,
         )
 
+        self._waiting = Gauge(
+            'admission_waiting',
+            'Requests that wait for capacity, by urgency rank',
+            const_labels=labels,
+            registry=registry,
+        )
+        self._admissions = Counter(
+            'admission',
+            'Decisions of ordered admission by outcome and urgency rank',
+            const_labels=labels,
+            registry=registry,
+        )
+        self._wait_seconds = Histogram(
+            'admission_wait_seconds',
+            'Time that requests with ordered admission waited for capacity',
+            const_labels=labels,
+            registry=registry,
+            buckets=WAIT_BUCKETS_S,
+        )
+
+    def record_waiting(self, service: str, counts: Mapping[int, int]) -> None:
+        """Record how many requests of each rank wait for a service."""
+        for rank, count in counts.items():
+            self._waiting.set({'service': service, 'rank': str(rank)}, count)
+
+    def record_admission(
+        self, outcome: str, rank: int, waited_s: float
+    ) -> None:
+        """Count a decision of ordered admission, with the wait before it."""
+        self._admissions.inc({'outcome': outcome, 'rank': str(rank)})
+        self._wait_seconds.add({'rank': str(rank)}, float(waited_s))
+
     def record_outcome(self, outcome: str, seconds: float) -> None:
         """Count a finished request by outcome, with its duration."""
         self._requests.inc({'outcome': outcome})
--- a/foxtailhatch/router/relay_context.py
+++ b/foxtailhatch/router/relay_context.py
@@ -12,6 +12,7 @@
 from foxtailhatch.relay.retry_budget import RetryBudget
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.capacity_admission import CapacityAdmission
 from foxtailhatch.router.forwarding import ForwardingSelector
 
 # Share of the memory of the process for bodies.  The rest is for the program, its
@@ -41,6 +42,7 @@
 ) -> RelayContext:
     """Return the context of all requests of this entry."""
     bounds = board.cfg.bounds
+    selector = ForwardingSelector(board, random)
     return RelayContext(
         reactor=reactor,
         clock=board.clock,
@@ -54,11 +56,19 @@
             bounds.retry_window_s,
             board.clock(),
         ),
-        selector=ForwardingSelector(board, random),
+        selector=selector,
         log=observers.log,
         metrics=observers.metrics,
         prompts=observers.prompts,
         entries=lambda: len(board.entries.ready(board.clock())),
         on_suspect=observers.on_suspect,
+        capacity=CapacityAdmission(
+            board,
+            reactor,
+            selector,
+            observers.log,
+            observers.metrics,
+            random,
+        ),
         bodies=BodyMemory(int(BODY_MEMORY_SHARE * board.cfg.memory_bytes)),
     )
--- a/foxtailhatch/routes/configuration.py
+++ b/foxtailhatch/routes/configuration.py
@@ -104,6 +104,11 @@
     max_connections: int
     engine: Engine | None
 
+    @property
+    def runs_chains(self) -> bool:
+        """Return whether its endpoints hold layers of a model each."""
+        return self.engine is not None and self.engine.layer_count > 0
+
 
 @dataclass(frozen=True, slots=True)
 class ClientLimits:
--- a/foxtailhatch/routes/table.py
+++ b/foxtailhatch/routes/table.py
@@ -1,7 +1,9 @@
 """Indexed lookups in a routing configuration."""
 
 from collections import defaultdict
+from collections.abc import Iterator
 
+from foxtailhatch.limits.reservation import PriorityPair, UrgencyRanks
 from foxtailhatch.routes.configuration import (
     Account,
     Route,
@@ -23,6 +25,11 @@
         self._accounts = {
             key: account for account in cfg.accounts for key in account.keys
         }
+        self._ranks = {
+            service.name: UrgencyRanks.of(_priority_pairs(cfg, service.name))
+            for service in cfg.services
+            if service.runs_chains
+        }
 
     @property
     def version(self) -> int:
@@ -53,3 +60,32 @@
     def service(self, name: str) -> Service | None:
         """Return the service called ``name``, or ``None``."""
         return self.services.get(name)
+
+    def ordered_ranks(self, name: str) -> UrgencyRanks | None:
+        """Return the ranks of a service with ordered admission, or ``None``.
+
+        It is enabled for a model service whose routes have at least two
+        different priorities.
+        """
+        ranks = self._ranks.get(name)
+        return ranks if ranks is not None and ranks.has_order else None
+
+
+def _priority_pairs(
+    cfg: RoutingConfiguration, service: str
+) -> Iterator[PriorityPair]:
+    """Return the priorities in force and those of routes to a service."""
+    of_accounts = {
+        account.priority
+        for account in cfg.accounts
+        if account.priority is not None
+    }
+    for route in cfg.routes:
+        if all(
+            share.service != service or share.weight <= 0
+            for share in route.shares
+        ):
+            continue
+        yield route.priority, route.priority
+        if cfg.checks_keys and not route.is_public:
+            yield from ((own, route.priority) for own in of_accounts)
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -271,6 +271,8 @@
     parts=(),
     fingerprint='',
     is_forwarded=False,
+    prepare=None,
+    fill_limit=None,
 ):
     """Return a started relay with its dependencies, caller and endpoints."""
     reactor = MemoryReactorClock()
@@ -295,6 +297,8 @@
         entries=lambda: 1,
         on_suspect=lambda one, why: suspects.append((one.name, why)),
     )
+    if prepare is not None:
+        prepare(context)
     req = RelayRequest(
         request_id=REQUEST_ID,
         method='GET',
@@ -319,7 +323,9 @@
     caller = FakeCaller()
     relay = Relay(
         context,
-        AdmittedRequest(req, relay_route, service, 'crew', 1),
+        AdmittedRequest(
+            req, relay_route, service, 'crew', 1, fill_limit=fill_limit
+        ),
         caller,
         0,
     )
