Demand of all entries: types, own record, table, and where it applies

Ruled out: reports with times of their own, as clocks of entries may differ.

Nothing is recorded or sent yet.

--- a/foxtailhatch/router/blackboard.py
+++ b/foxtailhatch/router/blackboard.py
@@ -1,5 +1,6 @@
 """The state that the controllers of one router process share."""
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -11,10 +12,17 @@
     RateLimits,
     Work,
 )
+from foxtailhatch.fleet.demand import (
+    DemandByService,
+    DemandEstimate,
+    DemandTable,
+    OwnDemand,
+)
 from foxtailhatch.fleet.estimate import WorkByEndpoint
 from foxtailhatch.recovery.quarantine import Quarantine
 from foxtailhatch.router.caller_channels import CallerChannels
 from foxtailhatch.router.entry_table import EntryRecord, EntryTable
+from foxtailhatch.router.load_features import LoadFeatures
 from foxtailhatch.router.settings import RouterSettings
 from foxtailhatch.router.work_totals import sum_work
 from foxtailhatch.routes import RoutingTable
@@ -47,10 +55,17 @@
     entries: EntryTable = field(default_factory=EntryTable)
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     peer_work: PeerWork = field(default_factory=PeerWork)
+    own_demand: OwnDemand = field(default_factory=OwnDemand)
+    demand: DemandTable = field(default_factory=DemandTable)
     rate_limits: RateLimits = field(default_factory=RateLimits)
     reach: EndpointReach = field(default_factory=EndpointReach)
     quarantine: Quarantine = field(default_factory=Quarantine)
     channels: CallerChannels = field(default_factory=CallerChannels)
+    features: LoadFeatures = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Derive the load features from configuration and endpoints."""
+        self.features = LoadFeatures(lambda: self.table, self.endpoints)
 
     def is_ready(self) -> bool:
         """Return whether this entry can serve callers now."""
@@ -89,6 +104,27 @@
         in_progress = self.loads.in_progress()
         return sum_work((in_progress, rates)) if rates else in_progress
 
+    def own_demand_report(self) -> DemandByService | None:
+        """Return the demand at this entry that others have to know.
+
+        It is ``None`` if no service asks for it, or none is configured yet.
+        """
+        reporting = self.features.reporting_services
+        if not reporting:
+            return None
+        return {
+            service: demand
+            for service, demand in self.own_demand.report(self.clock()).items()
+            if service in reporting
+        }
+
+    def demand_estimate(self, now: float) -> DemandEstimate:
+        """Return the estimated demand of all entries, by zone."""
+        counts = Counter(entry.zone for entry in self.entries.ready(now))
+        return DemandEstimate(
+            self.cfg.zone, self.own_demand.report(now), self.demand, counts, now
+        )
+
     def update_peer_work(self, work: WorkByEndpoint, now: float) -> None:
         """Replace the report of the work of other entries."""
         self.peer_work.update(work, now)
