Balance requests over zones by demand and capacity; limit crossings

Cause: entries of a zone that is short of capacity all turned to the same other zone on totals that are up to 2 s old, and chains over several zones were started without a limit on the link that they share.

Change: each entry draws the zone of a request by a split of the demand (water-filling, damped) and may start a chain over zones only with credit. Wired into selector, attempts, log and metrics. pipe_mbps of the engine document becomes Engine.zone_link_bytes_per_s. Without a balancer, or with even zones, the choice is as before.

--- a/foxtailhatch/platform/configuration.py
+++ b/foxtailhatch/platform/configuration.py
@@ -19,6 +19,7 @@
 )
 
 MS_IN_S = 1000.0
+BYTES_IN_MBIT = 125_000.0
 DEFAULT_PRIORITY = 5
 _ROUTE_KINDS = {
     'idempotent': RouteKind.REPEATABLE,
@@ -82,6 +83,8 @@
     layers: int = 0
     layer_mb: float = 0
     activation_bytes: float = 0
+    # Rate of the link that all chains between zones share.
+    pipe_mbps: float | None = None
     step_ms: float
     per_seq_ms: float = 0
     read_per_s: float = 1e5
@@ -177,6 +180,7 @@
 
 def _engine(engine: _Engine) -> Engine:
     loads_s = [model.load_s for model in engine.models]
+    link_mbps = engine.pipe_mbps
     return Engine(
         slots=engine.slots,
         layer_count=engine.layers,
@@ -197,6 +201,9 @@
             )
             for kind in engine.kinds
         },
+        zone_link_bytes_per_s=(
+            None if link_mbps is None else link_mbps * BYTES_IN_MBIT
+        ),
     )
 
 
--- a/foxtailhatch/relay/attempt.py
+++ b/foxtailhatch/relay/attempt.py
@@ -75,6 +75,7 @@
         self._tokens = tokens.expected if tokens else 0
         self._endpoint_names = _endpoint_names(outgoing.chosen)
         context.loads.begin(self._endpoint_names, self._tokens)
+        context.on_chain(self.chosen, self._tokens, now)
         self._connection = HttpConnection(
             context.codec.encode(outgoing.req, outgoing.dispatch),
             self,
@@ -142,7 +143,9 @@
         self.chosen = chosen
         self.usable_revision = -1
         self._endpoint_names = _endpoint_names(chosen)
-        self._context.loads.begin(self._endpoint_names, self._tokens)
+        context = self._context
+        context.loads.begin(self._endpoint_names, self._tokens)
+        context.on_chain(chosen, self._tokens, context.clock())
 
     def cancel(self) -> None:
         """Close the connection, which makes the endpoint stop its work."""
--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -131,13 +131,22 @@
         """Count a notice of an endpoint that was news: leaving or a pause."""
 
 
+ChainObserver = Callable[[SelectedChain, int, float], None]
+
+
+def _ignore_chain(chosen: SelectedChain, tokens: int, now: float) -> None:
+    """Ignore a chain, where nothing depends on the zones that it crosses."""
+
+
 @dataclass(slots=True)
 class RelayContext:
     """The dependencies of relays, and the relays in progress.
 
     ``entries`` returns the number of entries that share the load.
     ``bodies`` bounds the memory of all requests and responses in progress.
-    ``on_suspect`` is called with an endpoint that failed, and the cause.
+    ``on_suspect`` is called with an endpoint that failed, and the cause, and
+    ``on_chain`` with each chain that a request is sent or moved to, the tokens
+    that it is expected to hold, and the time.
     """
 
     reactor: Any
@@ -153,6 +162,7 @@
     prompts: PromptWatch
     entries: Callable[[], int]
     on_suspect: Callable[[LiveEndpoint, str], None]
+    on_chain: ChainObserver = _ignore_chain
     bodies: BodyMemory = field(default_factory=BodyMemory)
     running: set[Any] = field(default_factory=set)
 
--- a/foxtailhatch/router/endpoint_selection.py
+++ b/foxtailhatch/router/endpoint_selection.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
+from functools import partial
 from random import Random
 
 from foxtailhatch.chains.chain_search import (
@@ -19,6 +20,7 @@
     SelectionRequest,
 )
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.zone_balancer import ZoneBalancer
 from foxtailhatch.routes import Engine
 
 # An endpoint in another zone is preferred if it has at least this many requests
@@ -29,10 +31,19 @@
 class LoadAwareSelector:
     """Select chains for models and single endpoints for plain services."""
 
-    def __init__(self, board: Blackboard, random: Random) -> None:
-        """Use the endpoints and loads on the blackboard; ``random`` breaks ties."""
+    def __init__(
+        self,
+        board: Blackboard,
+        random: Random,
+        balancer: ZoneBalancer | None = None,
+    ) -> None:
+        """Use the endpoints and loads on the blackboard; ``random`` breaks ties.
+
+        Without a ``balancer``, no request is balanced over zones.
+        """
         self._board = board
         self._random = random
+        self._balancer = balancer
 
     def select(
         self, selection: SelectionRequest, now: float
@@ -166,7 +177,8 @@
 
         Other zones are searched only if the chain in this zone is missing or
         crowded.  Their work is known late, and the time of a search grows
-        with the number of endpoints.
+        with the number of endpoints.  Where requests are balanced over zones,
+        the balancer chooses the zones to search.
         """
         by_name = {
             endpoint.name: endpoint
@@ -182,14 +194,7 @@
             tokens.expected if tokens else int(engine.typical_prompt_tokens),
         )
         start = _initial_path(selection, self._board.cfg.zone)
-        in_zone = [
-            endpoint
-            for endpoint in by_name.values()
-            if endpoint.zone == start.zone
-        ]
-        path = _cheapest(selection, costs, start, in_zone)
-        if path is None or _is_crowded(path, costs):
-            path = _cheapest(selection, costs, start, by_name.values())
+        path = self._find_path(selection, costs, start)
         if path is None:
             return None
         first = () if selection.first is None else (selection.first,)
@@ -198,6 +203,22 @@
             for stage in path.stages[len(first) :]
         )
 
+    def _find_path(
+        self, selection: SelectionRequest, costs: ChainCosts, start: ChainPath
+    ) -> ChainPath | None:
+        search = partial(_cheapest, selection, costs, start)
+        balancer = self._balancer
+        now = self._board.clock()
+        if balancer and balancer.is_enabled(selection.service, now):
+            return balancer.choose(selection, costs, search, now)
+        endpoints = costs.endpoints.values()
+        path = search(
+            [endpoint for endpoint in endpoints if endpoint.zone == start.zone]
+        )
+        if path is None or _is_crowded(path, costs):
+            path = search(endpoints)
+        return path
+
     def _estimate_work(self) -> WorkEstimate:
         """Estimate the load from all entries that use this zone's endpoints."""
         board = self._board
--- a/foxtailhatch/router/forwarding.py
+++ b/foxtailhatch/router/forwarding.py
@@ -20,6 +20,7 @@
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.endpoint_selection import LoadAwareSelector
 from foxtailhatch.router.entry_table import EntryRecord
+from foxtailhatch.router.zone_balancer import ZoneBalancer
 
 # A sound endpoint or entry accepts a connection within milliseconds.
 CONNECT_PAUSE_S = 0.25
@@ -33,10 +34,15 @@
 class ForwardingSelector:
     """Select another entry for services that this one does not reach."""
 
-    def __init__(self, board: Blackboard, random: Random) -> None:
+    def __init__(
+        self,
+        board: Blackboard,
+        random: Random,
+        balancer: ZoneBalancer | None = None,
+    ) -> None:
         """Select endpoints by load for services that are reached."""
         self._board = board
-        self._direct = LoadAwareSelector(board, random)
+        self._direct = LoadAwareSelector(board, random, balancer)
         self._random = random
 
     def select(
--- a/foxtailhatch/router/metrics.py
+++ b/foxtailhatch/router/metrics.py
@@ -65,6 +65,18 @@
             const_labels=labels,
             registry=registry,
         )
+        self._zone_shares = Gauge(
+            'zone_share',
+            'Share of the requests of this entry that each zone gets',
+            const_labels=labels,
+            registry=registry,
+        )
+        self._crossings_refused = Counter(
+            'crossings_refused',
+            'Choices without a chain, as the limit allowed none between zones',
+            const_labels=labels,
+            registry=registry,
+        )
         self._checks = Counter(
             'invariant_checks',
             'Checks that held',
@@ -123,6 +135,18 @@
         for state, count in counts.items():
             self._endpoints.set({'state': state.value}, count)
 
+    def record_zone_shares(
+        self, service: str, shares: Mapping[str, float]
+    ) -> None:
+        """Record the share of this entry's requests that each zone gets."""
+        for zone, share in shares.items():
+            labels = {'service': service, 'zone': zone}
+            self._zone_shares.set(labels, share)
+
+    def record_crossing_refused(self) -> None:
+        """Count a choice that the limit on crossings left without a chain."""
+        self._crossings_refused.inc({})
+
     def render(
         self,
         version: int,
--- a/foxtailhatch/router/relay_context.py
+++ b/foxtailhatch/router/relay_context.py
@@ -7,12 +7,14 @@
 
 from foxtailhatch.fleet import LiveEndpoint
 from foxtailhatch.relay.body_memory import BodyMemory
-from foxtailhatch.relay.context import PromptWatch, RelayContext, RelayMetrics
+from foxtailhatch.relay.context import PromptWatch, RelayContext
 from foxtailhatch.relay.request import WireCodec
 from foxtailhatch.relay.retry_budget import RetryBudget
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.forwarding import ForwardingSelector
+from foxtailhatch.router.metrics import RouterMetrics
+from foxtailhatch.router.zone_balancer import ZoneBalancer
 
 # Share of the memory of the process for bodies.  The rest is for the program, its
 # state and the buffers of connections.
@@ -27,7 +29,7 @@
     """
 
     log: StructuredLog
-    metrics: RelayMetrics
+    metrics: RouterMetrics
     prompts: PromptWatch
     on_suspect: Callable[[LiveEndpoint, str], None]
 
@@ -41,6 +43,7 @@
 ) -> RelayContext:
     """Return the context of all requests of this entry."""
     bounds = board.cfg.bounds
+    balancer = ZoneBalancer(board, random, observers.log, observers.metrics)
     return RelayContext(
         reactor=reactor,
         clock=board.clock,
@@ -54,11 +57,12 @@
             bounds.retry_window_s,
             board.clock(),
         ),
-        selector=ForwardingSelector(board, random),
+        selector=ForwardingSelector(board, random, balancer),
         log=observers.log,
         metrics=observers.metrics,
         prompts=observers.prompts,
         entries=lambda: len(board.entries.ready(board.clock())),
         on_suspect=observers.on_suspect,
+        on_chain=balancer.record_chain,
         bodies=BodyMemory(int(BODY_MEMORY_SHARE * board.cfg.memory_bytes)),
     )
--- a/foxtailhatch/routes/configuration.py
+++ b/foxtailhatch/routes/configuration.py
@@ -71,6 +71,8 @@
     ``kv_bytes`` is the KV cache size of one token over all layers, and
     ``step_s`` the time of a step with an empty batch over all layers on an
     accelerator with factor 1.  A chain has at most ``max_stages`` endpoints.
+    ``zone_link_bytes_per_s`` is the rate of the link that all chains between
+    zones share; without it, they are not limited.
     """
 
     slots: int
@@ -87,6 +89,7 @@
     typical_prompt_tokens: float
     typical_output_tokens: float
     accelerators: Mapping[str, AcceleratorKind]
+    zone_link_bytes_per_s: float | None = None
 
     def kv_tokens(self, memory_mb: float, layers: int) -> float:
         """Return how many tokens of KV cache fit next to ``layers`` layers."""
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -77,6 +77,13 @@
     assert engine.load_s == 14
 
 
+def test_rate_of_the_link_between_zones_is_decoded():
+    services = [{'name': 's', 'engine': ENGINE | {'pipe_mbps': 2720}}]
+    engine = decoded(services=services).services[0].engine
+    assert engine.zone_link_bytes_per_s == 340e6
+    assert decoded().services[0].engine.zone_link_bytes_per_s is None
+
+
 def test_unknown_route_kind_is_not_repeatable():
     result = decoded(routes=[ROUTE | {'route_kind': 'new', 'resumable': False}])
     assert not result.routes[0].may_repeat
