--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -181,14 +181,23 @@
         """Record the time from sending a request to its first event."""
 
 
+ChainObserver = Callable[[SelectedChain, int, float], None]
+
+
+def _ignore_chain(chosen: SelectedChain, tokens: int, now: float) -> None:
+    """Ignore a chain, where nothing depends on the zones that it crosses."""
+
+
 @dataclass(slots=True)
 class RelayContext:
     """The dependencies of relays, and the relays in progress.
 
     ``entries`` returns the number of entries that share the load.
     ``bodies`` bounds the memory of all requests and responses in progress.
-    ``on_suspect`` is called with an endpoint that failed, and the cause.
-    ``capacity`` is set where services may have ordered admission.
+    ``on_suspect`` is called with an endpoint that failed, and the cause, and
+    ``on_chain`` with each chain that a request is sent or moved to, the tokens
+    that it is expected to hold, and the time.  ``capacity`` is set where
+    services may have ordered admission.
     """
 
     reactor: Any
@@ -204,6 +213,7 @@
     prompts: PromptWatch
     entries: Callable[[], int]
     on_suspect: Callable[[LiveEndpoint, str], None]
+    on_chain: ChainObserver = _ignore_chain
     bodies: BodyMemory = field(default_factory=BodyMemory)
     resumptions: ResumptionTimes = field(default_factory=ResumptionTimes)
     running: set[Any] = field(default_factory=set)
--- a/foxtailhatch/router/endpoint_selection.py
+++ b/foxtailhatch/router/endpoint_selection.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
+from functools import partial
 from operator import attrgetter
 from random import Random
 
@@ -13,7 +14,11 @@
     cheapest_chain,
 )
 from foxtailhatch.chains.costs import ChainCosts
-from foxtailhatch.chains.fill_limit import cheapest_with_room, covers_layers
+from foxtailhatch.chains.fill_limit import (
+    ZonePlan,
+    cheapest_with_room,
+    covers_layers,
+)
 from foxtailhatch.fleet import LiveEndpoint, RateGate, WorkEstimate
 from foxtailhatch.fleet.rate_limits import REPORT_DELAY_S, ZONE_REPORT_DELAY_S
 from foxtailhatch.relay.context import (
@@ -22,6 +27,7 @@
     SelectionRequest,
 )
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.zone_balancer import Search, ZoneBalancer
 from foxtailhatch.routes import Engine
 
 # An endpoint in another zone is preferred if it has at least this many requests
@@ -32,10 +38,19 @@
 class LoadAwareSelector:
     """Select chains for models and single endpoints for plain services."""
 
-    def __init__(self, board: Blackboard, random: Random) -> None:
-        """Use the endpoints and loads on the blackboard; ``random`` breaks ties."""
+    def __init__(
+        self,
+        board: Blackboard,
+        random: Random,
+        balancer: ZoneBalancer | None = None,
+    ) -> None:
+        """Use the endpoints and loads on the blackboard; ``random`` breaks ties.
+
+        Without a ``balancer``, no request is balanced over zones.
+        """
         self._board = board
         self._random = random
+        self._balancer = balancer
 
     def select(
         self, selection: SelectionRequest, now: float
@@ -196,7 +211,8 @@
 
         Other zones are searched only if the chain in this zone is missing or
         crowded.  Their work is known late, and the time of a search grows
-        with the number of endpoints.
+        with the number of endpoints.  Where requests are balanced over zones,
+        the balancer chooses the zones to search.
         """
         by_name = {
             endpoint.name: endpoint
@@ -212,24 +228,7 @@
             tokens.expected if tokens else int(engine.typical_prompt_tokens),
         )
         start = _initial_path(selection, self._board.cfg.zone)
-        in_zone = [
-            endpoint
-            for endpoint in by_name.values()
-            if endpoint.zone == start.zone
-        ]
-        if selection.fill_limit is None:
-            path = _cheapest(selection, costs, start, in_zone)
-            if path is None or costs.is_crowded_path(path):
-                search = (
-                    _cheapest_in_one_zone
-                    if selection.is_single_zone
-                    else _cheapest
-                )
-                path = search(selection, costs, start, by_name.values())
-        else:
-            path = cheapest_with_room(
-                costs, start, selection.heads, selection.fill_limit
-            )
+        path = self._find_path(selection, costs, start)
         if path is None:
             return None
         first = () if selection.first is None else (selection.first,)
@@ -238,6 +237,39 @@
             for stage in path.stages[len(first) :]
         )
 
+    def _find_path(
+        self, selection: SelectionRequest, costs: ChainCosts, start: ChainPath
+    ) -> ChainPath | None:
+        balancer = self._balancer
+        now = self._board.clock()
+        is_balanced = balancer is not None and balancer.is_enabled(
+            selection.service, now
+        )
+        if selection.fill_limit is not None:
+            plan = (
+                balancer.plan(selection, now)
+                if balancer and is_balanced
+                else ZonePlan()
+            )
+            return cheapest_with_room(
+                costs, start, selection.heads, selection.fill_limit, plan
+            )
+        search = partial(_cheapest, selection, costs, start)
+        if balancer and is_balanced:
+            return balancer.choose(selection, costs, search, now)
+        endpoints = costs.endpoints.values()
+        path = search(
+            [endpoint for endpoint in endpoints if endpoint.zone == start.zone]
+        )
+        if path is None or costs.is_crowded_path(path):
+            is_single = selection.is_single_zone
+            path = (
+                _cheapest_in_one_zone(search, endpoints)
+                if is_single
+                else search(endpoints)
+            )
+        return path
+
     def _estimate_work(self) -> WorkEstimate:
         """Estimate the load from all entries that use this zone's endpoints."""
         board = self._board
@@ -279,18 +311,11 @@
 
 
 def _cheapest_in_one_zone(
-    selection: SelectionRequest,
-    costs: ChainCosts,
-    start: ChainPath,
-    endpoints: Iterable[LiveEndpoint],
+    search: Search, endpoints: Iterable[LiveEndpoint]
 ) -> ChainPath | None:
     """Return the cheapest chain whose stages all lie in the same zone."""
     by_zone: dict[str, list[LiveEndpoint]] = defaultdict(list)
     for endpoint in endpoints:
         by_zone[endpoint.zone].append(endpoint)
-    paths = [
-        _cheapest(selection, costs, start, in_zone)
-        for in_zone in by_zone.values()
-    ]
-    whole = [path for path in paths if path is not None]
+    whole = filter(None, map(search, by_zone.values()))
     return min(whole, key=attrgetter('cost'), default=None)
