Report the demand of all entries by zone

Cause: ordered admission and balancing need to know how much callers ask of each service in each zone, and by urgency; entries knew only the work at endpoints.

Ruled out: heartbeats at a higher rate (their lists go to all entries) and records of their own (more writes, unreadable to earlier builds). Plain nested lists as the further field: one that is nested too deeply would make the whole message unreadable, so the field is a byte string.

Change: entries send their report with each feed request, readers return the sums of all others and write those of their entries in their heartbeats. The relay records starts, refusals, crossings and ends. Where no service asks for it nothing is recorded or sent. A test of entries in virtual time found that a stopping entry counted twice while it changed readers; mended.

Tests changed: the messages of later builds have their unknown field one place further on, as the place before is now known; a message with a malformed field there is tested in test_demand_messages. Closing the virtual network cancels tasks until they end, since a wait can swallow a cancellation.

--- a/foxtailhatch/fleet/demand.py
+++ b/foxtailhatch/fleet/demand.py
@@ -5,8 +5,8 @@
 rates but no times, so the clock of another entry has no effect here.
 """
 
-from collections import defaultdict, deque
-from collections.abc import Iterable, Mapping
+from collections import Counter, defaultdict, deque
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from heapq import nlargest
 from math import fsum
@@ -18,6 +18,8 @@
 RATE_WINDOW_S = 2.0
 # Accounts in the report of an entry, for each service.
 MAX_REPORTED_ACCOUNTS = 16
+# Accounts in a sum; twice as many as are sent, since a part is taken off it.
+MAX_SUMMED_ACCOUNTS = 32
 
 # Resolution of the rate window.
 _SLOT_S = 0.1
@@ -53,6 +55,16 @@
             self.tokens_per_s + other.tokens_per_s,
         )
 
+    def without(self, part: 'RankDemand') -> 'RankDemand':
+        """Return this demand less a part of it; no value is negative."""
+        return RankDemand(
+            max(0, self.waiting - part.waiting),
+            max(0, self.running - part.running),
+            max(0, self.starts_per_s - part.starts_per_s),
+            max(0, self.refusals_per_s - part.refusals_per_s),
+            max(0, self.tokens_per_s - part.tokens_per_s),
+        )
+
     def times(self, factor: float) -> 'RankDemand':
         """Return this demand multiplied by ``factor``."""
         return RankDemand(
@@ -93,13 +105,27 @@
         """Return the sum of both."""
         ranks = dict(self.ranks)
         for rank, demand in other.ranks.items():
-            ranks[rank] = ranks[rank].plus(demand) if rank in ranks else demand
-        accounts = dict(self.accounts)
-        for account, tokens in other.accounts.items():
-            accounts[account] = accounts.get(account, 0) + tokens
+            ranks[rank] = demand.plus(ranks.get(rank, RankDemand()))
+        accounts = Counter(self.accounts)
+        accounts.update(other.accounts)
         crossings_per_s = self.crossings_per_s + other.crossings_per_s
         return ServiceDemand(ranks, accounts, crossings_per_s)
 
+    def without(self, part: 'ServiceDemand') -> 'ServiceDemand':
+        """Return this demand less a part of it; no value is negative."""
+        ranks = dict(self.ranks)
+        for rank, demand in part.ranks.items():
+            known = ranks.get(rank)
+            if known is not None:
+                ranks[rank] = known.without(demand)
+        accounts = dict(self.accounts)
+        for account, tokens in part.accounts.items():
+            left = accounts.pop(account, 0) - tokens
+            if left > 0:
+                accounts[account] = left
+        crossings_per_s = self.crossings_per_s - part.crossings_per_s
+        return ServiceDemand(ranks, accounts, max(0, crossings_per_s))
+
     def times(self, factor: float) -> 'ServiceDemand':
         """Return this demand multiplied by ``factor``."""
         return ServiceDemand(
@@ -113,14 +139,45 @@
 DemandByZone = Mapping[str, DemandByService]
 
 
-def sum_services(parts: Iterable[DemandByService]) -> dict[str, ServiceDemand]:
-    """Return the total demand for each service."""
-    sums: dict[str, ServiceDemand] = {}
-    for part in parts:
-        for service, demand in part.items():
-            known = sums.get(service)
-            sums[service] = demand if known is None else known.plus(demand)
-    return sums
+class DemandSum:
+    """Add up the demand of several entries for one service.
+
+    >>> total = DemandSum()
+    >>> total.add(ServiceDemand({0: RankDemand(running=2)}, {'crew': 100}))
+    >>> total.add(ServiceDemand({0: RankDemand(running=1)}), factor=2)
+    >>> total.result().ranks[0].running
+    4
+    """
+
+    def __init__(self) -> None:
+        """Start with no demand."""
+        self._ranks: dict[int, RankDemand] = defaultdict(RankDemand)
+        self._accounts: dict[str, float] = defaultdict(float)
+        self._crossings_per_s: float = 0
+
+    def add(self, demand: ServiceDemand, factor: float = 1) -> None:
+        """Add demand, multiplied by ``factor``."""
+        for rank, one in demand.ranks.items():
+            scaled = one if factor == 1 else one.times(factor)
+            self._ranks[rank] = scaled.plus(self._ranks[rank])
+        for account, tokens in demand.accounts.items():
+            self._accounts[account] += tokens * factor
+        self._crossings_per_s += demand.crossings_per_s * factor
+
+    def result(self) -> ServiceDemand:
+        """Return the sum, with the accounts that have the most tokens."""
+        accounts = largest_accounts(self._accounts, MAX_SUMMED_ACCOUNTS)
+        return ServiceDemand(dict(self._ranks), accounts, self._crossings_per_s)
+
+
+def largest_accounts(
+    accounts: Mapping[str, float], count: int
+) -> dict[str, float]:
+    """Return the accounts with the most tokens, those with the most first."""
+    if len(accounts) <= count:
+        return dict(accounts)
+    largest = nlargest(count, accounts, key=lambda name: accounts[name])
+    return {name: accounts[name] for name in largest}
 
 
 class DemandTable:
@@ -226,7 +283,8 @@
 
     def record_refusal(self, service: str, rank: int, now: float) -> None:
         """Record that a request found no capacity."""
-        self._services[service].refusals[rank].add(1, now)
+        refusals = self._services[service].refusals
+        refusals[rank].add(1, now)
 
     def record_crossing(self, service: str, now: float, hops: int = 1) -> None:
         """Record hops between zones of a chain that a request is sent to."""
@@ -264,10 +322,13 @@
 
     def add(self, amount: float, now: float) -> None:
         slot = int(now / _SLOT_S)
-        if self._slots and self._slots[-1][0] == slot:
-            amount += self._slots.pop()[1]
-        self._slots.append((slot, amount))
         self._expire(slot)
+        if self._slots:
+            last, counted = self._slots[-1]
+            if last == slot:
+                self._slots.pop()
+                amount += counted
+        self._slots.append((slot, amount))
 
     def per_s(self, now: float) -> float:
         self._expire(int(now / _SLOT_S))
@@ -314,9 +375,6 @@
             )
             if demand != RankDemand():
                 ranks[rank] = demand
-        largest = nlargest(
-            MAX_REPORTED_ACCOUNTS,
-            ((tokens, name) for name, (_, tokens) in self.accounts.items()),
-        )
-        accounts = {name: tokens for tokens, name in largest}
+        tokens = {name: left for name, (_, left) in self.accounts.items()}
+        accounts = largest_accounts(tokens, MAX_REPORTED_ACCOUNTS)
         return ServiceDemand(ranks, accounts, self.crossings.per_s(now))
--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -12,7 +12,9 @@
     RateLimits,
 )
 from foxtailhatch.fleet.pauses import EndpointNotice
+from foxtailhatch.relay.admitted_request import AdmittedRequest
 from foxtailhatch.relay.body_memory import BodyMemory
+from foxtailhatch.relay.refusals import RefusalReason
 from foxtailhatch.relay.request import (
     EndpointIdentity,
     RelayRequest,
@@ -131,6 +133,46 @@
         """Count a notice of an endpoint that was news: leaving or a pause."""
 
 
+class DemandRecord(Protocol):
+    """The demand of one request."""
+
+    def sent(self, chosen: SelectedChain, now: float) -> None:
+        """Record that the request was sent, for the first time or again."""
+
+    def refused(self, reason: RefusalReason, status: int, now: float) -> None:
+        """Record that the request was refused."""
+
+    def ended(self) -> None:
+        """Record the end of the request, whatever its outcome."""
+
+
+class DemandTracker(Protocol):
+    """Begin the records of requests."""
+
+    def track(self, admitted: AdmittedRequest) -> DemandRecord:
+        """Return the record of a request, which is about to be relayed."""
+
+
+class NoDemand:
+    """Records nothing, where no service asks for demand."""
+
+    def track(self, admitted: AdmittedRequest) -> DemandRecord:
+        """Return a record that records nothing."""
+        return self
+
+    def sent(self, chosen: SelectedChain, now: float) -> None:
+        """Record nothing."""
+
+    def refused(self, reason: RefusalReason, status: int, now: float) -> None:
+        """Record nothing."""
+
+    def ended(self) -> None:
+        """Record nothing."""
+
+
+NO_DEMAND = NoDemand()
+
+
 @dataclass(slots=True)
 class RelayContext:
     """The dependencies of relays, and the relays in progress.
@@ -154,6 +196,7 @@
     entries: Callable[[], int]
     on_suspect: Callable[[LiveEndpoint, str], None]
     bodies: BodyMemory = field(default_factory=BodyMemory)
+    demand: DemandTracker = NO_DEMAND
     running: set[Any] = field(default_factory=set)
 
     def record_notice(
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -103,6 +103,7 @@
             context, self._history, self.request_id
         )
         self._held = context.bodies.hold()
+        self._demand = context.demand.track(admitted)
         self._delivery = Delivery(
             caller,
             admitted.req.last_event_id,
@@ -455,6 +456,7 @@
             version=admitted.version,
             age_s=round(admitted.configuration_age_s, 2),
         )
+        self._demand.sent(chosen, now)
         outgoing = OutgoingRequest(admitted.req, dispatch, chosen)
         self.attempt = Attempt(self._context, outgoing, self, now)
 
@@ -766,6 +768,7 @@
                 not self._may_have_run,
                 self.request_id,
             )
+        self._demand.refused(reason, refusal.status, self._context.clock())
         send_refusal(self._caller, refusal)
         self._end(reason.value)
 
@@ -788,6 +791,7 @@
         if self.attempt is not None:
             self.attempt.cancel()
         self._timers.cancel_all()
+        self._demand.ended()
         self._context.prompts.end_turn(self.admitted.req)
         self._context.running.discard(self)
         self._release_bodies()
--- a/foxtailhatch/router/blackboard.py
+++ b/foxtailhatch/router/blackboard.py
@@ -1,7 +1,7 @@
 """The state that the controllers of one router process share."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import dataclass, field
 
 from foxtailhatch.fleet import (
@@ -14,6 +14,7 @@
 )
 from foxtailhatch.fleet.demand import (
     DemandByService,
+    DemandByZone,
     DemandEstimate,
     DemandTable,
     OwnDemand,
@@ -34,6 +35,7 @@
 
     ``configuration_confirmed_at`` is the latest time at which the
     configuration in force is known to have been the newest.
+    ``entries_confirmed_at`` is the same for the heartbeats of the entries.
     ``store_epoch`` is the store's epoch at the last read of the configuration,
     and ``stop_requested_at`` is set when a stop is requested.
     ``lease_offered_at`` is when another entry offered the leader lease,
@@ -45,6 +47,7 @@
     clock: Callable[[], float]
     table: RoutingTable | None = None
     configuration_confirmed_at: float | None = None
+    entries_confirmed_at: float | None = None
     stop_requested_at: float | None = None
     store_epoch: int = 0
     lease_offered_at: float | None = None
@@ -118,6 +121,20 @@
             if service in reporting
         }
 
+    def update_demand(self, sums: DemandByZone | None, now: float) -> None:
+        """Replace the sums of the demand of other entries.
+
+        ``None`` means that the source has no valid ones.
+        """
+        if sums is None:
+            self.demand.invalidate()
+        else:
+            self.demand.update(sums, now)
+
+    def known_services(self) -> Container[str]:
+        """Return the names of the services that are configured."""
+        return () if self.table is None else self.table.services
+
     def demand_estimate(self, now: float) -> DemandEstimate:
         """Return the estimated demand of all entries, by zone."""
         counts = Counter(entry.zone for entry in self.entries.ready(now))
--- a/foxtailhatch/router/entry_table.py
+++ b/foxtailhatch/router/entry_table.py
@@ -14,6 +14,7 @@
 from foxtailhatch.core.cbor import decode_cbor
 from foxtailhatch.fleet import Work
 from foxtailhatch.fleet.estimate import WorkByEndpoint
+from foxtailhatch.router.demand_messages import raw_field
 from foxtailhatch.router.work_totals import decode_work, encode_work, sum_work
 
 # Lists that have not been renewed for this time are ignored.  The time covers
@@ -81,15 +82,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Heartbeat of a reader: itself, the entries it feeds, and their work."""
+    """Heartbeat of a reader: itself, the entries it feeds, and their work.
+
+    ``demand`` has the encoded sums of their demand, if any service asks for it.
+    """
 
     entries: list[EntryRecord]
     work: WorkByEndpoint = field(default_factory=dict)
+    demand: bytes | None = None
 
     def encode(self) -> bytes:
         """Return the heartbeat as a log record."""
         listed = [entry.fields() for entry in self.entries]
-        return bytes(cbor2.dumps([listed, encode_work(self.work)]))
+        fields: list[object] = [listed, encode_work(self.work)]
+        if self.demand is not None:
+            fields.append(self.demand)
+        return bytes(cbor2.dumps(fields))
 
 
 def decode_heartbeat(raw: bytes) -> Result[Heartbeat, str]:
@@ -101,17 +109,27 @@
 
 
 def _read_heartbeat(raw: bytes) -> Heartbeat:
-    listed, work, *_ = decode_cbor(raw)
+    listed, work, *further = decode_cbor(raw)
     decoded = map(decode_entry, listed)
     entries = [
         entry.unwrap() for entry in decoded if isinstance(entry, Success)
     ]
-    return Heartbeat(entries, decode_work(work))
+    return Heartbeat(entries, decode_work(work), raw_field(further))
 
 
 ReceivedList = tuple[list[EntryRecord], float]
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedHeartbeat:
+    """The entries and the encoded demand in the heartbeat of a reader."""
+
+    reader: str
+    entries: list[EntryRecord]
+    demand: bytes | None
+    received_at: float
+
+
 class EntryTable:
     """The latest list of each reader, with the time of its reception."""
 
@@ -120,6 +138,7 @@
         self._lists: dict[str, ReceivedList] = {}
         self._readers: dict[str, EntryRecord] = {}
         self._work: dict[str, WorkByEndpoint] = {}
+        self._demand: dict[str, bytes | None] = {}
 
     def record_heartbeat(
         self,
@@ -130,6 +149,7 @@
         """Replace a reader's list and work."""
         self._lists[reader] = (heartbeat.entries, now)
         self._work[reader] = heartbeat.work
+        self._demand[reader] = heartbeat.demand
         self._readers.pop(reader, None)
         self._readers.update(
             (reader, entry)
@@ -138,10 +158,11 @@
         )
 
     def remove(self, reader: str) -> None:
-        """Drop a reader's list and work."""
+        """Drop a reader's list, work and demand."""
         self._lists.pop(reader, None)
         self._readers.pop(reader, None)
         self._work.pop(reader, None)
+        self._demand.pop(reader, None)
 
     def ready(self, now: float) -> list[EntryRecord]:
         """Return the entries that serve callers."""
@@ -179,6 +200,16 @@
             if name != reader and now - received_at <= ENTRY_LIST_TIMEOUT_S
         )
 
+    def heartbeats_of_others(
+        self, reader: str, now: float
+    ) -> list[ReceivedHeartbeat]:
+        """Return the current heartbeats of all readers except ``reader``."""
+        return [
+            ReceivedHeartbeat(name, entries, self._demand[name], received_at)
+            for name, (entries, received_at) in self._lists.items()
+            if name != reader and now - received_at <= ENTRY_LIST_TIMEOUT_S
+        ]
+
     def recently_ready(self, zone: str, now: float) -> list[EntryRecord]:
         """Return the entries of a zone that were ready a short time ago."""
         retained = self._retained(now)
--- a/foxtailhatch/router/feed.py
+++ b/foxtailhatch/router/feed.py
@@ -26,6 +26,7 @@
     HttpClient,
     HttpResponse,
 )
+from foxtailhatch.router.demand_messages import raw_field
 from foxtailhatch.router.entry_table import EntryRecord, decode_entry
 from foxtailhatch.router.keyed_log import KeyedRecord, LogPosition, Topic
 from foxtailhatch.router.mirror import Mirror, TopicMirror
@@ -52,12 +53,14 @@
     """The requesting entry, its positions, and its work in progress.
 
     ``unknown_topics`` were requested too, but this build does not know them.
+    ``demand`` is the encoded report of its demand, if any service asks for it.
     """
 
     entry: EntryRecord
     positions: Positions
     work: WorkByEndpoint = field(default_factory=dict)
     unknown_topics: tuple[str, ...] = ()
+    demand: bytes | None = None
 
     def encode(self) -> bytes:
         """Return the body of the HTTP request."""
@@ -66,7 +69,7 @@
             for topic, end in self.positions.items()
         }
         fields = [self.entry.fields(), positions, encode_work(self.work)]
-        return bytes(cbor2.dumps(fields))
+        return bytes(cbor2.dumps(_with_demand(fields, self.demand)))
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,11 +92,14 @@
     """Updates of the requested topics, and the work of all other entries.
 
     ``reads_store`` is true if the responder reads the store itself.
+    ``demand`` has the encoded sums of the demand of all other entries, if the
+    responder has valid ones.
     """
 
     topics: dict[Topic, TopicUpdate]
     work: WorkByEndpoint = field(default_factory=dict)
     reads_store: bool = True
+    demand: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +108,7 @@
 
     work: WorkByEndpoint
     reads_store: bool
+    demand: bytes | None = None
 
 
 def decode_feed_request(raw: bytes) -> Result[FeedRequest, str]:
@@ -124,7 +131,7 @@
         for topic, position in request.positions.items()
     }
     fields = [topics, encode_work(responder.work), responder.reads_store]
-    return bytes(cbor2.dumps(fields))
+    return bytes(cbor2.dumps(_with_demand(fields, responder.demand)))
 
 
 def decode_feed_response(raw: bytes) -> Result[FeedResponse, str]:
@@ -178,6 +185,11 @@
     return decode_feed_response(response.body)
 
 
+def _with_demand(fields: list[Any], demand: bytes | None) -> list[Any]:
+    """Append the demand; without any, the message is as in earlier builds."""
+    return fields if demand is None else [*fields, demand]
+
+
 def _encode_topic(
     mirror: TopicMirror,
     position: LogPosition | None,
@@ -206,7 +218,7 @@
 
 
 def _read_request(raw: bytes) -> Result[FeedRequest, str]:
-    fields, ends, raw_work, *_ = decode_cbor(raw)
+    fields, ends, raw_work, *further = decode_cbor(raw)
     positions = {
         Topic(name): _read_position(end)
         for name, end in ends.items()
@@ -215,12 +227,14 @@
     unknown = tuple(str(name) for name in ends if name not in _TOPIC_NAMES)
     work = decode_work(raw_work)
     return decode_entry(fields).map(
-        lambda entry: FeedRequest(entry, positions, work, unknown),
+        lambda entry: FeedRequest(
+            entry, positions, work, unknown, raw_field(further)
+        ),
     )
 
 
 def _read_response(raw: bytes) -> FeedResponse:
-    topics, work, reads_store, *_ = decode_cbor(raw)
+    topics, work, reads_store, *further = decode_cbor(raw)
     return FeedResponse(
         {
             Topic(name): _read_topic(fields)
@@ -229,6 +243,7 @@
         },
         decode_work(work),
         reads_store is True,
+        raw_field(further),
     )
 
 
--- a/foxtailhatch/router/feed_site.py
+++ b/foxtailhatch/router/feed_site.py
@@ -9,6 +9,7 @@
 
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.demand_totals import encoded_sums
 from foxtailhatch.router.feed import (
     FEED_PATH,
     FEED_WAIT_S,
@@ -55,7 +56,7 @@
             req.setResponseCode(BAD_REQUEST)
             return b''
         self._heartbeats.record_feed_request(
-            request.entry, request.work, self._board.clock()
+            request.entry, request.work, self._board.clock(), request.demand
         )
         responding = asyncio.ensure_future(self._respond(req, request))
         req.notifyFinish().addErrback(lambda _: responding.cancel())
@@ -86,10 +87,13 @@
         arrived_at = self._board.clock()
         if not self._is_behind(request):
             await self._mirror.wait(FEED_WAIT_S)
-        work = self._heartbeats.work_of_others(
-            request.entry.name, self._board.clock()
+        now = self._board.clock()
+        name = request.entry.name
+        responder = ResponderState(
+            self._heartbeats.work_of_others(name, now),
+            self._mirror.is_from_store,
+            encoded_sums(self._heartbeats.demand.of_others(name, now)),
         )
-        responder = ResponderState(work, self._mirror.is_from_store)
         raw = encode_feed_response(self._mirror, request, responder, arrived_at)
         req.setHeader(b'content-type', b'application/cbor')
         req.setHeader(b'content-length', b'%d' % len(raw))
--- a/foxtailhatch/router/heartbeats.py
+++ b/foxtailhatch/router/heartbeats.py
@@ -9,6 +9,7 @@
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.adapter import PlatformAdapter
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.demand_totals import DemandTotals, encoded_sums
 from foxtailhatch.router.entry_table import EntryRecord, Heartbeat
 from foxtailhatch.router.keyed_log import Topic
 from foxtailhatch.router.work_totals import WorkTotals, sum_work
@@ -32,6 +33,7 @@
     ) -> None:
         """Start with no fed entry; ``own`` describes this entry."""
         self.totals = WorkTotals()
+        self.demand = DemandTotals(board, log)
         self._board = board
         self._adapter = adapter
         self._log = log
@@ -45,10 +47,12 @@
         entry: EntryRecord,
         work: WorkByEndpoint,
         now: float,
+        demand: bytes | None = None,
     ) -> None:
-        """Record that an entry requested the feed, and its work."""
+        """Record that an entry requested the feed, its work and demand."""
         self._fed[entry.name] = (entry, now)
         self.totals.report(entry.name, work, now)
+        self.demand.record_report(entry, demand, now)
 
     def current_entries(self, now: float) -> list[EntryRecord]:
         """Return this entry and those that it feeds."""
@@ -75,8 +79,13 @@
         """Write the list if it has changed or is due.
 
         An entry that neither reads the store nor feeds others writes none.
+        One that reads the store knows the demand of others by itself.
         """
         now = self._board.clock()
+        if reads_store:
+            own_name = self._board.cfg.instance
+            others = self.demand.of_others(own_name, now)
+            self._board.update_demand(others, now)
         entries = self.current_entries(now)
         is_due = now - self._written_at >= HEARTBEAT_S
         if not reads_store and len(entries) == 1:
@@ -91,7 +100,8 @@
         name = self._board.cfg.instance
         work_of_fed = self.totals.excluding(name, now)
         work = sum_work((self._board.own_work(), work_of_fed))
-        heartbeat = Heartbeat(entries, work)
+        demand = encoded_sums(self.demand.of_fed(now))
+        heartbeat = Heartbeat(entries, work, demand)
         self._board.entries.record_heartbeat(name, heartbeat, now)
         written = await self._adapter.store.put(
             Topic.ENTRIES,
--- a/foxtailhatch/router/metrics.py
+++ b/foxtailhatch/router/metrics.py
@@ -1,18 +1,22 @@
 """Counters and histograms of the router, in the Prometheus text format."""
 
 import resource
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+from dataclasses import asdict
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
 from foxtailhatch.core import check_counts
 from foxtailhatch.fleet import Availability
+from foxtailhatch.fleet.demand import RankDemand
 
 INFINITY = float('inf')
 FIRST_BYTE_BUCKETS_S = [0.05, 0.1, 0.2, 0.3, 0.5, 0.54, 1, 2, 5, INFINITY]
 RESPONSE_BUCKETS_S = [0.1, 0.3, 1, 2, 4, 8, 16, INFINITY]
 KIBIBYTE = 1024
+# Service, zone, urgency rank and its demand.
+DemandLevel = tuple[str, str, int, RankDemand]
 
 
 class RouterMetrics:
@@ -65,6 +69,12 @@
             const_labels=labels,
             registry=registry,
         )
+        self._demand = Gauge(
+            'demand',
+            'Demand of other entries and this one by zone and urgency rank',
+            const_labels=labels,
+            registry=registry,
+        )
         self._checks = Counter(
             'invariant_checks',
             'Checks that held',
@@ -123,6 +133,14 @@
         for state, count in counts.items():
             self._endpoints.set({'state': state.value}, count)
 
+    def record_demand(self, levels: Iterable[DemandLevel]) -> None:
+        """Replace the levels of demand; zones no longer known are dropped."""
+        self._demand.values.clear()
+        for service, zone, rank, demand in levels:
+            labels = {'service': service, 'zone': zone, 'rank': str(rank)}
+            for kind, level in asdict(demand).items():
+                self._demand.set({**labels, 'of': kind}, level)
+
     def render(
         self,
         version: int,
--- a/foxtailhatch/router/relay_context.py
+++ b/foxtailhatch/router/relay_context.py
@@ -12,6 +12,7 @@
 from foxtailhatch.relay.retry_budget import RetryBudget
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.demand_recorder import DemandRecorder
 from foxtailhatch.router.forwarding import ForwardingSelector
 
 # Share of the memory of the process for bodies.  The rest is for the program, its
@@ -61,4 +62,5 @@
         entries=lambda: len(board.entries.ready(board.clock())),
         on_suspect=observers.on_suspect,
         bodies=BodyMemory(int(BODY_MEMORY_SHARE * board.cfg.memory_bytes)),
+        demand=DemandRecorder(board),
     )
--- a/foxtailhatch/router/state_sync.py
+++ b/foxtailhatch/router/state_sync.py
@@ -10,6 +10,8 @@
 from foxtailhatch.router.adapter import PlatformAdapter
 from foxtailhatch.router.age_limits import AgeLimits
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.demand_messages import DemandReceiver
+from foxtailhatch.router.demand_totals import encoded_report
 from foxtailhatch.router.entry_table import EntryRecord
 from foxtailhatch.router.feed import FeedClient, FeedRequest, FeedResponse
 from foxtailhatch.router.keyed_log import URGENT, KeyedRecord, Topic
@@ -37,6 +39,9 @@
     Topic.ENDPOINTS: 0.6,
     Topic.ENTRIES: 1.5,
 }
+# Pause between reads of the heartbeats if they report demand, which may double
+# within a second or two.
+DEMAND_PERIOD_S = 0.5
 # Pause after a failed read.
 RETRY_PERIOD_S = 0.3
 # Pause before a snapshot, if the store no longer has the records at a position.
@@ -85,6 +90,7 @@
         self._make_client = make_client
         self._clients: dict[str, FeedClient] = {}
         self._selector = SourceSelector(own())
+        self._demand_receiver = DemandReceiver(board.known_services, log)
         self._limits = AgeLimits.of(board.cfg.bounds)
         self._outage = StoreOutage(board.cfg.bounds)
         self._waits_s = _limited(WAITS_S, self._limits.poll_s)
@@ -119,6 +125,8 @@
         """Update the age of the configuration, and expire lapsed endpoints."""
         follower = self._followers[Topic.CONFIGURATION]
         self._board.configuration_confirmed_at = follower.confirmed_at
+        entries = self._followers[Topic.ENTRIES]
+        self._board.entries_confirmed_at = entries.confirmed_at
         if follower.position is not None:
             self._board.store_epoch = follower.position.epoch
         now = self._board.clock()
@@ -196,8 +204,9 @@
                 return RETRY_PERIOD_S
             if follower.is_snapshot_due:
                 return min(SNAPSHOT_PERIOD_S, self._periods_s[topic])
-            is_urgent = topic is Topic.ENTRIES and self._is_starting()
-            return STARTUP_PERIOD_S if is_urgent else self._periods_s[topic]
+            if topic is Topic.ENTRIES:
+                return self._entries_period_s()
+            return self._periods_s[topic]
 
         async def step() -> None:  # noqa: WPS430
             if self._may_read_store(topic):
@@ -205,6 +214,13 @@
 
         return pause_s, step
 
+    def _entries_period_s(self) -> float:
+        if self._is_starting():
+            return STARTUP_PERIOD_S
+        if self._board.features.reporting_services:
+            return DEMAND_PERIOD_S
+        return self._periods_s[Topic.ENTRIES]
+
     def _may_read_store(self, topic: Topic) -> bool:
         """Return whether to read a topic from the store now.
 
@@ -322,8 +338,13 @@
             for topic, follower in self._followers.items()
         }
         client = self._client(peer.peer_address)
-        work = self._board.own_work()
-        fetched = await client.fetch(FeedRequest(self._own(), positions, work))
+        request = FeedRequest(
+            self._own(),
+            positions,
+            self._board.own_work(),
+            demand=encoded_report(self._board.own_demand_report()),
+        )
+        fetched = await client.fetch(request)
         now = self._board.clock()
         if not isinstance(fetched, Success):
             self._selector.peer_failed(peer.name, now)
@@ -342,6 +363,7 @@
         sent_at: float,
     ) -> None:
         self._board.update_peer_work(response.work, self._board.clock())
+        self._update_demand(peer.name, response.demand)
         confirmed_at = self._followers[Topic.CONFIGURATION].confirmed_at
         for followed, update in response.topics.items():
             self._followers[followed].apply_update(update, sent_at)
@@ -363,6 +385,12 @@
                 reads_store=response.reads_store,
             )
 
+    def _update_demand(self, peer: str, raw: bytes | None) -> None:
+        if self._board.features.reporting_services:
+            now = self._board.clock()
+            sums = self._demand_receiver.sums(raw, peer, now)
+            self._board.update_demand(sums, now)
+
     def _client(self, address: str) -> FeedClient:
         client = self._clients.get(address)
         if client is None:
--- a/foxtailhatch/router/status_pages.py
+++ b/foxtailhatch/router/status_pages.py
@@ -1,11 +1,12 @@
 """Contents of the readiness, advice and metrics pages."""
 
 from collections.abc import Mapping
+from itertools import product
 
 from foxtailhatch.fleet import count_availability
 from foxtailhatch.relay.context import RelayContext
 from foxtailhatch.router.blackboard import Blackboard
-from foxtailhatch.router.metrics import RouterMetrics
+from foxtailhatch.router.metrics import DemandLevel, RouterMetrics
 from foxtailhatch.router.single_page_site import encode_json, first_query_value
 
 # Callers cache advice for this long, and some of them three times as long.
@@ -66,6 +67,7 @@
         self._metrics.record_endpoints(
             count_availability(self._board.endpoints, now)
         )
+        self._metrics.record_demand(_demand_levels(self._board, now))
         return self._metrics.render(
             version,
             running,
@@ -76,6 +78,18 @@
         )
 
 
+def _demand_levels(board: Blackboard, now: float) -> list[DemandLevel]:
+    """Return the demand that this entry knows or assumes in each zone."""
+    estimate = board.demand_estimate(now)
+    zones = sorted({*estimate.entry_counts, *board.demand.zones()})
+    places = product(sorted(board.features.reporting_services), zones)
+    return [
+        (service, zone, rank, demand)
+        for service, zone in places
+        for rank, demand in estimate.at(zone, service).ranks.items()
+    ]
+
+
 def _lease_levels(board: Blackboard) -> Mapping[str, float]:
     """Return for how long the lease is held here, and how often it moved."""
     since = board.lease_held_since
--- a/tests/router/entry_network.py
+++ b/tests/router/entry_network.py
@@ -174,7 +174,7 @@
             store=StoreLink(network, name),
             configuration_key='config',
             decode_configuration=lambda raw: Success(
-                configuration(version=int(raw))
+                configuration(version=int(raw), routes=network.routes)
             ),
             decode_endpoint=decode_endpoint,
         )
@@ -214,7 +214,8 @@
 class EntryNetwork:
     """All entries, their store, and the links that are cut."""
 
-    def __init__(self, zones, entries_per_zone):
+    def __init__(self, zones, entries_per_zone, routes=()):
+        self.routes = routes
         self.loop = VirtualLoop()
         asyncio.set_event_loop(self.loop)
         self.store = VirtualStore(self.loop)
@@ -242,12 +243,11 @@
     def close(self):
         for name in self.entries:
             self.loop.resume(name)
-        tasks = asyncio.all_tasks(self.loop)
-        for task in tasks:
-            task.cancel()
-        self.loop.run_until_complete(
-            asyncio.gather(*tasks, return_exceptions=True)
-        )
+        # A wait that ends in the same turn swallows the cancellation of its task.
+        while tasks := asyncio.all_tasks(self.loop):
+            for task in tasks:
+                task.cancel()
+            self.loop.run_until_complete(asyncio.wait(tasks, timeout=1))
         self.loop.close()
         asyncio.set_event_loop(None)
 
--- a/tests/router/test_messages_of_later_builds.py
+++ b/tests/router/test_messages_of_later_builds.py
@@ -47,7 +47,9 @@
 
 def test_feed_request_with_more_fields_is_read():
     fields = [*ENTRY.fields(), ADDED]
-    raw = cbor2.dumps([fields, {'entries': [2, 7, ADDED]}, RAW_WORK, ADDED])
+    raw = cbor2.dumps(
+        [fields, {'entries': [2, 7, ADDED]}, RAW_WORK, None, ADDED]
+    )
     expected = FeedRequest(ENTRY, {Topic.ENTRIES: POSITION}, WORK)
     assert decode_feed_request(raw).unwrap() == expected
 
@@ -64,7 +66,7 @@
     update = [[['k', b'v', ADDED]], [2, 7, ADDED], True, 0.5, ADDED]
     topics = {'entries': update, 'unheard': [ADDED]}
     response = decode_feed_response(
-        cbor2.dumps([topics, RAW_WORK, True, ADDED])
+        cbor2.dumps([topics, RAW_WORK, True, None, ADDED])
     ).unwrap()
     assert set(response.topics) == {Topic.ENTRIES}
     assert response.topics[Topic.ENTRIES].records == (KeyedRecord('k', b'v'),)
@@ -73,7 +75,7 @@
 
 
 def test_heartbeat_with_more_fields_is_read():
-    raw = cbor2.dumps([[[*ENTRY.fields(), ADDED]], RAW_WORK, ADDED])
+    raw = cbor2.dumps([[[*ENTRY.fields(), ADDED]], RAW_WORK, None, ADDED])
     assert decode_heartbeat(raw).unwrap() == Heartbeat([ENTRY], WORK)
 
 
