--- a/foxtailhatch/fleet/demand.py
+++ b/foxtailhatch/fleet/demand.py
@@ -151,15 +151,22 @@
 
     def __init__(self) -> None:
         """Start with no demand."""
-        self._ranks: dict[int, RankDemand] = defaultdict(RankDemand)
+        # Plain lists, since a reader adds up thousands of ranks a second.
+        self._ranks: dict[int, list[float]] = defaultdict(
+            lambda: [0, 0, 0, 0, 0]
+        )
         self._accounts: dict[str, float] = defaultdict(float)
         self._crossings_per_s: float = 0
 
     def add(self, demand: ServiceDemand, factor: float = 1) -> None:
         """Add demand, multiplied by ``factor``."""
         for rank, one in demand.ranks.items():
-            scaled = one if factor == 1 else one.times(factor)
-            self._ranks[rank] = scaled.plus(self._ranks[rank])
+            sums = self._ranks[rank]
+            sums[0] += one.waiting * factor
+            sums[1] += one.running * factor
+            sums[2] += one.starts_per_s * factor
+            sums[3] += one.refusals_per_s * factor
+            sums[4] += one.tokens_per_s * factor
         for account, tokens in demand.accounts.items():
             self._accounts[account] += tokens * factor
         self._crossings_per_s += demand.crossings_per_s * factor
@@ -167,7 +174,8 @@
     def result(self) -> ServiceDemand:
         """Return the sum, with the accounts that have the most tokens."""
         accounts = largest_accounts(self._accounts, MAX_SUMMED_ACCOUNTS)
-        return ServiceDemand(dict(self._ranks), accounts, self._crossings_per_s)
+        ranks = {rank: RankDemand(*sums) for rank, sums in self._ranks.items()}
+        return ServiceDemand(ranks, accounts, self._crossings_per_s)
 
 
 def largest_accounts(
--- a/foxtailhatch/router/demand_messages.py
+++ b/foxtailhatch/router/demand_messages.py
@@ -4,10 +4,14 @@
 entries.  So a malformed one, however deeply nested, does not affect the rest of
 the message, and its size is checked before it is decoded.
 
-A report is ``{service: demand}`` and sums are ``{service: {zone: demand}}``,
-where demand is ``[[[rank, waiting, running, starts, refusals, tokens], ...],
-crossings, {account: running tokens}]``.  Starts, refusals and crossings are in
-tenths a second.  Fields after these are those of a later build, and are ignored.
+Sums are ``{service: {zone: demand}}``, where demand is ``[[[rank, waiting,
+running, starts, refusals, tokens], ...], crossings, {account: running
+tokens}]``.  Starts, refusals and crossings are in tenths a second.  A report is
+``[{service: demand}, number]``, and the demand in a response ``[sums, number]``:
+the sums of all entries as a byte string, and the number of the asking entry's
+report that they include, which it takes off itself.  So a reader encodes the
+sums once for all entries.  Fields after these are those of a later build, and
+are ignored.
 """
 
 from collections.abc import Callable, Container, Iterator, Mapping
@@ -45,11 +49,17 @@
 # What stands for a further field that is no byte string; it is not readable.
 UNREADABLE = b''
 
-# Numbers of accounts and ranks that are sent, the first that fit.
+# Accounts of all zones in sums, and of one zone.
+MAX_SENT_ACCOUNTS = 16
+MAX_ZONE_ACCOUNTS = 8
+# Bytes of a response or report around the demand, at most.
+FRAME_BYTES = 16
+MAX_NUMBER = 4_294_967_296
+
+# Parts of the accounts, and numbers of ranks that are sent, the first that fit.
 _DETAILS = (
-    (MAX_REPORTED_ACCOUNTS, MAX_RANKS),
-    (8, MAX_RANKS),
-    (4, MAX_RANKS),
+    (1.0, MAX_RANKS),
+    (0.5, MAX_RANKS),
     (0, MAX_RANKS),
     (0, 4),
     (0, 1),
@@ -57,9 +67,14 @@
 _TENTHS = 10
 _RANK_FIELDS = 6
 _DEMAND_FIELDS = 3
+_FRAME_FIELDS = 2
 
 Encoded = list[Any]
+# Demand with the number of a report.
+Report = tuple[dict[str, ServiceDemand], int | None]
+Sums = tuple[dict[str, dict[str, ServiceDemand]], int | None]
 _PartT = TypeVar('_PartT')
+_FieldsT = TypeVar('_FieldsT', dict[Any, Any], list[Any])
 
 
 def raw_field(further: list[Any]) -> bytes | None:
@@ -73,19 +88,27 @@
     return UNREADABLE
 
 
-def encode_report(report: DemandByService) -> bytes:
+def encode_report(report: DemandByService, number: int = 0) -> bytes:
     """Return the report of an entry, in less detail if it is large."""
     return _encode_that_fits(
         report,
-        lambda kept, detail: {
-            service: encode_demand(kept[service], detail) for service in kept
-        },
+        lambda kept, detail: [
+            {
+                service: encode_demand(
+                    kept[service], MAX_REPORTED_ACCOUNTS * detail[0], detail[1]
+                )
+                for service in kept
+            },
+            number,
+        ],
         lambda demand: demand.total.tokens_per_s,
     )
 
 
 def encode_sums(sums: DemandByZone) -> bytes:
     """Return the sums of zones, in less detail if they are large."""
+    per_zone = max(1, MAX_SENT_ACCOUNTS // max(1, len(sums)))
+    per_zone = min(per_zone, MAX_ZONE_ACCOUNTS)
     by_service: dict[str, dict[str, ServiceDemand]] = {}
     for zone, services in sums.items():
         for service, demand in services.items():
@@ -93,17 +116,24 @@
     return _encode_that_fits(
         by_service,
         lambda kept, detail: {
-            name: _encode_zones(zones, detail) for name, zones in kept.items()
+            name: _encode_zones(zones, per_zone * detail[0], detail[1])
+            for name, zones in kept.items()
         },
         _tokens_per_s,
     )
 
 
+def encode_response(sums: bytes, number: int | None) -> bytes:
+    """Return encoded sums with the number of the report they include."""
+    return bytes(cbor2.dumps([sums, number]))
+
+
 def _encode_zones(
-    zones: Mapping[str, ServiceDemand], detail: tuple[int, int]
+    zones: Mapping[str, ServiceDemand], max_accounts: float, max_ranks: int
 ) -> dict[str, Encoded]:
     return {
-        zone: encode_demand(demand, detail) for zone, demand in zones.items()
+        zone: encode_demand(demand, max_accounts, max_ranks)
+        for zone, demand in zones.items()
     }
 
 
@@ -113,35 +143,36 @@
 
 def _encode_that_fits(
     parts: Mapping[str, _PartT],
-    encode: Callable[[Mapping[str, _PartT], tuple[int, int]], Any],
+    encode: Callable[[Mapping[str, _PartT], tuple[float, int]], Any],
     size_of: Callable[[_PartT], float],
 ) -> bytes:
-    """Return the first encoding of at most ``MAX_SENT_BYTES``.
+    """Return the first encoding that leaves room for the frame of a response.
 
     Details are left out first, then the services with the least demand.
     """
     for detail in _DETAILS:
         raw = bytes(cbor2.dumps(encode(parts, detail)))
-        if len(raw) <= MAX_SENT_BYTES:
+        if len(raw) <= MAX_SENT_BYTES - FRAME_BYTES:
             return raw
     by_size = sorted(parts, key=lambda name: size_of(parts[name]))
     kept = dict(parts)
     for name in by_size:
         kept.pop(name)
         raw = bytes(cbor2.dumps(encode(kept, _DETAILS[-1])))
-        if len(raw) <= MAX_SENT_BYTES:
+        if len(raw) <= MAX_SENT_BYTES - FRAME_BYTES:
             return raw
     return raw
 
 
-def encode_demand(demand: ServiceDemand, detail: tuple[int, int]) -> Encoded:
-    """Return demand as plain values; ``detail`` limits accounts and ranks.
+def encode_demand(
+    demand: ServiceDemand, max_accounts: float, max_ranks: int
+) -> Encoded:
+    """Return demand as plain values, with limits on accounts and ranks.
 
     Ranks beyond the limit are added to the last one.
     """
-    max_accounts, max_ranks = detail
     ranks = _limited_ranks(demand.ranks, max_ranks)
-    accounts = largest_accounts(demand.accounts, max_accounts)
+    accounts = largest_accounts(demand.accounts, int(max_accounts))
     return [
         [_encode_rank(rank, one) for rank, one in ranks.items()],
         round(demand.crossings_per_s * _TENTHS),
@@ -180,22 +211,39 @@
     known: Container[str]
     faults: list[str] = field(default_factory=list)
 
-    def report(self, raw: bytes) -> dict[str, ServiceDemand] | None:
+    def report(self, raw: bytes) -> Report | None:
         """Return the report of an entry; ``None`` if it is not readable."""
-        services = self._decode(raw)
-        if services is None:
+        framed = self._decode(raw, list)
+        if framed is None or len(framed) < _FRAME_FIELDS:
+            self._note_unreadable()
             return None
-        return {
-            service: demand
+        services, number = framed[:_FRAME_FIELDS]
+        demand = {
+            service: of_service
             for service, fields in self._entries(services, MAX_SERVICES)
             if self._is_known(service)
-            and (demand := self._demand(fields, service)) is not None
+            and (of_service := self._demand(fields, service)) is not None
         }
+        return demand, self._number(number)
+
+    def response(self, raw: bytes) -> Sums | None:
+        """Return the sums of a response, and the number of a report."""
+        framed = self._decode(raw, list)
+        if framed is None or len(framed) < _FRAME_FIELDS:
+            self._note_unreadable()
+            return None
+        encoded, number = framed[:_FRAME_FIELDS]
+        if not isinstance(encoded, bytes):
+            self._note_unreadable()
+            return None
+        sums = self.sums(encoded)
+        return None if sums is None else (sums, self._number(number))
 
     def sums(self, raw: bytes) -> dict[str, dict[str, ServiceDemand]] | None:
         """Return the sums of all zones; ``None`` if they are not readable."""
-        services = self._decode(raw)
+        services = self._decode(raw, dict)
         if services is None:
+            self._note_unreadable()
             return None
         sums: dict[str, dict[str, ServiceDemand]] = {}
         for service, zones in self._entries(services, MAX_SERVICES):
@@ -215,14 +263,24 @@
             elif demand is not None:
                 yield zone, demand
 
-    def _decode(self, raw: bytes) -> dict[Any, Any] | None:
+    def _decode(self, raw: bytes, kind: type[_FieldsT]) -> _FieldsT | None:
         if len(raw) > MAX_RECEIVED_BYTES:
             self.faults.append(f'{len(raw)} bytes')
             return None
         decoded = decode_cbor(raw)
-        if isinstance(decoded, dict):
-            return decoded
-        self.faults.append('not readable')
+        return decoded if isinstance(decoded, kind) else None
+
+    def _note_unreadable(self) -> None:
+        if not self.faults:
+            self.faults.append('not readable')
+
+    def _number(self, number: Any) -> int | None:
+        """Return the number of a report, or ``None`` if there is none."""
+        is_number = isinstance(number, int) and not isinstance(number, bool)
+        if is_number and 0 <= number < MAX_NUMBER:
+            return int(number)
+        if number is not None:
+            self.faults.append(f'number {_shown(number)}')
         return None
 
     def _entries(self, fields: Any, limit: int) -> list[tuple[Any, Any]]:
@@ -322,7 +380,7 @@
 
     def report(
         self, raw: bytes | None, sender: str, now: float
-    ) -> dict[str, ServiceDemand] | None:
+    ) -> Report | None:
         """Return the report of an entry; ``None`` if it reports nothing."""
         if raw is None:
             return None
@@ -331,6 +389,17 @@
         self._note(decoder.faults, sender, now)
         return report
 
+    def response(
+        self, raw: bytes | None, sender: str, now: float
+    ) -> Sums | None:
+        """Return the sums in a response; ``None`` if it has none."""
+        if raw is None:
+            return None
+        decoder = DemandDecoder(self._known())
+        sums = decoder.response(raw)
+        self._note(decoder.faults, sender, now)
+        return sums
+
     def sums(
         self, raw: bytes | None, sender: str, now: float
     ) -> dict[str, dict[str, ServiceDemand]] | None:
--- a/foxtailhatch/router/demand_recorder.py
+++ b/foxtailhatch/router/demand_recorder.py
@@ -16,6 +16,9 @@
         RefusalReason.SUSPECTED,
         RefusalReason.NO_CONFIGURATION,
         RefusalReason.STALE_CONFIGURATION,
+        RefusalReason.BODY_TOO_LARGE,
+        RefusalReason.BODIES_TOO_LARGE,
+        RefusalReason.NO_REQUEST_ID,
     )
 )
 
--- a/foxtailhatch/router/demand_totals.py
+++ b/foxtailhatch/router/demand_totals.py
@@ -17,8 +17,11 @@
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.demand_messages import (
+    MAX_NUMBER,
     DemandReceiver,
+    Report,
     encode_report,
+    encode_response,
     encode_sums,
 )
 from foxtailhatch.router.entry_table import EntryRecord, ReceivedHeartbeat
@@ -28,7 +31,9 @@
 HEARTBEAT_DEMAND_TTL_S = 2.5
 # Sums are kept for this long: a reader responds to dozens of requests a second,
 # and each entry reports twice a second.
-SUM_PERIOD_S = 0.1
+SUM_PERIOD_S = 0.2
+# Reports that an entry remembers: more than it sends while a reader uses one.
+REMEMBERED_REPORTS = 32
 
 
 class _Sums:
@@ -46,9 +51,18 @@
         self.overdue: Counter[str] = Counter()
         self._parts: dict[str, dict[str, DemandSum]] = {}
         self._reports: dict[str, tuple[str, DemandByService]] = {}
+        self._numbers: dict[str, int | None] = {}
+        self._encoded: bytes | None = None
 
-    def add_report(self, name: str, zone: str, demand: DemandByService) -> None:
+    def add_report(
+        self,
+        name: str,
+        zone: str,
+        demand: DemandByService,
+        number: int | None = None,
+    ) -> None:
         self._reports[name] = (zone, demand)
+        self._numbers[name] = number
         self.add(zone, demand, 1)
 
     def add(
@@ -90,18 +104,17 @@
                     self.add(zone, demand, 0, share)
         self.zones = self._results()
 
+    def encode_for(self, name: str) -> bytes:
+        """Return the sums, with the number of an entry's report in them."""
+        if self._encoded is None:
+            self._encoded = encode_sums(self.zones)
+        return encode_response(self._encoded, self._numbers.get(name))
+
     def excluding(self, name: str) -> DemandByZone:
         """Return the sums without the report of one entry."""
         if name not in self._reports:
             return self.zones
-        zone, report = self._reports[name]
-        others = {
-            service: demand.without(report[service])
-            if service in report
-            else demand
-            for service, demand in self.zones[zone].items()
-        }
-        return {**self.zones, zone: others}
+        return subtract_report(self.zones, *self._reports[name])
 
     def _results(self) -> dict[str, dict[str, ServiceDemand]]:
         return {
@@ -117,9 +130,7 @@
         """Start without reports."""
         self._board = board
         self._receiver = DemandReceiver(board.known_services, log)
-        self._reports: dict[
-            str, tuple[EntryRecord, DemandByService | None, float]
-        ] = {}
+        self._reports: dict[str, tuple[EntryRecord, Report | None, float]] = {}
         self._parts: dict[str, tuple[bytes, DemandByZone | None]] = {}
         self._sums = _Sums()
         self._summed_at = float('-inf')
@@ -146,13 +157,23 @@
         sums.finish()
         return sums.zones
 
-    def of_others(self, name: str, now: float) -> DemandByZone | None:
-        """Return the sums of all entries except one.
+    def of_others(self, now: float) -> DemandByZone | None:
+        """Return the sums of all entries except this one.
 
         It is ``None`` if no service asks for them, or if they are not valid:
-        the heartbeats of the other readers have not been read in time, or one
-        that is still listed has not written in time.
+        the heartbeats of the other readers have not been read in time, or the
+        only one of a zone that is still listed has not been written in time.
         """
+        sums = self._valid_sums(now)
+        own_name = self._board.cfg.instance
+        return None if sums is None else sums.excluding(own_name)
+
+    def response_to(self, name: str, now: float) -> bytes | None:
+        """Return the sums for another entry, encoded, if they are valid."""
+        sums = self._valid_sums(now)
+        return None if sums is None else sums.encode_for(name)
+
+    def _valid_sums(self, now: float) -> _Sums | None:
         board = self._board
         confirmed_at = board.entries_confirmed_at
         is_confirmed = (
@@ -163,7 +184,7 @@
         if now - self._summed_at > SUM_PERIOD_S:
             self._sums = self._add_up(now)
             self._summed_at = now
-        return self._sums.excluding(name) if self._sums.is_complete else None
+        return self._sums if self._sums.is_complete else None
 
     def _add_up(self, now: float) -> _Sums:
         """Return the sums of all entries.
@@ -204,7 +225,8 @@
         }
         for name, (entry, report, _) in self._reports.items():
             if report is not None:
-                sums.add_report(name, entry.zone, report)
+                demand, number = report
+                sums.add_report(name, entry.zone, demand, number)
             elif entry.is_ready:
                 sums.missing[entry.zone] += 1
 
@@ -248,9 +270,48 @@
         return known[1]
 
 
-def encoded_report(report: DemandByService | None) -> bytes | None:
-    """Return a report as it is sent, or ``None`` if there is none."""
-    return None if report is None else encode_report(report)
+class SentReports:
+    """Encode the reports of this entry, and take them off the sums."""
+
+    def __init__(self, zone: str) -> None:
+        """Start without reports; this entry stands in ``zone``."""
+        self._zone = zone
+        self._number = 0
+        self._sent: dict[int, DemandByService] = {}
+
+    def encode(self, report: DemandByService | None) -> bytes | None:
+        """Return a report as it is sent; ``None`` if there is none."""
+        if report is None:
+            return None
+        self._number = (self._number + 1) % MAX_NUMBER
+        self._sent[self._number] = report
+        if len(self._sent) > REMEMBERED_REPORTS:
+            self._sent.pop(next(iter(self._sent)))
+        return encode_report(report, self._number)
+
+    def exclude(self, sums: DemandByZone, number: int | None) -> DemandByZone:
+        """Return sums without the report of that number, which they include.
+
+        One that is not remembered was sent before a restart; the latest is the
+        best estimate of it.
+        """
+        if number is None:
+            return sums
+        report = self._sent.get(number, self._sent.get(self._number, {}))
+        return subtract_report(sums, self._zone, report)
+
+
+def subtract_report(
+    sums: DemandByZone, zone: str, report: DemandByService
+) -> DemandByZone:
+    """Return sums without the report of an entry of a zone."""
+    others = {
+        service: demand.without(report[service])
+        if service in report
+        else demand
+        for service, demand in sums.get(zone, {}).items()
+    }
+    return {**sums, zone: others} if others else sums
 
 
 def encoded_sums(sums: DemandByZone | None) -> bytes | None:
--- a/foxtailhatch/router/feed_site.py
+++ b/foxtailhatch/router/feed_site.py
@@ -9,7 +9,6 @@
 
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
-from foxtailhatch.router.demand_totals import encoded_sums
 from foxtailhatch.router.feed import (
     FEED_PATH,
     FEED_WAIT_S,
@@ -92,7 +91,7 @@
         responder = ResponderState(
             self._heartbeats.work_of_others(name, now),
             self._mirror.is_from_store,
-            encoded_sums(self._heartbeats.demand.of_others(name, now)),
+            self._heartbeats.demand.response_to(name, now),
         )
         raw = encode_feed_response(self._mirror, request, responder, arrived_at)
         req.setHeader(b'content-type', b'application/cbor')
--- a/foxtailhatch/router/heartbeats.py
+++ b/foxtailhatch/router/heartbeats.py
@@ -83,9 +83,7 @@
         """
         now = self._board.clock()
         if reads_store:
-            own_name = self._board.cfg.instance
-            others = self.demand.of_others(own_name, now)
-            self._board.update_demand(others, now)
+            self._board.update_demand(self.demand.of_others(now), now)
         entries = self.current_entries(now)
         is_due = now - self._written_at >= HEARTBEAT_S
         if not reads_store and len(entries) == 1:
--- a/foxtailhatch/router/state_sync.py
+++ b/foxtailhatch/router/state_sync.py
@@ -11,7 +11,7 @@
 from foxtailhatch.router.age_limits import AgeLimits
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.demand_messages import DemandReceiver
-from foxtailhatch.router.demand_totals import encoded_report
+from foxtailhatch.router.demand_totals import SentReports
 from foxtailhatch.router.entry_table import EntryRecord
 from foxtailhatch.router.feed import FeedClient, FeedRequest, FeedResponse
 from foxtailhatch.router.keyed_log import URGENT, KeyedRecord, Topic
@@ -91,6 +91,7 @@
         self._clients: dict[str, FeedClient] = {}
         self._selector = SourceSelector(own())
         self._demand_receiver = DemandReceiver(board.known_services, log)
+        self._sent_reports = SentReports(board.cfg.zone)
         self._limits = AgeLimits.of(board.cfg.bounds)
         self._outage = StoreOutage(board.cfg.bounds)
         self._waits_s = _limited(WAITS_S, self._limits.poll_s)
@@ -342,7 +343,7 @@
             self._own(),
             positions,
             self._board.own_work(),
-            demand=encoded_report(self._board.own_demand_report()),
+            demand=self._sent_reports.encode(self._board.own_demand_report()),
         )
         fetched = await client.fetch(request)
         now = self._board.clock()
@@ -388,8 +389,9 @@
     def _update_demand(self, peer: str, raw: bytes | None) -> None:
         if self._board.features.reporting_services:
             now = self._board.clock()
-            sums = self._demand_receiver.sums(raw, peer, now)
-            self._board.update_demand(sums, now)
+            received = self._demand_receiver.response(raw, peer, now)
+            others = received and self._sent_reports.exclude(*received)
+            self._board.update_demand(others, now)
 
     def _client(self, address: str) -> FeedClient:
         client = self._clients.get(address)
--- a/tests/router/test_demand_messages.py
+++ b/tests/router/test_demand_messages.py
@@ -14,6 +14,7 @@
     DemandDecoder,
     DemandReceiver,
     encode_report,
+    encode_response,
     encode_sums,
 )
 from foxtailhatch.router.entry_table import Heartbeat, decode_heartbeat
@@ -49,14 +50,20 @@
 def decode(fields):
     """Return the demand decoded from plain values, and the faults."""
     decoder = DemandDecoder(KNOWN)
-    report = decoder.report(cbor2.dumps({'model': fields}))
+    report = decode_report(decoder, {'model': fields})
     return report.get('model'), decoder.faults
 
 
+def decode_report(decoder, services, number=7):
+    report, decoded = decoder.report(cbor2.dumps([services, number]))
+    assert decoded == number
+    return report
+
+
 def test_report_round_trip():
     decoder = DemandDecoder(KNOWN)
     report = {'model': DEMAND, 'other': ServiceDemand()}
-    assert decoder.report(encode_report(report)) == report
+    assert decoder.report(encode_report(report, 7)) == (report, 7)
     assert decoder.faults == []
 
 
@@ -65,9 +72,23 @@
     sums = {'z1': {'model': DEMAND}, 'z2': {'model': DEMAND, 'other': DEMAND}}
     assert decoder.sums(encode_sums(sums)) == sums
     assert decoder.sums(encode_sums({})) == {}
+    for number in (0, 7, 2**32 - 1, None):
+        raw = encode_response(encode_sums(sums), number)
+        assert decoder.response(raw) == (sums, number)
     assert decoder.faults == []
 
 
+@pytest.mark.parametrize('bad', [-1, 2**32, 1.5, True, 'x', [1], 10**3000])
+def test_bad_number_of_a_report_is_dropped_alone(bad):
+    decoder = DemandDecoder(KNOWN)
+    raw = cbor2.dumps([{'model': [[RANK], 0, {}]}, bad])
+    report, number = decoder.report(raw)
+    assert (set(report), number) == ({'model'}, None)
+    raw = cbor2.dumps([encode_sums({'z1': {'model': DEMAND}}), bad])
+    assert decoder.response(raw) == ({'z1': {'model': DEMAND}}, None)
+    assert len(decoder.faults) == 2
+
+
 # Guards against a later build whose additions make its demand unreadable.
 def test_further_fields_are_ignored():
     fields = [[[*RANK, 'later']], 15, {'crew': 7}, 'later']
@@ -130,8 +151,8 @@
 @pytest.mark.parametrize('bad', [None, 7, 'x', [], [[]], [[], 0], {}, [0] * 3])
 def test_service_with_malformed_demand_is_dropped_alone(bad):
     decoder = DemandDecoder(KNOWN)
-    raw = cbor2.dumps({'other': bad, 'model': [[RANK], 0, {}]})
-    report = decoder.report(raw)
+    services = {'other': bad, 'model': [[RANK], 0, {}]}
+    report = decode_report(decoder, services)
     assert report['model'].ranks == {0: DEMAND.ranks[0]}
     assert report.get('other', ServiceDemand()) == ServiceDemand()
     assert decoder.faults
@@ -141,7 +162,7 @@
 def test_unknown_service_is_dropped_alone(bad):
     decoder = DemandDecoder(KNOWN)
     fields = [[RANK], 0, {}]
-    report = decoder.report(cbor2.dumps({bad: fields, 'model': fields}))
+    report = decode_report(decoder, {bad: fields, 'model': fields})
     assert set(report) == {'model'}
     zones = {bad: {'z1': fields}, 'model': {'z1': fields, b'z2': fields}}
     sums = decoder.sums(cbor2.dumps(zones))
@@ -159,7 +180,7 @@
     assert len(faults) == 1
     decoder = DemandDecoder(KNOWN)
     many = {f'account-{number}': 1 for number in range(1064)}
-    raw = cbor2.dumps({'model': [[RANK], 0, many]})
+    raw = cbor2.dumps([{'model': [[RANK], 0, many]}, 7])
     assert len(raw) > MAX_RECEIVED_BYTES
     assert decoder.report(raw) is None
     assert decoder.faults == [f'{len(raw)} bytes']
@@ -169,7 +190,7 @@
     decoder = DemandDecoder({str(number) for number in range(99)} | KNOWN)
     fields = [[], 0, {}]
     services = {str(number): fields for number in range(65)}
-    assert decoder.report(cbor2.dumps(services)) == {}
+    assert decode_report(decoder, services) == {}
     zones = {str(number): fields for number in range(65)}
     raw = cbor2.dumps({'model': zones, 'other': {'z1': fields}})
     assert decoder.sums(raw) == {'z1': {'other': ServiceDemand()}}
@@ -181,9 +202,9 @@
     'no CBOR': b'\xff\xff',
     'a list': cbor2.dumps([1]),
     'a number': cbor2.dumps(1),
-    'a number for a service': cbor2.dumps({7: [[], 0, {}]}),
+    'a number for a service': cbor2.dumps([{7: [[], 0, {}]}, 7]),
     'nested': cbor2.dumps(nested(200)),
-    'nested in a report': cbor2.dumps({'model': [nested(200), 0, {}]}),
+    'nested in a report': cbor2.dumps([{'model': [nested(200), 0, {}]}, 7]),
     'large': bytes(MAX_RECEIVED_BYTES + 1),
 }
 
@@ -192,8 +213,14 @@
 def test_unreadable_demand_counts_as_missing(raw):
     decoder = DemandDecoder(KNOWN)
     assert decoder.report(raw) is None
+    assert len(decoder.faults) == 1
+    decoder.faults.clear()
     assert decoder.sums(raw) is None
-    assert len(decoder.faults) == 2
+    assert len(decoder.faults) == 1
+    decoder.faults.clear()
+    assert decoder.response(raw) is None
+    assert decoder.response(cbor2.dumps([raw, 7])) is None
+    assert decoder.faults
 
 
 # Guards against a message that is lost as a whole for its last field.
@@ -256,8 +283,8 @@
 def test_few_faults_of_a_message_are_shown():
     log = ListLog()
     receiver = DemandReceiver(lambda: KNOWN, log)
-    raw = cbor2.dumps({f'x{number}': [] for number in range(50)})
-    assert receiver.report(raw, 'a', 0) == {}
+    raw = cbor2.dumps([{f'x{number}': [] for number in range(50)}, 7])
+    assert receiver.report(raw, 'a', 0) == ({}, 7)
     (line,) = log.of('demand_dropped')
     assert (line['count'], len(line['why'])) == (50, 4)
 
@@ -283,10 +310,10 @@
     }
     raw = encode_report(report)
     assert len(raw) <= MAX_SENT_BYTES
-    assert f'model-{services - 1}' in decoder.report(raw)
+    assert f'model-{services - 1}' in decoder.report(raw)[0]
     sums = {f'zone-{number}': report for number in range(zones)}
     raw = encode_sums(sums)
-    assert len(raw) <= MAX_SENT_BYTES
+    assert len(encode_response(raw, 2**32 - 1)) <= MAX_SENT_BYTES
     read = decoder.sums(raw)
     if len(read) == zones:
         assert f'model-{services - 1}' in read['zone-0']
@@ -296,5 +323,5 @@
 # Guards against ranks that vanish from a sum that is sent in less detail.
 def test_ranks_beyond_the_limit_are_added_to_the_last():
     report = {'model': ServiceDemand({0: RankDemand(1), 40: RankDemand(2)})}
-    (read,) = DemandDecoder(KNOWN).report(encode_report(report)).values()
-    assert read.ranks == {0: RankDemand(1), 15: RankDemand(2)}
+    read, _ = DemandDecoder(KNOWN).report(encode_report(report))
+    assert read['model'].ranks == {0: RankDemand(1), 15: RankDemand(2)}
--- a/tests/router/test_demand_totals.py
+++ b/tests/router/test_demand_totals.py
@@ -10,11 +10,17 @@
     RankDemand,
     ServiceDemand,
 )
-from foxtailhatch.router.demand_messages import encode_report, encode_sums
+from foxtailhatch.router.demand_messages import (
+    DemandDecoder,
+    encode_report,
+    encode_sums,
+)
 from foxtailhatch.router.demand_totals import (
     HEARTBEAT_DEMAND_TTL_S,
+    REMEMBERED_REPORTS,
     SUM_PERIOD_S,
     DemandTotals,
+    SentReports,
 )
 from foxtailhatch.router.entry_table import ENTRY_LIST_TIMEOUT_S, Heartbeat
 from foxtailhatch.router.feed import decode_feed_request
@@ -60,6 +66,20 @@
     state.entries.record_heartbeat(reader, Heartbeat(listed, {}, raw), now)
 
 
+def others(totals, name, clock):
+    """Return the sums that another entry gets, without its last report."""
+    raw = totals.response_to(name, clock.now)
+    if raw is None:
+        return None
+    sums, number = DemandDecoder({'model'}).response(raw)
+    sent = SentReports('')
+    known = totals._reports.get(name)
+    if known is not None and known[1] is not None:
+        sent = SentReports(known[0].zone)
+        sent._sent[number] = known[1][0]
+    return sent.exclude(sums, number)
+
+
 def counts(sums):
     """Return the running requests by zone."""
     return {
@@ -75,10 +95,10 @@
     state.own_demand.record_start('model', 0, 'crew', 100, clock.now)
     report(totals, state, 'a', count=3)
     report(totals, state, 'b', 'z2', count=5)
-    assert counts(totals.of_others('a', clock.now)) == {'z1': 1, 'z2': 5}
-    assert counts(totals.of_others('b', clock.now)) == {'z1': 4, 'z2': 0}
-    assert counts(totals.of_others('entry-1', clock.now)) == {'z1': 3, 'z2': 5}
-    assert counts(totals.of_others('new', clock.now)) == {'z1': 4, 'z2': 5}
+    assert counts(others(totals, 'a', clock)) == {'z1': 1, 'z2': 5}
+    assert counts(others(totals, 'b', clock)) == {'z1': 4, 'z2': 0}
+    assert counts(totals.of_others(clock.now)) == {'z1': 3, 'z2': 5}
+    assert counts(others(totals, 'new', clock)) == {'z1': 4, 'z2': 5}
     assert counts(totals.of_fed(clock.now)) == {'z1': 4, 'z2': 5}
 
 
@@ -88,7 +108,7 @@
     report(totals, state, 'a', count=3)
     clock.now += DEMAND_TTL_S + 0.1
     state.entries_confirmed_at = clock.now
-    assert counts(totals.of_others('entry-1', clock.now)) == {}
+    assert counts(totals.of_others(clock.now)) == {}
     assert counts(totals.of_fed(clock.now)) == {}
 
 
@@ -100,7 +120,7 @@
     report(totals, state, 'b', 'z2', count=6)
     report(totals, state, 'old', count=None)
     report(totals, state, 'stopping', count=None, is_ready=False)
-    sums = totals.of_others('b', clock.now)
+    sums = others(totals, 'b', clock)
     assert counts(sums) == {'z1': 4 + 4 / 2, 'z2': 0}
     assert counts(totals.of_fed(clock.now)) == {'z1': 6, 'z2': 6}
 
@@ -109,7 +129,7 @@
     totals, state, clock, _ = make_totals()
     report(totals, state, 'a', count=6)
     heartbeat(state, 'r2', 'z2', ['r2', 'b2'], None)
-    assert counts(totals.of_others('new', clock.now)) == {'z1': 6, 'z2': 6}
+    assert counts(others(totals, 'new', clock)) == {'z1': 6, 'z2': 6}
 
 
 def test_report_without_demand_is_not_missing():
@@ -118,7 +138,7 @@
     totals.record_report(entry('idle'), encode_report({}), clock.now)
     heartbeat(state, 'r2', 'z2', ['r2', 'b2'], {})
     heartbeat(state, 'r3', 'z2', ['r3'], None)
-    assert counts(totals.of_others('new', clock.now)) == {'z1': 4}
+    assert counts(others(totals, 'new', clock)) == {'z1': 4}
 
 
 # Guards against zones that do not know of each other.
@@ -127,7 +147,7 @@
     report(totals, state, 'a', count=3)
     sums = {'z2': running(7), 'z1': running(1)}
     heartbeat(state, 'r2', 'z2', ['r2', 'b2'], sums)
-    assert counts(totals.of_others('a', clock.now)) == {'z1': 1, 'z2': 7}
+    assert counts(others(totals, 'a', clock)) == {'z1': 1, 'z2': 7}
 
 
 # Guards against demand that is counted twice when a reader takes over.
@@ -137,14 +157,14 @@
     heartbeat(state, 'r1', 'z1', ['r1', 'a', 'b', 'c'], old, clock.now - 1)
     for name in 'abc':
         report(totals, state, name, count=10)
-    assert counts(totals.of_others('entry-1', clock.now)) == {'z1': 40}
+    assert counts(totals.of_others(clock.now)) == {'z1': 40}
     # Both are heartbeats of other readers.
     totals, state, clock, _ = make_totals()
     new = {'z2': running(30)}
     old = {'z2': running(40)}
     heartbeat(state, 'r2', 'z2', ['r2', 'a', 'b', 'c'], old, clock.now - 1)
     heartbeat(state, 'a', 'z2', ['a', 'b', 'c'], new)
-    assert counts(totals.of_others('entry-1', clock.now)) == {'z2': 40}
+    assert counts(totals.of_others(clock.now)) == {'z2': 40}
 
 
 # Guards against a stopping entry that counts in two heartbeats.
@@ -160,7 +180,7 @@
         state.entries.record_heartbeat(
             reader, Heartbeat(listed, {}, raw), clock.now - age_s
         )
-    assert counts(totals.of_others('entry-1', clock.now)) == {'z2': 4}
+    assert counts(totals.of_others(clock.now)) == {'z2': 4}
 
 
 # Guards against sums that seem to be valid while the store is away.
@@ -168,11 +188,11 @@
     totals, state, clock, _ = make_totals()
     report(totals, state, 'a', count=3)
     clock.now += DEMAND_TTL_S
-    assert totals.of_others('a', clock.now) is not None
+    assert others(totals, 'a', clock) is not None
     clock.now += 0.01
-    assert totals.of_others('a', clock.now) is None
+    assert others(totals, 'a', clock) is None
     state.entries_confirmed_at = None
-    assert totals.of_others('a', clock.now) is None
+    assert others(totals, 'a', clock) is None
 
 
 def later(state, clock, seconds):
@@ -185,11 +205,11 @@
     totals, state, clock, _ = make_totals()
     heartbeat(state, 'r2', 'z2', ['r2'], {'z2': running(7)})
     later(state, clock, HEARTBEAT_DEMAND_TTL_S)
-    assert counts(totals.of_others('a', clock.now)) == {'z2': 7}
+    assert counts(others(totals, 'a', clock)) == {'z2': 7}
     later(state, clock, SUM_PERIOD_S + 0.01)
-    assert totals.of_others('a', clock.now) is None
+    assert others(totals, 'a', clock) is None
     later(state, clock, ENTRY_LIST_TIMEOUT_S)
-    assert counts(totals.of_others('a', clock.now)) == {}
+    assert counts(others(totals, 'a', clock)) == {}
 
 
 # Guards against all sums that lapse when one of several readers ends.
@@ -198,7 +218,7 @@
     heartbeat(state, 'gone', 'z2', ['gone', 'b'], {'z2': running(9)})
     later(state, clock, HEARTBEAT_DEMAND_TTL_S + 0.1)
     heartbeat(state, 'b', 'z2', ['b', 'c'], {'z2': running(8)})
-    assert counts(totals.of_others('a', clock.now)) == {'z2': 12}
+    assert counts(others(totals, 'a', clock)) == {'z2': 12}
 
 
 # Guards against cost and messages where no service asks for demand.
@@ -207,7 +227,7 @@
     totals.record_report(entry('a'), b'?', clock.now)
     assert state.own_demand_report() is None
     assert totals.of_fed(clock.now) is None
-    assert totals.of_others('a', clock.now) is None
+    assert others(totals, 'a', clock) is None
     assert log.lines == []
 
 
@@ -222,22 +242,22 @@
 # Guards against one faulty entry or reader that spoils the sums of all.
 def test_malformed_report_counts_as_missing():
     totals, state, clock, log = make_totals()
-    report(totals, state, 'a', count=3)
+    report(totals, state, 'a', count=4)
     totals.record_report(entry('bad'), b'?', clock.now)
     state.entries.record_heartbeat(
         'r2', Heartbeat([entry('r2', 'z2')], {}, b'?'), clock.now
     )
-    own_and_a = 3 / 2
-    sums = counts(totals.of_others('new', clock.now))
-    assert sums == {'z1': 3 + own_and_a, 'z2': own_and_a}
+    mean = (0 + 4) / 2
+    sums = counts(others(totals, 'new', clock))
+    assert sums == {'z1': 4 + mean, 'z2': mean}
     assert [line['peer'] for line in log.of('demand_dropped')] == ['bad', 'r2']
 
 
 def test_unknown_service_of_a_report_is_left_out():
     totals, state, clock, _ = make_totals()
-    raw = cbor2.dumps({'later': [[], 0, {}], **cbor2.loads(good())})
+    raw = cbor2.dumps([{'later': [[], 0, {}], **cbor2.loads(good())[0]}, 1])
     totals.record_report(entry('a'), raw, clock.now)
-    sums = totals.of_others('new', clock.now)
+    sums = others(totals, 'new', clock)
     assert {zone: set(services) for zone, services in sums.items()} == {
         'z1': {'model'}
     }
@@ -259,13 +279,27 @@
     )
     report(totals, state, 'a', count=3)
     for _ in range(50):
-        totals.of_others('a', clock.now)
+        others(totals, 'a', clock)
     assert len(calls) == 1
     later(state, clock, SUM_PERIOD_S + 0.01)
-    totals.of_others('a', clock.now)
+    others(totals, 'a', clock)
     assert len(calls) == 2
 
 
+# Guards against an entry that takes off another report than the sums include.
+def test_report_that_the_sums_include_is_taken_off():
+    sent = SentReports('z1')
+    for count in range(1, 100):
+        sent.encode(running(count))
+    sums = {'z1': running(200), 'z2': running(5)}
+    assert counts(sent.exclude(sums, 98)) == {'z1': 102, 'z2': 5}
+    assert counts(sent.exclude(sums, None)) == counts(sums)
+    assert counts(sent.exclude(sums, 12345)) == {'z1': 101, 'z2': 5}
+    assert len(sent._sent) == REMEMBERED_REPORTS
+    assert counts(SentReports('z1').exclude(sums, 5)) == counts(sums)
+    assert sent.encode(None) is None
+
+
 class DemandNetwork(EntryNetwork):
     """Entries, each of which has a number of running requests."""
 
