--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -114,6 +114,7 @@
             context, self._history, self.request_id
         )
         self._held = context.bodies.hold()
+        self._demand = context.demand.track(admitted)
         self._delivery = Delivery(
             caller,
             admitted.req.last_event_id,
@@ -551,6 +552,7 @@
             version=admitted.version,
             age_s=round(admitted.configuration_age_s, 2),
         )
+        self._demand.sent(chosen, now)
         outgoing = OutgoingRequest(admitted.req, dispatch, chosen)
         return Attempt(self._context, outgoing, listener, now)
 
@@ -906,6 +908,7 @@
                 not self._may_have_run,
                 self.request_id,
             )
+        self._demand.refused(reason, refusal.status, self._context.clock())
         send_refusal(self._caller, refusal)
         self._end(reason.value)
 
@@ -931,6 +934,7 @@
         self._timers.cancel_all()
         if self._capacity is not None:
             self._capacity.leave(self)
+        self._demand.ended()
         self._context.prompts.end_turn(self.admitted.req)
         self._context.running.discard(self)
         self._release_bodies()
--- a/foxtailhatch/router/relay_context.py
+++ b/foxtailhatch/router/relay_context.py
@@ -13,6 +13,7 @@
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.capacity_admission import CapacityAdmission
+from foxtailhatch.router.demand_recorder import DemandRecorder
 from foxtailhatch.router.forwarding import ForwardingSelector
 from foxtailhatch.router.metrics import RouterMetrics
 from foxtailhatch.router.zone_balancer import ZoneBalancer
@@ -75,4 +76,5 @@
             random,
         ),
         bodies=BodyMemory(int(BODY_MEMORY_SHARE * board.cfg.memory_bytes)),
+        demand=DemandRecorder(board),
     )
