Advise callers to use entries by their strength

Cause: callers pick one of the advised addresses at random, and all entries of a zone were on each list, so an entry of 0.36 cores got as many callers as one of 2.15; of more than 64 entries the same 64 were always advised.

An entry whose loop is late or whose processor share is used up reports a load factor of 0.5 in a ninth field of its record, and the link rate from limits.link_mbps in a tenth; both are left out if they say nothing, so recorded messages keep their bytes. Lists that differ in load factors alone are written at most every 0.75 s. Gauges advice_strength and loop_lateness_seconds. The entries of tests/router/entry_network.py have addresses for callers of their own and may have cores.

--- a/foxtailhatch/platform/settings.py
+++ b/foxtailhatch/platform/settings.py
@@ -77,6 +77,7 @@
         store_address=fields['platform.address'],
         bounds=_bounds(fields),
         memory_bytes=_memory_bytes(fields),
+        link_mbps=_number(fields, 'limits.link_mbps', 0),
     )
 
 
--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -25,6 +25,7 @@
 from foxtailhatch.router.feed_site import feed_site
 from foxtailhatch.router.http_frontend import FrontendFactory
 from foxtailhatch.router.line_writer import NonBlockingLineWriter
+from foxtailhatch.router.loop_load import SAMPLE_PERIOD_S
 from foxtailhatch.router.settings import RouterSettings
 from foxtailhatch.router.single_page_site import page_site
 from foxtailhatch.router.twisted_errors import log_twisted_errors
@@ -157,14 +158,17 @@
 
     def _start_loops(self, components: RouterComponents) -> None:
         components.state_sync.start(self._loops)
-        every = self._loops.every
-        every(HEARTBEAT_CHECK_PERIOD_S, components.heartbeat)
-        every(LEASE_RENEWAL_PERIOD_S, components.maintain_lease)
-        every(REACH_CHECK_PERIOD_S, components.watch_reach)
+        for period_s, step in (
+            (HEARTBEAT_CHECK_PERIOD_S, components.heartbeat),
+            (LEASE_RENEWAL_PERIOD_S, components.maintain_lease),
+            (REACH_CHECK_PERIOD_S, components.watch_reach),
+            (CLEANUP_PERIOD_S, components.observation_cleanup.step),
+            (SAMPLE_PERIOD_S, components.board.sample_load),
+        ):
+            self._loops.every(period_s, step)
         self._loops.repeat(
             self._crash_watch_pause_s, components.crash_watch.step
         )
-        every(CLEANUP_PERIOD_S, components.observation_cleanup.step)
         self._loops.repeat(self._shutdown_pause_s, self._check_shutdown)
         self._loops.repeat(
             self._placement_pause_s, components.placement_controller.step
--- a/foxtailhatch/router/blackboard.py
+++ b/foxtailhatch/router/blackboard.py
@@ -1,5 +1,6 @@
 """The state that the controllers of one router process share."""
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -15,6 +16,7 @@
 from foxtailhatch.recovery.quarantine import Quarantine
 from foxtailhatch.router.caller_channels import CallerChannels
 from foxtailhatch.router.entry_table import EntryRecord, EntryTable
+from foxtailhatch.router.loop_load import LoopLoad
 from foxtailhatch.router.settings import RouterSettings
 from foxtailhatch.router.work_totals import sum_work
 from foxtailhatch.routes import RoutingTable
@@ -51,6 +53,11 @@
     reach: EndpointReach = field(default_factory=EndpointReach)
     quarantine: Quarantine = field(default_factory=Quarantine)
     channels: CallerChannels = field(default_factory=CallerChannels)
+    loop_load: LoopLoad = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Measure the load against the processor share of the settings."""
+        self.loop_load = LoopLoad(self.cfg.cpu_cores)
 
     def is_ready(self) -> bool:
         """Return whether this entry can serve callers now."""
@@ -79,8 +86,14 @@
             cpu_cores=cfg.cpu_cores,
             is_ready=self.is_ready(),
             unreached=self.reach.unreached,
+            load_factor=self.loop_load.factor(self.clock()),
+            link_mbps=cfg.link_mbps,
         )
 
+    async def sample_load(self) -> None:
+        """Record the lateness of the loop and the processor use."""
+        self.loop_load.record(self.clock(), time.process_time())
+
     def own_work(self) -> dict[str, Work]:
         """Return the work of this entry that others have to know."""
         now = self.clock()
--- a/foxtailhatch/router/entry_table.py
+++ b/foxtailhatch/router/entry_table.py
@@ -14,6 +14,7 @@
 from foxtailhatch.core.cbor import decode_cbor
 from foxtailhatch.fleet import Work
 from foxtailhatch.fleet.estimate import WorkByEndpoint
+from foxtailhatch.router.entry_advice import advised_addresses
 from foxtailhatch.router.work_totals import decode_work, encode_work, sum_work
 
 # Lists that have not been renewed for this time are ignored.  The time covers
@@ -27,6 +28,8 @@
 RECOMMENDED_MIN = 2
 _FIELD_COUNT = 8
 _FIELD_TYPES = (str, str, str, str, str, int | float, bool, list)
+# Higher link rates are taken for malformed.
+_MAX_LINK_MBPS = 1e6
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +39,8 @@
     ``address`` is for callers and ``peer_address`` for other entries.
     ``cpu_cores`` is its processor share; the entries with the largest share
     of a zone read the store.  ``unreached`` names the services of which it
-    reaches no endpoint.
+    reaches no endpoint.  ``load_factor`` is below 1 while the entry is
+    overloaded, and ``link_mbps`` is the rate of its link, 0 if not known.
     """
 
     name: str
@@ -47,10 +51,16 @@
     cpu_cores: float
     is_ready: bool
     unreached: tuple[str, ...] = ()
+    load_factor: float = 1
+    link_mbps: float = 0
 
     def fields(self) -> list[object]:
-        """Return the record as a list of plain values."""
-        return [
+        """Return the record as a list of plain values.
+
+        The load factor and the link rate are written only if they are below 1
+        and known, so that the records of other entries stay as short as before.
+        """
+        fields = [
             self.name,
             self.zone,
             self.region,
@@ -60,12 +70,16 @@
             self.is_ready,
             list(self.unreached),
         ]
+        if self.link_mbps > 0:
+            return [*fields, self.load_factor, self.link_mbps]
+        return [*fields, self.load_factor] if self.load_factor < 1 else fields
 
 
 def decode_entry(fields: object) -> Result[EntryRecord, str]:
     """Return the entry that a list of plain values describes.
 
-    Further values are those of a later build, and are ignored.
+    Further values are those of a later build, and are ignored.  A malformed
+    load factor or link rate counts as missing.
 
     >>> decode_entry([]).failure()
     'expected a list of eight fields'
@@ -76,7 +90,28 @@
     if not all(map(isinstance, known, _FIELD_TYPES)):
         return Failure('a field is of another type')
     record = EntryRecord(*known[:-1])
-    return Success(replace(record, unreached=tuple(map(str, known[-1]))))
+    added = fields[_FIELD_COUNT:]
+    return Success(
+        replace(
+            record,
+            unreached=tuple(map(str, known[-1])),
+            load_factor=_number_at(added, 0, 1, default=1),
+            link_mbps=_number_at(added, 1, _MAX_LINK_MBPS, default=0),
+        )
+    )
+
+
+def _number_at(
+    fields: list[object],
+    position: int,
+    upper: float,
+    default: float,
+) -> float:
+    """Return a number above 0 and up to ``upper``, or the default."""
+    field = fields[position] if position < len(fields) else None
+    if isinstance(field, bool) or not isinstance(field, int | float):
+        return default
+    return field if 0 < field <= upper else default
 
 
 @dataclass(frozen=True, slots=True)
@@ -201,7 +236,17 @@
         now: float,
         limit: int,
     ) -> list[str]:
-        """Return up to ``limit`` addresses for a caller.
+        """Return up to ``limit`` addresses for a caller without an address."""
+        scope = self.recommended_scope(region, zone, now)
+        return advised_addresses(scope, '', limit)
+
+    def recommended_scope(
+        self,
+        region: str,
+        zone: str,
+        now: float,
+    ) -> list[EntryRecord]:
+        """Return the entries that are considered for a caller.
 
         Entries of the caller's zone are preferred, then those of its region,
         then all: a wider scope is used if the narrower one has fewer than
@@ -218,8 +263,8 @@
         )
         for scope in scopes:
             if len(scope) >= RECOMMENDED_MIN:
-                return sorted(entry.address for entry in scope)[:limit]
-        return sorted(entry.address for entry in ready)[:limit]
+                return scope
+        return ready
 
 
 def _with_reach(entries: list[EntryRecord]) -> list[EntryRecord]:
--- a/foxtailhatch/router/heartbeats.py
+++ b/foxtailhatch/router/heartbeats.py
@@ -1,6 +1,7 @@
 """Heartbeats that readers of the store write for the entries they feed."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from returns.result import Success
 
@@ -18,6 +19,9 @@
 FED_ENTRY_TIMEOUT_S = 1.6
 # The list is written at least this often, and at once after a change.
 HEARTBEAT_S = 1.5
+# Shortest time between two lists that differ in load factors alone.  Under load
+# many entries change theirs, and each list takes the store's and the readers' time.
+LOAD_HEARTBEAT_S = 0.75
 
 
 class Heartbeats:
@@ -78,10 +82,9 @@
         """
         now = self._board.clock()
         entries = self.current_entries(now)
-        is_due = now - self._written_at >= HEARTBEAT_S
         if not reads_store and len(entries) == 1:
             return
-        if is_due or entries != self._written:
+        if self._is_due(entries, now):
             await self.write(entries, now)
 
     async def write(self, entries: list[EntryRecord], now: float) -> None:
@@ -100,3 +103,17 @@
         )
         if not isinstance(written, Success):
             self._log.write('heartbeat_failed', fault=written.failure().value)
+
+    def _is_due(self, entries: list[EntryRecord], now: float) -> bool:
+        age_s = now - self._written_at
+        if age_s >= HEARTBEAT_S:
+            return True
+        if entries == self._written:
+            return False
+        if age_s >= LOAD_HEARTBEAT_S:
+            return True
+        return _without_load(entries) != _without_load(self._written)
+
+
+def _without_load(entries: Iterable[EntryRecord]) -> list[EntryRecord]:
+    return [replace(entry, load_factor=1) for entry in entries]
--- a/foxtailhatch/router/settings.py
+++ b/foxtailhatch/router/settings.py
@@ -39,7 +39,9 @@
 
     Addresses are ``host:port``; an empty one is not served.
     ``peer_address`` is for other entries, and ``cpu_cores`` the processor
-    share in cores.  The process is killed beyond ``memory_bytes``.  ``zones`` maps each availability zone to its region.
+    share in cores.  The process is killed beyond ``memory_bytes``.  ``zones``
+    maps each availability zone to its region.  ``link_mbps`` is the rate of the
+    instance's link in Mbit/s, 0 if it is not known.
     """
 
     instance: str
@@ -55,3 +57,4 @@
     store_address: str
     bounds: Bounds
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    link_mbps: float = 0
--- a/foxtailhatch/router/single_page_site.py
+++ b/foxtailhatch/router/single_page_site.py
@@ -9,11 +9,13 @@
 
 UNAVAILABLE = 503
 NOT_FOUND = 404
-PageHandler = Callable[[Mapping[bytes, list[bytes]]], bytes | None]
+PageHandler = Callable[[Mapping[bytes, list[bytes]], str], bytes | None]
 
 
 class StatusPage(Resource):
-    """Serve the content that a handler returns for the query.
+    """Serve the content that a handler returns for a query and its caller.
+
+    The handler is told the host of the connection.
 
     If it returns ``None``, the response is 503 (service unavailable).
     """
@@ -28,7 +30,7 @@
 
     def render_GET(self, req: Any) -> bytes:  # noqa: N802
         """Respond to a GET request."""
-        content = self._handler(req.args)
+        content = self._handler(req.args, req.getClientAddress().host)
         if content is None:
             req.setResponseCode(UNAVAILABLE)
             return b''
--- a/foxtailhatch/router/status_pages.py
+++ b/foxtailhatch/router/status_pages.py
@@ -5,6 +5,10 @@
 from foxtailhatch.fleet import count_availability
 from foxtailhatch.relay.context import RelayContext
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.entry_advice import (
+    advised_addresses,
+    strength_of,
+)
 from foxtailhatch.router.metrics import RouterMetrics
 from foxtailhatch.router.single_page_site import encode_json, first_query_value
 
@@ -30,26 +34,34 @@
         self._context = context
         self._metrics = metrics
 
-    def ready(self, _: Query) -> bytes | None:
+    def ready(self, _: Query, _host: str = '') -> bytes | None:
         """Return a body if this entry serves callers, and else ``None``."""
         return b'ready' if self._board.is_ready() else None
 
-    def advice(self, query: Query) -> bytes | None:
+    def advice(self, query: Query, host: str = '') -> bytes | None:
         """Return the entry addresses that a caller should use, as JSON.
 
-        An entry that is stopping or cut off leaves out its own address.  Return ``None`` if there
+        ``host`` is that of the caller's connection.  An entry that is stopping or cut off leaves out its own address.  Return ``None`` if there
         is no address to advise.
         """
         board = self._board
-        addresses = board.entries.recommended_addresses(
+        scope = board.entries.recommended_scope(
             first_query_value(query, b'region'),
             first_query_value(query, b'zone'),
             board.clock(),
+        )
+        is_leaving = board.stop_requested_at is not None
+        own_name = board.cfg.instance
+        addresses = advised_addresses(
+            scope,
+            # Callers may share a host.  With the name of this entry they get
+            # other lists at other entries, and each entry is on some of them.
+            f'{host} {own_name}',
             MAX_ADVISED_ADDRESSES,
+            board.cfg.callers_address
+            if is_leaving or board.reach.unreached
+            else '',
         )
-        if board.stop_requested_at is not None or board.reach.unreached:
-            own = board.cfg.callers_address
-            addresses = [address for address in addresses if address != own]
         if not addresses:
             if not board.is_ready():
                 return None
@@ -57,7 +69,7 @@
         ttl_s = min(ADVICE_TTL_S, board.cfg.bounds.advice_max_s)
         return encode_json({'addresses': addresses, 'ttl_s': ttl_s})
 
-    def metrics(self, _: Query) -> bytes:
+    def metrics(self, _: Query, _host: str = '') -> bytes:
         """Return the metrics as text."""
         table = self._board.table
         version = 0 if table is None else table.version
@@ -72,11 +84,11 @@
             self._board.store_epoch,
             self._board.configuration_age(now),
             self._context.bodies.held_bytes,
-            _lease_levels(self._board),
+            _lease_levels(self._board) | _load_levels(self._board),
         )
 
 
-def _lease_levels(board: Blackboard) -> Mapping[str, float]:
+def _lease_levels(board: Blackboard) -> dict[str, float]:
     """Return for how long the lease is held here, and how often it moved."""
     since = board.lease_held_since
     return {
@@ -84,3 +96,13 @@
         'lease_acquisitions': board.lease_acquisitions,
         'lease_handovers': board.lease_handovers,
     }
+
+
+def _load_levels(board: Blackboard) -> dict[str, float]:
+    """Return how strong this entry is taken to be, and how late its loop is."""
+    cfg = board.cfg
+    scope = board.entries.recommended_scope(cfg.region, cfg.zone, board.clock())
+    return {
+        'advice_strength': strength_of(cfg.instance, scope),
+        'loop_lateness_seconds': board.loop_load.longest_lateness_s,
+    }
--- a/tests/router/entry_network.py
+++ b/tests/router/entry_network.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from dataclasses import replace
+from itertools import cycle
 from types import SimpleNamespace
 
 from returns.result import Failure, Success
@@ -163,11 +164,18 @@
 class SimulatedEntry:
     """The part of an entry that follows the store and feeds others."""
 
-    def __init__(self, network, name, zone):
+    def __init__(self, network, name, zone, cpu_cores):
         self.name = name
         self.zone = zone
         self.log = ListLog()
-        cfg = replace(SETTINGS, instance=name, zone=zone, peer_address=name)
+        cfg = replace(
+            SETTINGS,
+            instance=name,
+            zone=zone,
+            callers_address=f'{name}:80',
+            peer_address=name,
+            cpu_cores=cpu_cores,
+        )
         clock = network.loop.time
         self.board = Blackboard(cfg, clock)
         adapter = SimpleNamespace(
@@ -214,7 +222,8 @@
 class EntryNetwork:
     """All entries, their store, and the links that are cut."""
 
-    def __init__(self, zones, entries_per_zone):
+    def __init__(self, zones, entries_per_zone, cores=(1,)):
+        cores = cycle(cores)
         self.loop = VirtualLoop()
         asyncio.set_event_loop(self.loop)
         self.store = VirtualStore(self.loop)
@@ -224,7 +233,7 @@
         for zone in range(zones):
             for number in range(entries_per_zone):
                 name = f'z{zone}-e{number:02}'
-                entry = SimulatedEntry(self, name, f'z{zone}')
+                entry = SimulatedEntry(self, name, f'z{zone}', next(cores))
                 self.entries[name] = entry
         self.store.write(Topic.CONFIGURATION, 'config', b'1')
         self.store.write(Topic.ENDPOINTS, 'counter', b'1')
