--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -928,12 +928,7 @@
             return
         self.is_over = True
         self._caller.set_backpressure_source(None)
-        if self.attempt is not None:
-            self.attempt.cancel()
-        self.hedging.cancel(HedgeOutcome.ENDED)
-        self._timers.cancel_all()
-        if self._capacity is not None:
-            self._capacity.leave(self)
+        self._cancel_all()
         self._demand.ended()
         self._context.prompts.end_turn(self.admitted.req)
         self._context.running.discard(self)
@@ -942,6 +937,15 @@
         self._context.metrics.record_outcome(outcome, took_s)
         self._log_end(outcome, took_s)
 
+    def _cancel_all(self) -> None:
+        """Cancel both attempts, the timers and the wait for capacity."""
+        if self.attempt is not None:
+            self.attempt.cancel()
+        self.hedging.cancel(HedgeOutcome.ENDED)
+        self._timers.cancel_all()
+        if self._capacity is not None:
+            self._capacity.leave(self)
+
     def _release_bodies(self) -> None:
         """Drop the bodies, as this object may stay in memory for a while.
 
