Bound the searches for hedges, and compare chains once for each chain

Cause: while a zone has no chain left, each paused request searched for one twice in each check, 40 times a second, and all pairs of requests were compared. A request that was just sent again counted as one that had brought an event.

Ruled out: fewer checks, which makes hedges late.

Change: a request whose search fails is left alone for 0.25 s, and after two such searches all are for 0.1 s; chains are compared as sets; only an event of the current attempt counts as progress.

--- a/foxtailhatch/relay/hedging.py
+++ b/foxtailhatch/relay/hedging.py
@@ -5,6 +5,7 @@
 each event a request has one attempt.
 """
 
+from collections.abc import Collection
 from dataclasses import replace
 from enum import StrEnum
 from typing import Protocol
@@ -26,6 +27,9 @@
 MAX_HEDGES = 2
 # One in a hundred streams on sound chains pauses for longer than this.
 MIN_PAUSE_S = 0.1
+# Delay after no chain was found, as each search costs processor time: by then the
+# stream is late, and other means are at work.
+NO_CHAIN_RETRY_S = 0.25
 # Share of the target for the first event after which it is late: the rest is left
 # for the hedge.
 FIRST_EVENT_SHARE = 0.5
@@ -105,6 +109,7 @@
         self._delivery = delivery
         self._held: HeldBody | None = None
         self._count = 0
+        self._retry_at = float(0)
 
     @property
     def is_enabled(self) -> bool:
@@ -146,25 +151,38 @@
             return False
         return now >= self.due_at and not attempt.has_unread
 
-    def try_start(
-        self, now: float, suspects: frozenset[str] = frozenset()
-    ) -> bool:
+    def may_start(self, now: float) -> bool:
+        """Return whether a hedge may be sent now, if there is a chain for it."""
+        if self._owner.is_over or now < self._retry_at:
+            return False
+        if not self.is_enabled or self._count >= MAX_HEDGES:
+            return False
+        if self.can_take_over() or not self._owner.may_replace(now):
+            return False
+        context = self._context
+        service = self._history.admitted.service.name
+        return context.budget.has_half(service, now, context.entries())
+
+    def try_start(self, now: float, suspects: Collection[str] = ()) -> bool:
         """Send a hedged attempt if that is allowed and there is a chain.
 
         It avoids the endpoints of other paused requests, ``suspects``, where
         a chain is left without them.
         """
         first = self._owner.attempt
-        if first is None or self._owner.is_over or not self._may_start(now):
+        if first is None or not self.may_start(now):
             return False
         used = frozenset(stage.endpoint.name for stage in first.chosen)
-        chosen = self._select_chain(used | suspects, now)
-        if chosen is None and suspects - used:
+        chosen = self._select_chain(used.union(suspects), now)
+        if chosen is None and not used.issuperset(suspects):
             chosen = self._select_chain(used, now)
-        if chosen is None or chosen[0].is_entry:
-            return False
         req = self._history.admitted.req
-        if not self._context.prompts.may_repeat(req, now):
+        if (
+            chosen is None
+            or chosen[0].is_entry
+            or not self._context.prompts.may_repeat(req, now)
+        ):
+            self._retry_at = now + NO_CHAIN_RETRY_S
             return False
         self._start(first, chosen, now)
         return True
@@ -250,15 +268,6 @@
     def _route(self) -> Route:
         return self._history.admitted.route
 
-    def _may_start(self, now: float) -> bool:
-        if self.can_take_over() or self._count >= MAX_HEDGES:
-            return False
-        if not self.is_enabled or not self._owner.may_replace(now):
-            return False
-        context = self._context
-        service = self._history.admitted.service.name
-        return context.budget.has_half(service, now, context.entries())
-
     def _select_chain(
         self, avoided: frozenset[str], now: float
     ) -> SelectedChain | None:
--- a/foxtailhatch/router/hedge_controller.py
+++ b/foxtailhatch/router/hedge_controller.py
@@ -14,6 +14,10 @@
 IDLE_PERIOD_S = MIN_PAUSE_S
 # Events that have arrived meanwhile are not read yet if the loop was late by more.
 MAX_LATENESS_S = 0.1
+# Searches for a chain without a result, in one check, after which no other request
+# is likely to find one, and the delay until the next one.  Each takes milliseconds.
+MAX_FUTILE_STARTS = 2
+FUTILE_DELAY_S = 0.1
 
 
 class HedgeController:
@@ -23,6 +27,7 @@
         """Watch the running requests of ``context``."""
         self._context = context
         self._next_at: float | None = None
+        self._blocked_until = float(0)
 
     def delay_s(self) -> float:
         """Return how long to wait for the next check."""
@@ -46,18 +51,20 @@
             relay for relay in self._hedgeable() if relay.hedging.is_paused(now)
         ]
         is_late = now - expected_at > MAX_LATENESS_S
-        if not paused or is_late or self._is_cause(paused, now):
+        is_blocked = is_late or now < self._blocked_until
+        if not paused or is_blocked or self._is_cause(paused, now):
             return
         # The budget may not suffice for all.
         paused.sort(key=lambda relay: relay.last_progress_at)
-        suspects = frozenset(
-            stage.endpoint.name
-            for relay in paused
-            if relay.attempt is not None
-            for stage in relay.attempt.chosen
-        )
+        suspects = frozenset().union(*map(_endpoints, paused))
+        futile = 0
         for relay in paused:
-            relay.hedging.try_start(now, suspects)
+            hedging = relay.hedging
+            if hedging.may_start(now) and not hedging.try_start(now, suspects):
+                futile += 1
+            if futile == MAX_FUTILE_STARTS:
+                self._blocked_until = now + FUTILE_DELAY_S
+                return
 
     def _hedgeable(self) -> list[Relay]:
         return [
@@ -71,20 +78,21 @@
         and no other one has just brought an event, which it could not have
         done through an entry that stands still or is cut off.
         """
+        chains = set(map(_endpoints, paused))
         if not any(
-            _are_disjoint(one, other) for one, other in combinations(paused, 2)
+            one.isdisjoint(other) for one, other in combinations(chains, 2)
         ):
             return False
         return not any(
-            relay.is_started and now - relay.last_progress_at < MIN_PAUSE_S
+            relay.attempt is not None
+            and relay.attempt.event_count
+            and now - relay.last_progress_at < MIN_PAUSE_S
             for relay in self._context.running
         )
 
 
-def _are_disjoint(one: Relay, other: Relay) -> bool:
-    """Return whether no endpoint is part of both chains."""
-    if one.attempt is None or other.attempt is None:
-        return False
-    return not any(
-        other.attempt.uses(stage.endpoint.name) for stage in one.attempt.chosen
-    )
+def _endpoints(relay: Relay) -> frozenset[str]:
+    """Return the names of the endpoints that a request runs on."""
+    if relay.attempt is None:
+        return frozenset()
+    return frozenset(stage.endpoint.name for stage in relay.attempt.chosen)
--- a/tests/relay/test_hedging.py
+++ b/tests/relay/test_hedging.py
@@ -8,7 +8,11 @@
 from foxtailhatch.core import InvariantViolation
 from foxtailhatch.fleet import EndpointState
 from foxtailhatch.placement.protocols import OrderOutcome, RerouteReply
-from foxtailhatch.relay.hedging import MAX_HEDGES, MIN_PAUSE_S
+from foxtailhatch.relay.hedging import (
+    MAX_HEDGES,
+    MIN_PAUSE_S,
+    NO_CHAIN_RETRY_S,
+)
 from foxtailhatch.relay.retry_budget import USABLE_SHARE, RetryBudget
 from foxtailhatch.router.stall_detector import StallDetector
 from foxtailhatch.routes import RouteKind
@@ -438,6 +442,7 @@
     env = paused_stream(names=('e1',))
     assert not env.relay.hedging.try_start(env.reactor.seconds())
     env.context.endpoints.put(endpoint('e9'), 0)
+    env.reactor.advance(NO_CHAIN_RETRY_S)
     assert env.relay.hedging.try_start(env.reactor.seconds())
     assert b'X-To: e9' in env.accept_connection().request
 
--- a/tests/router/test_hedge_controller.py
+++ b/tests/router/test_hedge_controller.py
@@ -11,7 +11,9 @@
 from foxtailhatch.router.endpoint_selection import LoadAwareSelector
 from foxtailhatch.router.hedge_controller import (
     CHECK_PERIOD_S,
+    FUTILE_DELAY_S,
     IDLE_PERIOD_S,
+    MAX_FUTILE_STARTS,
     MAX_LATENESS_S,
     HedgeController,
 )
@@ -234,6 +236,18 @@
     assert IDLE_PERIOD_S <= MIN_PAUSE_S
 
 
+# Guards against an event loop that is busy with searches while a zone has no chain
+# left: 50 streams pause, and each search fails.
+def test_searches_without_a_result_are_few():
+    env = paused_streams([('e1',)] * 50)
+    searches = []
+    env.context.selector.select = lambda selection, now: searches.append(now)
+    begin = env.reactor.seconds()
+    check_until(env, begin + 2)
+    per_check = MAX_FUTILE_STARTS
+    assert 0 < len(searches) <= 2 * (per_check / FUTILE_DELAY_S + per_check)
+
+
 # Guards against a hedge that stays behind on a chain that is known to be lost.
 def test_hedge_over_a_lost_endpoint_does_not_take_over():
     env = paused_streams([('e1',)])
