Tell no caller "not run" while a hedge may have run

Cause: a connected hedge that was cancelled before the first event, as an endpoint of it was lost or the prompt was quarantined, did not count when the first attempt was refused as not run.

Ruled out: counting each hedge as run when it is sent, which turns refusals by both chains into "outcome unknown".

Change: a hedge over a lost endpoint is recorded as any attempt that may have run, and a quarantine asks whether the hedge is connected.

Measured: the two new tests fail without the change; tests/relay/test_hedging.py passes with it, 52 tests.

--- a/foxtailhatch/relay/hedging.py
+++ b/foxtailhatch/relay/hedging.py
@@ -197,8 +197,7 @@
             return False
         is_lost = self._context.endpoints.is_lost
         if any(is_lost(stage.endpoint.name) for stage in attempt.chosen):
-            attempt.cancel()
-            self._finish(HedgeOutcome.FAILED, 'lost endpoint')
+            self._fail(attempt, FailureKind.MAY_HAVE_RUN, 'lost endpoint')
             return False
         return True
 
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -604,7 +604,7 @@
         if self.is_started:
             self._caller.abort()
             self._end('broken_off')
-        elif self._may_have_run:
+        elif self._may_have_run or self.hedging.is_connected:
             self._refuse(RefusalReason.OUTCOME_UNKNOWN)
         else:
             self._refuse(RefusalReason.QUARANTINED, RETRY_AFTER_QUARANTINED_S)
--- a/tests/relay/test_hedging.py
+++ b/tests/relay/test_hedging.py
@@ -279,6 +279,22 @@
     assert env.caller.status == 502
 
 
+# Guards against "not run" for a request that a hedge may have run, where the hedge
+# is cancelled as an endpoint is lost, or as the prompt is quarantined.
+@pytest.mark.parametrize('is_lost', [True, False])
+def test_refusal_does_not_cover_a_hedge_that_was_cancelled(is_lost):
+    env = hedged_stream(
+        events=0, names=('e1', 'e2'), attempts=2, fingerprint='f1'
+    )
+    if is_lost:
+        env.context.endpoints.mark_silent('e2', 1)
+    else:
+        env.context.prompts.blocked.add('request:f1')
+    env.first.respond(status=503, headers=NOT_RUN)
+    assert env.hedge.is_aborted
+    assert env.caller.status == 502
+
+
 @pytest.mark.parametrize(
     'end',
     [
