--- a/tests/relay/test_hedging.py
+++ b/tests/relay/test_hedging.py
@@ -8,7 +8,11 @@
 from foxtailhatch.core import InvariantViolation
 from foxtailhatch.fleet import EndpointState
 from foxtailhatch.placement.protocols import OrderOutcome, RerouteReply
-from foxtailhatch.relay.hedging import MAX_HEDGES, MIN_PAUSE_S
+from foxtailhatch.relay.hedging import (
+    MAX_HEDGES,
+    MIN_PAUSE_S,
+    NO_CHAIN_RETRY_S,
+)
 from foxtailhatch.relay.retry_budget import USABLE_SHARE, RetryBudget
 from foxtailhatch.router.stall_detector import StallDetector
 from foxtailhatch.routes import RouteKind
@@ -275,6 +279,22 @@
     assert env.caller.status == 502
 
 
+# Guards against "not run" for a request that a hedge may have run, where the hedge
+# is cancelled as an endpoint is lost, or as the prompt is quarantined.
+@pytest.mark.parametrize('is_lost', [True, False])
+def test_refusal_does_not_cover_a_hedge_that_was_cancelled(is_lost):
+    env = hedged_stream(
+        events=0, names=('e1', 'e2'), attempts=2, fingerprint='f1'
+    )
+    if is_lost:
+        env.context.endpoints.mark_silent('e2', 1)
+    else:
+        env.context.prompts.blocked.add('request:f1')
+    env.first.respond(status=503, headers=NOT_RUN)
+    assert env.hedge.is_aborted
+    assert env.caller.status == 502
+
+
 @pytest.mark.parametrize(
     'end',
     [
@@ -438,6 +458,7 @@
     env = paused_stream(names=('e1',))
     assert not env.relay.hedging.try_start(env.reactor.seconds())
     env.context.endpoints.put(endpoint('e9'), 0)
+    env.reactor.advance(NO_CHAIN_RETRY_S)
     assert env.relay.hedging.try_start(env.reactor.seconds())
     assert b'X-To: e9' in env.accept_connection().request
 
