--- a/foxtailhatch/router/relay_context.py
+++ b/foxtailhatch/router/relay_context.py
@@ -12,6 +12,7 @@
 from foxtailhatch.relay.retry_budget import RetryBudget
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.demand_recorder import DemandRecorder
 from foxtailhatch.router.forwarding import ForwardingSelector
 from foxtailhatch.router.metrics import RouterMetrics
 from foxtailhatch.router.zone_balancer import ZoneBalancer
@@ -65,4 +66,5 @@
         on_suspect=observers.on_suspect,
         on_chain=balancer.record_chain,
         bodies=BodyMemory(int(BODY_MEMORY_SHARE * board.cfg.memory_bytes)),
+        demand=DemandRecorder(board),
     )
