--- a/foxtailhatch/router/zone_balancer.py
+++ b/foxtailhatch/router/zone_balancer.py
@@ -142,15 +142,11 @@
     def record_chain(
         self, chosen: SelectedChain, tokens: int, now: float
     ) -> None:
-        """Record a chain that a request is sent to or moved to."""
+        """Take credit for a chain that a request is sent to or moved to."""
         zones = [stage.endpoint.zone for stage in chosen]
         hops = hops_between_zones(zones)
-        service = chosen[0].endpoint.service
-        if not hops or not self._board.features.may_balance(service):
-            return
-        self._board.own_demand.record_crossing(service, now, hops)
-        balance = self._balances.get(service)
-        if balance is not None:
+        balance = self._balances.get(chosen[0].endpoint.service)
+        if hops and balance is not None:
             balance.record_crossing(tokens, hops, now)
 
     def _refreshed(self, service: Service, now: float) -> ServiceBalance | None:
