Bound the time that callers' input in small pieces takes

Cause: a read of 64 kB can hold 11,000 chunks of one byte, which the decoder parses in one go, for one connection after the other; no limit counted pieces, and what had been sent was parsed to its end, also after its caller had gone.

Ruled out: a limit on pieces of a single request alone (200 times 100,000 pieces take minutes); dropping input by the end of its connection alone (the end may be behind megabytes that the caller's system holds).

What is beyond is refused with 413 (pages: 400) and dropped unparsed, and a connection whose other end is known to be closed is dropped with its input. Event input_refused, counter inputs_refused, gauge slow_inputs.

--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -130,6 +130,9 @@
     def record_notice(self, kind: str) -> None:
         """Count a notice of an endpoint that was news: leaving or a pause."""
 
+    def record_refused_input(self, why: str) -> None:
+        """Count a connection whose input was refused, as it was in pieces."""
+
 
 @dataclass(slots=True)
 class RelayContext:
--- a/foxtailhatch/relay/refusals.py
+++ b/foxtailhatch/relay/refusals.py
@@ -21,6 +21,7 @@
     UNKNOWN_KEY = 'unknown_key'
     BODY_TOO_LARGE = 'body_too_large'
     BODIES_TOO_LARGE = 'bodies_too_large'
+    BODY_IN_SMALL_PIECES = 'body_in_small_pieces'
     STOPPING = 'stopping'
     NO_ENDPOINT = 'no_endpoint'
     ENDPOINT_REFUSED = 'endpoint_refused'
@@ -36,6 +37,7 @@
     RefusalReason.NO_ROUTE: NOT_FOUND,
     RefusalReason.UNKNOWN_KEY: UNAUTHORIZED,
     RefusalReason.BODY_TOO_LARGE: TOO_LARGE,
+    RefusalReason.BODY_IN_SMALL_PIECES: TOO_LARGE,
     RefusalReason.NO_REQUEST_ID: BAD_REQUEST,
     RefusalReason.OUTCOME_UNKNOWN: BAD_GATEWAY,
     RefusalReason.TIMEOUT: GATEWAY_TIMEOUT,
--- a/foxtailhatch/relay/response_intake.py
+++ b/foxtailhatch/relay/response_intake.py
@@ -20,10 +20,15 @@
 class TurnAllowance:
     """The parser callbacks that all connections may make in a turn."""
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        per_turn: int = CALLBACKS_PER_TURN,
+    ) -> None:
         """Begin later turns with ``reactor``."""
         self._reactor = reactor
-        self._left = CALLBACKS_PER_TURN
+        self._per_turn = per_turn
+        self._left = per_turn
         self._waiting: deque[Callable[[], None]] = deque()
         self._is_scheduled = False
 
@@ -50,7 +55,7 @@
 
     def _begin_turn(self) -> None:
         self._is_scheduled = False
-        self._left = CALLBACKS_PER_TURN
+        self._left = self._per_turn
         # Those that wait again have their turn after the others.
         turns = len(self._waiting)
         while turns and not self.is_used_up:
--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -9,8 +9,6 @@
 from random import Random
 from typing import Any
 
-from twisted.internet.tcp import Server
-
 from foxtailhatch.core import Address, InvariantViolation
 from foxtailhatch.daemon.listening import (
     install_reactor,
@@ -132,7 +130,6 @@
         self._listen(
             cfg.callers_address,
             FrontendFactory(components.request_handler, IDLE_TIMEOUT_S),
-            CallerTransport,
         )
         self._listen(
             cfg.ready_address,
@@ -200,17 +197,12 @@
             self._loops.stop()
             self._reactor.stop()
 
-    def _listen(
-        self,
-        address: str,
-        factory: Any,
-        transport_type: type[Server] = Server,
-    ) -> None:
+    def _listen(self, address: str, factory: Any) -> None:
         if not address:
             return
         host, _, port = address.rpartition(':')
         listener = open_listening_socket(Address(host, int(port)))
-        serve_site(self._reactor, listener, factory, transport_type)
+        serve_site(self._reactor, listener, factory, CallerTransport)
 
     def _signal_handler(
         self, callback: Callable[[], None]
--- a/foxtailhatch/router/caller_channel.py
+++ b/foxtailhatch/router/caller_channel.py
@@ -11,15 +11,18 @@
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
-from twisted.web import http
 from zope.interface import implementer
 
 from foxtailhatch.core.send_progress import SendProgress
-from foxtailhatch.relay.refusals import RelayRefusal
+from foxtailhatch.relay.refusals import RefusalReason, RelayRefusal
+from foxtailhatch.relay.request_intake import MAX_CHUNKED_RATIO
+from foxtailhatch.router.counted_channel import CountedChannel
 
 # Time for a caller to close its end of a connection after an answer, as a close
 # with unread bytes would reset the connection and could drop the answer.
 LINGER_S = 1.0
+TOO_MANY_PIECES = RelayRefusal(RefusalReason.BODY_IN_SMALL_PIECES)
+TOO_LONG = RelayRefusal(RefusalReason.BODY_TOO_LARGE)
 
 
 class RequestStage(StrEnum):
@@ -39,6 +42,10 @@
 class ChannelObserver(Protocol):
     """Follow the connections of callers."""
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Return the maximum size of a request body in bytes."""
+
     @property
     def is_stopping(self) -> bool:
         """Return whether a planned stop was requested."""
@@ -57,17 +64,16 @@
 
 
 @implementer(IHalfCloseableProtocol)
-class CallerChannel(http.HTTPChannel):
+class CallerChannel(CountedChannel):
     """The HTTP/1.1 connection of a caller."""
 
     observer: ChannelObserver
-    transport: Any
     _path: Any
     _networkProducer: Any
 
     def __init__(self) -> None:
         """Start without a request."""
-        super().__init__()  # type: ignore[no-untyped-call]
+        super().__init__()
         self.is_closing = False
         self._is_lingering = False
         self._is_delivered = False
@@ -79,6 +85,11 @@
         self._undelivered: list[str] = []
         self._progress = SendProgress()
 
+    @property
+    def max_chunked_bytes(self) -> int:
+        """Return the most bytes that a chunked request may have."""
+        return MAX_CHUNKED_RATIO * self.observer.max_body_bytes
+
     @property
     def has_more_input(self) -> bool:
         """Return whether bytes have come behind the current request."""
@@ -154,6 +165,23 @@
         else:
             self.loseConnection()
 
+    def refuse_input(self) -> None:
+        """Refuse the request that is being received, and drop what follows.
+
+        The connection ends a short time after the caller can have read the answer,
+        also if the caller does not stop sending.
+        """
+        self.is_dropping = True
+        self.persistent = 0
+        req = self.requests[-1] if self.requests else None
+        if req is not None and req.has_head:
+            req.responseHeaders.setRawHeaders(b'connection', [b'close'])
+            refusal = TOO_LONG if self.is_too_long else TOO_MANY_PIECES
+            req.refuse_partial(refusal)
+        else:
+            self._respondToBadRequestAndDisconnect()
+        self._transferDecoder = None
+
     def connectionMade(self) -> None:  # noqa: N802
         """Register the connection."""
         super().connectionMade()  # type: ignore[no-untyped-call]
@@ -171,15 +199,17 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
         """Drop what follows an answer that ends the connection."""
         self._has_unread = False
+        if self.is_dropping:
+            return
         if self._is_lingering and self._transferDecoder is None:
             self.resetTimeout()  # type: ignore[no-untyped-call]
             return
-        super().dataReceived(data)  # type: ignore[no-untyped-call]
+        super().dataReceived(data)
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Parse a line, unless the connection is being closed."""
         if not self.is_closing:
-            super().lineReceived(line)  # type: ignore[no-untyped-call]
+            super().lineReceived(line)
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Note that the transport has handed over all that was written."""
@@ -194,7 +224,7 @@
         if self._is_lingering:
             self._transferDecoder = None
             return
-        super().allContentReceived()  # type: ignore[no-untyped-call]
+        super().allContentReceived()
 
     def loseConnection(self) -> None:  # noqa: N802
         """Send what is written, and close the connection.
--- a/foxtailhatch/router/feed_site.py
+++ b/foxtailhatch/router/feed_site.py
@@ -9,6 +9,7 @@
 
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.counted_channel import CountedSite
 from foxtailhatch.router.feed import (
     FEED_PATH,
     FEED_WAIT_S,
@@ -120,6 +121,4 @@
     page = FeedPage(board, mirror, heartbeats, log)
     root.putChild(FEED_PATH.strip(b'/'), page)
     root.putChild(LEASE_PATH.strip(b'/'), LeasePage(board))
-    site = Site(root)
-    site.noisy = False
-    return site
+    return CountedSite(root)  # type: ignore[no-untyped-call]
--- a/foxtailhatch/router/metrics.py
+++ b/foxtailhatch/router/metrics.py
@@ -59,6 +59,12 @@
             const_labels=labels,
             registry=registry,
         )
+        self._refused_inputs = Counter(
+            'inputs_refused',
+            'Connections whose input was in too many pieces, by limit',
+            const_labels=labels,
+            registry=registry,
+        )
         self._endpoints = Gauge(
             'endpoints',
             'Listed endpoints by whether they get work from this entry',
@@ -118,6 +124,10 @@
         """Count a notice of an endpoint that was news: leaving or a pause."""
         self._notices.inc({'kind': kind})
 
+    def record_refused_input(self, why: str) -> None:
+        """Count a connection whose input was refused, as it was in pieces."""
+        self._refused_inputs.inc({'limit': why})
+
     def record_endpoints(self, counts: Mapping[Availability, int]) -> None:
         """Record the number of listed endpoints in each state."""
         for state, count in counts.items():
--- a/foxtailhatch/router/relay_context.py
+++ b/foxtailhatch/router/relay_context.py
@@ -9,6 +9,7 @@
 from foxtailhatch.relay.body_memory import BodyMemory
 from foxtailhatch.relay.context import PromptWatch, RelayContext, RelayMetrics
 from foxtailhatch.relay.request import WireCodec
+from foxtailhatch.relay.request_intake import InputFault, request_intake_of
 from foxtailhatch.relay.retry_budget import RetryBudget
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
@@ -31,6 +32,19 @@
     prompts: PromptWatch
     on_suspect: Callable[[LiveEndpoint, str], None]
 
+    def record_refused_input(
+        self, fault: InputFault, pieces: int, size: int, host: str
+    ) -> None:
+        """Log and count a connection whose input was refused."""
+        self.metrics.record_refused_input(fault.value)
+        self.log.write(
+            'input_refused',
+            limit=fault.value,
+            pieces=pieces,
+            bytes=size,
+            host=host,
+        )
+
 
 def build_relay_context(
     board: Blackboard,
@@ -41,6 +55,7 @@
 ) -> RelayContext:
     """Return the context of all requests of this entry."""
     bounds = board.cfg.bounds
+    request_intake_of(reactor).on_refused = observers.record_refused_input
     return RelayContext(
         reactor=reactor,
         clock=board.clock,
--- a/foxtailhatch/router/single_page_site.py
+++ b/foxtailhatch/router/single_page_site.py
@@ -7,6 +7,8 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
+from foxtailhatch.router.counted_channel import CountedSite
+
 UNAVAILABLE = 503
 NOT_FOUND = 404
 PageHandler = Callable[[Mapping[bytes, list[bytes]], str], bytes | None]
@@ -49,9 +51,8 @@
 
 def page_site(path: bytes, handler: PageHandler, content_type: bytes) -> Site:
     """Return a site that serves one page."""
-    site = Site(SinglePageSite(path, StatusPage(handler, content_type)))
-    site.noisy = False
-    return site
+    page = SinglePageSite(path, StatusPage(handler, content_type))
+    return CountedSite(page)  # type: ignore[no-untyped-call]
 
 
 def first_query_value(args: Mapping[bytes, list[bytes]], name: bytes) -> str:
--- a/foxtailhatch/router/status_pages.py
+++ b/foxtailhatch/router/status_pages.py
@@ -4,6 +4,7 @@
 
 from foxtailhatch.fleet import count_availability
 from foxtailhatch.relay.context import RelayContext
+from foxtailhatch.relay.request_intake import request_intake_of
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.entry_advice import (
     advised_addresses,
@@ -75,6 +76,7 @@
         version = 0 if table is None else table.version
         running = len(self._context.running)
         now = self._board.clock()
+        intake = request_intake_of(self._context.reactor)
         self._metrics.record_endpoints(
             count_availability(self._board.endpoints, now)
         )
@@ -84,7 +86,9 @@
             self._board.store_epoch,
             self._board.configuration_age(now),
             self._context.bodies.held_bytes,
-            _lease_levels(self._board) | _load_levels(self._board),
+            _lease_levels(self._board)
+            | _load_levels(self._board)
+            | {'slow_inputs': len(intake.slow_reads)},
         )
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -175,6 +175,15 @@
     assert cfg.advice_address == ''
 
 
+# Guards against a link rate that is announced although none is set.
+def test_link_rate_is_read_if_it_is_set():
+    assert decode_settings(SETTINGS, 0).unwrap().link_mbps == 0
+    text = f'{SETTINGS}\nlimits.link_mbps=12.5\n'
+    assert decode_settings(text, 0).unwrap().link_mbps == 12.5
+    faulty = f'{SETTINGS}\nlimits.link_mbps=fast\n'
+    assert 'limits.link_mbps' in decode_settings(faulty, 0).failure()
+
+
 def test_setting_with_a_malformed_number_is_named():
     text = SETTINGS.replace('revoke_ms=5000', 'revoke_ms=soon')
     assert 'bounds.revoke_ms' in decode_settings(text, 0).failure()
