--- a/foxtailhatch/relay/context.py
+++ b/foxtailhatch/relay/context.py
@@ -148,6 +148,9 @@
     def record_hedge(self, outcome: str) -> None:
         """Count a hedged attempt by its outcome."""
 
+    def record_refused_input(self, why: str) -> None:
+        """Count a connection whose input was refused, as it was in pieces."""
+
 
 class CapacityListener(Protocol):
     """A request that waits for capacity."""
--- a/foxtailhatch/router/feed_site.py
+++ b/foxtailhatch/router/feed_site.py
@@ -9,6 +9,7 @@
 
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.blackboard import Blackboard
+from foxtailhatch.router.counted_channel import CountedSite
 from foxtailhatch.router.feed import (
     FEED_PATH,
     FEED_WAIT_S,
@@ -124,6 +125,4 @@
     root.putChild(FEED_PATH.strip(b'/'), page)
     root.putChild(LEASE_PATH.strip(b'/'), LeasePage(board))
     # To look for a form in each body takes a third of a millisecond.
-    site = Site(root, parsePOSTFormSubmission=False)
-    site.noisy = False
-    return site
+    return CountedSite(root, parsePOSTFormSubmission=False)  # type: ignore[no-untyped-call]
--- a/foxtailhatch/router/metrics.py
+++ b/foxtailhatch/router/metrics.py
@@ -70,6 +70,12 @@
             const_labels=labels,
             registry=registry,
         )
+        self._refused_inputs = Counter(
+            'inputs_refused',
+            'Connections whose input was in too many pieces, by limit',
+            const_labels=labels,
+            registry=registry,
+        )
         self._endpoints = Gauge(
             'endpoints',
             'Listed endpoints by whether they get work from this entry',
@@ -183,6 +189,10 @@
         """Count a hedged attempt by its outcome."""
         self._hedges.inc({'outcome': outcome})
 
+    def record_refused_input(self, why: str) -> None:
+        """Count a connection whose input was refused, as it was in pieces."""
+        self._refused_inputs.inc({'limit': why})
+
     def record_endpoints(self, counts: Mapping[Availability, int]) -> None:
         """Record the number of listed endpoints in each state."""
         for state, count in counts.items():
