--- a/tests/router/test_entry_advice.py
+++ b/tests/router/test_entry_advice.py
@@ -294,7 +294,7 @@
 def test_overloaded_entry_gets_less_in_four_seconds_and_its_share_later(
     kind, name
 ):
-    network = EntryNetwork(3, 15, [0.36, 0.8, 1.2, 1.7, 2.15])
+    network = EntryNetwork(3, 15, cores=[0.36, 0.8, 1.2, 1.7, 2.15])
     try:
         overload = Overload(network, name, kind)
         zone = network.entries[name].zone
--- a/tests/router/test_zone_balancer.py
+++ b/tests/router/test_zone_balancer.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 
 import pytest
+from twisted.internet.testing import MemoryReactorClock
 
 from foxtailhatch.core import LayerRange
 from foxtailhatch.fleet import Work
@@ -362,7 +363,7 @@
     context = build_relay_context(
         entry.board,
         None,
-        None,
+        MemoryReactorClock(),
         Random(1),
         RelayObservers(entry.log, metrics, None, None),
     )
