Ordered admission: spread starts over the chains that have room

Cause: entries that see the same late totals all start on the least filled engine. Refused callers that were told the longest Retry-After came back together, as the bound was applied after the jitter. A second check within a check refused an expired request twice (KeyError), and a stream that resumes was held back by requests that wait.

Change: a search with a fill limit takes one of the engines alike at random, in proportion to the room below the limit, and is skipped if those with room do not hold all layers. The jitter comes after the bound.

--- a/foxtailhatch/chains/fill_limit.py
+++ b/foxtailhatch/chains/fill_limit.py
@@ -1,7 +1,10 @@
-"""The cheapest chain of which no stage is above a fill limit."""
+"""Chains of which no stage is above a fill limit."""
 
+from collections import defaultdict
 from collections.abc import Collection, Iterable
+from dataclasses import dataclass
 from operator import attrgetter
+from random import Random
 
 from foxtailhatch.chains.chain_search import (
     ChainPath,
@@ -12,14 +15,18 @@
 from foxtailhatch.fleet import LiveEndpoint
 from foxtailhatch.routes import Engine
 
+# Weight of an endpoint that is at its limit, so that all weights are positive.
+MIN_ROOM = 0.001
+
 
 def cheapest_with_room(
     costs: ChainCosts,
     start: ChainPath,
     heads: Collection[str],
     fill_limit: float,
+    random: Random,
 ) -> ChainPath | None:
-    """Return the cheapest chain within the limit, or ``None``.
+    """Return a cheap chain within the limit, or ``None``.
 
     Chains of the own zone come first, then those within another zone.  A chain
     over several zones is returned only if no zone holds all layers: streams
@@ -30,44 +37,91 @@
         for live in costs.endpoints.values()
         if costs.has_room(live, fill_limit)
     ]
-    roomy_heads = frozenset(
-        live.name
-        for live in roomy
-        if costs.has_slot(live, fill_limit)
-        and (not heads or live.name in heads)
+    search = _LimitedSearch(
+        costs,
+        start,
+        frozenset(
+            live.name
+            for live in roomy
+            if costs.has_slot(live, fill_limit)
+            and (not heads or live.name in heads)
+        ),
+        fill_limit,
+        random,
     )
-    if not roomy_heads:
-        return None
-
-    def search(endpoints: Iterable[LiveEndpoint]) -> ChainPath | None:  # noqa: WPS430
-        return cheapest_chain(
-            _holders(endpoints),
-            costs.engine.layer_count,
-            costs,
-            start,
-            heads=roomy_heads,
-            max_stages=costs.engine.max_stages,
-        )
-
-    own = search(live for live in roomy if live.zone == start.zone)
+    own = search.within(live for live in roomy if live.zone == start.zone)
     if own is not None and not costs.is_crowded_path(own):
         return own
     zones = {live.zone for live in costs.endpoints.values()}
     others = [
-        search(live for live in roomy if live.zone == zone)
+        search.within(live for live in roomy if live.zone == zone)
         for zone in sorted(zones - {start.zone})
     ]
     found = [path for path in (own, *others) if path is not None]
     if found:
         return min(found, key=attrgetter('cost'))
-    layer_count = costs.engine.layer_count
-    for zone in zones:
-        in_zone = [
-            live for live in costs.endpoints.values() if live.zone == zone
+    if any(_holds_all(costs, zone) for zone in zones):
+        return None
+    return search.within(roomy)
+
+
+@dataclass(frozen=True, slots=True)
+class _LimitedSearch:
+    """Search for chains over endpoints that have room."""
+
+    costs: ChainCosts
+    start: ChainPath
+    heads: frozenset[str]
+    fill_limit: float
+    random: Random
+
+    def within(self, endpoints: Iterable[LiveEndpoint]) -> ChainPath | None:
+        """Return a chain over some of the endpoints, or ``None``."""
+        allowed = [
+            live
+            for live in endpoints
+            if live.layers and (live.layers.first or live.name in self.heads)
         ]
-        if _covers(in_zone, layer_count):
+        if not _covers(allowed, self.costs.engine.layer_count, self.start.end):
             return None
-    return search(roomy)
+        return self._cheapest(self._sample(allowed)) or self._cheapest(allowed)
+
+    def _sample(self, endpoints: Iterable[LiveEndpoint]) -> list[LiveEndpoint]:
+        """Return one of the endpoints alike, at random by the room they have.
+
+        All entries see the same totals until the next ones arrive.  The least
+        filled endpoint would get what all of them start in that time.
+        """
+        alike: dict[object, list[LiveEndpoint]] = defaultdict(list)
+        for one in endpoints:
+            alike[one.zone, one.layers, one.accelerator_kind].append(one)
+        return [
+            self.random.choices(group, [self._room(live) for live in group])[0]
+            for group in alike.values()
+        ]
+
+    def _room(self, endpoint: LiveEndpoint) -> float:
+        return max(MIN_ROOM, self.fill_limit - self.costs.fill(endpoint))
+
+    def _cheapest(self, endpoints: Iterable[LiveEndpoint]) -> ChainPath | None:
+        return cheapest_chain(
+            [
+                LayerHolder(live.name, live.zone, live.layers)
+                for live in endpoints
+                if live.layers is not None
+            ],
+            self.costs.engine.layer_count,
+            self.costs,
+            self.start,
+            heads=self.heads,
+            max_stages=self.costs.engine.max_stages,
+        )
+
+
+def _holds_all(costs: ChainCosts, zone: str) -> bool:
+    """Return whether a zone holds all layers, whatever work it has."""
+    in_zone = [live for live in costs.endpoints.values() if live.zone == zone]
+    return _covers(in_zone, costs.engine.layer_count)
 
 
 def covers_layers(
@@ -92,24 +146,17 @@
     return _covers((*first, *later), engine.layer_count)
 
 
-def _covers(endpoints: Iterable[LiveEndpoint], layer_count: int) -> bool:
-    """Return whether endpoints together hold all layers."""
+def _covers(
+    endpoints: Iterable[LiveEndpoint], layer_count: int, begin: int = 0
+) -> bool:
+    """Return whether endpoints together hold all layers from ``begin`` on."""
     ranges = sorted(
         (live.layers.first, live.layers.end)
         for live in endpoints
         if live.layers is not None
     )
-    end = 0
-    for first, stop in ranges:
-        if first > end:
-            return False
-        end = max(end, stop)
-    return end >= layer_count
-
-
-def _holders(endpoints: Iterable[LiveEndpoint]) -> list[LayerHolder]:
-    return [
-        LayerHolder(live.name, live.zone, live.layers)
-        for live in endpoints
-        if live.layers is not None
-    ]
+    covered = begin
+    for first, end in ranges:
+        if first <= covered:
+            covered = max(covered, end)
+    return covered >= layer_count
--- a/foxtailhatch/limits/capacity_queue.py
+++ b/foxtailhatch/limits/capacity_queue.py
@@ -216,8 +216,11 @@
         estimate_s = max(
             self._backlog_s(rank, req, now) for rank in (*more_urgent, req.rank)
         )
-        spread_s = estimate_s * (1 + RETRY_JITTER * random.random())
-        retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, spread_s))
+        # The jitter comes after the bound: callers that are told the longest time
+        # would come back together otherwise.
+        bounded_s = min(MAX_RETRY_AFTER_S / (1 + RETRY_JITTER), estimate_s)
+        spread_s = bounded_s * (1 + RETRY_JITTER * random.random())
+        retry_after_s = max(MIN_RETRY_AFTER_S, spread_s)
         refused = self._ranks[req.rank].refused
         if len(refused) < MAX_EXPECTED_BACK:
             refused.append((now + retry_after_s, req.tokens))
--- a/foxtailhatch/router/capacity_admission.py
+++ b/foxtailhatch/router/capacity_admission.py
@@ -113,6 +113,13 @@
             self._refuse(of_service, last, 'queue_full', now)
         if req not in queue:
             return
+        selection = listener.selection()
+        if selection.fill_limit is None:
+            # A stream that resumes is not held back by those that wait.
+            chosen = self._select(req, selection, [])
+            if chosen is not None:
+                self._start(of_service, req, chosen, now)
+                return
         self._check(of_service, now)
         if req in queue:
             self._refuse_if_late(of_service, req, now)
@@ -172,7 +179,10 @@
         """Start the requests for which there is a chain; refuse late ones."""
         self._start_possible(of_service, now)
         for late in of_service.queue.expired(now):
-            self._refuse(of_service, late, 'waited', now)
+            # The next request of a connection enters as one is refused, and
+            # leads to another check.
+            if late in of_service.queue:
+                self._refuse(of_service, late, 'waited', now)
 
     def _start_possible(self, of_service: _ServiceQueue, now: float) -> None:
         """Start in queue order what there is a chain for.
--- a/foxtailhatch/router/endpoint_selection.py
+++ b/foxtailhatch/router/endpoint_selection.py
@@ -221,7 +221,11 @@
                 path = _cheapest(selection, costs, start, by_name.values())
         else:
             path = cheapest_with_room(
-                costs, start, selection.heads, selection.fill_limit
+                costs,
+                start,
+                selection.heads,
+                selection.fill_limit,
+                self._random,
             )
         if path is None:
             return None
