--- a/foxtailhatch/router/endpoint_selection.py
+++ b/foxtailhatch/router/endpoint_selection.py
@@ -252,7 +252,12 @@
                 else ZonePlan()
             )
             return cheapest_with_room(
-                costs, start, selection.heads, selection.fill_limit, plan
+                costs,
+                start,
+                selection.heads,
+                selection.fill_limit,
+                plan,
+                self._random,
             )
         search = partial(_cheapest, selection, costs, start)
         if balancer and is_balanced:
