--- a/tests/router/test_zone_balancer.py
+++ b/tests/router/test_zone_balancer.py
@@ -22,7 +22,7 @@
 from foxtailhatch.router.zone_balancer import ZoneBalancer
 from foxtailhatch.routes import RoutingTable
 from tests.chains.test_shared_link_overload import REQUEST, engine
-from tests.relay.fakes import ListLog
+from tests.relay.fakes import ListLog, start_relay
 from tests.router.fakes import Clock, board
 from tests.routes.configurations import ENGINE, MODEL, configuration
 
@@ -309,14 +309,6 @@
     assert {*entry.zones(first=first)} == {'z1'}
 
 
-def test_crossings_are_reported_as_demand():
-    entry = Entry(lost=NO_ZONE_IS_WHOLE, service=MODEL)
-    chosen = entry.send()
-    zones = [stage.endpoint.zone for stage in chosen]
-    report = entry.board.own_demand.report(entry.clock())['model']
-    assert report.crossings_per_s == hops(zones) / 2
-
-
 def test_split_is_not_computed_for_each_request(monkeypatch):
     """An entry has 2.9 % of a core for all control."""
     entry = Entry()
@@ -365,7 +357,7 @@
 
 def test_balancer_is_wired_into_the_router():
     """A balancer that nobody asks, or that is not told of chains, is idle."""
-    entry = Entry(lost=NO_ZONE_IS_WHOLE, service=MODEL)
+    entry = Entry(lost=NO_ZONE_IS_WHOLE, entries=1)
     metrics = RouterMetrics('e1')
     context = build_relay_context(
         entry.board,
@@ -374,15 +366,34 @@
         Random(1),
         RelayObservers(entry.log, metrics, None, None),
     )
-    chosen = context.selector.select(
-        SelectionRequest(MODEL, REQUEST), entry.clock()
-    )
-    context.on_chain(chosen, 900, entry.clock())
-    report = entry.board.own_demand.report(entry.clock())['model']
-    assert report.crossings_per_s > 0
+    started = 0
+    for _ in range(20):
+        entry.clock.now += 0.05
+        chosen = context.selector.select(
+            SelectionRequest(LIMITED, REQUEST), entry.clock()
+        )
+        if chosen is not None:
+            context.on_chain(chosen, 900, entry.clock())
+            started += 1
+    # A second of half of the link, for chains of two hops or more.
+    assert 1 <= started <= 4
     assert b'zone_share' in metrics.render(0, 0)
 
 
+def test_attempts_and_moves_report_their_chains():
+    """Chains that are not reported would use the link without credit."""
+    env = start_relay(layered=True)
+    chains = []
+    env.context.on_chain = lambda *chain: chains.append(chain)
+    env.accept_connection().close()
+    [(chosen, tokens, _)] = chains
+    assert chosen == env.relay.attempt.chosen
+    assert tokens == 140
+    moved = (*chosen, *chosen)
+    env.relay.attempt.switch_chain(moved)
+    assert chains[-1][0] == moved
+
+
 def test_new_configuration_replaces_the_engine_parameters():
     entry = Entry()
     entry.demand(40, 10, 10)
--- a/tests/router/zone_model.py
+++ b/tests/router/zone_model.py
@@ -16,7 +16,7 @@
 
 from foxtailhatch.chains.zone_split import hops_between_zones
 from foxtailhatch.fleet import Work
-from foxtailhatch.fleet.demand import sum_services
+from foxtailhatch.fleet.demand import DemandSum, ServiceDemand
 from foxtailhatch.relay.context import SelectedStage, SelectionRequest
 from foxtailhatch.relay.request import RelayRequest, TokenCounts
 from foxtailhatch.router.endpoint_selection import LoadAwareSelector
@@ -156,6 +156,14 @@
         )
 
 
+def sum_demand(reports):
+    """Return the sum of the reports of entries."""
+    total = DemandSum()
+    for report in reports:
+        total.add(report.get('model', ServiceDemand()))
+    return total.result()
+
+
 @dataclass(frozen=True)
 class Group:
     """Engines with the same layers, and the tokens they hold and can hold."""
@@ -379,7 +387,7 @@
             for zone, members in self.in_zone.items()
         }
         zone_demand = {
-            zone: sum_services(demand[one.name] for one in members)
+            zone: sum_demand(demand[one.name] for one in members)
             for zone, members in self.in_zone.items()
         }
         self.snapshots.append((now, work, demand, zone_work, zone_demand))
@@ -408,12 +416,12 @@
             for name, at in sum_work(parts).items()
         }
         entry.board.update_peer_work(total, now)
-        own = {
-            service: of.times(-1) for service, of in demand[entry.name].items()
-        }
         sums = {zone: late_demand[zone] for zone in ZONES}
-        sums[entry.zone] = sum_services([zone_demand[entry.zone], own])
-        entry.board.demand.update(sums, now)
+        own = demand[entry.name].get('model', ServiceDemand())
+        sums[entry.zone] = zone_demand[entry.zone].without(own)
+        entry.board.demand.update(
+            {zone: {'model': of_zone} for zone, of_zone in sums.items()}, now
+        )
 
     def _snapshot_of(self, at):
         older = [one for one in self.snapshots if one[0] <= at]
