--- a/tests/router/test_uneven_zones.py
+++ b/tests/router/test_uneven_zones.py
@@ -5,6 +5,9 @@
 the same other zone at once.  Large numbers of entries are run by hand:
 
     python -m tests.router.measure_uneven_zones --entries 360
+
+With the balancer taken out of the model, the tests of the lost third, of the
+overload and of the swinging demand fail.
 """
 
 from statistics import pstdev
