--- a/foxtailhatch/router/caller_transport.py
+++ b/foxtailhatch/router/caller_transport.py
@@ -22,6 +22,7 @@
     MAX_PIECES,
     PIECES_PER_READ,
     SLICE_BYTES,
+    SMALL_PIECE_BYTES,
     InputFault,
     request_intake_of,
 )
@@ -144,7 +145,10 @@
         intake = self._intake
         protocol = self.protocol
         intake.allowance.spend(effort + taken // BYTES_PER_PIECE)
-        fault = None if protocol.is_dropping else self._fault_after(effort)
+        fault = None
+        if not protocol.is_dropping:
+            # Long chunk extensions count by their bytes.
+            fault = self._fault_after(effort + taken // SMALL_PIECE_BYTES)
         if fault is not None:
             peer = self.getPeer()  # type: ignore[no-untyped-call]
             intake.on_refused(
@@ -152,7 +156,7 @@
             )
             protocol.refuse_input()
 
-    def _fault_after(self, effort: int) -> InputFault | None:
+    def _fault_after(self, pieces: int) -> InputFault | None:
         protocol = self.protocol
         if protocol.pieces > MAX_PIECES:
             return InputFault.PIECES
@@ -160,7 +164,7 @@
             return InputFault.BYTES
         if not protocol.is_in_small_pieces:
             return None
-        has_budget = self._intake.budget.spend(effort)
+        has_budget = self._intake.budget.spend(pieces)
         return None if has_budget else InputFault.SMALL_PIECES
 
     def _peek(self, size: int) -> bytes:
--- a/foxtailhatch/router/counted_channel.py
+++ b/foxtailhatch/router/counted_channel.py
@@ -18,8 +18,9 @@
 class CountedChannel(http.HTTPChannel):
     """A connection that counts lines and chunks of its input.
 
-    ``effort`` grows with each piece and each request, and ``pieces`` and
-    ``piece_bytes`` are those of the request that is being received.
+    ``effort`` grows with each piece and each request.  ``pieces`` and
+    ``piece_bytes`` are those of the request that is being received, and
+    ``chunk_bytes`` what its chunks bring without their framing.
     ``is_dropping`` is set when the input was refused.
     """
 
@@ -32,12 +33,13 @@
         self.effort = 0
         self.pieces = 0
         self.piece_bytes = 0
+        self.chunk_bytes = 0
         self.is_dropping = False
 
     @property
     def is_in_small_pieces(self) -> bool:
         """Return whether the request being received has many small pieces."""
-        usual = FREE_PIECES + self.piece_bytes / SMALL_PIECE_BYTES
+        usual = FREE_PIECES + self.chunk_bytes / SMALL_PIECE_BYTES
         return self.is_dropping or self.pieces > usual
 
     @property
@@ -82,6 +84,7 @@
         self.effort += PIECES_PER_REQUEST
         self.pieces = 0
         self.piece_bytes = 0
+        self.chunk_bytes = 0
         super().allContentReceived()  # type: ignore[no-untyped-call]
 
     def _maybeChooseTransferDecoder(self, header: bytes, data: bytes) -> bool:  # noqa: N802, WPS110
@@ -92,6 +95,7 @@
 
             def count_and_pass_on(chunk: bytes) -> None:  # noqa: WPS430
                 self._count_pieces(1)
+                self.chunk_bytes += len(chunk)
                 pass_on(chunk)
 
             decoder.dataCallback = count_and_pass_on
--- a/tests/router/test_request_intake.py
+++ b/tests/router/test_request_intake.py
@@ -241,6 +241,17 @@
     assert conn.refused[0][1] < 1000 + 2 * FREE_PIECES
 
 
+# Guards against chunks of one byte that have 1,000 bytes of extensions: they are
+# few pieces, and are read for as long as they come.
+def test_long_extensions_count_as_small_pieces(conn, monkeypatch):
+    monkeypatch.setattr(request_intake, 'SMALL_PIECES_AT_ONCE', 1000)
+    conn.intake.budget = SmallPieceBudget(clock=lambda: 0)
+    conn.play(HEAD + b'1;%s\r\nz\r\n' % (b'x' * 1000) * 1000)
+    [(fault, pieces, _, _)] = conn.refused
+    assert fault is InputFault.SMALL_PIECES
+    assert FREE_PIECES <= pieces < 500
+
+
 def test_small_pieces_are_allowed_again_with_time():
     now = [0.0]
     budget = SmallPieceBudget(clock=lambda: now[0])
