--- a/foxtailhatch/router/caller_transport.py
+++ b/foxtailhatch/router/caller_transport.py
@@ -23,6 +23,7 @@
     MAX_PIECES,
     PIECES_PER_READ,
     SLICE_BYTES,
+    SMALL_PIECE_BYTES,
     InputFault,
     request_intake_of,
 )
@@ -177,7 +178,10 @@
         intake = self._intake
         protocol = self.protocol
         intake.allowance.spend(effort + taken // BYTES_PER_PIECE)
-        fault = None if protocol.is_dropping else self._fault_after(effort)
+        fault = None
+        if not protocol.is_dropping:
+            # Long chunk extensions count by their bytes.
+            fault = self._fault_after(effort + taken // SMALL_PIECE_BYTES)
         if fault is not None:
             peer = self.getPeer()  # type: ignore[no-untyped-call]
             intake.on_refused(
@@ -185,7 +189,7 @@
             )
             protocol.refuse_input()
 
-    def _fault_after(self, effort: int) -> InputFault | None:
+    def _fault_after(self, pieces: int) -> InputFault | None:
         protocol = self.protocol
         if protocol.pieces > MAX_PIECES:
             return InputFault.PIECES
@@ -193,7 +197,7 @@
             return InputFault.BYTES
         if not protocol.is_in_small_pieces:
             return None
-        has_budget = self._intake.budget.spend(effort)
+        has_budget = self._intake.budget.spend(pieces)
         return None if has_budget else InputFault.SMALL_PIECES
 
     def _peek(self, size: int) -> bytes:
