Hedge in another zone first, and split only where a zone has an excess

Engines of one zone fail together. The test of the group now asks for half.

Sums of a few dozen requests a second differ by a fifth in half of all samples, so that even deployments were balanced nearly always. The split is now computed from damped loads, and used only while a zone is above the target load or has no chain.

--- a/foxtailhatch/relay/hedging.py
+++ b/foxtailhatch/relay/hedging.py
@@ -5,7 +5,7 @@
 each event a request has one attempt.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 from dataclasses import replace
 from enum import StrEnum
 from typing import Protocol
@@ -166,16 +166,17 @@
     def try_start(self, now: float, suspects: Collection[str] = ()) -> bool:
         """Send a hedged attempt if that is allowed and there is a chain.
 
-        It avoids the endpoints of other paused requests, ``suspects``, where
-        a chain is left without them.
+        It avoids the zones of the first attempt, as engines of one zone fail
+        together and other chains there may hold one of them too.  Next it
+        avoids the endpoints of other paused requests, ``suspects``.
         """
         first = self._owner.attempt
         if first is None or not self.may_start(now):
             return False
         used = frozenset(stage.endpoint.name for stage in first.chosen)
-        chosen = self._select_chain(used.union(suspects), now)
-        if chosen is None and not used.issuperset(suspects):
-            chosen = self._select_chain(used, now)
+        chosen = None
+        for avoided in self._avoided(first, used, frozenset(suspects)):
+            chosen = chosen or self._select_chain(avoided, now)
         req = self._history.admitted.req
         if (
             chosen is None
@@ -267,6 +268,20 @@
     def _route(self) -> Route:
         return self._history.admitted.route
 
+    def _avoided(
+        self, first: Attempt, used: frozenset[str], suspects: frozenset[str]
+    ) -> Iterator[frozenset[str]]:
+        """Yield the endpoints to avoid, the most first."""
+        zones = {stage.endpoint.zone for stage in first.chosen}
+        service = self._history.admitted.service.name
+        alive = self._context.endpoints.alive(service)
+        in_zones = frozenset(one.name for one in alive if one.zone in zones)
+        if len(in_zones) < len(alive):
+            yield used | suspects | in_zones
+        if not used.issuperset(suspects):
+            yield used | suspects
+        yield used
+
     def _select_chain(
         self, avoided: frozenset[str], now: float
     ) -> SelectedChain | None:
--- a/foxtailhatch/router/service_balance.py
+++ b/foxtailhatch/router/service_balance.py
@@ -10,7 +10,7 @@
     ZoneLoad,
     ZoneSplit,
     engines_by_zone,
-    is_uneven,
+    needs_split,
 )
 from foxtailhatch.fleet import LiveEndpoint
 from foxtailhatch.fleet.demand import DemandEstimate, RankDemand
@@ -86,9 +86,9 @@
             )
             for zone, of_zone in demand.items()
         }
-        if is_uneven(current):
-            self._uneven_at = now
         self.loads = self._damped.update(current, now)
+        if needs_split(self.loads):
+            self._uneven_at = now
         self._refreshed_at = now
         self._split(estimate, current)
         self._limit_crossings(estimate, services)
--- a/tests/router/test_hedge_controller.py
+++ b/tests/router/test_hedge_controller.py
@@ -64,13 +64,14 @@
 
 
 # Load: 4 of 32 engines of a zone are lost at once, with three streams at each of
-# 30 entries.  Many other chains of the zone hold one of them too.
-def test_a_part_of_the_streams_over_a_lost_group_is_on_time():
+# 30 entries.  Many other chains of the zone hold one of them too, so hedges that
+# stay in the zone meet them (a share of 0.33 in a trial).
+def test_most_streams_over_a_lost_group_are_on_time():
     def lost(model):
         return model.some_of('z1', 4)
 
     assert share_on_time(lost, 30, 3, is_hedged=False) == 0
-    assert share_on_time(lost, 30, 3, is_hedged=True) > 0.2
+    assert share_on_time(lost, 30, 3, is_hedged=True) > 0.5
 
 
 # Load: one engine of 30 entries is silent for 1 s and then goes on, as sound ones may.
