--- a/foxtailhatch/router/capacity_admission.py
+++ b/foxtailhatch/router/capacity_admission.py
@@ -293,10 +293,11 @@
 
     def _record_waiting(self, of_service: _ServiceQueue) -> None:
         counts = of_service.queue.counts()
-        self._metrics.record_waiting(
-            of_service.service,
-            {rank: counts[rank] for rank in of_service.ranks},
-        )
+        service = of_service.service
+        waiting = {rank: counts[rank] for rank in of_service.ranks}
+        self._metrics.record_waiting(service, waiting)
+        for rank, count in waiting.items():
+            self._board.own_demand.set_waiting(service, rank, count)
 
 
 def _record_overtaking(passed_over: Iterable[WaitingRequest]) -> None:
--- a/tests/router/test_capacity_admission.py
+++ b/tests/router/test_capacity_admission.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import Clock as VirtualClock
 
 from foxtailhatch.fleet import Work
+from foxtailhatch.fleet.demand import OwnDemand
 from foxtailhatch.limits.capacity_queue import MAX_OVERTAKEN
 from foxtailhatch.relay.admitted_request import AdmittedRequest
 from foxtailhatch.relay.context import SelectionRequest
@@ -273,7 +274,10 @@
 
 def capacity_of(context, selector=None):
     blackboard = SimpleNamespace(
-        loads=context.loads, clock=context.clock, totals_listeners=[]
+        loads=context.loads,
+        clock=context.clock,
+        totals_listeners=[],
+        own_demand=OwnDemand(),
     )
     context.capacity = CapacityAdmission(
         blackboard,
@@ -522,3 +526,11 @@
     assert 'admission{instance="e1",outcome="waited",rank="1"} 1' in text
     assert 'admission_waiting{' in text
     assert 'admission_wait_seconds_bucket{' in text
+
+
+# Guards against zones that seem idle to others although requests wait there.
+def test_waiting_requests_are_part_of_the_demand():
+    env = entry()
+    Waiter(env, rank=1)
+    report = env.board.own_demand.report(0)
+    assert report['model'].ranks[1].waiting == 1
