Let data of a peer end an outage of the store; hedge again after a refusal

An entry whose own read of the store has failed, and that is fed since, never notes that the store is back, so that each later removal is a lapse of 2.6 s and a check of 1 s: a peer's data that are confirmed after the failed read now count as the store's return; the test failed before.

A refusal names the engine, so the next hedge follows at once; refused ones have a limit of their own.

--- a/foxtailhatch/relay/hedging.py
+++ b/foxtailhatch/relay/hedging.py
@@ -25,6 +25,10 @@
 # Each hedge reads the whole prompt again, so a stream that pauses time and again
 # gets no more of them.
 MAX_HEDGES = 2
+# A refusal names the endpoint that a chain lacks, within milliseconds and without
+# a token read, so another chain is tried at once.  Several engines that are lost
+# together are found one after the other.
+MAX_REFUSED_HEDGES = 3
 # One in a hundred streams on sound chains pauses for longer than this.
 MIN_PAUSE_S = 0.1
 # Delay after no chain was found, as each search costs processor time: by then the
@@ -109,6 +113,7 @@
         self._delivery = delivery
         self._held: HeldBody | None = None
         self._count = 0
+        self._refused = 0
         self._retry_at = float(0)
 
     @property
@@ -224,6 +229,7 @@
         if response.kind is ResponseKind.NOT_RUN:
             name = self._feedback.record_refusal(attempt)
             self._fail(attempt, FailureKind.NOT_RUN, f'refused by {name}')
+            self._start_after_refusal()
             return
         is_failure = response.kind is ResponseKind.FAILURE
         self._fail(
@@ -264,6 +270,13 @@
         kind = self._feedback.record_fault(attempt, fault)
         self._fail(attempt, kind, fault.value)
 
+    def _start_after_refusal(self) -> None:
+        """Send another hedge at once; refused ones have a limit of their own."""
+        if self._refused < MAX_REFUSED_HEDGES:
+            self._refused += 1
+            self._count -= 1
+            self.try_start(self._context.clock())
+
     @property
     def _route(self) -> Route:
         return self._history.admitted.route
--- a/foxtailhatch/router/topic_follower.py
+++ b/foxtailhatch/router/topic_follower.py
@@ -132,8 +132,12 @@
             self._log_ignored(update)
             return
         self._is_ignoring = False
+        # The store has answered a read of the peer.  An entry that is fed reads it
+        # no more, and would take any later removal for a lapse.
+        confirmed_at = sent_at - update.age_s
+        self._outage.record_success(confirmed_at, self._clock())
         self._apply(update.records, update.end, update.is_snapshot)
-        self._confirm(sent_at - update.age_s)
+        self._confirm(confirmed_at)
 
     def _continues(self, page: KeyedPage) -> bool:
         """Return whether a page is of the epoch that its offset was taken from.
--- a/tests/router/test_topic_follower.py
+++ b/tests/router/test_topic_follower.py
@@ -296,3 +296,23 @@
     step(follower)
     assert store.reads == 1
     assert follower.confirmed_at == 10
+
+
+# Guards against endpoints that leave and get requests for seconds: an entry that was
+# turned away by the store and is fed since took each removal for a lapse.
+def test_data_of_a_peer_show_that_the_store_is_back():
+    clock = Clock(10.0)
+    outage = StoreOutage(Bounds(settling_s=4.0, leaving_s=3.0))
+    follower, _, _ = make_follower(MemoryStore(), clock, outage)
+    outage.record_failure(10.0)
+    end = LogPosition(0, 5)
+    clock.now = 10.6
+    before = TopicUpdate((), end, is_snapshot=True, age_s=0.8)
+    follower.apply_update(before, sent_at=10.5)
+    assert outage.returned_at is None
+    clock.now = 11.2
+    after = TopicUpdate((), end, is_snapshot=False, age_s=0.3)
+    follower.apply_update(after, sent_at=11.0)
+    assert outage.returned_at == 11.2
+    clock.now = 14.0
+    assert outage.lapses_until(clock()) < clock()
