--- a/foxtailhatch/relay/hedging.py
+++ b/foxtailhatch/relay/hedging.py
@@ -34,6 +34,8 @@
 # Delay after no chain was found, as each search costs processor time: by then the
 # stream is late, and other means are at work.
 NO_CHAIN_RETRY_S = 0.25
+# Time for the next check to come, and for a refusal before the hedge that runs.
+DELIVERY_MARGIN_S = 0.03
 # Share of the target for the first event after which it is late: the rest is left
 # for the hedge.
 FIRST_EVENT_SHARE = 0.5
@@ -136,7 +138,7 @@
         route = self._route
         gap_s = route.max_gap_s or 0
         expected_s = self._context.resumptions.expected_s
-        pause_s = max(MIN_PAUSE_S, gap_s - expected_s)
+        pause_s = max(MIN_PAUSE_S, gap_s - expected_s - DELIVERY_MARGIN_S)
         if not self._delivery.is_started:
             first_s = FIRST_EVENT_SHARE * route.target_latency_s
             pause_s = max(pause_s, first_s)
--- a/tests/relay/test_hedging.py
+++ b/tests/relay/test_hedging.py
@@ -9,6 +9,7 @@
 from foxtailhatch.fleet import EndpointState
 from foxtailhatch.placement.protocols import OrderOutcome, RerouteReply
 from foxtailhatch.relay.hedging import (
+    DELIVERY_MARGIN_S,
     MAX_HEDGES,
     MAX_REFUSED_HEDGES,
     MIN_PAUSE_S,
@@ -415,7 +416,7 @@
     conn.start_stream()
     conn.send_event(1)
     hedging = env.relay.hedging
-    gap_s = env.relay.admitted.route.max_gap_s
+    gap_s = env.relay.admitted.route.max_gap_s - DELIVERY_MARGIN_S
     assert hedging.due_at == pytest.approx(max(MIN_PAUSE_S, gap_s - 0.1))
     env.context.resumptions.record(0.05)
     assert hedging.due_at == pytest.approx(gap_s - 0.05)
