Balance whenever zones are uneven, by damped loads

Below the target load the split itself changes nothing, but the old choice leaves a zone at a fill of 0.85 for chains that cross zones without a limit.

--- a/foxtailhatch/chains/zone_split.py
+++ b/foxtailhatch/chains/zone_split.py
@@ -118,24 +118,6 @@
     return max(ratios, default=0) > UNEVEN_FACTOR * min(ratios, default=0)
 
 
-def needs_split(loads: LoadByZone) -> bool:
-    """Return whether zones are uneven and one of them has an excess.
-
-    While all zones are below the target load each serves its own demand, and
-    the sums of a few dozen requests a second often differ by a fifth.
-
-    >>> needs_split({'z1': ZoneLoad(7, 10), 'z2': ZoneLoad(3, 10)})
-    False
-    >>> needs_split({'z1': ZoneLoad(9, 10), 'z2': ZoneLoad(3, 10)})
-    True
-    """
-    has_excess = any(
-        load.demand > TARGET_LOAD * load.capacity for load in loads.values()
-    )
-    has_gap = any(load.capacity <= 0 for load in loads.values())
-    return has_gap or (has_excess and is_uneven(loads))
-
-
 @dataclass(frozen=True, slots=True)
 class ZoneSplit:
     """Where the demand of each zone goes.
--- a/foxtailhatch/router/service_balance.py
+++ b/foxtailhatch/router/service_balance.py
@@ -10,7 +10,7 @@
     ZoneLoad,
     ZoneSplit,
     engines_by_zone,
-    needs_split,
+    is_uneven,
 )
 from foxtailhatch.fleet import LiveEndpoint
 from foxtailhatch.fleet.demand import DemandEstimate, RankDemand
@@ -87,7 +87,7 @@
             for zone, of_zone in demand.items()
         }
         self.loads = self._damped.update(current, now)
-        if needs_split(self.loads):
+        if is_uneven(self.loads):
             self._uneven_at = now
         self._refreshed_at = now
         self._split(estimate, current)
