--- a/foxtailhatch/chains/balanced_choice.py
+++ b/foxtailhatch/chains/balanced_choice.py
@@ -9,9 +9,8 @@
 # Zones that are tried for a chain with room.  Each search takes about a
 # millisecond, and a fourth zone rarely has room if three have none.
 MAX_TRIED_ZONES = 3
-# Fill of a chain above which another zone is tried.  With 0.85 instead, entries
-# left zones that were at the target load as well, and overran others: 85 requests
-# in 9 s were refused by engines, 16 with this limit (30 entries, totals up to 2 s old).
+# Fill of a chain above which another zone is tried.  A lower limit lets entries
+# leave zones that are at the target load as well, and overrun others.
 FILL_LIMIT = 1.0
 
 
