--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -145,7 +145,7 @@
         if self.is_down:
             reply = answer(503)
         else:
-            reply = await self._reply(path, fields, body)
+            reply = await self.reply(path, fields, body)
         if self.era is not None:
             first, rest = reply.split(b'\r\n', 1)
             reply = b'\r\n'.join([first, b'Store-Era: %d' % self.era, rest])
@@ -153,7 +153,7 @@
         await writer.drain()
         return True
 
-    async def _reply(self, path, fields, body):
+    async def reply(self, path, fields, body):
         if path == '/log-read':
             return await self._read(fields)
         if path == '/log-newest':
@@ -252,6 +252,27 @@
         return answer(200, {}, json.dumps({'owners': rows}).encode())
 
 
+class Door(Server):
+    """The way of one entry to the store; while it ``is_shut``, nothing comes back."""
+
+    def __init__(self, store):
+        super().__init__()
+        self.is_shut = False
+        self._store = store
+
+    async def handle(self, method, target, headers, body, reader, writer):
+        path, _, query = target.partition('?')
+        fields = dict(pair.split('=', 1) for pair in query.split('&') if pair)
+        reply = None if self.is_shut else await self._store.reply(path, fields, body)
+        if self.is_shut or reply is None:
+            # A channel on which an answer is lost returns nothing further.
+            await reader.read()
+            return False
+        writer.write(reply)
+        await writer.drain()
+        return True
+
+
 class Replica(Server):
     """A replica of a plain service; a check-in every 1.2 s."""
 
@@ -431,7 +452,8 @@
         self.entries = []
         self._temporary = tempfile.TemporaryDirectory(prefix='review-')
         self.folder = Path(self._temporary.name)
-        self.store_address = None
+        # The ways of the entries to the store, by number, where they are apart.
+        self.doors = None
 
     async def begin(self, manifest, entries, make_replicas):
         await self.store.listen()
@@ -442,9 +464,14 @@
         base, hosts = pick_base(entries)
         ports = dict(zip(('front', 'ready', 'directory', 'peer'), pick_ports(hosts, 4)))
         for number in range(1, entries + 1):
+            address = self.store.address
+            if self.doors is not None:
+                self.doors[number] = Door(self.store)
+                await self.doors[number].listen()
+                address = self.doors[number].address
             entry = Entry(
                 number, ZONES[(number - 1) % len(ZONES)],
-                self.store_address or self.store.address, self.folder, base,
+                address, self.folder, base,
             )
             entry.ports = ports
             self.entries.append(entry)
@@ -475,6 +502,8 @@
             replica.is_gone = True
             replica.stop()
         self.store.stop()
+        for door in (self.doors or {}).values():
+            door.stop()
         if keep_logs:
             for entry in self.entries:
                 (Path(keep_logs) / f'{entry.name}.log').write_text(entry.log())
@@ -551,7 +580,7 @@
     return document | changes
 
 
-def run_case(case, folder, entries, make_replicas, first_manifest, limit_s=112.0):
+def run_case(case, folder, entries, make_replicas, first_manifest, limit_s=112.0, has_doors=False):
     """Run ``case(world, is_troubled)``, which returns why the rule is broken, or ''.
 
     Exit with 1 if it was broken, 0 if it held, and 2 if the case could not run.
@@ -565,6 +594,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, task.cancel)
         world = World(folder)
+        if has_doors:
+            world.doors = {}
         try:
             await world.begin(first_manifest, entries, make_replicas)
             await world.wait_ready()
