Ask other readers of the store before a missing record counts as a lapse

An entry that the store had turned away, while it served the others and the endpoints, went on sending requests to an endpoint for up to 2.9 s after its record was removed; 2 s are allowed.

Cause: a missing record was explained by the failed reads of this entry, as if the endpoints could not have written either. The grace also added the bound on endpoints that leave to the time in which the store settles, and so went a second beyond the moment at which an entry that was turned away counts as sound.

Ruled out: a late read, and that only data of a peer are concerned (an entry that is alone goes beyond the bound too).

Change: each entry knows since when it has read the store without a gap and its last failed read, and tells others on a page of its own. When records are missing after failed reads, an entry asks the readers once. One that read all the time shows that the endpoints are gone; failures there as well confirm the outage; without an answer the grace ends when this entry counts as sound. Messages that exist are unchanged; an older build has no such page and counts as one that cannot tell.

--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -210,6 +210,18 @@
         if name in self._endpoints:
             self._lapsed_until.setdefault(name, until)
 
+    @property
+    def lapsed(self) -> frozenset[str]:
+        """Return the names of the endpoints whose records may have expired."""
+        return frozenset(self._lapsed_until)
+
+    def limit_lapses(self, until: float) -> None:
+        """Let the time of all lapsed endpoints end at ``until`` at the latest."""
+        self._lapsed_until = {
+            name: min(known, until)
+            for name, known in self._lapsed_until.items()
+        }
+
     def remove_lapsed(self, now: float) -> list[str]:
         """Remove lapsed endpoints whose time is over; return their names."""
         expired = [
--- a/foxtailhatch/router/app.py
+++ b/foxtailhatch/router/app.py
@@ -26,6 +26,7 @@
 from foxtailhatch.router.loop_load import SAMPLE_PERIOD_S
 from foxtailhatch.router.settings import RouterSettings
 from foxtailhatch.router.single_page_site import page_site
+from foxtailhatch.router.store_outage import REVIEW_PERIOD_S
 from foxtailhatch.router.twisted_errors import log_twisted_errors
 from foxtailhatch.startup import start_collecting_garbage
 
@@ -158,6 +159,7 @@
             (HEARTBEAT_CHECK_PERIOD_S, components.heartbeat),
             (LEASE_RENEWAL_PERIOD_S, components.maintain_lease),
             (REACH_CHECK_PERIOD_S, components.watch_reach),
+            (REVIEW_PERIOD_S, components.lapse_review.step),
             (CLEANUP_PERIOD_S, components.observation_cleanup.step),
             (SAMPLE_PERIOD_S, components.board.sample_load),
         ):
--- a/foxtailhatch/router/blackboard.py
+++ b/foxtailhatch/router/blackboard.py
@@ -27,6 +27,7 @@
 from foxtailhatch.router.load_features import LoadFeatures
 from foxtailhatch.router.loop_load import LoopLoad
 from foxtailhatch.router.settings import RouterSettings
+from foxtailhatch.router.store_outage import StoreOutage
 from foxtailhatch.router.work_totals import sum_work
 from foxtailhatch.routes import RoutingTable
 
@@ -43,7 +44,8 @@
     ``lease_offered_at`` is when another entry offered the leader lease,
     ``lease_held_since`` when this entry got it, and the counters say how often
     it acquired the lease and handed it over.  ``totals_listeners`` are called
-    after each report of the work of other entries.
+    after each report of the work of other entries.  ``outage`` is what this
+    entry knows of the last outage of the store.
     """
 
     cfg: RouterSettings
@@ -68,11 +70,13 @@
     quarantine: Quarantine = field(default_factory=Quarantine)
     channels: CallerChannels = field(default_factory=CallerChannels)
     totals_listeners: list[Callable[[], None]] = field(default_factory=list)
+    outage: StoreOutage = field(init=False)
     features: LoadFeatures = field(init=False)
     loop_load: LoopLoad = field(init=False)
 
     def __post_init__(self) -> None:
         """Derive load features, and measure the load of the loop."""
+        self.outage = StoreOutage(self.cfg.bounds)
         self.features = LoadFeatures(lambda: self.table, self.endpoints)
         self.loop_load = LoopLoad(self.cfg.cpu_cores)
 
--- a/foxtailhatch/router/components.py
+++ b/foxtailhatch/router/components.py
@@ -16,6 +16,10 @@
 from foxtailhatch.router.feed import FeedClient
 from foxtailhatch.router.graceful_shutdown import GracefulShutdown
 from foxtailhatch.router.heartbeats import Heartbeats
+from foxtailhatch.router.lapse_review import (
+    LapseReview,
+    build_lapse_review,
+)
 from foxtailhatch.router.leader_lease import LeaderLease, build_lease
 from foxtailhatch.router.metrics import RouterMetrics
 from foxtailhatch.router.observation_cleanup import ObservationCleanup
@@ -59,6 +63,7 @@
     observation_publisher: ObservationPublisher
     observation_cleanup: ObservationCleanup
     shutdown: GracefulShutdown
+    lapse_review: LapseReview
 
     async def heartbeat(self) -> None:
         """Run a heartbeat step.
@@ -176,4 +181,5 @@
                 or observation_publisher.has_unwritten_records
             ),
         ),
+        lapse_review=build_lapse_review(board, log, reactor),
     )
--- a/foxtailhatch/router/entry_table.py
+++ b/foxtailhatch/router/entry_table.py
@@ -244,6 +244,21 @@
         ]
         return sorted(readers, key=reader_rank)
 
+    def recent_readers(self, now: float) -> list[EntryRecord]:
+        """Return who read the store a short time ago, the last heard of first.
+
+        They need not be ready, as none is in a long outage of the store.
+        """
+        times = {name: at for name, (_, at) in self._lists.items()}
+        recent = [
+            entry
+            for reader, entry in self._readers.items()
+            if now - times[reader] <= ENTRY_RETENTION_S
+        ]
+        return sorted(
+            recent, key=lambda entry: (-times[entry.name], reader_rank(entry))
+        )
+
     def work_of_other_readers(
         self,
         reader: str,
--- a/foxtailhatch/router/feed_site.py
+++ b/foxtailhatch/router/feed_site.py
@@ -1,4 +1,4 @@
-"""HTTP site for other entries: the feed, and calls about the leader lease."""
+"""HTTP site for other entries: the feed, and calls about the lease and the store."""
 
 import asyncio
 from typing import Any
@@ -23,6 +23,8 @@
 from foxtailhatch.router.lease_peers import LEASE_PATH
 from foxtailhatch.router.lease_site import LeasePage
 from foxtailhatch.router.mirror import Mirror
+from foxtailhatch.router.outage_peers import OUTAGE_PATH
+from foxtailhatch.router.outage_site import OutagePage
 
 BAD_REQUEST = 400
 MAX_FAULT_LENGTH = 200
@@ -124,5 +126,6 @@
     page = FeedPage(board, mirror, heartbeats, log)
     root.putChild(FEED_PATH.strip(b'/'), page)
     root.putChild(LEASE_PATH.strip(b'/'), LeasePage(board))
+    root.putChild(OUTAGE_PATH.strip(b'/'), OutagePage(board))
     # To look for a form in each body takes a third of a millisecond.
     return CountedSite(root, parsePOSTFormSubmission=False)  # type: ignore[no-untyped-call]
--- a/foxtailhatch/router/state_sync.py
+++ b/foxtailhatch/router/state_sync.py
@@ -18,7 +18,6 @@
 from foxtailhatch.router.mirror import Mirror
 from foxtailhatch.router.record_applier import PromptRecords, RecordApplier
 from foxtailhatch.router.source_selector import Source, SourceSelector
-from foxtailhatch.router.store_outage import StoreOutage
 from foxtailhatch.router.topic_follower import OnRecords, TopicFollower
 
 # Wait time of long-polling reads of the store, during which a lost connection
@@ -93,7 +92,7 @@
         self._demand_receiver = DemandReceiver(board.known_services, log)
         self._sent_reports = SentReports(board.cfg.zone)
         self._limits = AgeLimits.of(board.cfg.bounds)
-        self._outage = StoreOutage(board.cfg.bounds)
+        self._outage = board.outage
         self._waits_s = _limited(WAITS_S, self._limits.poll_s)
         self._periods_s = _limited(PERIODS_S, self._limits.poll_s)
         self._source_name = ''
--- a/foxtailhatch/router/topic_follower.py
+++ b/foxtailhatch/router/topic_follower.py
@@ -135,7 +135,7 @@
         # The store has answered a read of the peer.  An entry that is fed reads it
         # no more, and would take any later removal for a lapse.
         confirmed_at = sent_at - update.age_s
-        self._outage.record_success(confirmed_at, self._clock())
+        self._outage.record_fed(confirmed_at, self._clock())
         self._apply(update.records, update.end, update.is_snapshot)
         self._confirm(confirmed_at)
 
--- a/tests/router/entry_network.py
+++ b/tests/router/entry_network.py
@@ -29,7 +29,14 @@
     StoreFault,
     Topic,
 )
+from foxtailhatch.router.lapse_review import LapseReview
+from foxtailhatch.router.outage_peers import (
+    PEER_TIMEOUT_S,
+    decode_view,
+)
+from foxtailhatch.router.outage_site import OutagePage
 from foxtailhatch.router.state_sync import StateSync
+from foxtailhatch.router.store_outage import REVIEW_PERIOD_S
 from tests.faults.virtual_loop import VirtualLoop
 from tests.fleet.endpoints import endpoint
 from tests.relay.fakes import ListLog
@@ -155,6 +162,28 @@
             await asyncio.sleep(3600)
 
 
+class OutageLink:
+    """What other entries say of the store, as one entry hears it."""
+
+    def __init__(self, network, name):
+        self._network = network
+        self._name = name
+
+    async def view(self, peer):
+        await asyncio.sleep(DELAY_S)
+        entry = self._network.entries[peer.name]
+        if entry.is_of_old_build:
+            return None
+        raw = entry.outage_page.render_GET(
+            SimpleNamespace(setResponseCode=lambda _: None)
+        )
+        await asyncio.sleep(DELAY_S)
+        if self._network.is_cut(self._name, peer.name):
+            await asyncio.sleep(PEER_TIMEOUT_S)
+            return None
+        return decode_view(raw) if raw else None
+
+
 def decode_endpoint(name, raw):
     if raw != b'ready':
         return Failure('of another kind')
@@ -201,11 +230,17 @@
         self.page = FeedPage(
             self.board, self.state_sync.mirror, self.heartbeats, self.log
         )
+        self.is_of_old_build = False
+        self.outage_page = OutagePage(self.board)
+        self.lapse_review = LapseReview(
+            self.board, OutageLink(network, name), self.log
+        )
 
     def start(self):
         loops = Loops(lambda exc: None)
         self.state_sync.start(loops)
         loops.every(HEARTBEAT_CHECK_S, self._heartbeat)
+        loops.every(REVIEW_PERIOD_S, self.lapse_review.step)
 
     def newest(self, topic):
         """Return the number that was last written to a topic, as known here."""
--- a/tests/router/test_missing_records.py
+++ b/tests/router/test_missing_records.py
@@ -73,3 +73,60 @@
     network.store.write(Topic.ENDPOINTS, 'e1', b'ready')
     network.run(2.0)
     assert users(network) == list(network.entries)
+
+
+def turn_away(network, name, seconds):
+    """Silence the store for one entry, while it serves the others."""
+    network.cut(name, STORE)
+    network.run(seconds)
+    network.restore(name, STORE)
+
+
+# Guards against work for an endpoint that left while the store turned one entry away:
+# the entry took the removal for a lapse, though the endpoints could write.
+@pytest.mark.parametrize('entries_per_zone', [1, 2])
+@pytest.mark.parametrize('away_s', [1.5, 3.0, 6.0, 6.9, 9.0])
+@pytest.mark.parametrize('removed_s', [-1.0, 0.0, 0.4, 0.8, 1.2])
+def test_entry_that_was_turned_away_takes_no_removal_for_a_lapse(
+    entries_per_zone, away_s, removed_s
+):
+    network = EntryNetwork(zones=3, entries_per_zone=entries_per_zone)
+    network.store.write(Topic.ENDPOINTS, 'e1', b'ready')
+    network.run(5)
+    name = 'z0-e00'
+    before_s = min(removed_s, 0)
+    turn_away(network, name, away_s + before_s)
+    if before_s:
+        network.cut(name, STORE)
+        network.store.write(Topic.ENDPOINTS, 'e1', None)
+        turn_away(network, name, -before_s)
+    else:
+        network.run(removed_s)
+        network.store.write(Topic.ENDPOINTS, 'e1', None)
+    # The entry counts as sound again, and the bound of the removal is over.
+    in_contact_s = BOUNDS_SETTLING_S - max(removed_s, 0)
+    network.run(max(in_contact_s, BOUNDS_LEAVING_S) + STEP_S)
+    try:
+        assert users(network) == []
+    finally:
+        network.close()
+
+
+# Guards against the same where no other entry can tell: the entry is alone.
+@pytest.mark.parametrize('away_s', [1.5, 3.0, 6.0, 6.9])
+@pytest.mark.parametrize('removed_s', [0.0, 0.3, 0.6, 0.9])
+def test_entry_alone_keeps_to_the_bound_on_endpoints_that_leave(
+    away_s, removed_s
+):
+    network = EntryNetwork(zones=1, entries_per_zone=1)
+    network.store.write(Topic.ENDPOINTS, 'e1', b'ready')
+    network.run(5)
+    turn_away(network, 'z0-e00', away_s)
+    network.run(removed_s)
+    network.store.write(Topic.ENDPOINTS, 'e1', None)
+    in_contact_s = BOUNDS_SETTLING_S - removed_s
+    network.run(max(in_contact_s, BOUNDS_LEAVING_S) + STEP_S)
+    try:
+        assert users(network) == []
+    finally:
+        network.close()
--- a/tests/router/test_store_outage.py
+++ b/tests/router/test_store_outage.py
@@ -8,6 +8,7 @@
 from foxtailhatch.router.store_outage import (
     LAPSE_GRACE_S,
     READ_DELAY_S,
+    OutageView,
     StoreOutage,
 )
 
@@ -87,3 +88,69 @@
     outage = make_outage(sent_at, ended_at + answered_after_s, bounds)
     removed_at = ended_at + settling_s + removed_after_s
     assert outage.lapses_until(removed_at) <= removed_at + leaving_s
+
+
+def read(outage, *times):
+    for time in times:
+        outage.record_success(time, time)
+
+
+def test_view_covers_the_time_of_answered_reads_without_a_gap():
+    outage = StoreOutage(Bounds())
+    assert outage.view() is None
+    read(outage, 1.0, 1.8, 9.0, 9.5)
+    view = outage.view()
+    assert (view.since, view.until, view.away_at) == (9.0, 9.5, None)
+    assert not view.covers(5.0)
+    assert view.covers(9.3)
+
+
+def test_data_of_a_peer_are_no_reads_of_the_store():
+    outage = StoreOutage(Bounds())
+    outage.record_fed(5.0, 5.1)
+    assert outage.view() is None
+
+
+def test_read_that_fails_late_is_explained_by_what_was_known_before():
+    outage = StoreOutage(Bounds())
+    outage.record_failure(10.0)
+    assert outage.adopt(OutageView(since=0, until=12))
+    outage.record_failure(11.0)
+    assert outage.failed_at is None
+    outage.record_failure(12.5)
+    assert outage.failed_at == 12.5
+
+
+def test_view_of_another_time_explains_nothing():
+    outage = StoreOutage(Bounds())
+    outage.record_failure(10.0)
+    assert not outage.adopt(OutageView(since=10.5, until=12))
+    assert outage.failed_at == 10.0
+
+
+def test_outage_that_others_saw_is_forgotten_if_a_reader_saw_none():
+    outage = StoreOutage(Bounds())
+    outage.adopt(OutageView(11, 12, away_at=10, back_at=10.5))
+    assert outage.lapses_until(11) > 11
+    outage.adopt(OutageView(5, 12))
+    assert outage.lapses_until(11) < 11
+
+
+# Guards against requests from an entry in contact for an endpoint that left, whenever
+# the store turned the entry away and whoever answers its questions.
+@given(
+    read_before_end_s=st.floats(0, 3),
+    answered_after_s=st.floats(0, 4),
+    settling_s=st.floats(1, 6),
+    leaving_s=st.floats(1, 6),
+)
+def test_entry_that_has_settled_uses_no_endpoint_by_its_own_failures(
+    read_before_end_s, answered_after_s, settling_s, leaving_s
+):
+    bounds = Bounds(settling_s=settling_s, leaving_s=leaving_s)
+    ended_at = 100.0
+    outage = make_outage(
+        ended_at - read_before_end_s, ended_at + answered_after_s, bounds
+    )
+    now = ended_at + answered_after_s
+    assert outage.reviewed_until(now) <= ended_at + settling_s
