End responses with an invalid status as malformed

Callers: as an answer they got 600, 700 or 999 with its body, signed by an endpoint in trouble: a call that runs once, and any call if all endpoints sent it. After 000 to 099, taken for interim responses, a request waited for another one until its time was over.

Cause: the parser takes any three digits, and each place compared the status only with the bounds of single classes.

Statuses of one, two or four digits, with a sign or with letters were refused before.

Change: where a head is read, any status but 100 and 102 to 599 ends the connection as malformed, for endpoints, other entries and the store alike. A call that may repeat goes on elsewhere, any other ends with 502, as it may have run. attempt_failed names the status as invalid_status.

--- a/foxtailhatch/relay/attempt.py
+++ b/foxtailhatch/relay/attempt.py
@@ -123,6 +123,11 @@
         """Return the limit that ended the response, or an empty string."""
         return self._connection.exceeded or ''
 
+    @property
+    def invalid_status(self) -> int | None:
+        """Return the status that no response may have, if one ended it."""
+        return self._connection.invalid_status
+
     @property
     def is_truncated(self) -> bool:
         """Return whether an event stream that has ended is incomplete.
--- a/foxtailhatch/relay/http_connection.py
+++ b/foxtailhatch/relay/http_connection.py
@@ -25,7 +25,10 @@
 from foxtailhatch.relay.body_memory import HeldBody
 from foxtailhatch.relay.response_intake import ResponseIntake, intake_of
 
+FIRST_INTERIM_STATUS = 100
+SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
+LAST_FINAL_STATUS = 599
 BODYLESS_STATUSES = frozenset((204, 304))
 # The protocol gives the peer one second to accept (PROTOCOL.md, on clients).
 CONNECT_TIMEOUT_S = 1.0
@@ -69,10 +72,18 @@
     MEMORY = 'memory of all responses'
 
 
-class LimitExceededError(Exception):
+class UnusableResponseError(Exception):
+    """Stop the parser, as the response cannot be used."""
+
+
+class LimitExceededError(UnusableResponseError):
     """Stop the parser, as the response exceeds a limit."""
 
 
+class InvalidStatusError(UnusableResponseError):
+    """Stop the parser, as no response may have the status."""
+
+
 @dataclass(slots=True)
 class _Overhead:
     """What has arrived in a row without a part of the response."""
@@ -137,7 +148,8 @@
 
         ``request`` is sent as it is, and ``body`` after it.
         ``received_bytes`` are those since the last request, and ``exceeded``
-        is the limit that ended the response, if one did.
+        is the limit that ended the response, if one did.  ``invalid_status`` is
+        the status for which it was ended.
         """
         self._request = request
         self._body = body
@@ -164,6 +176,7 @@
         self._is_clean = False
         self.received_bytes = 0
         self.exceeded: ResponseLimit | None = None
+        self.invalid_status: int | None = None
         self.is_reusable = False
 
     def share(self, intake: ResponseIntake) -> None:
@@ -273,6 +286,9 @@
         """Forward the head if it is final and answers the pending request."""
         self._callbacks += 1
         status = self._parser.get_status_code()
+        if not is_valid_status(status):
+            self.invalid_status = status
+            raise InvalidStatusError(str(status))
         head = ResponseHead(status, tuple(self._headers))
         other = head.get(self._id_header) or self._request_id
         if status < FIRST_FINAL_STATUS or other != self._request_id:
@@ -361,7 +377,7 @@
                 raise error from exc
             self._forward_body()
             self._fail_malformed()
-            if error is None or isinstance(error, LimitExceededError):
+            if error is None or isinstance(error, UnusableResponseError):
                 return
             # An error of a listener is none of the peer's.
             raise error from exc
@@ -471,6 +487,19 @@
             listener.response_failed(fault)
 
 
+def is_valid_status(status: int) -> bool:
+    """Return whether a response may have this status.
+
+    No request asks to switch protocols.
+
+    >>> [is_valid_status(status) for status in (0, 99, 101, 103, 599, 600)]
+    [False, False, False, True, True, False]
+    """
+    if status == SWITCHING_PROTOCOLS:
+        return False
+    return FIRST_INTERIM_STATUS <= status <= LAST_FINAL_STATUS
+
+
 @implementer(IPullProducer)
 class BodySender:
     """Write a body piece by piece, each when the one before was sent."""
--- a/foxtailhatch/relay/relay.py
+++ b/foxtailhatch/relay/relay.py
@@ -591,6 +591,7 @@
             events=attempt.event_count,
             received_bytes=attempt.received_bytes,
             limit=attempt.exceeded,
+            invalid_status=attempt.invalid_status,
         )
         self._apply(action, chosen, cause, now)
 
