Refuse invalid statuses in the client of serve as well

Callers of serve got 000, 600 and 999 from plain services, and +200 as 200.

Cause: the same as in the router; the parser behind this client reads the status as any integer.

Change: the first line of a response is checked before it is parsed. Another status is an invalid response, after which a call may have run.

--- a/foxtailhatch/outside/http_client.py
+++ b/foxtailhatch/outside/http_client.py
@@ -25,6 +25,7 @@
 )
 from foxtailhatch.outside.http_protocol import (
     BoundedConnectionPool,
+    InvalidStatus,
     ResponseHeadTooLarge,
 )
 from foxtailhatch.outside.protocols import PlatformError, PlatformFault
@@ -158,7 +159,7 @@
                 PlatformFault.UNREACHABLE,
                 f'{address} does not accept connections: {exc}',
             )
-        if isinstance(exc, BodyTooLarge | ResponseHeadTooLarge):
+        if isinstance(exc, BodyTooLarge | ResponseHeadTooLarge | InvalidStatus):
             return PlatformError(PlatformFault.INVALID_RESPONSE, str(exc))
         if isinstance(exc, NoMemory):
             return PlatformError(PlatformFault.NO_MEMORY, str(exc))
--- a/foxtailhatch/outside/http_protocol.py
+++ b/foxtailhatch/outside/http_protocol.py
@@ -1,4 +1,8 @@
-"""HTTP connection that accepts a bounded head and nothing behind a response."""
+"""HTTP connection with limits on what it accepts as a response.
+
+The head is bounded, its status is one of the protocol, and nothing may follow
+the response.
+"""
 
 import re
 from typing import Any, Final
@@ -17,12 +21,48 @@
 MAX_HEAD_LINES: Final = 128
 _HEAD_END: Final = re.compile(rb'\n\r?\n')
 _HEAD_END_BYTES: Final = 3
+_HTTP: Final = b'HTTP/'
+_STATUS_LINE: Final = re.compile(rb'HTTP/1\.[01] [1-5][0-9]{2}(?: .*)?\r?')
 
 
 class ResponseHeadTooLarge(Exception):
     """Raised when the head of a response exceeds its limits."""
 
 
+class InvalidStatus(Exception):
+    """Raised when a response has a status that the protocol does not have."""
+
+
+class StatusLine:
+    r"""The first line of a response, as far as it has come.
+
+    The parser takes what reads as a number for a status, whatever its range.  It
+    refuses a line of another protocol itself.
+
+    >>> line = StatusLine()
+    >>> line.is_invalid(b'HTTP/1.1 6'), line.is_invalid(b'00 X\r\n')
+    (False, True)
+    """
+
+    def __init__(self) -> None:
+        """Start with an empty line."""
+        self._line = b''
+        self._is_read = False
+
+    def is_invalid(self, chunk: bytes) -> bool:
+        """Return whether the line ends in ``chunk`` and is malformed."""
+        if self._is_read:
+            return False
+        begin, newline, _ = chunk.partition(b'\n')
+        self._line += begin
+        self._is_read = bool(newline)
+        is_http = self._line.startswith(_HTTP)
+        return self._is_read and is_http and not self._is_valid()
+
+    def _is_valid(self) -> bool:
+        return _STATUS_LINE.fullmatch(self._line) is not None
+
+
 class HeadLimit:
     r"""The size of a head so far, before any of it is parsed.
 
@@ -56,20 +96,22 @@
 
 
 class BoundedClientProtocol(HTTP11ClientProtocol):
-    """A client connection that ends with a reason at the first excess byte."""
+    """A client connection that ends with a reason at the first invalid byte."""
 
     def __init__(self, *args: Any) -> None:
         """Start without a request."""
         untyped: Any = super()
         untyped.__init__(*args)
         self._head: HeadLimit | None = None
-        self._excess: ResponseHeadTooLarge | None = None
+        self._status = StatusLine()
+        self._excess: ResponseHeadTooLarge | InvalidStatus | None = None
         self._sent: Any = None
         self._received: Any = None
 
     def request(self, request: Request) -> 'Deferred[IResponse]':
         """Send a request; its response starts with an empty head."""
         self._head = HeadLimit()
+        self._status = StatusLine()
         self._sent = request
         self._received = None
         response: Any = super().request(request)
@@ -86,8 +128,7 @@
             untyped.abort()
             return
         head = self._head
-        if head is not None and not head.allows(data):
-            self._end_connection()
+        if head is not None and not self._allows(head, data):
             return
         untyped.dataReceived(data)
         if head is not None and head is self._head:
@@ -112,11 +153,27 @@
         untyped: Any = super()
         untyped._finishResponse(rest)
 
-    def _end_connection(self) -> None:
-        self._excess = ResponseHeadTooLarge(
-            'the head of the response has more than '
-            f'{MAX_HEAD_BYTES} bytes or {MAX_HEAD_LINES} lines',
-        )
+    def _allows(self, head: HeadLimit, chunk: bytes) -> bool:
+        """Return whether a head may go on; end the connection if it may not."""
+        if not head.allows(chunk):
+            self._end_connection(
+                ResponseHeadTooLarge(
+                    'the head of the response has more than '
+                    f'{MAX_HEAD_BYTES} bytes or {MAX_HEAD_LINES} lines',
+                )
+            )
+            return False
+        if self._status.is_invalid(chunk):
+            self._end_connection(
+                InvalidStatus('the response has an invalid status')
+            )
+            return False
+        return True
+
+    def _end_connection(
+        self, excess: ResponseHeadTooLarge | InvalidStatus
+    ) -> None:
+        self._excess = excess
         transport: Any = self.transport
         transport.abortConnection()
 
--- a/tests/outside/test_http_protocol.py
+++ b/tests/outside/test_http_protocol.py
@@ -12,6 +12,7 @@
     MAX_HEAD_BYTES,
     MAX_HEAD_LINES,
     BoundedConnectionPool,
+    InvalidStatus,
     ResponseHeadTooLarge,
 )
 from foxtailhatch.relay.body_memory import BodyMemory
@@ -146,3 +147,41 @@
     conn.receive(OK + b'\r\nwhole')
     conn.lose(ConnectionDone())
     assert conn.bodies == [b'whole']
+
+
+# Guards against a status of a service in trouble that reaches its caller.
+@pytest.mark.parametrize('size', [1, 100])
+@pytest.mark.parametrize(
+    'line',
+    [
+        b'HTTP/1.1 000 X',
+        b'HTTP/1.1 099 X',
+        b'HTTP/1.1 600 X',
+        b'HTTP/1.1 999',
+        b'HTTP/1.1 1000 X',
+        b'HTTP/1.1 20 X',
+        b'HTTP/1.1 -20 X',
+        b'HTTP/1.1 +200 X',
+        b'HTTP/1.1 2_00 X',
+        b'HTTP/1.1  200 X',
+        b'HTTP/1.1 0200 X',
+        b'HTTP/1.1 2x0 X',
+        b'HTTP/1.1',
+    ],
+)
+def test_a_response_with_another_status_ends_the_connection(conn, line, size):
+    conn.send()
+    sent = line + b'\r\nContent-Length: 2\r\n\r\n{}'
+    for start in range(0, len(sent), size):
+        conn.receive(sent[start : start + size])
+    assert conn.closed()
+    conn.lose(ConnectionLost())
+    assert conn.outcomes[0].check(InvalidStatus)
+    assert not conn.bodies
+
+
+@pytest.mark.parametrize('status', [b'200', b'404 Not Found', b'599 X'])
+def test_a_response_with_a_final_status_is_read(conn, status):
+    conn.send()
+    conn.receive(b'HTTP/1.1 ' + status + RESPONSE[len(OK) - 2 :])
+    assert conn.bodies == [b'{}']
--- a/tests/outside/test_services.py
+++ b/tests/outside/test_services.py
@@ -11,6 +11,7 @@
 from standins.plain_service import PlainStandIn
 from standins.weight_store import WeightStandIn
 from tests.outside.loop import run
+from tests.outside.raw import raw_server
 from tests.outside.standin import client, endpoint, listening
 
 BOOKING = ServiceCall('POST', '/bookings', b'{}', 'application/json', 'k1')
@@ -160,3 +161,14 @@
     with listening(WeightStandIn(7)) as ports:
         store = HttpWeightStore(client(), ports.address())
         assert run(store.size_bytes('toy', '1')).unwrap() == 7
+
+
+# Guards against a status that no response may have, passed on to a caller: the call
+# may have run.
+@pytest.mark.parametrize('status', ['000', '600', '999', '+200', '2x0'])
+def test_a_call_with_another_status_has_no_valid_response(status):
+    head = f'HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok'
+    with raw_server({b'POST': head.encode()}) as server:
+        service = HttpPlainService(client())
+        outcome = run(service.call(endpoint(server), BOOKING, 5))
+    assert _fault(outcome) is PlatformFault.INVALID_RESPONSE
