Revive a dead endpoint by a further record only

Callers: requests sent to an endpoint that had crashed, after the store had dropped its history, until they failed and it was found dead again.

Cause: a record read 2 s after a death counted as written after it.

Change: the number of the last heartbeat known at the death is kept; a record revives the endpoint only with a higher one. Endpoints without numbers are treated as before.

Evidence: test_dead_endpoint_does_not_revive_with_the_record_that_was_known failed before.

--- a/foxtailhatch/fleet/last_heartbeats.py
+++ b/foxtailhatch/fleet/last_heartbeats.py
@@ -35,6 +35,11 @@
             self._removed_at[name] = now
         self._expire(now)
 
+    def number(self, name: str) -> int:
+        """Return the number of the last heartbeat known, 0 if there is none."""
+        _, number = self._known.get(name, (0, 0))
+        return number
+
     def is_older(self, endpoint: LiveEndpoint) -> bool:
         """Return whether a record is older than the last heartbeat known."""
         known = self._known.get(endpoint.name)
--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -22,8 +22,8 @@
 # Draining incarnations that are remembered, so that no older record of one brings
 # it work again.
 MAX_DRAINING = 4096
-# A record that is read this long after an endpoint was marked dead was written
-# after it, since the list lags by less.
+# A new record that is read this long after an endpoint was marked dead was written
+# after it, since the list lags by less.  A snapshot brings the known one again.
 REVIVAL_DELAY_S = 2.0
 # The back-off doubles with each consecutive refusal up to this, since an
 # endpoint that releases layers refuses them for seconds.
@@ -51,6 +51,7 @@
         self._draining_since: dict[tuple[str, int], float] = {}
         self._said_leaving: set[tuple[str, int]] = set()
         self._dead_since: dict[str, float] = {}
+        self._heartbeats_at_death: dict[str, int] = {}
         self._silent: set[str] = set()
         self.pauses = EndpointPauses()
         self._observations = ObservedLayers()
@@ -122,6 +123,7 @@
         ):
             return False
         self._dead_since[name] = now
+        self._heartbeats_at_death[name] = self._heartbeats.number(name)
         self._silent.discard(name)
         self.revision += 1
         return True
@@ -198,6 +200,7 @@
         self._heartbeats.record_removal(name, now)
         self._lapsed_until.pop(name, None)
         self._dead_since.pop(name, None)
+        self._heartbeats_at_death.pop(name, None)
         self._silent.discard(name)
         self._observations.remove(name)
         self._listed_layers.pop(name, None)
@@ -428,7 +431,9 @@
         is_new = (
             before is not None and before.incarnation != endpoint.incarnation
         )
-        if is_new or now - dead_since > REVIVAL_DELAY_S:
+        number = self._heartbeats_at_death.get(endpoint.name, 0)
+        is_written = not number or endpoint.heartbeats > number
+        if is_new or (is_written and now - dead_since > REVIVAL_DELAY_S):
             self._dead_since.pop(endpoint.name)
             self.clear_failures(endpoint.name)
             self.revision += 1
--- a/tests/fleet/test_table.py
+++ b/tests/fleet/test_table.py
@@ -73,6 +73,25 @@
     assert names(table, 13) == ['e1']
 
 
+# Guards against work for a dead endpoint whose old record is read once more, in a
+# snapshot: it was not written since.
+def test_dead_endpoint_does_not_revive_with_the_record_that_was_known():
+    table = table_of(endpoint('e1', heartbeats=7))
+    table.mark_dead('e1', 1, 10)
+    later = 10 + REVIVAL_DELAY_S + 0.1
+    table.put(endpoint('e1', heartbeats=7), later)
+    assert names(table, later) == []
+    table.put(endpoint('e1', heartbeats=8), later)
+    assert names(table, later) == ['e1']
+
+
+def test_dead_endpoint_revives_with_a_new_incarnation():
+    table = table_of(endpoint('e1', heartbeats=7))
+    table.mark_dead('e1', 1, 10)
+    table.put(endpoint('e1', heartbeats=1, incarnation=2), 10.1)
+    assert names(table, 10.1) == ['e1']
+
+
 def test_death_of_an_earlier_incarnation_is_ignored():
     table = table_of(endpoint('e1', incarnation=2))
     assert not table.mark_dead('e1', 1, 10)
