Take no holder of the lease for gone while heartbeats may be missed

Operators: after an outage of the store of over 4 s the leader lease could move, although its holder lived.

Cause: lists of entries lapse by age, also while they cannot be read, and a holder on no list counts as gone after 1 s. After the outage its next heartbeat is read up to 3 s later.

Change: an entry knows when it missed heartbeats, and goes by the store's word on the holder until the time of a list has passed since.

Evidence: test_holder_is_not_gone_while_its_heartbeats_could_not_be_read failed before.

--- a/foxtailhatch/router/blackboard.py
+++ b/foxtailhatch/router/blackboard.py
@@ -23,7 +23,12 @@
 from foxtailhatch.fleet.estimate import WorkByEndpoint
 from foxtailhatch.recovery.quarantine import Quarantine
 from foxtailhatch.router.caller_channels import CallerChannels
-from foxtailhatch.router.entry_table import EntryRecord, EntryTable
+from foxtailhatch.router.entry_table import (
+    ENTRY_LIST_TIMEOUT_S,
+    MAX_LIST_GAP_S,
+    EntryRecord,
+    EntryTable,
+)
 from foxtailhatch.router.load_features import LoadFeatures
 from foxtailhatch.router.loop_load import LoopLoad
 from foxtailhatch.router.settings import RouterSettings
@@ -38,7 +43,9 @@
 
     ``configuration_confirmed_at`` is the latest time at which the
     configuration in force is known to have been the newest.
-    ``entries_confirmed_at`` is the same for the heartbeats of the entries.
+    ``entries_confirmed_at`` is the same for the heartbeats of the entries, and
+    ``heartbeats_missed_until`` the end of the last time in which this entry did not
+    read them.
     ``store_epoch`` is the store's epoch at the last read of the configuration,
     and ``stop_requested_at`` is set when a stop is requested.
     ``lease_offered_at`` is when another entry offered the leader lease,
@@ -53,6 +60,7 @@
     table: RoutingTable | None = None
     configuration_confirmed_at: float | None = None
     entries_confirmed_at: float | None = None
+    heartbeats_missed_until: float = float('-inf')
     stop_requested_at: float | None = None
     store_epoch: int = 0
     lease_offered_at: float | None = None
@@ -87,6 +95,17 @@
         age_s = self.configuration_age(self.clock())
         return age_s <= self.cfg.bounds.revocation_s
 
+    def may_miss_heartbeats(self, now: float) -> bool:
+        """Return whether an entry may live whose heartbeat is not known.
+
+        After a time in which heartbeats were missed, the next one of each entry
+        has come when a list would have lapsed.
+        """
+        confirmed_at = self.entries_confirmed_at
+        if confirmed_at is not None and now - confirmed_at > MAX_LIST_GAP_S:
+            return True
+        return now - self.heartbeats_missed_until < ENTRY_LIST_TIMEOUT_S
+
     def is_cut_off_from_engines(self) -> bool:
         """Return whether this entry reaches no engine of a model."""
         services = {} if self.table is None else self.table.services
--- a/foxtailhatch/router/entry_table.py
+++ b/foxtailhatch/router/entry_table.py
@@ -21,6 +21,8 @@
 # Lists that have not been renewed for this time are ignored.  The time covers
 # two heartbeat periods and the lag of reading them.
 ENTRY_LIST_TIMEOUT_S = 4.0
+# Longest time between two reads of the lists of a sound store.
+MAX_LIST_GAP_S = 2.5
 # Entries listed within this time still count in the order in which entries
 # become readers.  The time outlasts several store outages in a row.
 ENTRY_RETENTION_S = 60.0
--- a/foxtailhatch/router/leader_lease.py
+++ b/foxtailhatch/router/leader_lease.py
@@ -239,14 +239,18 @@
         looked = await self._store.holder()
         if isinstance(looked, Success):
             holder = looked.unwrap()
-            entries = self._board.entries.ready(now)
-            is_listed = holder in {entry.name for entry in entries}
+            is_listed = self._may_be_listed(holder, now)
             if holder != self._watch.holder:
                 self._log.write('lease_holder', holder=holder)
             self._watch.record_holder(holder, now, is_listed=is_listed)
         elif self._board.configuration_age(now) <= UP_TO_DATE_S:
             self._watch.record_failure(now)
 
+    def _may_be_listed(self, holder: str, now: float) -> bool:
+        """Return whether the holder is listed, or its heartbeat may be missed."""
+        listed = {entry.name for entry in self._board.entries.ready(now)}
+        return holder in listed or self._board.may_miss_heartbeats(now)
+
     def _should_leave(self, now: float) -> bool:
         """Return whether this entry, a member without the lease, should leave."""
         if now - self._candidate_at >= LEAVE_AFTER_S:
--- a/foxtailhatch/router/state_sync.py
+++ b/foxtailhatch/router/state_sync.py
@@ -12,7 +12,7 @@
 from foxtailhatch.router.blackboard import Blackboard
 from foxtailhatch.router.demand_messages import DemandReceiver
 from foxtailhatch.router.demand_totals import SentReports
-from foxtailhatch.router.entry_table import EntryRecord
+from foxtailhatch.router.entry_table import MAX_LIST_GAP_S, EntryRecord
 from foxtailhatch.router.feed import FeedClient, FeedRequest, FeedResponse
 from foxtailhatch.router.keyed_log import URGENT, KeyedRecord, Topic
 from foxtailhatch.router.mirror import Mirror
@@ -125,14 +125,23 @@
         """Update the age of the configuration, and expire lapsed endpoints."""
         follower = self._followers[Topic.CONFIGURATION]
         self._board.configuration_confirmed_at = follower.confirmed_at
-        entries = self._followers[Topic.ENTRIES]
-        self._board.entries_confirmed_at = entries.confirmed_at
+        self._confirm_entries(self._followers[Topic.ENTRIES].confirmed_at)
         if follower.position is not None:
             self._board.store_epoch = follower.position.epoch
         now = self._board.clock()
         for name in self._board.endpoints.remove_lapsed(now):
             self._log.write('endpoint_gone', name=name, why='lapsed')
 
+    def _confirm_entries(self, confirmed_at: float | None) -> None:
+        """Note until when the heartbeats are known, and when some were missed."""
+        board = self._board
+        known = board.entries_confirmed_at
+        board.entries_confirmed_at = confirmed_at
+        if known is None or confirmed_at is None:
+            return
+        if confirmed_at - known > MAX_LIST_GAP_S:
+            board.heartbeats_missed_until = confirmed_at
+
     def _make_follower(
         self, topic: Topic, on_records: OnRecords
     ) -> TopicFollower:
--- a/tests/router/test_leader_lease.py
+++ b/tests/router/test_leader_lease.py
@@ -239,3 +239,44 @@
     world.board.stop_requested_at = world.clock.now
     world.become(2, holder=True)
     assert not world.lease.is_held
+
+
+class CountingStore(MemoryStore):
+    """A store that counts the calls to join."""
+
+    joins = 0
+
+    async def join(self, member, generation, lease_s):
+        self.joins += 1
+        return await super().join(member, generation, lease_s)
+
+
+def watch_unlisted_holder(read_gap_ended_at, seconds):
+    """Return the joins of a reader that sees no heartbeat of the holder."""
+    clock = Clock()
+    clock.now = 50.0
+    blackboard = board(clock)
+    store = CountingStore()
+    store.owner = 'holder'
+    blackboard.heartbeats_missed_until = read_gap_ended_at
+    lease = LeaderLease(blackboard, store, ListLog())
+    own = Heartbeat([blackboard.own_entry()])
+    until = clock.now + seconds
+    while clock.now < until:
+        blackboard.entries.record_heartbeat(
+            blackboard.cfg.instance, own, clock.now
+        )
+        asyncio.run(lease.maintain(is_candidate=True))
+        clock.now += 0.4
+    return store.joins
+
+
+# Guards against a lease that moves after each outage: heartbeats that were not read
+# were taken for not written, and the holder for gone.
+def test_holder_is_not_gone_while_its_heartbeats_could_not_be_read():
+    assert watch_unlisted_holder(read_gap_ended_at=49.9, seconds=3.2) == 0
+
+
+def test_holder_that_writes_no_heartbeat_is_gone():
+    assert watch_unlisted_holder(read_gap_ended_at=49.9, seconds=6.5) > 0
+    assert watch_unlisted_holder(float('-inf'), seconds=3.2) > 0
--- a/tests/router/test_state_sync.py
+++ b/tests/router/test_state_sync.py
@@ -8,6 +8,7 @@
 from foxtailhatch.router.keyed_log import KeyedRecord, StoreFault, Topic
 from foxtailhatch.router.state_sync import STARTUP_S, StateSync
 from tests.relay.fakes import ListLog
+from tests.router.entry_network import STORE, EntryNetwork
 from tests.router.fakes import Clock, MemoryStore, board
 from tests.router.test_entry_table import entry
 from tests.routes.configurations import configuration
@@ -135,3 +136,20 @@
     world.loops.run()
     assert world.state_sync.reads_store
     assert world.state_sync.reading_store_since == world.clock.now
+
+
+# Guards against entries that are taken for gone after an outage of the store.
+def test_heartbeats_may_be_missed_during_an_outage_and_a_while_after_it():
+    network = EntryNetwork(zones=1, entries_per_zone=1)
+    network.run(5)
+    (one,) = network.entries.values()
+    assert not one.board.may_miss_heartbeats(network.loop.now)
+    network.cut(one.name, STORE)
+    network.run(5)
+    assert one.board.may_miss_heartbeats(network.loop.now)
+    network.restore(one.name, STORE)
+    network.run(3)
+    assert one.board.may_miss_heartbeats(network.loop.now)
+    network.run(5)
+    assert not one.board.may_miss_heartbeats(network.loop.now)
+    network.close()
