Take a record for an endpoint's own only if it can be

For a second a record of another writer, without three fields and with a later start, stood under the name of an endpoint. As it drained, 114 to 131 requests reached it later than 2 s after its report, and some that it ran at its exit were lost.

Cause: missing fields had defaults; records are ordered by start and number, so one with a later start made all own ones older for good; and a record that could not be decoded, or was of a service that nobody configures, removed or replaced the endpoint.

Change: a record needs all fields that endpoints write, of their types, and a service that is configured, or may be if none is known under the name; any other changes nothing that is known. Who writes further heartbeats lives, so an incarnation whose number grows is not older, whatever came between. Names that no header can hold name no endpoint.

A record without a number of its own is now refused where it was unnumbered.

--- a/foxtailhatch/fleet/table.py
+++ b/foxtailhatch/fleet/table.py
@@ -64,6 +64,10 @@
         """Return whether a record is older than what is known."""
         return self._heartbeats.is_older(endpoint)
 
+    def record_outdated(self, endpoint: LiveEndpoint) -> None:
+        """Remember an outdated record, as further ones show who wrote it."""
+        self._heartbeats.record_older(endpoint)
+
     def put(self, endpoint: LiveEndpoint, now: float) -> LiveEndpoint | None:
         """Update an endpoint from its record; return the previous state."""
         self._heartbeats.record(endpoint)
--- a/foxtailhatch/platform/endpoints.py
+++ b/foxtailhatch/platform/endpoints.py
@@ -19,6 +19,7 @@
 MAX_SLOTS = 1_000_000
 MAX_LAYERS = 1_000_000
 MAX_PORT = 65_535
+LAST_LATIN = 255
 # Most records of an endpoint differ from the last one only in the number of the
 # heartbeat.  Put in the place of that number, this one gives them equal bytes.
 _ANY_HEARTBEAT = MAX_COUNT - 1
@@ -39,15 +40,20 @@
 
 
 class _EndpointRecord(_Document):
+    """What an endpoint says of itself; one without a listed field is another's."""
+
     service: str
     address: str
     zone: str
-    slots: Annotated[int, Field(ge=0, le=MAX_SLOTS)] = 0
+    # The version of its software.
+    version: str | _Count
+    slots: Annotated[int, Field(ge=0, le=MAX_SLOTS)]
     state: str
+    cold_left_ms: Annotated[float, Field(ge=0)]
     born: _Count = 0
     # Number of the heartbeat that wrote the record; in a report the same name
     # holds the number of accepted orders.
-    seq: _Count = 0
+    seq: _Count
     layers: Any = None
     # Accelerator kind; in a route the same name says whether requests may
     # be repeated.
@@ -98,15 +104,9 @@
         record = _EndpointRecord.model_validate_json(raw)
     except ValidationError as exc:
         return Failure(_first_error(exc))
-    state = _STATES.get(record.state)
-    if state is None:
-        return Failure(
-            f'state: expected ready or draining, got {record.state!r}'
-        )
-    if not _is_host_port(record.address):
-        return Failure(f'address: expected host:port, got {record.address!r}')
-    if not _has_plain_layers(record.layers):
-        return Failure(f'layers: expected a range, got {record.layers!r}')
+    fault = _fault(name, record)
+    if fault is not None:
+        return Failure(fault)
     return Success(
         LiveEndpoint(
             name=name,
@@ -114,7 +114,7 @@
             address=record.address,
             zone=record.zone,
             slots=record.slots,
-            state=state,
+            state=_STATES[record.state],
             layers=_layers(record.layers),
             accelerator_kind=record.route_kind,
             incarnation=record.born,
@@ -123,6 +123,19 @@
     )
 
 
+def _fault(name: str, record: _EndpointRecord) -> str | None:
+    """Return what no endpoint says of itself, if anything is."""
+    if not _is_header_text(name):
+        return f'name: expected printable Latin-1, got {name!r}'
+    if record.state not in _STATES:
+        return f'state: expected ready or draining, got {record.state!r}'
+    if not _is_host_port(record.address):
+        return f'address: expected host:port, got {record.address!r}'
+    if not _has_plain_layers(record.layers):
+        return f'layers: expected a range, got {record.layers!r}'
+    return None
+
+
 def decode_report(raw: bytes) -> Result[EngineReport, str]:
     """Return the load report of an engine."""
     try:
@@ -147,6 +160,13 @@
     )
 
 
+def _is_header_text(name: str) -> bool:
+    """Return whether a name may stand in a header of a request."""
+    return name.isprintable() and all(
+        ord(letter) <= LAST_LATIN for letter in name
+    )
+
+
 def _layers(document: Any) -> LayerRange | None:
     """Return the layer range from ``from`` to ``to`` (exclusive), if valid."""
     if not isinstance(document, dict) or not _has_plain_layers(document):
--- a/foxtailhatch/router/record_applier.py
+++ b/foxtailhatch/router/record_applier.py
@@ -7,6 +7,7 @@
 
 from foxtailhatch.core import Invariant, check_invariant
 from foxtailhatch.fleet import LiveEndpoint
+from foxtailhatch.fleet.foreign_records import foreign_reason
 from foxtailhatch.relay.structured_log import StructuredLog
 from foxtailhatch.router.adapter import PlatformAdapter
 from foxtailhatch.router.blackboard import Blackboard
@@ -205,24 +206,25 @@
         )
 
     def _update_endpoint(self, name: str, raw: bytes, now: float) -> None:
+        """Apply the record of an endpoint; that of another writer is ignored."""
+        table = self._board.endpoints
         decoded = self._adapter.decode_endpoint(name, raw)
         if not isinstance(decoded, Success):
-            if name not in self._unreadable:
-                self._unreadable.add(name)
-                self._log.write(
-                    'endpoint_unreadable',
-                    endpoint=name,
-                    why=decoded.failure(),
-                )
-            self._board.endpoints.remove(name, now)
+            self._ignore_endpoint(name, decoded.failure())
             return
-        self._unreadable.discard(name)
         endpoint = decoded.unwrap()
-        if self._board.endpoints.is_outdated(endpoint):
-            if self._board.endpoints.get(name) is None:
+        before = table.get(name)
+        why = foreign_reason(endpoint, before, self._board.known_services())
+        if why is not None:
+            self._ignore_endpoint(name, why)
+            return
+        self._unreadable.discard(name)
+        if table.is_outdated(endpoint):
+            table.record_outdated(endpoint)
+            if before is None:
                 self._log.write('endpoint_outdated', name=name)
             return
-        before = self._board.endpoints.put(endpoint, now)
+        before = table.put(endpoint, now)
         if before is None or _has_changed(before, endpoint):
             self._log.write(
                 'endpoint',
@@ -232,9 +234,15 @@
                 zone=endpoint.zone,
                 layers=endpoint.layers,
                 born=endpoint.incarnation,
-                list_revision=self._board.endpoints.revision,
+                list_revision=table.revision,
             )
 
+    def _ignore_endpoint(self, name: str, why: str) -> None:
+        """Log the first of the records that do not describe an endpoint."""
+        if name not in self._unreadable:
+            self._unreadable.add(name)
+            self._log.write('endpoint_unreadable', endpoint=name, why=why)
+
     def _remove_endpoint(
         self, name: str, lapses_until: float, now: float
     ) -> None:
--- a/tests/fleet/test_last_heartbeats.py
+++ b/tests/fleet/test_last_heartbeats.py
@@ -46,6 +46,37 @@
     assert not heartbeats.is_older(endpoint(heartbeats=2))
 
 
+# Guards against an endpoint that is ignored for good after another writer's record.
+@pytest.mark.parametrize(
+    'other',
+    [
+        {'incarnation': 6, 'heartbeats': 1},
+        {'incarnation': 10**15, 'heartbeats': 10**15},
+        {'incarnation': 5, 'heartbeats': 10**15},
+    ],
+)
+def test_endpoint_that_writes_on_is_not_older_for_long(other):
+    heartbeats = heartbeats_of(endpoint(incarnation=5, heartbeats=8))
+    heartbeats.record(endpoint(**other))
+    seen = []
+    for number in (9, 10):
+        record = endpoint(incarnation=5, heartbeats=number)
+        seen.append(heartbeats.is_older(record))
+        heartbeats.record_older(record)
+    assert not seen[1]
+    assert seen[0] is (other['incarnation'] == 5)
+
+
+# Guards against an endpoint that is ignored as its clock was wrong when it started.
+def test_start_that_goes_back_is_accepted_with_its_second_heartbeat():
+    heartbeats = heartbeats_of(endpoint(incarnation=5, heartbeats=8))
+    first = endpoint(incarnation=4, heartbeats=1)
+    assert heartbeats.is_older(first)
+    heartbeats.record_older(first)
+    assert heartbeats.is_older(first)
+    assert not heartbeats.is_older(endpoint(incarnation=4, heartbeats=2))
+
+
 # Guards against work for dead and draining endpoints after a restore.
 def test_older_copy_revives_no_endpoint():
     table = EndpointTable()
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -50,8 +50,10 @@
     'service': 's',
     'address': '10.0.0.1:80',
     'zone': 'z',
+    'version': 'v1',
     'slots': 96,
     'state': 'ready',
+    'cold_left_ms': 0,
     'seq': 4,
     'born': 17,
     'layers': {'from': 3, 'to': 9, 'version': 1},
@@ -133,6 +135,45 @@
     assert endpoint(**changes).failure()
 
 
+LISTED = (
+    'service',
+    'address',
+    'zone',
+    'version',
+    'slots',
+    'state',
+    'cold_left_ms',
+    'seq',
+)
+
+
+# Guards against another writer's record that takes the place of an endpoint's.
+@pytest.mark.parametrize('name', LISTED)
+def test_record_without_a_listed_field_is_not_an_endpoints_own(name):
+    record = {key: text for key, text in ENDPOINT_RECORD.items() if key != name}
+    assert decode_endpoint('i-1', json.dumps(record).encode()).failure()
+
+
+@pytest.mark.parametrize('name', LISTED)
+@pytest.mark.parametrize('other', [None, [], {}, True, -1])
+def test_record_with_a_listed_field_of_another_type_is_neither(name, other):
+    assert endpoint(**{name: other}).failure()
+
+
+@pytest.mark.parametrize('version', ['v1', 3])
+def test_version_of_the_software_is_a_text_or_a_number(version):
+    assert endpoint(version=version).unwrap().name == 'i-1'
+
+
+# Guards against names that end the connection of a caller, as they cannot be sent.
+@pytest.mark.parametrize(
+    'name', ['i-\u20ac', 'i-1\r\nX: y', 'i\x00', 'i-\U0001f600']
+)
+def test_name_that_no_header_can_hold_is_a_failure(name):
+    raw = json.dumps(ENDPOINT_RECORD).encode()
+    assert decode_endpoint(name, raw).failure()
+
+
 @given(st.binary())
 def test_arbitrary_bytes_never_raise(raw):
     decode_endpoint('i-1', raw)
@@ -274,7 +315,7 @@
     document = ENDPOINT_RECORD | {'models': [{'name': 'm', 'seq': 7}]}
     document.pop('seq')
     raw = json.dumps(document).encode()
-    assert decode_endpoint('i-1', raw).unwrap().heartbeats == 0
+    assert decode_endpoint('i-1', raw).failure()
 
 
 @pytest.mark.parametrize('number', ['04', '4.5', '4e3', '-4', '"4"'])
--- a/tests/router/test_record_applier.py
+++ b/tests/router/test_record_applier.py
@@ -80,13 +80,17 @@
     assert log.of('configuration_unreadable')
 
 
-def test_malformed_endpoint_is_removed_and_logged_once():
+def test_malformed_record_changes_no_endpoint_and_is_logged_once():
     blackboard = board()
     applier, log = make_applier(blackboard)
     apply_endpoints(applier, ('e1', b'1'), ('e2', b'1'))
-    apply_endpoints(applier, ('e1', b'junk'), ('e1', b'junk'))
-    assert set(blackboard.endpoints.names()) == {'e2'}
-    assert len(log.of('endpoint_unreadable')) == 1
+    revision = blackboard.endpoints.revision
+    apply_endpoints(applier, ('e1', b'junk'), ('e1', b'junk'), ('e3', b'junk'))
+    apply_endpoints(applier, ('e1', b'junk'), ('e2', b'1'), is_snapshot=True)
+    assert set(blackboard.endpoints.names()) == {'e1', 'e2'}
+    assert blackboard.endpoints.revision == revision
+    (line, _) = log.of('endpoint_unreadable')
+    assert line['endpoint'] == 'e1'
 
 
 def test_deleted_endpoint_is_removed():
