Give each port of a router under test out once

Cause: a port was drawn at random from 16,000 and bound seconds later; nothing reserved it meanwhile, in the world, in the process or in the others of the same run.

Change (tests only): each process of tests takes blocks of ports by locks that end with it, and gives out their ports in turn, passing over those in use; only then, those of worlds that ended first. Stand-ins, proxies and the entries of demo/ bind port 0 themselves, and need no change; tests/test_startup.py draws from the same blocks.

--- a/tests/soak_router/test_router.py
+++ b/tests/soak_router/test_router.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 
+from foxtailhatch.router.app import EXIT_LISTEN
 from tests.soak_router.client import send_request
 from tests.soak_router.world import World, wait_until
 
@@ -26,6 +27,9 @@
 
 
 async def all_serve(world):
+    for router in world.routers:
+        is_ended = router.process.poll() == EXIT_LISTEN
+        assert not is_ended, f'{router.name} cannot listen'
     responses = [
         await send_request(
             router.address, f'probe-{world.log.calls}-{index}', '/m/x'
--- a/tests/soak_router/world.py
+++ b/tests/soak_router/world.py
@@ -4,15 +4,14 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
-from random import SystemRandom
 
 from standins.platform_engine import EndpointPool, StubEndpoint
 from standins.platform_log import PlatformLog
 from tests.soak_router.client import HOST
+from tests.soak_router.ports import free_port
 from tests.soak_router.proxy import Proxy
 
 ZONES = ('z1', 'z2')
@@ -33,19 +32,6 @@
 THIS_BUILD = Path(__file__).parents[2]
 
 
-# These are below the ephemeral ports of the system.  An ephemeral port could be
-# assigned to a connection before a router has bound it.
-PORTS = range(15_000, 31_000)
-
-
-def free_port():
-    while True:
-        port = SystemRandom().choice(PORTS)
-        with socket.socket() as probe:
-            if probe.connect_ex(('127.0.0.1', port)):
-                return port
-
-
 def configuration(version):
     routes = [
         {'name': 'm', 'path_prefix': '/m/', 'route_kind': 'streaming'},
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -16,7 +16,7 @@
 import pytest
 
 from foxtailhatch.router.app import EXIT_LISTEN
-from tests.soak_router.world import free_port
+from tests.soak_router.ports import free_port
 
 ROOT = Path(__file__).parent.parent
 PROGRAMS = (
