Count a crash that leaves no endpoint to bear witness

A request that crashes each endpoint which begins to run it came to four entries at once. All three endpoints of a plain service crashed, and again when they were back: the request reached them 5 to 7 times later than 3 s after the third crash, 3 are the most, and 10 to 17 sound requests were lost.

Cause: a crash counted only if another endpoint of the service answered, which shows that the entry is not cut off. Without one the losses were dropped before the endpoints were back. Until a crash was confirmed, losses that might be crashes counted as one, so a request was sent on from each endpoint to the next.

Change: what was lost at an endpoint that is not found is told to the other entries as not confirmed, and is a crash for those who do not find it either, or if the same request was lost at another one too; a reported crash counts for the losses of each entry. Each endpoint at which a request was lost and which may have crashed counts, so one that was lost twice in a row waits for the verdict. The record has a field more where it is not confirmed; other records are as before.

--- a/foxtailhatch/recovery/crashing_requests.py
+++ b/foxtailhatch/recovery/crashing_requests.py
@@ -94,6 +94,10 @@
         while len(self._crashes) > MAX_CRASHES:
             self._crashes.pop(next(iter(self._crashes)))
 
+    def is_known(self, crash: Crash) -> bool:
+        """Return whether a crash was reported."""
+        return crash in self._crashes
+
     def record_begun(self, request: str, begun_at: float) -> None:
         """Record that a request ran, so that it caused no crash before."""
         for evidence in self._crashes.values():
--- a/foxtailhatch/router/components.py
+++ b/foxtailhatch/router/components.py
@@ -116,6 +116,7 @@
         log,
         prober,
         lambda name: has_open_connection(relay.running, name),
+        lambda endpoint, now: crash_watch.record_unanswered(endpoint, now),
     )
     crash_watch = CrashWatch(
         board, adapter.store, log, random, lambda: relay.running
--- a/foxtailhatch/router/crash_watch.py
+++ b/foxtailhatch/router/crash_watch.py
@@ -65,6 +65,8 @@
 # Bound on the released parts that are remembered.
 MAX_RELEASED = 1024
 MAX_LOGGED_PARTS = 8
+# Bound on the crashes that other entries could not confirm.
+MAX_UNCONFIRMED = 1024
 # Records that the store did not take are written again, one at a time, until it
 # takes them; the oldest are dropped.
 REWRITE_S = 1.0
@@ -90,6 +92,14 @@
     lost_at: float
 
 
+@dataclass(slots=True)
+class _UnconfirmedCrash:
+    """The requests that others lost where they do not find the endpoint."""
+
+    at: float
+    requests: set[str] = field(default_factory=set)
+
+
 @dataclass(slots=True)
 class _CrashReport:
     """What this entry lost in one crash."""
@@ -120,6 +130,12 @@
         self._turns = SuspectTurns()
         self._losses: list[_Loss] = []
         self._request_losses: list[_RequestLoss] = []
+        # Endpoints that no probe has found, and when; nobody could tell whether
+        # they are out of reach of this entry alone.
+        self._unanswered: dict[Crash, float] = {}
+        self._unshared: set[Crash] = set()
+        # Requests that other entries lost at endpoints which they do not find.
+        self._unconfirmed: dict[Crash, _UnconfirmedCrash] = {}
         self._sound_due: dict[str, float] = {}
         self._parts_due: dict[str, float] = {}
         self._releases_due: dict[str, float] = {}
@@ -141,7 +157,9 @@
     def is_idle(self) -> bool:
         """Return whether there is nothing to confirm, decide or write."""
         due = (self._sound_due, self._parts_due, self._releases_due)
-        has_losses = bool(self._losses or self._request_losses)
+        has_losses = bool(
+            self._losses or self._request_losses or self._unconfirmed
+        )
         is_undecided = (
             self._suspects.is_undecided or self._requests.is_undecided
         )
@@ -179,21 +197,31 @@
             suspect = request_suspect(req.fingerprint)
             self._request_losses.append(_RequestLoss(head, suspect, now))
 
+    def record_unanswered(self, endpoint: LiveEndpoint, now: float) -> None:
+        """Record that no probe found an endpoint, and no other one answered.
+
+        All endpoints of a service may have crashed, or this entry is cut off.
+        What it lost there counts as a crash for those who do not find the endpoint
+        either.
+        """
+        crash = _crash_of(endpoint)
+        self._unanswered[crash] = now
+        self._unshared.add(crash)
+
     def may_repeat(self, req: RelayRequest, now: float) -> bool:
         """Return whether a request that was lost may be sent again now.
 
         One that was lost in several crashes waits until all entries have
-        reported what they lost beside it, and then for its turn.
+        reported what they lost beside it, and then for its turn.  Losses that
+        may still be crashes count.
         """
         suspect = request_suspect(req.fingerprint)
         count = self._requests.crash_count(suspect, self._suspects.explained)
-        lost_at = self._lost_at(suspect, now)
-        if lost_at is not None:
-            count += 1
+        lost = self._maybe_crashed(suspect, now)
+        count += len(lost)
         if count < SUSPECT_CRASHES:
             return True
-        reported_at = self._requests.reported_at(suspect)
-        if lost_at is not None or now < reported_at:
+        if lost or now < self._requests.reported_at(suspect):
             return False
         return self._turns.take(suspect, now)
 
@@ -314,9 +342,22 @@
             self._release(key.removeprefix(PART_PREFIX), now)
             return
         record = self._decode(key, raw)
-        if record is not None:
+        is_own = key == f'{LOST_PREFIX}{self._entry}'
+        if isinstance(record, LostRecord) and not record.is_confirmed:
+            if not is_own:
+                self._note_unconfirmed(record, now)
+        elif record is not None:
             self._apply(record, now)
 
+    def _note_unconfirmed(self, record: LostRecord, now: float) -> None:
+        """Keep what another entry lost at an endpoint that it does not find."""
+        crash = (record.endpoint, record.incarnation)
+        known = self._unconfirmed.setdefault(crash, _UnconfirmedCrash(now))
+        known.at = now
+        known.requests.update(map(request_suspect, record.requests))
+        while len(self._unconfirmed) > MAX_UNCONFIRMED:
+            self._unconfirmed.pop(next(iter(self._unconfirmed)))
+
     def _apply(self, record: PromptRecord, now: float) -> None:
         if isinstance(record, LostRecord):
             crash = (record.endpoint, record.incarnation)
@@ -367,19 +408,16 @@
             if count >= CRASHES_TO_ACT and self._suspects.is_sound(part, now):
                 self._sound_due.setdefault(part, self._spread(now))
 
-    def _lost_at(self, suspect: str, now: float) -> float | None:
-        """Return when a request was lost, if that may still be a crash.
+    def _maybe_crashed(self, suspect: str, now: float) -> set[Crash]:
+        """Return where a request was lost, if that may still be a crash.
 
         The endpoint is found dead soon, or was found alive.
         """
-        return next(
-            (
-                loss.lost_at
-                for loss in self._request_losses
-                if loss.suspect == suspect and now - loss.lost_at <= PROBE_S
-            ),
-            None,
-        )
+        return {
+            _crash_of(loss.head)
+            for loss in self._request_losses
+            if loss.suspect == suspect and now - loss.lost_at <= PROBE_S
+        }
 
     def _confirm_losses(self, now: float) -> None:
         reports: dict[Crash, _CrashReport] = defaultdict(_CrashReport)
@@ -406,20 +444,80 @@
         self, reports: dict[Crash, _CrashReport], now: float
     ) -> None:
         waiting = []
+        self._confirm_lost_elsewhere(now)
+        repeated = self._lost_repeatedly()
         for loss in self._request_losses:
-            if self._has_crashed(loss.head):
+            if self._has_crashed(loss.head) or self._is_crash(loss, repeated):
                 reports[_crash_of(loss.head)].requests.append(loss.suspect)
             elif now - loss.lost_at <= CONFIRM_S:
                 waiting.append(loss)
         self._request_losses = waiting
+        self._share_unconfirmed(waiting)
+        self._unanswered = {
+            crash: at
+            for crash, at in self._unanswered.items()
+            if now - at <= CONFIRM_S
+        }
+
+    def _share_unconfirmed(self, losses: Iterable[_RequestLoss]) -> None:
+        """Tell other entries what was lost at endpoints that are not found."""
+        lost: dict[Crash, list[str]] = defaultdict(list)
+        for loss in losses:
+            crash = _crash_of(loss.head)
+            if crash in self._unshared:
+                lost[crash].append(fingerprint_of(loss.suspect))
+        self._unshared.clear()
+        for crash, requests in lost.items():
+            record = LostRecord(*crash, (), tuple(requests), is_confirmed=False)
+            self._put(f'{LOST_PREFIX}{self._entry}', record.encode())
+
+    def _confirm_lost_elsewhere(self, now: float) -> None:
+        """Count what others lost at endpoints that this entry misses as well."""
+        waiting = {}
+        for crash, reported in self._unconfirmed.items():
+            if crash in self._unanswered or self._is_gone(crash):
+                self._requests.record_crash(crash, reported.requests, now)
+            elif now - reported.at <= CONFIRM_S:
+                waiting[crash] = reported
+        self._unconfirmed = waiting
+
+    def _lost_repeatedly(self) -> set[str]:
+        """Return the requests that were lost at several endpoints."""
+        heads: dict[str, set[Crash]] = defaultdict(set)
+        for loss in self._request_losses:
+            heads[loss.suspect].add(_crash_of(loss.head))
+        return {
+            suspect
+            for suspect, lost in heads.items()
+            if len(lost) + self._requests.crash_count(suspect)
+            >= SUSPECT_CRASHES
+        }
+
+    def _is_crash(self, loss: _RequestLoss, repeated: set[str]) -> bool:
+        """Return whether a loss is a crash although no endpoint bears witness.
+
+        Another entry has reported it, or the request was lost at one endpoint
+        after the other.  An entry that is cut off loses a request once: it
+        reaches no other endpoint.
+        """
+        crash = _crash_of(loss.head)
+        if self._requests.is_known(crash):
+            return True
+        return crash in self._unanswered and loss.suspect in repeated
 
     def _has_crashed(self, endpoint: LiveEndpoint) -> bool:
         table = self._board.endpoints
         if table.draining_for(endpoint, self._board.clock()) is not None:
             return False
-        known = table.get(endpoint.name)
-        is_gone = known is None or known.incarnation != endpoint.incarnation
-        return is_gone or table.is_dead(endpoint.name)
+        return self._is_gone(_crash_of(endpoint))
+
+    def _is_gone(self, crash: Crash) -> bool:
+        """Return whether an incarnation is not listed any more, or dead."""
+        name, incarnation = crash
+        table = self._board.endpoints
+        known = table.get(name)
+        is_gone = known is None or known.incarnation != incarnation
+        return is_gone or table.is_dead(name)
 
     def _report(self, crash: Crash, report: _CrashReport, now: float) -> None:
         """Report the requests and parts that may have caused a crash."""
--- a/foxtailhatch/router/observation_publisher.py
+++ b/foxtailhatch/router/observation_publisher.py
@@ -30,16 +30,20 @@
         log: StructuredLog,
         prober: ReachProber,
         has_connection: Callable[[str], bool],
+        on_unanswered: Callable[[LiveEndpoint, float], None],
     ) -> None:
         """Create a publisher; ``prober`` finds witnesses for deaths.
 
         ``has_connection`` returns whether a connection to an endpoint is open.
+        ``on_unanswered`` is told of endpoints that are not found, without a
+        witness for their death.
         """
         self._board = board
         self._adapter = adapter
         self._log = log
         self._prober = prober
         self._has_connection = has_connection
+        self._on_unanswered = on_unanswered
         self._tasks: set[asyncio.Future[None]] = set()
         self._probed: set[str] = set()
 
@@ -95,7 +99,9 @@
             has_witness=has_witness,
             after_s=round(self._board.clock() - since, 2),
         )
-        if not is_alive and has_witness:
+        if not (is_alive or has_witness):
+            self._on_unanswered(endpoint, self._board.clock())
+        elif not is_alive:
             self.publish(
                 EndpointObservation(
                     endpoint.name, endpoint.incarnation, is_dead=True
--- a/foxtailhatch/router/prompt_records.py
+++ b/foxtailhatch/router/prompt_records.py
@@ -32,12 +32,14 @@
     """What an entry lost when an endpoint's incarnation crashed.
 
     ``requests`` are the fingerprints of the requests that were about to begin.
+    A crash that is not ``is_confirmed`` may be a fault of the entry's own links.
     """
 
     endpoint: str
     incarnation: int
     prompts: tuple[LostPrompt, ...]
     requests: tuple[str, ...] = ()
+    is_confirmed: bool = True
 
     def encode(self) -> bytes:
         """Return the value of the record."""
@@ -45,9 +47,8 @@
             [prompt.own, *prompt.parts] for prompt in self.prompts[:MAX_PROMPTS]
         ]
         requests = self.requests[:MAX_REQUESTS]
-        return orjson.dumps(
-            [self.endpoint, self.incarnation, prompts, requests]
-        )
+        fields = [self.endpoint, self.incarnation, prompts, requests]
+        return orjson.dumps(fields if self.is_confirmed else [*fields, False])
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +111,7 @@
             for own, *parts in prompts[:MAX_PROMPTS]
         ),
         tuple(map(str, further[0][:MAX_REQUESTS])) if further else (),
+        is_confirmed=further[1:2] != [False],
     )
 
 
--- a/tests/router/test_crash_watch.py
+++ b/tests/router/test_crash_watch.py
@@ -313,6 +313,90 @@
     assert watch.is_idle
 
 
+def lose_without_witness(fleet, number, name, *fingerprints):
+    """Let an endpoint crash as no other one of its service lives."""
+    entry = fleet.entries[number]
+    head = entry.board.endpoints.get(name)
+    for fingerprint in fingerprints:
+        entry.watch.record_request_lost(head, sent(fingerprint), fleet.clock())
+    entry.watch.record_unanswered(head, fleet.clock())
+
+
+# Guards against a request that crashes all endpoints of a service at once, so that
+# none is left to show that it is not the entry that is cut off.
+def test_request_that_crashes_all_endpoints_is_quarantined_everywhere():
+    fleet = Fleet()
+    for name in ('e0', 'e1', 'e2'):
+        lose_without_witness(fleet, 0, name, 'bad', f'sound-{name}')
+    fleet.advance(1.2)
+    for one in fleet.entries:
+        assert one.watch.is_blocked(sent('bad'))
+        assert not one.watch.is_blocked(sent('sound-e0'))
+
+
+# Guards against the same where each entry loses the request once.
+def test_request_that_three_entries_lost_at_once_is_quarantined():
+    fleet = Fleet()
+    for number, name in enumerate(('e0', 'e1', 'e2')):
+        lose_without_witness(fleet, number, name, 'bad', f'sound-{name}')
+    for one in fleet.entries:
+        for name in ('e0', 'e1', 'e2'):
+            head = one.board.endpoints.get(name)
+            one.watch.record_unanswered(head, fleet.clock())
+    fleet.advance(1.2)
+    for one in fleet.entries:
+        assert one.watch.is_blocked(sent('bad'))
+        assert not one.watch.is_blocked(sent('sound-e0'))
+
+
+# Guards against verdicts for all by entries that are cut off from the endpoints.
+def test_losses_at_endpoints_that_others_find_are_no_crashes():
+    fleet = Fleet(entries=4)
+    for number, name in enumerate(('e0', 'e1', 'e2')):
+        lose_without_witness(fleet, number, name, 'popular')
+    fleet.advance(CONFIRM_S + 1)
+    assert not any(
+        one.watch.is_blocked(sent('popular')) for one in fleet.entries
+    )
+
+
+# Guards against sound requests that hide the cause, as only some losses count.
+def test_losses_beside_a_crash_that_another_entry_reports_count():
+    fleet = Fleet()
+    for name in ('e0', 'e1'):
+        lose_without_witness(fleet, 0, name, 'a', 'b')
+        lose_without_witness(fleet, 1, name, f'c-{name}')
+    fleet.advance(1.2)
+    watch = fleet.entries[1].watch
+    assert not watch.is_blocked(sent('a'))
+    reported = [
+        record for record in fleet.store.records if b'c-e0' in record.value
+    ]
+    assert reported
+
+
+# Guards against verdicts by an entry that is cut off from the endpoints.
+def test_requests_that_an_entry_cut_off_loses_once_are_no_crashes():
+    fleet = Fleet()
+    for name in ('e0', 'e1', 'e2'):
+        lose_without_witness(fleet, 0, name, f'sound-{name}')
+    fleet.advance(CONFIRM_S + 1)
+    for one in fleet.entries:
+        assert one.watch.is_idle
+        assert not one.log.of('crash_suspects')
+
+
+# Guards against a single request that takes one endpoint after the other down
+# before any crash is confirmed.
+def test_request_that_was_lost_twice_in_a_row_waits():
+    fleet = Fleet()
+    watch = fleet.entries[0].watch
+    for name, may_go_on in (('e0', True), ('e1', False)):
+        head = fleet.entries[0].board.endpoints.get(name)
+        watch.record_request_lost(head, sent('bad'), fleet.clock())
+        assert watch.may_repeat(sent('bad'), fleet.clock()) is may_go_on
+
+
 def test_request_that_is_sound_after_all_is_released_everywhere():
     fleet = Fleet()
     for name in ('e0', 'e1'):
--- a/tests/router/test_cut_off_from_engines.py
+++ b/tests/router/test_cut_off_from_engines.py
@@ -66,7 +66,12 @@
 
     async def scenario():
         publisher = ObservationPublisher(
-            env, adapter, ListLog(), prober, lambda _: False
+            env,
+            adapter,
+            ListLog(),
+            prober,
+            lambda _: False,
+            lambda endpoint, now: None,
         )
         for name in ('e0', 'e1', 'e2'):
             publisher.confirm_suspect(env.endpoints.get(name), 'not_connected')
--- a/tests/router/test_observation_publisher.py
+++ b/tests/router/test_observation_publisher.py
@@ -63,12 +63,14 @@
         recorder = ReachRecorder(engines, self.board)
         adapter = SimpleNamespace(store=MemoryStore(), engines=recorder)
         self.log = ListLog()
+        self.unanswered = []
         self.publisher = ObservationPublisher(
             self.board,
             adapter,
             self.log,
             ReachProber(self.board, recorder, self.log, Random(1)),
             lambda name: name in connected,
+            lambda endpoint, now: self.unanswered.append(endpoint.name),
         )
 
     def suspect(self):
