--- a/foxtailhatch/fleet/last_heartbeats.py
+++ b/foxtailhatch/fleet/last_heartbeats.py
@@ -46,7 +46,7 @@
     incarnations and heartbeats are always taken as they are listed.
 
     Another writer may have put a later incarnation or a higher number in the place
-    of the endpoint's, and a machine whose clock was wrong may have started with one
+    of the endpoint's, and an instance whose clock was wrong may have started with one
     that goes back.  Whoever writes further heartbeats lives, so an incarnation is
     not older whose number grows from one record to the next.
     """
