--- a/review/common-3/rig.py
+++ b/review/common-3/rig.py
@@ -9,6 +9,7 @@
 import json
 import os
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -403,6 +404,7 @@
         for replica in self.replicas:
             replica.stop()
         self.log.server.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Client:
